Set down the design, the layout and the core types

Cause: the repository is empty; later work needs one agreed shape. Conclusion: the path from caller to endpoint follows on these types.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,27 @@
+GO ?= go
+LINTER = github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
+SEED ?= 1
+CHECKS ?= 200
+
+.PHONY: build lint test bench fuzz fmt
+
+build:
+	CGO_ENABLED=1 $(GO) build -tags netcgo -o bin/ ./cmd/rosemarywind ./cmd/standin
+
+fmt:
+	$(GO) run $(LINTER) fmt
+
+lint:
+	$(GO) vet ./...
+	$(GO) run $(LINTER) run
+	$(GO) run $(LINTER) fmt --diff
+
+test: build lint
+	ROSEMARYWIND_SEED=$(SEED) ROSEMARYWIND_CHECKS=$(CHECKS) $(GO) test -race -shuffle=1 -count=1 ./...
+
+bench:
+	$(GO) test -run '^$$' -bench . -benchmem ./...
+
+fuzz:
+	@seed=$${SEED:-$$(date +%s)}; echo "seed $$seed"; \
+	ROSEMARYWIND_SEED=$$seed ROSEMARYWIND_CHECKS=20000 $(GO) test -count=1 -timeout 60m ./...
--- /dev/null
+++ b/internal/board/board_test.go
@@ -0,0 +1,90 @@
+package board_test
+
+import (
+	"sync"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"rosemarywind.example/rosemarywind/internal/board"
+)
+
+// Guards against a watcher that misses a publication or sees an older value after it.
+func TestSection(t *testing.T) {
+	t.Run("watch sees the next publication", func(t *testing.T) {
+		s := board.NewSection("a")
+		value, changed := s.Watch()
+		requireOpen(t, changed)
+		s.Publish("b")
+		requireClosed(t, changed)
+		assert.Equal(t, "a", value)
+		assert.Equal(t, "b", s.Load())
+		assert.Equal(t, uint64(1), s.Version())
+	})
+	t.Run("readers never go back", func(t *testing.T) {
+		s := board.NewSection(0)
+		var g sync.WaitGroup
+		for range 4 {
+			g.Go(func() { requireMonotonic(t, s, 1000) })
+		}
+		for i := range 1000 {
+			s.Publish(i + 1)
+		}
+		g.Wait()
+	})
+}
+
+// Guards against a change that leaks into an older edition of the table.
+func TestTable(t *testing.T) {
+	t.Run("older editions stay as they were", func(t *testing.T) {
+		one := board.NewTable[int]().With("a", 1)
+		two := one.With("a", 2).With("b", 3)
+		three := two.Without("a").Without("missing")
+		assertEntries(t, one, map[string]int{"a": 1})
+		assertEntries(t, two, map[string]int{"a": 2, "b": 3})
+		assertEntries(t, three, map[string]int{"b": 3})
+	})
+}
+
+func assertEntries(t *testing.T, table board.Table[int], want map[string]int) {
+	t.Helper()
+	got := map[string]int{}
+	for k, v := range table.All() {
+		got[k] = v
+	}
+	assert.Equal(t, want, got)
+	assert.Equal(t, len(want), table.Len())
+}
+
+func requireMonotonic(t *testing.T, s *board.Section[int], last int) {
+	seen := 0
+	for seen < last {
+		value, changed := s.Watch()
+		if !assert.GreaterOrEqual(t, value, seen) {
+			return
+		}
+		seen = value
+		if seen < last {
+			<-changed
+		}
+	}
+}
+
+func requireOpen(t *testing.T, c <-chan struct{}) {
+	t.Helper()
+	select {
+	case <-c:
+		require.Fail(t, "channel is closed")
+	default:
+	}
+}
+
+func requireClosed(t *testing.T, c <-chan struct{}) {
+	t.Helper()
+	select {
+	case <-c:
+	default:
+		require.Fail(t, "channel is open")
+	}
+}
--- /dev/null
+++ b/internal/fuzzing/doc.go
@@ -0,0 +1,2 @@
+// Package fuzzing fixes the seed and the number of checks of stateful tests.
+package fuzzing
--- /dev/null
+++ b/internal/job/job.go
@@ -0,0 +1,103 @@
+package job
+
+import (
+	"slices"
+
+	"rosemarywind.example/rosemarywind/internal/lease"
+)
+
+// State is how far a job has come.
+type State string
+
+// The states of a job; Done is final.
+const (
+	Queued   State = "queued"
+	Reserved State = "reserved"
+	Started  State = "started"
+	Stopping State = "stopping"
+	Done     State = "done"
+)
+
+// Result says how a job ended.
+type Result string
+
+// The results of a job.
+const (
+	Unfinished Result = ""
+	Succeeded  Result = "succeeded"
+	Failed     Result = "failed"
+	Cancelled  Result = "cancelled"
+	Rejected   Result = "rejected"
+	MayHaveRun Result = "may-have-run"
+)
+
+// Job is a spec and its progress; it is immutable.
+type Job struct {
+	spec     Spec
+	state    State
+	result   Result
+	reason   string
+	fence    lease.Fence
+	attempts int
+	members  []Member
+}
+
+// New returns a queued job.
+func New(spec Spec) Job { return Job{spec: spec, state: Queued} }
+
+// Spec returns what was asked for.
+func (j Job) Spec() Spec { return j.spec }
+
+// State returns how far the job has come.
+func (j Job) State() State { return j.state }
+
+// Result returns how the job ended, Unfinished before that.
+func (j Job) Result() Result { return j.result }
+
+// Reason returns why the job is in its state, for people.
+func (j Job) Reason() string { return j.reason }
+
+// Fence returns the fencing number of the latest reservation.
+func (j Job) Fence() lease.Fence { return j.fence }
+
+// Attempts returns how many times the job was started.
+func (j Job) Attempts() int { return j.attempts }
+
+// Members returns where the members are placed, which the caller must not modify.
+func (j Job) Members() []Member { return j.members }
+
+// Placed reports whether the job holds accelerators.
+func (j Job) Placed() bool {
+	return j.state == Reserved || j.state == Started || j.state == Stopping
+}
+
+// Reserve returns the job placed on members under a new fence.
+func (j Job) Reserve(fence lease.Fence, members []Member) Job {
+	j.state, j.fence, j.members, j.reason = Reserved, fence, slices.Clone(members), "reserving all members"
+	return j
+}
+
+// Start returns the job as started, with one more attempt.
+func (j Job) Start() Job {
+	j.state, j.reason = Started, "all members reserved"
+	j.attempts++
+	return j
+}
+
+// Stop returns the job as stopping for the given reason.
+func (j Job) Stop(reason string) Job {
+	j.state, j.reason = Stopping, reason
+	return j
+}
+
+// Requeue returns the job as queued without members; its fence is kept so that the next one voids it.
+func (j Job) Requeue(reason string) Job {
+	j.state, j.members, j.reason = Queued, nil, reason
+	return j
+}
+
+// Finish returns the job as done with the given result.
+func (j Job) Finish(result Result, reason string) Job {
+	j.state, j.result, j.reason, j.members = Done, result, reason, nil
+	return j
+}
--- /dev/null
+++ b/internal/job/spec.go
@@ -0,0 +1,99 @@
+package job
+
+import (
+	"fmt"
+	"time"
+
+	"rosemarywind.example/rosemarywind/internal/workspace"
+)
+
+// Urgency orders work of the same workspace.
+type Urgency string
+
+// The urgencies.
+const (
+	Urgent  Urgency = "urgent"
+	Patient Urgency = "patient"
+)
+
+// ParseUrgency returns the urgency of the given name; the empty name means Patient.
+func ParseUrgency(s string) (u Urgency, err error) {
+	switch u = Urgency(s); u {
+	case Urgent, Patient:
+		return u, nil
+	case "":
+		return Patient, nil
+	default:
+		return "", fmt.Errorf("urgency %q is neither urgent nor patient", s)
+	}
+}
+
+// Spec is what was asked for; it is immutable.
+type Spec struct {
+	id             string
+	workspace      string
+	shape          workspace.Shape
+	urgency        Urgency
+	idempotent     bool
+	checkpointable bool
+	runTime        time.Duration
+	submittedAt    time.Time
+	payload        string
+}
+
+// SpecOption sets a part of a Spec.
+type SpecOption func(*Spec)
+
+// WithUrgency sets the urgency; the default is Patient.
+func WithUrgency(u Urgency) SpecOption { return func(s *Spec) { s.urgency = u } }
+
+// WithIdempotent marks the job as one that may run more than once.
+func WithIdempotent(yes bool) SpecOption { return func(s *Spec) { s.idempotent = yes } }
+
+// WithCheckpointable marks the job as one whose tasks can be checkpointed.
+func WithCheckpointable(yes bool) SpecOption { return func(s *Spec) { s.checkpointable = yes } }
+
+// WithRunTime sets the declared run time, which may be wrong.
+func WithRunTime(d time.Duration) SpecOption { return func(s *Spec) { s.runTime = d } }
+
+// WithPayload sets what the tasks are told to do.
+func WithPayload(p string) SpecOption { return func(s *Spec) { s.payload = p } }
+
+// NewSpec returns the spec of a job submitted at submittedAt; it fails without an id or a workspace.
+func NewSpec(id, inWorkspace string, shape workspace.Shape, submittedAt time.Time, opts ...SpecOption) (s Spec, err error) {
+	if id == "" || inWorkspace == "" {
+		return Spec{}, fmt.Errorf("job %q: id and workspace are required", id)
+	}
+	s = Spec{id: id, workspace: inWorkspace, shape: shape, submittedAt: submittedAt, urgency: Patient}
+	for _, o := range opts {
+		o(&s)
+	}
+	return s, nil
+}
+
+// ID returns the identity that is never reused.
+func (s Spec) ID() string { return s.id }
+
+// Workspace returns the name of the workspace that the job counts against.
+func (s Spec) Workspace() string { return s.workspace }
+
+// Shape returns the members and their accelerators.
+func (s Spec) Shape() workspace.Shape { return s.shape }
+
+// Urgency returns the urgency.
+func (s Spec) Urgency() Urgency { return s.urgency }
+
+// Idempotent reports whether the job may run more than once.
+func (s Spec) Idempotent() bool { return s.idempotent }
+
+// Checkpointable reports whether the tasks can be checkpointed.
+func (s Spec) Checkpointable() bool { return s.checkpointable }
+
+// RunTime returns the declared run time, 0 when none was declared.
+func (s Spec) RunTime() time.Duration { return s.runTime }
+
+// SubmittedAt returns when the leader accepted the job.
+func (s Spec) SubmittedAt() time.Time { return s.submittedAt }
+
+// Payload returns what the tasks are told to do.
+func (s Spec) Payload() string { return s.payload }
--- /dev/null
+++ b/internal/lease/lease.go
@@ -0,0 +1,42 @@
+package lease
+
+import "time"
+
+// driftMarginPercent covers the difference in rate of two clocks and a late timer.
+const driftMarginPercent = 5
+
+// Held is a lease as its holder sees it.
+type Held struct {
+	askedAt time.Time
+	length  time.Duration
+}
+
+// NewHeld returns a lease that the holder asked for at askedAt, by its own monotonic clock.
+func NewHeld(askedAt time.Time, length time.Duration) Held {
+	return Held{askedAt: askedAt, length: length}
+}
+
+// Valid reports whether the holder may still act.
+func (h Held) Valid(now time.Time) bool { return now.Before(h.Ends()) }
+
+// Ends returns the moment from which the holder must not act.
+func (h Held) Ends() time.Time { return h.askedAt.Add(h.length) }
+
+// Granted is a lease as its grantor sees it.
+type Granted struct {
+	answeredAt time.Time
+	length     time.Duration
+}
+
+// NewGranted returns a lease that the grantor answered at answeredAt, by its own monotonic clock.
+func NewGranted(answeredAt time.Time, length time.Duration) Granted {
+	return Granted{answeredAt: answeredAt, length: length}
+}
+
+// Over reports whether the holder can no longer act, so that the resource may be given away.
+func (g Granted) Over(now time.Time) bool { return !now.Before(g.OverAt()) }
+
+// OverAt returns the moment from which the resource may be given away.
+func (g Granted) OverAt() time.Time {
+	return g.answeredAt.Add(g.length + g.length*driftMarginPercent/100)
+}
--- /dev/null
+++ b/internal/route/choose.go
@@ -0,0 +1,57 @@
+package route
+
+import (
+	"slices"
+
+	"rosemarywind.example/rosemarywind/internal/fleet"
+)
+
+// Random is a source of random numbers; math/rand/v2's *Rand and functions fit.
+type Random interface {
+	IntN(n int) int
+}
+
+// candidateDraws is the number of random candidates that are compared.
+const candidateDraws = 2
+
+// Choose returns the less loaded of two random ready endpoints with a free slot, passing over the excluded names.
+func Choose(s *fleet.Snapshot, random Random, excluded []string) (chosen fleet.Endpoint, ok bool) {
+	ready := s.Ready()
+	if len(ready) == 0 {
+		return fleet.Endpoint{}, false
+	}
+	best := -1
+	for range candidateDraws {
+		i := random.IntN(len(ready))
+		if usable(&ready[i], excluded) && (best < 0 || less(&ready[i], &ready[best])) {
+			best = i
+		}
+	}
+	if best < 0 {
+		best = scan(ready, random.IntN(len(ready)), excluded)
+	}
+	if best < 0 {
+		return fleet.Endpoint{}, false
+	}
+	return ready[best], true
+}
+
+// scan returns the first usable endpoint at or after start, or -1.
+func scan(ready []fleet.Endpoint, start int, excluded []string) int {
+	for i := range ready {
+		k := (start + i) % len(ready)
+		if usable(&ready[k], excluded) {
+			return k
+		}
+	}
+	return -1
+}
+
+func usable(e *fleet.Endpoint, excluded []string) bool {
+	return e.Load().InFlight() < int64(e.Slots()) && !slices.Contains(excluded, e.Name())
+}
+
+// less compares the shares of slots in use without a division.
+func less(a, b *fleet.Endpoint) bool {
+	return a.Load().InFlight()*int64(b.Slots()) < b.Load().InFlight()*int64(a.Slots())
+}
--- /dev/null
+++ b/internal/route/doc.go
@@ -0,0 +1,2 @@
+// Package route chooses an endpoint for a request and decides on retries.
+package route
