--- /dev/null
+++ b/internal/admission/doc.go
@@ -0,0 +1,2 @@
+// Package admission bounds the requests of each workspace and orders those that wait.
+package admission
--- /dev/null
+++ b/internal/agent/agent.go
@@ -0,0 +1,155 @@
+package agent
+
+import (
+	"context"
+	"encoding/binary"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	crand "crypto/rand"
+
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/trace"
+	"golang.org/x/sync/errgroup"
+
+	"rosemarywind.example/rosemarywind/internal/fleet"
+	"rosemarywind.example/rosemarywind/internal/link"
+	"rosemarywind.example/rosemarywind/internal/wire"
+)
+
+// Agent is the role of the process beside an endpoint.
+type Agent struct {
+	options
+	board       *Board
+	pool        *link.Pool
+	incarnation uint64
+	endpoint    *http.Client
+	platform    *platform
+	tracer      trace.Tracer
+}
+
+// New returns an agent that Run starts.
+func New(opts ...Option) *Agent {
+	a := &Agent{options: defaults(), board: newBoard(), tracer: otel.Tracer("agent")}
+	for _, o := range opts {
+		o(&a.options)
+	}
+	a.pool = link.NewPool(a.tls)
+	a.incarnation = drawIncarnation()
+	a.endpoint = &http.Client{
+		Transport:     transport(a.connections),
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+	a.platform = newPlatform(a.workerURL)
+	return a
+}
+
+// Board returns what the controllers publish.
+func (a *Agent) Board() *Board { return a.board }
+
+// Incarnation returns the number that this start drew.
+func (a *Agent) Incarnation() uint64 { return a.incarnation }
+
+// Run serves entries and the leader until ctx ends, then finishes the requests in flight within the grace.
+func (a *Agent) Run(ctx context.Context) (err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("agent: %w", err)
+		}
+	}()
+	defer a.pool.Close()
+	// The port and the controllers outlive ctx, since requests in flight need them during the grace.
+	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	var g errgroup.Group
+	g.Go(func() error { return newProber(a).run(inner) })
+	g.Go(func() error { return newReporter(a).run(inner) })
+	g.Go(func() error { return newAnnouncer(a).run(inner) })
+	g.Go(func() error {
+		defer cancel()
+		return a.server.Serve(inner, a.serve)
+	})
+	g.Go(func() error {
+		defer cancel()
+		select {
+		case <-ctx.Done():
+		case <-inner.Done():
+			return nil
+		}
+		a.board.stopping.Publish(true)
+		a.logger.Info("stopping", "grace", a.grace.String(), "in_flight", a.board.InFlight())
+		a.finish(inner)
+		return nil
+	})
+	err = g.Wait()
+	_ = a.server.Close()
+	return err
+}
+
+// leaveTime lets entries learn that the endpoint is leaving before the port closes.
+const leaveTime = 500 * time.Millisecond
+
+// finish waits until nothing is in flight, at most for the grace.
+func (a *Agent) finish(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, a.grace)
+	defer cancel()
+	if pause(ctx, leaveTime) != nil {
+		return
+	}
+	if err := a.board.waitIdle(ctx); err != nil {
+		a.logger.Warn("grace is over", "in_flight", a.board.InFlight())
+	}
+}
+
+// serve handles one stream of an entry or of the leader.
+func (a *Agent) serve(ctx context.Context, s *link.Stream) {
+	o, err := wire.ReadOpening(s)
+	if err != nil {
+		a.logger.Warn("stream refused", "peer", s.RemoteAddr().String(), "error", err)
+		return
+	}
+	switch o.Kind() {
+	case wire.KindForward:
+		a.forward(ctx, s, o.Trace())
+	case wire.KindOrders:
+		a.orders(ctx, s)
+	case wire.KindAnnounce, wire.KindWatch, wire.KindPropose, wire.KindLedger:
+		a.logger.Warn("stream refused", "peer", s.RemoteAddr().String(), "kind", string(o.Kind()))
+	default:
+		a.logger.Warn("stream refused", "peer", s.RemoteAddr().String(), "kind", string(o.Kind()))
+	}
+}
+
+// self returns the endpoint as this process sees it.
+func (a *Agent) self() fleet.Endpoint {
+	return fleet.NewEndpoint(a.worker, a.advertise, a.slots, a.connections, a.incarnation).WithState(a.board.State())
+}
+
+func transport(connections int) *http.Transport {
+	return &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: time.Second, KeepAlive: time.Second}).DialContext,
+		MaxConnsPerHost:     connections,
+		MaxIdleConnsPerHost: connections,
+		IdleConnTimeout:     time.Minute,
+		DisableCompression:  true,
+	}
+}
+
+func drawIncarnation() uint64 {
+	var b [8]byte
+	_, _ = crand.Read(b[:]) // crypto/rand.Read never returns an error
+	return binary.BigEndian.Uint64(b[:])
+}
+
+func pause(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/internal/agent/announcer.go
@@ -0,0 +1,136 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"rosemarywind.example/rosemarywind/internal/fleet"
+	"rosemarywind.example/rosemarywind/internal/wire"
+)
+
+const (
+	receiptTimeout = 2 * time.Second
+	redialPause    = 200 * time.Millisecond
+)
+
+// announcer is the controller that tells the leader of the endpoint and its tasks.
+type announcer struct {
+	agent    *Agent
+	next     int
+	followed string
+}
+
+func newAnnouncer(a *Agent) *announcer { return &announcer{agent: a} }
+
+// run announces to the leader, and looks for it among the control hosts after each loss.
+func (n *announcer) run(ctx context.Context) error {
+	for {
+		address := n.address()
+		err := n.announce(ctx, address)
+		if ctx.Err() != nil {
+			return nil
+		}
+		n.agent.logger.Warn("announcing ended", "control", address, "error", err)
+		var status *wire.StatusError
+		if errors.As(err, &status) && status.Leader() != "" && status.Leader() != address {
+			n.followed = status.Leader()
+			continue
+		}
+		if pause(ctx, redialPause) != nil {
+			return nil
+		}
+	}
+}
+
+// address returns the leader that a follower named, else the next control host.
+func (n *announcer) address() string {
+	if n.followed != "" {
+		a := n.followed
+		n.followed = ""
+		return a
+	}
+	a := n.agent.control[n.next%len(n.agent.control)]
+	n.next++
+	return a
+}
+
+func (n *announcer) announce(ctx context.Context, address string) (err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("announce to %s: %w", address, err)
+		}
+	}()
+	opening, cancel := context.WithTimeout(ctx, receiptTimeout)
+	defer cancel()
+	s, err := n.agent.pool.Open(opening, address)
+	if err != nil {
+		return err
+	}
+	stop := s.Watch(ctx)
+	defer stop()
+	defer s.Cancel()
+	if err = wire.WriteOpening(s, wire.NewOpening(wire.KindAnnounce, "")); err != nil {
+		return err
+	}
+	_ = s.SetDeadline(time.Now().Add(receiptTimeout))
+	if err = wire.ReadStatus(s); err != nil {
+		return err
+	}
+	for {
+		changed := n.changes()
+		_ = s.SetDeadline(time.Now().Add(receiptTimeout))
+		if err = wire.WriteAnnouncement(s, n.announcement()); err != nil {
+			return err
+		}
+		receipt, err := wire.ReadReceipt(s)
+		if err != nil {
+			return err
+		}
+		n.take(receipt)
+		if err = changed.wait(ctx); err != nil {
+			return err
+		}
+	}
+}
+
+func (n *announcer) announcement() fleet.Announcement {
+	b := n.agent.board
+	return fleet.NewAnnouncement(n.agent.self(), int(b.InFlight()), b.tasks.Load())
+}
+
+func (n *announcer) take(r fleet.Receipt) {
+	if d := n.agent.board.drained; d.Load() != r.Drained() {
+		d.Publish(r.Drained())
+		n.agent.logger.Info("drained by an operator", "drained", r.Drained())
+	}
+}
+
+// notices are the changes that are announced at once.
+type notices struct {
+	probed, stopping, tasks <-chan struct{}
+}
+
+func (n *announcer) changes() notices {
+	b := n.agent.board
+	_, probed := b.probed.Watch()
+	_, stopping := b.stopping.Watch()
+	_, tasks := b.tasks.Watch()
+	return notices{probed: probed, stopping: stopping, tasks: tasks}
+}
+
+// wait returns at the next change or when the announcement is due for renewal.
+func (n notices) wait(ctx context.Context) error {
+	t := time.NewTimer(announcePeriod)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-t.C:
+	case <-n.probed:
+	case <-n.stopping:
+	case <-n.tasks:
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/agent/encoding.go
@@ -0,0 +1,28 @@
+package agent
+
+import (
+	"rosemarywind.example/rosemarywind/internal/lease"
+	"rosemarywind.example/rosemarywind/internal/task"
+)
+
+// taskForm is a task in the JSON of the platform's worker.
+type taskForm struct {
+	Job          string     `json:"job"`
+	Index        int        `json:"index"`
+	Fence        uint64     `json:"fence"`
+	Accelerators int        `json:"accelerators,omitempty"`
+	LeaseMS      int64      `json:"lease_ms,omitempty"`
+	Payload      string     `json:"payload,omitempty"`
+	Percent      int        `json:"percent,omitempty"`
+	State        task.State `json:"state,omitempty"`
+}
+
+// tasksForm is the list of a worker's tasks; the version grows with each change.
+type tasksForm struct {
+	Version uint64     `json:"version"`
+	Tasks   []taskForm `json:"tasks"`
+}
+
+func (f taskForm) report() task.Report {
+	return task.NewReport(task.NewID(f.Job, f.Index), lease.Fence(f.Fence), f.State)
+}
--- /dev/null
+++ b/internal/agent/platform.go
@@ -0,0 +1,122 @@
+package agent
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"rosemarywind.example/rosemarywind/internal/task"
+)
+
+const (
+	orderTimeout     = 3 * time.Second
+	longPollTimeout  = 15 * time.Second
+	platformConns    = 16
+	maxPlatformBytes = 4 << 20
+)
+
+// platform is the client of the platform's interface to the worker.
+type platform struct {
+	base   string
+	client *http.Client
+}
+
+func newPlatform(base string) *platform {
+	return &platform{base: strings.TrimSuffix(base, "/"), client: &http.Client{Transport: transport(platformConns)}}
+}
+
+// carryOut sends one order to the worker; an error means that the outcome is unknown.
+func (p *platform) carryOut(ctx context.Context, o task.Order) (r task.Reply, err error) {
+	var verb string
+	var f taskForm
+	switch t := o.(type) {
+	case task.Reserve:
+		verb, f = "reserve", form(t.ID(), uint64(t.Fence()))
+		f.Accelerators, f.LeaseMS, f.Payload = t.Accelerators(), t.Length().Milliseconds(), t.Payload()
+	case task.Start:
+		verb, f = "start", form(t.ID(), uint64(t.Fence()))
+	case task.Renew:
+		verb, f = "renew", form(t.ID(), uint64(t.Fence()))
+		f.LeaseMS = t.Length().Milliseconds()
+	case task.Stop:
+		verb, f = "stop", form(t.ID(), uint64(t.Fence()))
+		if t.Checkpoint() {
+			verb = "checkpoint"
+		}
+	case task.Throttle:
+		verb, f = "throttle", form(t.ID(), uint64(t.Fence()))
+		f.Percent = t.Percent()
+	}
+	return p.post(ctx, verb, f)
+}
+
+func form(id task.ID, fence uint64) taskForm {
+	return taskForm{Job: id.Job(), Index: id.Index(), Fence: fence}
+}
+
+func (p *platform) post(ctx context.Context, verb string, f taskForm) (r task.Reply, err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("%s task %s.%d: %w", verb, f.Job, f.Index, err)
+		}
+	}()
+	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	data, err := json.Marshal(f)
+	if err != nil {
+		return task.Reply{}, err
+	}
+	h, err := http.NewRequestWithContext(ctx, http.MethodPost, p.base+"/tasks/"+verb, bytes.NewReader(data))
+	if err != nil {
+		return task.Reply{}, err
+	}
+	answer, err := p.client.Do(h)
+	if err != nil {
+		return task.Reply{}, err
+	}
+	defer func() { _ = answer.Body.Close() }()
+	text, err := io.ReadAll(io.LimitReader(answer.Body, maxPlatformBytes))
+	if err != nil {
+		return task.Reply{}, err
+	}
+	if answer.StatusCode == http.StatusOK {
+		return task.NewReply(task.Accepted, ""), nil
+	}
+	return task.NewReply(task.Refused, strings.TrimSpace(string(text))), nil
+}
+
+// tasks returns the worker's tasks as soon as their version differs from since.
+func (p *platform) tasks(ctx context.Context, since uint64) (version uint64, reports []task.Report, err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("list tasks: %w", err)
+		}
+	}()
+	ctx, cancel := context.WithTimeout(ctx, longPollTimeout)
+	defer cancel()
+	url := p.base + "/tasks?since=" + strconv.FormatUint(since, 10)
+	h, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return 0, nil, err
+	}
+	answer, err := p.client.Do(h)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer func() { _ = answer.Body.Close() }()
+	var f tasksForm
+	if err = json.NewDecoder(io.LimitReader(answer.Body, maxPlatformBytes)).Decode(&f); err != nil {
+		return 0, nil, err
+	}
+	reports = make([]task.Report, len(f.Tasks))
+	for i, t := range f.Tasks {
+		reports[i] = t.report()
+	}
+	return f.Version, reports, nil
+}
--- /dev/null
+++ b/internal/control/options.go
@@ -0,0 +1,69 @@
+package control
+
+import (
+	"crypto/tls"
+	"net"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"rosemarywind.example/rosemarywind/internal/ledger/driver"
+	"rosemarywind.example/rosemarywind/internal/link"
+	"rosemarywind.example/rosemarywind/internal/plan"
+)
+
+// Option sets a part of a Control.
+type Option func(*options)
+
+type options struct {
+	logger        hclog.Logger
+	tls           *tls.Config
+	server        *link.Server
+	listener      net.Listener
+	ledger        []driver.Option
+	planner       []plan.Option
+	announceLease time.Duration
+	taskLease     time.Duration
+	digests       []string
+	grace         time.Duration
+}
+
+func defaults() options {
+	return options{
+		logger: hclog.NewNullLogger(), announceLease: 3 * time.Second, taskLease: 2 * time.Minute,
+		grace: 30 * time.Second,
+	}
+}
+
+// WithLogger sets the logger.
+func WithLogger(l hclog.Logger) Option { return func(o *options) { o.logger = l } }
+
+// WithTLS sets the configuration with which agents and other control hosts are dialed.
+func WithTLS(c *tls.Config) Option { return func(o *options) { o.tls = c } }
+
+// WithServer sets the QUIC port.
+func WithServer(s *link.Server) Option { return func(o *options) { o.server = s } }
+
+// WithListener sets the listener of the operators' HTTP interface.
+func WithListener(l net.Listener) Option { return func(o *options) { o.listener = l } }
+
+// WithLedger sets the member, its peers and the storage of the ledger.
+func WithLedger(opts ...driver.Option) Option {
+	return func(o *options) { o.ledger = append(o.ledger, opts...) }
+}
+
+// WithPlanner sets the options of the planner.
+func WithPlanner(opts ...plan.Option) Option {
+	return func(o *options) { o.planner = append(o.planner, opts...) }
+}
+
+// WithLeases sets the lengths of the leases of announcements and of tasks.
+func WithLeases(announcement, task time.Duration) Option {
+	return func(o *options) { o.announceLease, o.taskLease = announcement, task }
+}
+
+// WithOperatorDigests sets the digests of the operators' tokens, as "sha256:HEX".
+func WithOperatorDigests(digests []string) Option { return func(o *options) { o.digests = digests } }
+
+// WithGrace sets how long a planned stop waits for exchanges in progress.
+func WithGrace(d time.Duration) Option { return func(o *options) { o.grace = d } }
--- /dev/null
+++ b/internal/control/streams.go
@@ -0,0 +1,150 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"rosemarywind.example/rosemarywind/internal/fleet"
+	"rosemarywind.example/rosemarywind/internal/keys"
+	"rosemarywind.example/rosemarywind/internal/ledger/driver"
+	"rosemarywind.example/rosemarywind/internal/link"
+	"rosemarywind.example/rosemarywind/internal/wire"
+)
+
+const (
+	heartbeat      = time.Second
+	streamSilence  = 3 * time.Second
+	proposeTimeout = 5 * time.Second
+	writeTimeout   = 3 * time.Second
+)
+
+// announcements takes what one agent says until it falls silent.
+func (c *Control) announcements(ctx context.Context, s *link.Stream) {
+	if refusal := c.leading(); refusal != nil {
+		_ = wire.WriteStatus(s, refusal)
+		return
+	}
+	if wire.WriteStatus(s, nil) != nil {
+		return
+	}
+	peer, err := keys.PeerIdentity(s.TLS())
+	if err != nil {
+		c.logger.Warn("announcement refused", "peer", s.RemoteAddr().String(), "error", err)
+		return
+	}
+	for {
+		_ = s.SetReadDeadline(time.Now().Add(streamSilence))
+		a, err := wire.ReadAnnouncement(s)
+		if err != nil {
+			c.logger.Info("agent fell silent", "peer", peer.String(), "error", err)
+			return
+		}
+		if name := a.Endpoint().Name(); name != peer.Name() {
+			c.logger.Error("announcement under another name", "peer", peer.String(), "worker", name)
+			return
+		}
+		if c.leading() != nil || !c.keeper.announce(ctx, a) {
+			return
+		}
+		drained, _ := c.board.state.Load().Drained().Get(a.Endpoint().Name())
+		_ = s.SetDeadline(time.Now().Add(writeTimeout))
+		if wire.WriteReceipt(s, fleet.NewReceipt(c.announceLease, drained)) != nil {
+			return
+		}
+	}
+}
+
+// watch sends the fleet and the configuration to one watcher: all of it first, then each change.
+func (c *Control) watch(ctx context.Context, s *link.Stream) {
+	if refusal := c.leading(); refusal != nil {
+		_ = wire.WriteStatus(s, refusal)
+		return
+	}
+	if wire.WriteStatus(s, nil) != nil {
+		return
+	}
+	timer := time.NewTimer(heartbeat)
+	defer timer.Stop()
+	var sent *fleet.Snapshot
+	var revision uint64
+	for {
+		roster, rosterChanged := c.board.roster.Watch()
+		state, stateChanged := c.board.state.Watch()
+		if c.leading() != nil {
+			return
+		}
+		var u fleet.Update
+		if sent == nil {
+			u = fleet.NewUpdate(true, roster.snapshot.Revision(), roster.snapshot.All(), nil)
+		} else {
+			u = fleet.Diff(sent, roster.snapshot)
+		}
+		if config := state.Config(); config.Revision() > revision {
+			u, revision = u.WithConfig(config), config.Revision()
+		}
+		sent = roster.snapshot
+		_ = s.SetDeadline(time.Now().Add(writeTimeout))
+		if wire.WriteUpdate(s, u) != nil {
+			return
+		}
+		timer.Reset(heartbeat)
+		if !c.awaitChange(ctx, timer, sent, revision, rosterChanged, stateChanged) {
+			return
+		}
+	}
+}
+
+// awaitChange returns when a watcher has something to learn or a heartbeat is due; it reports false when the watcher left.
+func (c *Control) awaitChange(
+	ctx context.Context, timer *time.Timer, sent *fleet.Snapshot, revision uint64, roster, state <-chan struct{},
+) bool {
+	for {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-timer.C:
+			return true
+		case <-roster:
+		case <-state:
+		}
+		if c.board.roster.Load().snapshot != sent || c.board.state.Load().Config().Revision() != revision {
+			return true
+		}
+		_, roster = c.board.roster.Watch()
+		_, state = c.board.state.Watch()
+	}
+}
+
+// proposal commits one command of an entry process.
+func (c *Control) proposal(ctx context.Context, s *link.Stream) {
+	_ = s.SetDeadline(time.Now().Add(proposeTimeout))
+	command, err := wire.ReadCommand(s)
+	if err != nil {
+		c.logger.Warn("proposal refused", "peer", s.RemoteAddr().String(), "error", err)
+		_ = wire.WriteStatus(s, wire.NewStatusError(wire.Invalid, "", err.Error()))
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	result, err := c.propose(ctx, command)
+	if err != nil {
+		_ = wire.WriteStatus(s, statusOf(err))
+		return
+	}
+	if wire.WriteStatus(s, nil) == nil {
+		_ = wire.WriteResult(s, result)
+	}
+}
+
+func statusOf(err error) *wire.StatusError {
+	var notLeader *driver.NotLeaderError
+	if errors.As(err, &notLeader) {
+		return wire.NewStatusError(wire.NotLeader, notLeader.Address(), err.Error())
+	}
+	var unknown *driver.UnknownOutcomeError
+	if errors.As(err, &unknown) {
+		return wire.NewStatusError(wire.Unknown, "", err.Error())
+	}
+	return wire.NewStatusError(wire.Unavailable, "", err.Error())
+}
--- /dev/null
+++ b/internal/entry/attempt.go
@@ -0,0 +1,121 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"rosemarywind.example/rosemarywind/internal/fleet"
+	"rosemarywind.example/rosemarywind/internal/request"
+	"rosemarywind.example/rosemarywind/internal/route"
+	"rosemarywind.example/rosemarywind/internal/telemetry"
+	"rosemarywind.example/rosemarywind/internal/wire"
+	"rosemarywind.example/rosemarywind/pkg/outcome"
+)
+
+// serve runs an admitted request: at most once if it is not idempotent, else with retries.
+func (e *Entry) serve(ctx context.Context, r request.Request, t ticket) request.Result {
+	e.budget.Earn()
+	if r.Idempotent() || r.Key() == "" {
+		return e.attempts(ctx, r, t)
+	}
+	return e.claimed(ctx, r, t)
+}
+
+// attempts tries endpoints until one answers or a retry is not allowed.
+func (e *Entry) attempts(ctx context.Context, r request.Request, t ticket) request.Result {
+	var excluded []string
+	target := t.endpoint
+	for n := 1; ; n++ {
+		result := e.attempt(ctx, r, target)
+		if n >= e.retryAttempts || !retryable(r, result) || ctx.Err() != nil || !e.budget.Spend() {
+			return result
+		}
+		excluded = append(excluded, target.Name())
+		if pause(ctx, jitter(e.retryPause, n)) != nil {
+			return result
+		}
+		next, ok := route.Choose(e.board.fleet.Load(), globalRandom{}, excluded)
+		if !ok {
+			return result
+		}
+		target = next
+		target.Load().Begin()
+		defer target.Load().End()
+	}
+}
+
+// retryable reports whether another attempt cannot break the request's promise.
+func retryable(r request.Request, result request.Result) bool {
+	switch t := result.(type) {
+	case request.Answered, request.Unkept:
+		return false
+	case request.Refused:
+		return t.Reason() != outcome.DeadlineExceeded && t.Reason() != outcome.Cancelled
+	case request.Lost:
+		return r.Idempotent()
+	}
+	return false
+}
+
+// attempt sends the request to one agent and reads the whole answer.
+func (e *Entry) attempt(ctx context.Context, r request.Request, target fleet.Endpoint) request.Result {
+	ctx, span := e.tracer.Start(ctx, "forward")
+	defer span.End()
+	s, err := e.pool.Open(ctx, target.Address())
+	if err != nil {
+		return request.NewRefused(outcome.ConnectionLost, "the agent cannot be reached", retryLater)
+	}
+	stop := s.Watch(ctx)
+	defer stop()
+	defer s.Cancel()
+	_ = s.SetDeadline(r.Deadline())
+	result, inFlight, err := e.exchange(ctx, s, r, target)
+	if err != nil {
+		e.logger.Warn("exchange failed", "request", r.ID(), "endpoint", target.Name(), "error", err)
+		return lostBy(ctx, r, time.Now())
+	}
+	target.Load().Report(inFlight)
+	return result
+}
+
+// stream is what an exchange needs of a link.Stream.
+type stream interface {
+	Read(p []byte) (int, error)
+	Write(p []byte) (int, error)
+	CloseWrite() error
+}
+
+func (e *Entry) exchange(
+	ctx context.Context, s stream, r request.Request, target fleet.Endpoint,
+) (result request.Result, inFlight int64, err error) {
+	if err = wire.WriteOpening(s, wire.NewOpening(wire.KindForward, telemetry.Inject(ctx))); err != nil {
+		return nil, 0, err
+	}
+	if err = wire.WriteForward(s, wire.NewForward(r, target.Incarnation()), time.Now()); err != nil {
+		return nil, 0, err
+	}
+	if err = s.CloseWrite(); err != nil {
+		return nil, 0, err
+	}
+	return wire.ReadAnswer(s, r.ID(), e.bodyLimit)
+}
+
+func lostBy(ctx context.Context, r request.Request, now time.Time) request.Result {
+	switch {
+	case !now.Before(r.Deadline()):
+		return request.NewLost(outcome.DeadlineExceeded, "no whole answer before the deadline")
+	case ctx.Err() != nil:
+		return request.NewLost(outcome.Cancelled, "the caller gave up after the request was sent")
+	default:
+		return request.NewLost(outcome.ConnectionLost, "the connection to the agent was lost before a whole answer")
+	}
+}
+
+// jitter returns a random pause that doubles with each attempt.
+func jitter(base time.Duration, attempt int) time.Duration {
+	longest := base << min(attempt, maxPauseDoublings)
+	return time.Duration(rand.Int64N(int64(longest) + 1))
+}
+
+const maxPauseDoublings = 6
--- /dev/null
+++ b/internal/entry/board.go
@@ -0,0 +1,75 @@
+package entry
+
+import (
+	"time"
+
+	"rosemarywind.example/rosemarywind/internal/admission"
+	"rosemarywind.example/rosemarywind/internal/board"
+	"rosemarywind.example/rosemarywind/internal/fleet"
+	"rosemarywind.example/rosemarywind/internal/workspace"
+)
+
+// Board is what the controllers of an entry process publish; the watcher writes every section.
+type Board struct {
+	fleet   *board.Section[*fleet.Snapshot]
+	policy  *board.Section[*Policy]
+	control *board.Section[Control]
+}
+
+func newBoard() *Board {
+	return &Board{
+		fleet:   board.NewSection(fleet.NewSnapshot(0, nil)),
+		policy:  board.NewSection(&Policy{config: workspace.EmptyConfig()}),
+		control: board.NewSection(Control{}),
+	}
+}
+
+// Fleet returns the section of the endpoints.
+func (b *Board) Fleet() *board.Section[*fleet.Snapshot] { return b.fleet }
+
+// Policy returns the section of the configuration.
+func (b *Board) Policy() *board.Section[*Policy] { return b.policy }
+
+// Control returns the section of the connection to the leader.
+func (b *Board) Control() *board.Section[Control] { return b.control }
+
+// Control is what the process knows of the leader.
+type Control struct {
+	leader  string
+	heardAt time.Time
+}
+
+// Leader returns the address of the leader, empty when it is not known.
+func (c Control) Leader() string { return c.leader }
+
+// HeardAt returns when the leader last sent a frame.
+func (c Control) HeardAt() time.Time { return c.heardAt }
+
+// Policy is a configuration with the gates of its workspaces.
+type Policy struct {
+	config  *workspace.Config
+	tenures map[string]*tenure
+}
+
+// tenure is one workspace and its gate, which outlives changes of the configuration.
+type tenure struct {
+	workspace workspace.Workspace
+	gate      *admission.Gate
+}
+
+// Config returns the configuration in force.
+func (p *Policy) Config() *workspace.Config { return p.config }
+
+func (p *Policy) with(c *workspace.Config) *Policy {
+	next := &Policy{config: c, tenures: make(map[string]*tenure, len(c.Workspaces()))}
+	for _, w := range c.Workspaces() {
+		t := &tenure{workspace: w}
+		if old, ok := p.tenures[w.Name()]; ok {
+			t.gate = old.gate
+		} else {
+			t.gate = admission.NewGate()
+		}
+		next.tenures[w.Name()] = t
+	}
+	return next
+}
--- /dev/null
+++ b/internal/entry/reply.go
@@ -0,0 +1,85 @@
+package entry
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+
+	"rosemarywind.example/rosemarywind/internal/request"
+	"rosemarywind.example/rosemarywind/pkg/outcome"
+)
+
+// reply writes the result of a request to its caller.
+func reply(w http.ResponseWriter, result request.Result) {
+	switch t := result.(type) {
+	case request.Answered:
+		for name, values := range t.Headers() {
+			w.Header()[name] = values
+		}
+		w.Header().Set(outcome.Header, string(outcome.Ran))
+		w.Header().Set("Content-Length", strconv.Itoa(len(t.Body())))
+		w.WriteHeader(t.Status())
+		_, _ = w.Write(t.Body())
+	case request.Refused:
+		if t.RetryAfter() > 0 {
+			w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(t.RetryAfter().Seconds()))))
+		}
+		refuse(w, refusalStatus(t.Reason()), outcome.Body{
+			Outcome: outcome.NotRun, Reason: t.Reason(), Message: t.Message(),
+		})
+	case request.Lost:
+		if t.Reason() == outcome.KeyInProgress {
+			w.Header().Set("Retry-After", "1")
+		}
+		refuse(w, lossStatus(t.Reason()), outcome.Body{
+			Outcome: outcome.MayHaveRun, Reason: t.Reason(), Message: t.Message(),
+		})
+	case request.Unkept:
+		refuse(w, http.StatusGone, outcome.Body{
+			Outcome: outcome.Ran, Reason: outcome.AnswerExpired,
+			Message: "the request ran with status " + strconv.Itoa(t.Status()) + "; its answer is not kept",
+		})
+	}
+}
+
+func refuse(w http.ResponseWriter, status int, b outcome.Body) {
+	w.Header().Set(outcome.Header, string(b.Outcome))
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(b)
+}
+
+func refusalStatus(r outcome.Reason) int {
+	switch r {
+	case outcome.BadRequest:
+		return http.StatusBadRequest
+	case outcome.Unauthorized:
+		return http.StatusUnauthorized
+	case outcome.UnknownWorkspace:
+		return http.StatusNotFound
+	case outcome.TooLarge:
+		return http.StatusRequestEntityTooLarge
+	case outcome.QueueFull:
+		return http.StatusTooManyRequests
+	case outcome.KeyReused:
+		return http.StatusUnprocessableEntity
+	case outcome.KeyInProgress:
+		return http.StatusConflict
+	case outcome.DeadlineExceeded, outcome.Cancelled:
+		return http.StatusGatewayTimeout
+	default:
+		return http.StatusServiceUnavailable
+	}
+}
+
+func lossStatus(r outcome.Reason) int {
+	switch r {
+	case outcome.KeyInProgress, outcome.KeyUnknown:
+		return http.StatusConflict
+	case outcome.DeadlineExceeded:
+		return http.StatusGatewayTimeout
+	default:
+		return http.StatusBadGateway
+	}
+}
--- /dev/null
+++ b/internal/entry/watcher.go
@@ -0,0 +1,136 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"rosemarywind.example/rosemarywind/internal/fleet"
+	"rosemarywind.example/rosemarywind/internal/link"
+	"rosemarywind.example/rosemarywind/internal/wire"
+)
+
+const (
+	// watchSilence is three missed heartbeats of one second.
+	watchSilence = 3 * time.Second
+	watchPause   = 200 * time.Millisecond
+)
+
+// watcher is the controller that keeps the board up to date with the leader.
+type watcher struct {
+	board    *Board
+	pool     *link.Pool
+	control  []string
+	logger   hclog.Logger
+	next     int
+	followed string
+}
+
+func newWatcher(b *Board, p *link.Pool, control []string, l hclog.Logger) *watcher {
+	return &watcher{board: b, pool: p, control: control, logger: l}
+}
+
+// run watches the leader, and looks for it among the control hosts after each loss.
+func (w *watcher) run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		address := w.address()
+		err := w.watch(ctx, address)
+		w.board.control.Publish(Control{heardAt: w.board.control.Load().heardAt})
+		if ctx.Err() != nil {
+			return nil
+		}
+		w.logger.Warn("watch ended", "control", address, "error", err)
+		var status *wire.StatusError
+		if errors.As(err, &status) && status.Leader() != "" && status.Leader() != address {
+			w.followed = status.Leader()
+			continue
+		}
+		if err := pause(ctx, watchPause); err != nil {
+			return nil
+		}
+	}
+	return nil
+}
+
+// address returns the leader that a follower named, else the next control host.
+func (w *watcher) address() string {
+	if w.followed != "" {
+		a := w.followed
+		w.followed = ""
+		return a
+	}
+	a := w.control[w.next%len(w.control)]
+	w.next++
+	return a
+}
+
+func (w *watcher) watch(ctx context.Context, address string) (err error) {
+	opening, cancel := context.WithTimeout(ctx, watchSilence)
+	defer cancel()
+	s, err := w.pool.Open(opening, address)
+	if err != nil {
+		return err
+	}
+	stop := s.Watch(ctx)
+	defer stop()
+	defer s.Cancel()
+	if err = wire.WriteOpening(s, wire.NewOpening(wire.KindWatch, "")); err != nil {
+		return err
+	}
+	_ = s.SetReadDeadline(time.Now().Add(watchSilence))
+	if err = wire.ReadStatus(s); err != nil {
+		return err
+	}
+	for {
+		_ = s.SetReadDeadline(time.Now().Add(watchSilence))
+		u, err := wire.ReadUpdate(s)
+		if err != nil {
+			return fmt.Errorf("watch %s: %w", address, err)
+		}
+		w.take(u, address, time.Now())
+	}
+}
+
+// take publishes an update; a configuration never goes back to an older revision.
+func (w *watcher) take(u fleet.Update, address string, now time.Time) {
+	old := w.board.fleet.Load()
+	if u.Full() {
+		old = fleet.NewSnapshot(0, keepLoads(old, u.Changed()))
+		w.board.fleet.Publish(old.With(u.Revision(), nil, nil))
+	} else if len(u.Changed())+len(u.Removed()) > 0 {
+		w.board.fleet.Publish(old.With(u.Revision(), u.Changed(), u.Removed()))
+	}
+	if c := u.Config(); c != nil {
+		if p := w.board.policy.Load(); c.Revision() > p.config.Revision() {
+			w.board.policy.Publish(p.with(c))
+			w.logger.Info("configuration in force", "revision", c.Revision())
+		}
+	}
+	w.board.control.Publish(Control{leader: address, heardAt: now})
+}
+
+// keepLoads carries the load counters over to a full list of endpoints.
+func keepLoads(old *fleet.Snapshot, list []fleet.Endpoint) []fleet.Endpoint {
+	kept := make([]fleet.Endpoint, len(list))
+	for i, e := range list {
+		if o, ok := old.Find(e.Name()); ok && o.Incarnation() == e.Incarnation() {
+			e = e.WithLoad(o.Load())
+		}
+		kept[i] = e
+	}
+	return kept
+}
+
+func pause(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"rosemarywind.example/rosemarywind/internal/lease"
 )
@@ -31,6 +32,9 @@
 	MayHaveRun Result = "may-have-run"
 )
 
+// CancelReason is the reason of a job that is stopping because it was cancelled.
+const CancelReason = "cancelled"
+
 // Job is a spec and its progress; it is immutable.
 type Job struct {
 	spec     Spec
@@ -40,6 +44,7 @@
 	fence    lease.Fence
 	attempts int
 	members  []Member
+	endedAt  time.Time
 }
 
 // New returns a queued job.
@@ -101,3 +106,35 @@
 	j.state, j.result, j.reason, j.members = Done, result, reason, nil
 	return j
 }
+
+// EndedAt returns the job with the time of its end.
+func (j Job) EndedAt(at time.Time) Job {
+	j.endedAt = at
+	return j
+}
+
+// EndTime returns when the job ended, the zero time before that.
+func (j Job) EndTime() time.Time { return j.endedAt }
+
+// Progress is the changing part of a job, as a snapshot keeps it.
+type Progress struct {
+	state    State
+	result   Result
+	reason   string
+	fence    lease.Fence
+	attempts int
+	endedAt  time.Time
+}
+
+// NewProgress returns the changing part of a job.
+func NewProgress(state State, result Result, reason string, fence lease.Fence, attempts int, endedAt time.Time) Progress {
+	return Progress{state: state, result: result, reason: reason, fence: fence, attempts: attempts, endedAt: endedAt}
+}
+
+// Restore returns the job that a snapshot kept.
+func Restore(spec Spec, p Progress, members []Member) Job {
+	return Job{
+		spec: spec, state: p.state, result: p.result, reason: p.reason,
+		fence: p.fence, attempts: p.attempts, members: members, endedAt: p.endedAt,
+	}
+}
--- /dev/null
+++ b/internal/link/pool.go
@@ -0,0 +1,105 @@
+package link
+
+import (
+	"context"
+	"crypto/tls"
+	"fmt"
+	"maps"
+	"sync"
+	"sync/atomic"
+
+	"github.com/quic-go/quic-go"
+)
+
+// Pool keeps one connection to each address and replaces one that was lost.
+type Pool struct {
+	tls     *tls.Config
+	slots   atomic.Pointer[map[string]*slot]
+	growing sync.Mutex
+}
+
+// slot is the place of one address; dialing admits one dialer at a time.
+type slot struct {
+	current atomic.Pointer[quic.Conn]
+	dialing chan struct{}
+}
+
+// NewPool returns an empty pool that dials with the given TLS configuration.
+func NewPool(tlsConfig *tls.Config) *Pool {
+	p := &Pool{tls: tlsConfig}
+	p.slots.Store(&map[string]*slot{})
+	return p
+}
+
+// Open opens a stream to address; an error means that nothing reached the peer.
+func (p *Pool) Open(ctx context.Context, address string) (s *Stream, err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("open stream to %s: %w", address, err)
+		}
+	}()
+	at := p.slot(address)
+	c, err := p.connect(ctx, at, address)
+	if err != nil {
+		return nil, err
+	}
+	stream, err := c.OpenStreamSync(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return &Stream{stream: stream, connection: c}, nil
+}
+
+// Forget closes the connection to address, so that the next stream uses a new one from a new local port.
+func (p *Pool) Forget(address string) {
+	if at, ok := (*p.slots.Load())[address]; ok {
+		if c := at.current.Swap(nil); c != nil {
+			_ = c.CloseWithError(codeCancel, "replaced")
+		}
+	}
+}
+
+// Close closes all connections.
+func (p *Pool) Close() {
+	for address := range *p.slots.Load() {
+		p.Forget(address)
+	}
+}
+
+func (p *Pool) connect(ctx context.Context, at *slot, address string) (c *quic.Conn, err error) {
+	if c = at.current.Load(); c != nil && c.Context().Err() == nil {
+		return c, nil
+	}
+	select {
+	case at.dialing <- struct{}{}:
+		defer func() { <-at.dialing }()
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	if c = at.current.Load(); c != nil && c.Context().Err() == nil {
+		return c, nil
+	}
+	if c, err = quic.DialAddr(ctx, address, p.tls, config()); err != nil {
+		return nil, err
+	}
+	at.current.Store(c)
+	return c, nil
+}
+
+// slot returns the place of address; only a new address takes the lock.
+func (p *Pool) slot(address string) *slot {
+	if at, ok := (*p.slots.Load())[address]; ok {
+		return at
+	}
+	p.growing.Lock()
+	defer p.growing.Unlock()
+	old := *p.slots.Load()
+	if at, ok := old[address]; ok {
+		return at
+	}
+	at := &slot{dialing: make(chan struct{}, 1)}
+	grown := maps.Clone(old)
+	grown[address] = at
+	p.slots.Store(&grown)
+	return at
+}
--- /dev/null
+++ b/internal/link/server.go
@@ -0,0 +1,68 @@
+package link
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+
+	"github.com/quic-go/quic-go"
+)
+
+// Handler serves one stream; the stream is cancelled when the handler returns without closing it.
+type Handler func(ctx context.Context, s *Stream)
+
+// Server accepts connections from the system's other processes.
+type Server struct {
+	listener *quic.Listener
+	active   sync.WaitGroup
+}
+
+// Listen opens a UDP port at address.
+func Listen(address string, tlsConfig *tls.Config) (s *Server, err error) {
+	l, err := quic.ListenAddr(address, tlsConfig, config())
+	if err != nil {
+		return nil, fmt.Errorf("listen for QUIC at %s: %w", address, err)
+	}
+	return &Server{listener: l}, nil
+}
+
+// Address returns the address that the server listens at.
+func (s *Server) Address() net.Addr { return s.listener.Addr() }
+
+// Serve runs handler for each stream until ctx ends, then waits for the handlers.
+func (s *Server) Serve(ctx context.Context, handler Handler) (err error) {
+	defer s.active.Wait()
+	for {
+		c, err := s.listener.Accept(ctx)
+		if errors.Is(err, quic.ErrServerClosed) || ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			return fmt.Errorf("accept QUIC connection: %w", err)
+		}
+		s.active.Go(func() { s.connection(ctx, c, handler) })
+	}
+}
+
+// Close closes the port and all connections.
+func (s *Server) Close() error { return s.listener.Close() }
+
+func (s *Server) connection(ctx context.Context, c *quic.Conn, handler Handler) {
+	stop := context.AfterFunc(ctx, func() { _ = c.CloseWithError(codeDone, "stopped") })
+	defer stop()
+	for {
+		stream, err := c.AcceptStream(ctx)
+		if err != nil {
+			return
+		}
+		s.active.Go(func() {
+			t := &Stream{stream: stream, connection: c}
+			handler(stream.Context(), t)
+			t.stream.CancelRead(codeDone)
+			_ = t.stream.Close()
+		})
+	}
+}
--- /dev/null
+++ b/internal/link/stream.go
@@ -0,0 +1,51 @@
+package link
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"time"
+
+	"github.com/quic-go/quic-go"
+)
+
+// Stream is one exchange on a connection.
+type Stream struct {
+	stream     *quic.Stream
+	connection *quic.Conn
+}
+
+// Read reads from the peer; io.EOF means that the peer ended its side in order.
+func (s *Stream) Read(p []byte) (int, error) { return s.stream.Read(p) }
+
+// Write sends to the peer.
+func (s *Stream) Write(p []byte) (int, error) { return s.stream.Write(p) }
+
+// CloseWrite ends this side in order.
+func (s *Stream) CloseWrite() error { return s.stream.Close() }
+
+// Cancel gives up both sides; the peer's context ends.
+func (s *Stream) Cancel() {
+	s.stream.CancelRead(codeCancel)
+	s.stream.CancelWrite(codeCancel)
+}
+
+// SetDeadline bounds all reads and writes.
+func (s *Stream) SetDeadline(t time.Time) error { return s.stream.SetDeadline(t) }
+
+// SetReadDeadline bounds all reads.
+func (s *Stream) SetReadDeadline(t time.Time) error { return s.stream.SetReadDeadline(t) }
+
+// Context ends when the peer cancels the stream or the connection is lost.
+func (s *Stream) Context() context.Context { return s.stream.Context() }
+
+// RemoteAddr returns the peer's address.
+func (s *Stream) RemoteAddr() net.Addr { return s.connection.RemoteAddr() }
+
+// TLS returns the state of the connection's handshake, with the peer's certificate.
+func (s *Stream) TLS() tls.ConnectionState { return s.connection.ConnectionState().TLS }
+
+// Watch cancels the stream when ctx ends; the returned function ends the watch.
+func (s *Stream) Watch(ctx context.Context) (stop func() bool) {
+	return context.AfterFunc(ctx, s.Cancel)
+}
--- /dev/null
+++ b/internal/registry/apply.go
@@ -0,0 +1,210 @@
+package registry
+
+import (
+	"fmt"
+	"time"
+
+	"rosemarywind.example/rosemarywind/internal/job"
+	"rosemarywind.example/rosemarywind/pkg/outcome"
+)
+
+// Apply returns the next state and the answer; the same commands in the same order give the same states.
+func Apply(s State, c Command) (next State, r Result) {
+	switch c := c.(type) {
+	case ApplyConfig:
+		return once(s, c.requestID, c.at, func() (State, Result) { return applyConfig(s, c) })
+	case SubmitJob:
+		return once(s, c.requestID, c.at, func() (State, Result) { return submit(s, c) })
+	case CancelJob:
+		return once(s, c.requestID, c.at, func() (State, Result) { return cancel(s, c) })
+	case DrainEndpoint:
+		return once(s, c.requestID, c.at, func() (State, Result) { return drain(s, c) })
+	case ReserveGang:
+		return reserve(s, c)
+	case StartGang:
+		return placed(s, c.id, func(j job.Job) (job.Job, Result) { return startGang(j, c) })
+	case StopGang:
+		return placed(s, c.id, func(j job.Job) (job.Job, Result) { return stopGang(j, c) })
+	case RequeueJob:
+		return placed(s, c.id, func(j job.Job) (job.Job, Result) { return requeue(j, c) })
+	case EndJob:
+		return placed(s, c.id, func(j job.Job) (job.Job, Result) { return endJob(j, c) })
+	case ClaimKey:
+		return claim(s, c)
+	case SettleKey:
+		return settle(s, c)
+	case Expire:
+		return expire(s, c), Accepted{revision: s.config.Revision()}
+	default:
+		return s, Denied{reason: "unknown command"}
+	}
+}
+
+// once gives a resend the first answer without a second effect.
+func once(s State, requestID string, at time.Time, f func() (State, Result)) (next State, r Result) {
+	if requestID == "" {
+		return f()
+	}
+	if old, ok := s.replies.Get(requestID); ok {
+		return s, old.result
+	}
+	next, r = f()
+	next.replies = next.replies.With(requestID, Reply{requestID: requestID, result: r, at: at})
+	return next, r
+}
+
+func applyConfig(s State, c ApplyConfig) (State, Result) {
+	now := s.config.Revision()
+	if c.base != now {
+		return s, Conflict{revision: now}
+	}
+	s.config = c.config.WithRevision(now + 1)
+	return s, Accepted{revision: now + 1}
+}
+
+func submit(s State, c SubmitJob) (State, Result) {
+	if _, ok := s.config.Workspace(c.spec.Workspace()); !ok {
+		return s, Denied{reason: fmt.Sprintf("workspace %q does not exist", c.spec.Workspace())}
+	}
+	if _, ok := s.jobs.Get(c.spec.ID()); ok {
+		return s, Denied{reason: fmt.Sprintf("job %q exists", c.spec.ID())}
+	}
+	s.sequence++
+	s.jobs = s.jobs.With(c.spec.ID(), job.New(c.spec))
+	return s, Accepted{revision: s.config.Revision(), jobID: c.spec.ID()}
+}
+
+func cancel(s State, c CancelJob) (State, Result) {
+	j, ok := s.jobs.Get(c.id)
+	if !ok || (c.workspace != "" && j.Spec().Workspace() != c.workspace) {
+		return s, Denied{reason: fmt.Sprintf("job %q does not exist", c.id)}
+	}
+	switch j.State() {
+	case job.Queued:
+		j = j.Finish(job.Cancelled, "cancelled before it started").EndedAt(c.at)
+	case job.Reserved, job.Started:
+		j = j.Stop(job.CancelReason)
+	case job.Stopping:
+		j = j.Stop(job.CancelReason)
+	case job.Done:
+		return s, Denied{reason: fmt.Sprintf("job %q has ended: %s", c.id, j.Result())}
+	}
+	s.jobs = s.jobs.With(c.id, j)
+	return s, Accepted{revision: s.config.Revision(), jobID: c.id}
+}
+
+func drain(s State, c DrainEndpoint) (State, Result) {
+	if c.drained {
+		s.drained = s.drained.With(c.name, true)
+	} else {
+		s.drained = s.drained.Without(c.name)
+	}
+	return s, Accepted{revision: s.config.Revision()}
+}
+
+func reserve(s State, c ReserveGang) (State, Result) {
+	j, ok := s.jobs.Get(c.id)
+	if !ok || j.State() != job.Queued {
+		return s, Denied{reason: fmt.Sprintf("job %q is not queued", c.id)}
+	}
+	s.fence = s.fence.Next()
+	s.jobs = s.jobs.With(c.id, j.Reserve(s.fence, c.members))
+	return s, Accepted{revision: s.config.Revision(), jobID: c.id, fence: s.fence}
+}
+
+// placed changes one job that exists.
+func placed(s State, id string, f func(job.Job) (job.Job, Result)) (State, Result) {
+	j, ok := s.jobs.Get(id)
+	if !ok {
+		return s, Denied{reason: fmt.Sprintf("job %q does not exist", id)}
+	}
+	next, r := f(j)
+	if a, ok := r.(Accepted); ok {
+		s.jobs = s.jobs.With(id, next)
+		return s, Accepted{revision: s.config.Revision(), jobID: id, fence: a.fence}
+	}
+	return s, r
+}
+
+func startGang(j job.Job, c StartGang) (job.Job, Result) {
+	if j.State() != job.Reserved || j.Fence() != c.fence {
+		return j, Denied{reason: "the reservation is not in force"}
+	}
+	return j.Start(), Accepted{fence: j.Fence()}
+}
+
+func stopGang(j job.Job, c StopGang) (job.Job, Result) {
+	if !j.Placed() || j.Fence() != c.fence {
+		return j, Denied{reason: "the reservation is not in force"}
+	}
+	if j.State() == job.Stopping {
+		return j, Accepted{fence: j.Fence()}
+	}
+	return j.Stop(c.reason), Accepted{fence: j.Fence()}
+}
+
+// requeue refuses a second start of a job that may have run and is not idempotent.
+func requeue(j job.Job, c RequeueJob) (job.Job, Result) {
+	if !j.Placed() || j.Fence() != c.fence {
+		return j, Denied{reason: "the reservation is not in force"}
+	}
+	if j.Attempts() > 0 && !j.Spec().Idempotent() {
+		return j, Denied{reason: "the job may have run and is not idempotent"}
+	}
+	return j.Requeue(c.reason), Accepted{}
+}
+
+func endJob(j job.Job, c EndJob) (job.Job, Result) {
+	if j.State() == job.Done || (c.fence != 0 && j.Fence() != c.fence) || (c.fence == 0 && j.Placed()) {
+		return j, Denied{reason: "the job has moved on"}
+	}
+	return j.Finish(c.result, c.reason).EndedAt(c.at), Accepted{}
+}
+
+// claim grants one open attempt for a key; an attempt that is known not to have run may be repeated.
+func claim(s State, c ClaimKey) (State, Result) {
+	k := claimKey(c.workspace, c.key)
+	old, ok := s.claims.Get(k)
+	if ok && (old.fingerprint != c.fingerprint || old.ending.outcome != outcome.NotRun) {
+		return s, Known{claim: old}
+	}
+	s.sequence++
+	s.claims = s.claims.With(k, Claim{
+		workspace: c.workspace, key: c.key, fingerprint: c.fingerprint,
+		number: s.sequence, until: c.until, at: c.at,
+	})
+	return s, Claimed{number: s.sequence}
+}
+
+// settle ignores the ending of an attempt that is not the latest one.
+func settle(s State, c SettleKey) (State, Result) {
+	k := claimKey(c.workspace, c.key)
+	old, ok := s.claims.Get(k)
+	if !ok || old.number != c.number || old.ending.outcome != "" {
+		return s, Denied{reason: "the attempt is not open"}
+	}
+	s.claims = s.claims.With(k, old.WithEnding(c.ending, c.at))
+	return s, Accepted{revision: s.config.Revision()}
+}
+
+func expire(s State, c Expire) State {
+	for k, v := range s.claims.All() {
+		if v.at.Before(c.before) {
+			s.claims = s.claims.Without(k)
+		}
+	}
+	for k, v := range s.replies.All() {
+		if v.at.Before(c.before) {
+			s.replies = s.replies.Without(k)
+		}
+	}
+	for k, v := range s.jobs.All() {
+		if v.State() == job.Done && v.EndTime().Before(c.before) {
+			s.jobs = s.jobs.Without(k)
+		}
+	}
+	return s
+}
+
+// claimKey joins workspace and key; a zero byte occurs in neither.
+func claimKey(workspace, key string) string { return workspace + "\x00" + key }
--- /dev/null
+++ b/internal/registry/command.go
@@ -0,0 +1,118 @@
+package registry
+
+import (
+	"time"
+
+	"rosemarywind.example/rosemarywind/internal/job"
+	"rosemarywind.example/rosemarywind/internal/lease"
+	"rosemarywind.example/rosemarywind/internal/workspace"
+)
+
+// Command is a change of the state, as the leader proposes it.
+//
+//sumtype:decl
+type Command interface {
+	command()
+}
+
+// ApplyConfig replaces the configuration if its base revision is the current one.
+type ApplyConfig struct {
+	requestID string
+	base      uint64
+	config    *workspace.Config
+	at        time.Time
+}
+
+// SubmitJob adds a job.
+type SubmitJob struct {
+	requestID string
+	spec      job.Spec
+	at        time.Time
+}
+
+// CancelJob ends a queued job, or stops one that is placed.
+type CancelJob struct {
+	requestID string
+	id        string
+	workspace string
+	at        time.Time
+}
+
+// ReserveGang places a queued job.
+type ReserveGang struct {
+	id      string
+	members []job.Member
+}
+
+// StartGang marks a reserved job as started.
+type StartGang struct {
+	id    string
+	fence lease.Fence
+}
+
+// StopGang marks a placed job as stopping.
+type StopGang struct {
+	id     string
+	fence  lease.Fence
+	reason string
+}
+
+// RequeueJob returns a placed job to the queue after all its members have ended.
+type RequeueJob struct {
+	id     string
+	fence  lease.Fence
+	reason string
+}
+
+// EndJob ends a job; the fence is 0 for a job that was never placed.
+type EndJob struct {
+	id     string
+	fence  lease.Fence
+	result job.Result
+	reason string
+	at     time.Time
+}
+
+// ClaimKey records an attempt at a non-idempotent request before it is dispatched.
+type ClaimKey struct {
+	workspace   string
+	key         string
+	fingerprint string
+	until       time.Time
+	at          time.Time
+}
+
+// SettleKey records how a claimed attempt ended.
+type SettleKey struct {
+	workspace string
+	key       string
+	number    uint64
+	ending    Ending
+	at        time.Time
+}
+
+// DrainEndpoint marks an endpoint as leaving, or takes the mark back.
+type DrainEndpoint struct {
+	requestID string
+	name      string
+	drained   bool
+	at        time.Time
+}
+
+// Expire drops records that ended before the given moment.
+type Expire struct {
+	before time.Time
+}
+
+func (ApplyConfig) command()   {}
+func (SubmitJob) command()     {}
+func (CancelJob) command()     {}
+func (ReserveGang) command()   {}
+func (StartGang) command()     {}
+func (StopGang) command()      {}
+func (RequeueJob) command()    {}
+func (EndJob) command()        {}
+func (ClaimKey) command()      {}
+func (SettleKey) command()     {}
+func (DrainEndpoint) command() {}
+func (Expire) command()        {}
--- /dev/null
+++ b/internal/registry/record.go
@@ -0,0 +1,106 @@
+package registry
+
+import (
+	"time"
+
+	"rosemarywind.example/rosemarywind/pkg/outcome"
+)
+
+// Ending is how a claimed attempt ended, with the answer if it is small enough to keep.
+type Ending struct {
+	outcome outcome.Outcome
+	status  int
+	headers map[string][]string
+	body    []byte
+	kept    bool
+}
+
+// NewEnding returns an ending without an answer.
+func NewEnding(o outcome.Outcome, status int) Ending {
+	return Ending{outcome: o, status: status}
+}
+
+// WithAnswer returns the ending with the whole answer.
+func (e Ending) WithAnswer(headers map[string][]string, body []byte) Ending {
+	e.headers, e.body, e.kept = headers, body, true
+	return e
+}
+
+// Outcome returns whether the attempt ran; it is empty while the attempt is open.
+func (e Ending) Outcome() outcome.Outcome { return e.outcome }
+
+// Status returns the HTTP status of the endpoint's answer, 0 without one.
+func (e Ending) Status() int { return e.status }
+
+// Headers returns the headers of the kept answer.
+func (e Ending) Headers() map[string][]string { return e.headers }
+
+// Body returns the body of the kept answer.
+func (e Ending) Body() []byte { return e.body }
+
+// Kept reports whether the whole answer was kept.
+func (e Ending) Kept() bool { return e.kept }
+
+// Claim is the record of the attempts at one non-idempotent request.
+type Claim struct {
+	workspace   string
+	key         string
+	fingerprint string
+	number      uint64
+	until       time.Time
+	at          time.Time
+	ending      Ending
+}
+
+// NewClaim returns the record of an open attempt.
+func NewClaim(workspace, key, fingerprint string, number uint64, until, at time.Time) Claim {
+	return Claim{workspace: workspace, key: key, fingerprint: fingerprint, number: number, until: until, at: at}
+}
+
+// WithEnding returns the record of an attempt that ended at the given time.
+func (c Claim) WithEnding(e Ending, at time.Time) Claim {
+	c.ending, c.at = e, at
+	return c
+}
+
+// Workspace returns the workspace of the caller.
+func (c Claim) Workspace() string { return c.workspace }
+
+// Key returns the caller's idempotency key.
+func (c Claim) Key() string { return c.key }
+
+// Fingerprint returns the digest of the request.
+func (c Claim) Fingerprint() string { return c.fingerprint }
+
+// Number returns the number of the attempt, which is never reused.
+func (c Claim) Number() uint64 { return c.number }
+
+// Until returns the deadline of the attempt.
+func (c Claim) Until() time.Time { return c.until }
+
+// At returns when the attempt was claimed or ended.
+func (c Claim) At() time.Time { return c.at }
+
+// Ending returns how the attempt ended.
+func (c Claim) Ending() Ending { return c.ending }
+
+// Reply is the first answer to an operator's request, which each resend gets again.
+type Reply struct {
+	requestID string
+	result    Result
+	at        time.Time
+}
+
+// NewReply returns the answer that was given at the given time.
+func NewReply(requestID string, result Result, at time.Time) Reply {
+	return Reply{requestID: requestID, result: result, at: at}
+}
+
+// RequestID returns the identity of the operator's request.
+func (r Reply) RequestID() string { return r.requestID }
+
+// Result returns the first answer.
+func (r Reply) Result() Result { return r.result }
+
+// At returns when the first answer was given.
+func (r Reply) At() time.Time { return r.at }
--- /dev/null
+++ b/internal/registry/state.go
@@ -0,0 +1,72 @@
+package registry
+
+import (
+	"rosemarywind.example/rosemarywind/internal/board"
+	"rosemarywind.example/rosemarywind/internal/job"
+	"rosemarywind.example/rosemarywind/internal/lease"
+	"rosemarywind.example/rosemarywind/internal/workspace"
+)
+
+// State is everything that must survive; it is immutable, and Apply returns the next one.
+type State struct {
+	config   *workspace.Config
+	jobs     board.Table[job.Job]
+	claims   board.Table[Claim]
+	replies  board.Table[Reply]
+	drained  board.Table[bool]
+	fence    lease.Fence
+	sequence uint64
+}
+
+// NewState returns the state before the first command.
+func NewState() State {
+	return State{
+		config:  workspace.EmptyConfig(),
+		jobs:    board.NewTable[job.Job](),
+		claims:  board.NewTable[Claim](),
+		replies: board.NewTable[Reply](),
+		drained: board.NewTable[bool](),
+	}
+}
+
+// RestoreState returns the state that a snapshot held.
+func RestoreState(config *workspace.Config, jobs []job.Job, claims []Claim, replies []Reply, drained []string,
+	fence lease.Fence, sequence uint64,
+) State {
+	s := NewState()
+	s.config, s.fence, s.sequence = config, fence, sequence
+	for _, j := range jobs {
+		s.jobs = s.jobs.With(j.Spec().ID(), j)
+	}
+	for _, c := range claims {
+		s.claims = s.claims.With(claimKey(c.workspace, c.key), c)
+	}
+	for _, r := range replies {
+		s.replies = s.replies.With(r.requestID, r)
+	}
+	for _, name := range drained {
+		s.drained = s.drained.With(name, true)
+	}
+	return s
+}
+
+// Config returns the configuration in force.
+func (s State) Config() *workspace.Config { return s.config }
+
+// Jobs returns the jobs by identity.
+func (s State) Jobs() board.Table[job.Job] { return s.jobs }
+
+// Claims returns the at-most-once records.
+func (s State) Claims() board.Table[Claim] { return s.claims }
+
+// Replies returns the answers that resends of operators get.
+func (s State) Replies() board.Table[Reply] { return s.replies }
+
+// Drained returns the names of the endpoints that operators took out of service.
+func (s State) Drained() board.Table[bool] { return s.drained }
+
+// Fence returns the largest fencing number given out.
+func (s State) Fence() lease.Fence { return s.fence }
+
+// Sequence returns the number of the latest claim or job.
+func (s State) Sequence() uint64 { return s.sequence }
--- a/internal/request/result.go
+++ b/internal/request/result.go
@@ -75,3 +75,16 @@
 
 // Message returns the reason for people.
 func (l Lost) Message() string { return l.message }
+
+// Unkept says that the request ran before and that its answer is no longer held.
+type Unkept struct {
+	status int
+}
+
+// NewUnkept returns the result of a resend whose first answer had the given HTTP status.
+func NewUnkept(status int) Unkept { return Unkept{status: status} }
+
+func (Unkept) result() {}
+
+// Status returns the HTTP status of the first answer.
+func (u Unkept) Status() int { return u.status }
--- /dev/null
+++ b/internal/task/order.go
@@ -0,0 +1,146 @@
+package task
+
+import (
+	"strconv"
+	"time"
+
+	"rosemarywind.example/rosemarywind/internal/lease"
+)
+
+// ID names one member of one job.
+type ID struct {
+	job   string
+	index int
+}
+
+// NewID returns the identity of the member with the given index, from 0.
+func NewID(job string, index int) ID { return ID{job: job, index: index} }
+
+// Job returns the identity of the job.
+func (i ID) Job() string { return i.job }
+
+// Index returns the position in the gang, from 0.
+func (i ID) Index() int { return i.index }
+
+// String returns the job and the index joined by a dot.
+func (i ID) String() string { return i.job + "." + strconv.Itoa(i.index) }
+
+// Order is what the leader tells an agent to do with a member.
+//
+//sumtype:decl
+type Order interface {
+	order()
+}
+
+// Reserve holds accelerators on the worker under a lease; nothing runs.
+type Reserve struct {
+	id           ID
+	fence        lease.Fence
+	accelerators int
+	length       time.Duration
+	payload      string
+}
+
+// Start runs a reserved member.
+type Start struct {
+	id    ID
+	fence lease.Fence
+}
+
+// Renew extends the lease of a member.
+type Renew struct {
+	id     ID
+	fence  lease.Fence
+	length time.Duration
+}
+
+// Stop ends a member and frees its accelerators, after a checkpoint if one is asked for.
+type Stop struct {
+	id         ID
+	fence      lease.Fence
+	checkpoint bool
+}
+
+// Throttle slows a member down to a share of its speed in percent.
+type Throttle struct {
+	id      ID
+	fence   lease.Fence
+	percent int
+}
+
+func (Reserve) order()  {}
+func (Start) order()    {}
+func (Renew) order()    {}
+func (Stop) order()     {}
+func (Throttle) order() {}
+
+// NewReserve returns the order to hold accelerators for a lease of the given length.
+func NewReserve(id ID, fence lease.Fence, accelerators int, length time.Duration, payload string) Reserve {
+	return Reserve{id: id, fence: fence, accelerators: accelerators, length: length, payload: payload}
+}
+
+// NewStart returns the order to run a reserved member.
+func NewStart(id ID, fence lease.Fence) Start { return Start{id: id, fence: fence} }
+
+// NewRenew returns the order to extend a lease to the given length from now.
+func NewRenew(id ID, fence lease.Fence, length time.Duration) Renew {
+	return Renew{id: id, fence: fence, length: length}
+}
+
+// NewStop returns the order to end a member.
+func NewStop(id ID, fence lease.Fence, checkpoint bool) Stop {
+	return Stop{id: id, fence: fence, checkpoint: checkpoint}
+}
+
+// NewThrottle returns the order to slow a member down.
+func NewThrottle(id ID, fence lease.Fence, percent int) Throttle {
+	return Throttle{id: id, fence: fence, percent: percent}
+}
+
+// ID returns the member.
+func (r Reserve) ID() ID { return r.id }
+
+// Fence returns the fencing number of the reservation.
+func (r Reserve) Fence() lease.Fence { return r.fence }
+
+// Accelerators returns the number of accelerators to hold.
+func (r Reserve) Accelerators() int { return r.accelerators }
+
+// Length returns the length of the lease.
+func (r Reserve) Length() time.Duration { return r.length }
+
+// Payload returns what the task is told to do.
+func (r Reserve) Payload() string { return r.payload }
+
+// ID returns the member.
+func (s Start) ID() ID { return s.id }
+
+// Fence returns the fencing number of the reservation.
+func (s Start) Fence() lease.Fence { return s.fence }
+
+// ID returns the member.
+func (r Renew) ID() ID { return r.id }
+
+// Fence returns the fencing number of the reservation.
+func (r Renew) Fence() lease.Fence { return r.fence }
+
+// Length returns the new length of the lease.
+func (r Renew) Length() time.Duration { return r.length }
+
+// ID returns the member.
+func (s Stop) ID() ID { return s.id }
+
+// Fence returns the fencing number of the reservation.
+func (s Stop) Fence() lease.Fence { return s.fence }
+
+// Checkpoint reports whether the task is saved before it ends.
+func (s Stop) Checkpoint() bool { return s.checkpoint }
+
+// ID returns the member.
+func (t Throttle) ID() ID { return t.id }
+
+// Fence returns the fencing number of the reservation.
+func (t Throttle) Fence() lease.Fence { return t.fence }
+
+// Percent returns the share of full speed, from 1 to 100.
+func (t Throttle) Percent() int { return t.percent }
--- /dev/null
+++ b/internal/wire/command.go
@@ -0,0 +1,188 @@
+package wire
+
+import (
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"rosemarywind.example/rosemarywind/internal/job"
+	"rosemarywind.example/rosemarywind/internal/lease"
+	"rosemarywind.example/rosemarywind/internal/registry"
+	"rosemarywind.example/rosemarywind/pkg/outcome"
+)
+
+// commandKind says which command a record holds.
+type commandKind string
+
+const (
+	commandApply   commandKind = "apply"
+	commandSubmit  commandKind = "submit"
+	commandCancel  commandKind = "cancel"
+	commandReserve commandKind = "reserve"
+	commandStart   commandKind = "start"
+	commandStop    commandKind = "stop"
+	commandRequeue commandKind = "requeue"
+	commandEnd     commandKind = "end"
+	commandClaim   commandKind = "claim"
+	commandSettle  commandKind = "settle"
+	commandDrain   commandKind = "drain"
+	commandExpire  commandKind = "expire"
+)
+
+// commandForm holds the fields of all commands; each kind uses some of them.
+type commandForm struct {
+	Kind        commandKind  `cbor:"1,keyasint"`
+	RequestID   string       `cbor:"2,keyasint,omitempty"`
+	ID          string       `cbor:"3,keyasint,omitempty"`
+	At          int64        `cbor:"4,keyasint,omitempty"`
+	Base        uint64       `cbor:"5,keyasint,omitempty"`
+	Config      *configForm  `cbor:"6,keyasint,omitempty"`
+	Spec        *specForm    `cbor:"7,keyasint,omitempty"`
+	Members     []memberForm `cbor:"8,keyasint,omitempty"`
+	Fence       uint64       `cbor:"9,keyasint,omitempty"`
+	Reason      string       `cbor:"10,keyasint,omitempty"`
+	Result      job.Result   `cbor:"11,keyasint,omitempty"`
+	Workspace   string       `cbor:"12,keyasint,omitempty"`
+	Key         string       `cbor:"13,keyasint,omitempty"`
+	Fingerprint string       `cbor:"14,keyasint,omitempty"`
+	Until       int64        `cbor:"15,keyasint,omitempty"`
+	Number      uint64       `cbor:"16,keyasint,omitempty"`
+	Ending      *endingForm  `cbor:"17,keyasint,omitempty"`
+	Drained     bool         `cbor:"18,keyasint,omitempty"`
+}
+
+type endingForm struct {
+	Outcome outcome.Outcome     `cbor:"1,keyasint,omitempty"`
+	Status  int                 `cbor:"2,keyasint,omitempty"`
+	Headers map[string][]string `cbor:"3,keyasint,omitempty"`
+	Body    []byte              `cbor:"4,keyasint,omitempty"`
+	Kept    bool                `cbor:"5,keyasint,omitempty"`
+}
+
+// EncodeCommand returns the record of a command for the ledger.
+func EncodeCommand(c registry.Command) (data []byte, err error) {
+	defer annotate("encode command", &err)
+	return cbor.Marshal(fromCommand(c))
+}
+
+// DecodeCommand returns the command that a record of the ledger holds.
+func DecodeCommand(data []byte) (c registry.Command, err error) {
+	defer annotate("decode command", &err)
+	var f commandForm
+	if err = cbor.Unmarshal(data, &f); err != nil {
+		return nil, err
+	}
+	return f.command()
+}
+
+func fromCommand(c registry.Command) commandForm {
+	switch t := c.(type) {
+	case registry.ApplyConfig:
+		m := fromConfig(t.Config())
+		return commandForm{Kind: commandApply, RequestID: t.RequestID(), Base: t.Base(), Config: &m, At: toNanos(t.At())}
+	case registry.SubmitJob:
+		m := fromSpec(t.Spec())
+		return commandForm{Kind: commandSubmit, RequestID: t.RequestID(), Spec: &m, At: toNanos(t.At())}
+	case registry.CancelJob:
+		return commandForm{
+			Kind: commandCancel, RequestID: t.RequestID(), ID: t.ID(), Workspace: t.Workspace(), At: toNanos(t.At()),
+		}
+	case registry.ReserveGang:
+		return commandForm{Kind: commandReserve, ID: t.ID(), Members: fromMembers(t.Members())}
+	case registry.StartGang:
+		return commandForm{Kind: commandStart, ID: t.ID(), Fence: uint64(t.Fence())}
+	case registry.StopGang:
+		return commandForm{Kind: commandStop, ID: t.ID(), Fence: uint64(t.Fence()), Reason: t.Reason()}
+	case registry.RequeueJob:
+		return commandForm{Kind: commandRequeue, ID: t.ID(), Fence: uint64(t.Fence()), Reason: t.Reason()}
+	case registry.EndJob:
+		return commandForm{
+			Kind: commandEnd, ID: t.ID(), Fence: uint64(t.Fence()), Result: t.Result(), Reason: t.Reason(),
+			At: toNanos(t.At()),
+		}
+	case registry.ClaimKey:
+		return commandForm{
+			Kind: commandClaim, Workspace: t.Workspace(), Key: t.Key(), Fingerprint: t.Fingerprint(),
+			Until: toNanos(t.Until()), At: toNanos(t.At()),
+		}
+	case registry.SettleKey:
+		e := fromEnding(t.Ending())
+		return commandForm{
+			Kind: commandSettle, Workspace: t.Workspace(), Key: t.Key(), Number: t.Number(), Ending: &e,
+			At: toNanos(t.At()),
+		}
+	case registry.DrainEndpoint:
+		return commandForm{
+			Kind: commandDrain, RequestID: t.RequestID(), ID: t.Name(), Drained: t.Drained(), At: toNanos(t.At()),
+		}
+	case registry.Expire:
+		return commandForm{Kind: commandExpire, At: toNanos(t.Before())}
+	}
+	return commandForm{}
+}
+
+func (f commandForm) command() (c registry.Command, err error) {
+	at, fence := fromNanos(f.At), lease.Fence(f.Fence)
+	switch f.Kind {
+	case commandApply, commandSubmit:
+		return f.declared()
+	case commandCancel:
+		return registry.NewCancelJob(f.RequestID, f.ID, f.Workspace, at), nil
+	case commandReserve:
+		return registry.NewReserveGang(f.ID, toMembers(f.Members)), nil
+	case commandStart:
+		return registry.NewStartGang(f.ID, fence), nil
+	case commandStop:
+		return registry.NewStopGang(f.ID, fence, f.Reason), nil
+	case commandRequeue:
+		return registry.NewRequeueJob(f.ID, fence, f.Reason), nil
+	case commandEnd:
+		return registry.NewEndJob(f.ID, fence, f.Result, f.Reason, at), nil
+	case commandClaim:
+		return registry.NewClaimKey(f.Workspace, f.Key, f.Fingerprint, fromNanos(f.Until), at), nil
+	case commandSettle:
+		if f.Ending == nil {
+			return nil, fmt.Errorf("command %q lacks its ending", f.Kind)
+		}
+		return registry.NewSettleKey(f.Workspace, f.Key, f.Number, f.Ending.ending(), at), nil
+	case commandDrain:
+		return registry.NewDrainEndpoint(f.RequestID, f.ID, f.Drained, at), nil
+	case commandExpire:
+		return registry.NewExpire(at), nil
+	default:
+		return nil, fmt.Errorf("command of unknown kind %q", f.Kind)
+	}
+}
+
+// declared returns the commands that carry a declaration, which may be malformed.
+func (f commandForm) declared() (c registry.Command, err error) {
+	at := fromNanos(f.At)
+	switch {
+	case f.Kind == commandApply && f.Config != nil:
+		config, err := f.Config.config()
+		if err != nil {
+			return nil, err
+		}
+		return registry.NewApplyConfig(f.RequestID, f.Base, config, at), nil
+	case f.Kind == commandSubmit && f.Spec != nil:
+		spec, err := f.Spec.spec()
+		if err != nil {
+			return nil, err
+		}
+		return registry.NewSubmitJob(f.RequestID, spec, at), nil
+	default:
+		return nil, fmt.Errorf("command %q lacks its declaration", f.Kind)
+	}
+}
+
+func fromEnding(e registry.Ending) endingForm {
+	return endingForm{Outcome: e.Outcome(), Status: e.Status(), Headers: e.Headers(), Body: e.Body(), Kept: e.Kept()}
+}
+
+func (f endingForm) ending() registry.Ending {
+	e := registry.NewEnding(f.Outcome, f.Status)
+	if f.Kept {
+		e = e.WithAnswer(f.Headers, f.Body)
+	}
+	return e
+}
--- /dev/null
+++ b/internal/wire/config.go
@@ -0,0 +1,80 @@
+package wire
+
+import (
+	"rosemarywind.example/rosemarywind/internal/workspace"
+)
+
+type shapeForm struct {
+	Members      int                 `cbor:"1,keyasint"`
+	Accelerators int                 `cbor:"2,keyasint"`
+	Adjacency    workspace.Adjacency `cbor:"3,keyasint"`
+}
+
+type workspaceForm struct {
+	Name      string    `cbor:"1,keyasint"`
+	Tenant    string    `cbor:"2,keyasint,omitempty"`
+	Guarantee shapeForm `cbor:"3,keyasint"`
+	InFlight  int       `cbor:"4,keyasint"`
+	Queued    int       `cbor:"5,keyasint"`
+	Digests   []string  `cbor:"6,keyasint,omitempty"`
+}
+
+type exceptionForm struct {
+	Target string `cbor:"1,keyasint"`
+	Key    string `cbor:"2,keyasint"`
+	Value  string `cbor:"3,keyasint"`
+	Reason string `cbor:"4,keyasint"`
+}
+
+type configForm struct {
+	Revision   uint64            `cbor:"1,keyasint"`
+	Workspaces []workspaceForm   `cbor:"2,keyasint,omitempty"`
+	Defaults   map[string]string `cbor:"3,keyasint,omitempty"`
+	Exceptions []exceptionForm   `cbor:"4,keyasint,omitempty"`
+}
+
+func fromShape(s workspace.Shape) shapeForm {
+	return shapeForm{Members: s.Members(), Accelerators: s.Accelerators(), Adjacency: s.Adjacency()}
+}
+
+func (f shapeForm) shape() (workspace.Shape, error) {
+	return workspace.NewShape(f.Members, f.Accelerators, f.Adjacency)
+}
+
+func fromConfig(c *workspace.Config) configForm {
+	m := configForm{Revision: c.Revision(), Defaults: c.Defaults()}
+	for _, w := range c.Workspaces() {
+		m.Workspaces = append(m.Workspaces, workspaceForm{
+			Name: w.Name(), Tenant: w.Tenant(), Guarantee: fromShape(w.Guarantee()),
+			InFlight: w.Limits().InFlight(), Queued: w.Limits().Queued(), Digests: w.TokenDigests(),
+		})
+	}
+	for _, e := range c.Exceptions() {
+		m.Exceptions = append(m.Exceptions, exceptionForm{
+			Target: e.Target(), Key: e.Key(), Value: e.Value(), Reason: e.Reason(),
+		})
+	}
+	return m
+}
+
+func (f configForm) config() (c *workspace.Config, err error) {
+	workspaces := make([]workspace.Workspace, len(f.Workspaces))
+	for i, w := range f.Workspaces {
+		s, err := w.Guarantee.shape()
+		if err != nil {
+			return nil, err
+		}
+		workspaces[i] = workspace.New(w.Name, w.Tenant, s, workspace.NewLimits(w.InFlight, w.Queued)).
+			WithTokenDigests(w.Digests)
+	}
+	exceptions := make([]workspace.Exception, len(f.Exceptions))
+	for i, e := range f.Exceptions {
+		if exceptions[i], err = workspace.NewException(e.Target, e.Key, e.Value, e.Reason); err != nil {
+			return nil, err
+		}
+	}
+	if c, err = workspace.NewConfig(workspaces, f.Defaults, exceptions); err != nil {
+		return nil, err
+	}
+	return c.WithRevision(f.Revision), nil
+}
--- /dev/null
+++ b/internal/wire/forward.go
@@ -0,0 +1,166 @@
+package wire
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"rosemarywind.example/rosemarywind/internal/job"
+	"rosemarywind.example/rosemarywind/internal/request"
+	"rosemarywind.example/rosemarywind/pkg/outcome"
+)
+
+type forwardForm struct {
+	ID          string              `cbor:"1,keyasint"`
+	Workspace   string              `cbor:"2,keyasint"`
+	Method      string              `cbor:"3,keyasint"`
+	Target      string              `cbor:"4,keyasint"`
+	Headers     map[string][]string `cbor:"5,keyasint,omitempty"`
+	Urgency     job.Urgency         `cbor:"6,keyasint"`
+	Idempotent  bool                `cbor:"7,keyasint,omitempty"`
+	Remaining   int64               `cbor:"8,keyasint"`
+	Incarnation uint64              `cbor:"9,keyasint"`
+	Length      int                 `cbor:"10,keyasint"`
+	Digest      uint64              `cbor:"11,keyasint"`
+}
+
+type answerForm struct {
+	Kind       string              `cbor:"1,keyasint"`
+	ID         string              `cbor:"2,keyasint"`
+	Status     int                 `cbor:"3,keyasint,omitempty"`
+	Headers    map[string][]string `cbor:"4,keyasint,omitempty"`
+	Reason     outcome.Reason      `cbor:"5,keyasint,omitempty"`
+	Message    string              `cbor:"6,keyasint,omitempty"`
+	RetryAfter int64               `cbor:"7,keyasint,omitempty"`
+	InFlight   int64               `cbor:"8,keyasint,omitempty"`
+	Length     int                 `cbor:"9,keyasint,omitempty"`
+	Digest     uint64              `cbor:"10,keyasint,omitempty"`
+}
+
+// The kinds of answers.
+const (
+	answered = "answered"
+	refused  = "refused"
+	lost     = "lost"
+	unkept   = "unkept"
+)
+
+const maxHeaderFrameBytes = 256 << 10
+
+// Forward is a request on its way to one incarnation of an agent.
+type Forward struct {
+	request     request.Request
+	incarnation uint64
+}
+
+// NewForward returns a request for the given incarnation of an agent.
+func NewForward(r request.Request, incarnation uint64) Forward {
+	return Forward{request: r, incarnation: incarnation}
+}
+
+// Request returns the request; its deadline is on the reader's clock.
+func (f Forward) Request() request.Request { return f.request }
+
+// Incarnation returns the incarnation of the agent that the sender knows.
+func (f Forward) Incarnation() uint64 { return f.incarnation }
+
+// WriteForward writes a request; the deadline travels as the time that remains.
+func WriteForward(w io.Writer, f Forward, now time.Time) (err error) {
+	defer annotate("write request", &err)
+	r := f.request
+	err = writeFrame(w, forwardForm{
+		ID: r.ID(), Workspace: r.Workspace(), Method: r.Method(), Target: r.Target(), Headers: r.Headers(),
+		Urgency: r.Urgency(), Idempotent: r.Idempotent(), Remaining: int64(r.Deadline().Sub(now)),
+		Incarnation: f.incarnation, Length: len(r.Body()), Digest: xxhash.Sum64(r.Body()),
+	})
+	if err != nil {
+		return err
+	}
+	_, err = w.Write(r.Body())
+	return err
+}
+
+// ReadForward reads a whole request whose body has at most bodyLimit bytes.
+func ReadForward(r io.Reader, now time.Time, bodyLimit int) (f Forward, err error) {
+	defer annotate("read request", &err)
+	var m forwardForm
+	if err = readFrame(r, &m, maxHeaderFrameBytes); err != nil {
+		return Forward{}, unexpected(err)
+	}
+	body, err := readBody(r, m.Length, m.Digest, bodyLimit)
+	if err != nil {
+		return Forward{}, err
+	}
+	q := request.New(m.ID, m.Workspace, m.Method, m.Target,
+		request.WithBody(m.Headers, body), request.WithUrgency(m.Urgency),
+		request.WithIdempotent(m.Idempotent), request.WithDeadline(now.Add(time.Duration(m.Remaining))))
+	return Forward{request: q, incarnation: m.Incarnation}, nil
+}
+
+// WriteAnswer writes the result of the request with the given identity and the endpoint's load.
+func WriteAnswer(w io.Writer, id string, result request.Result, inFlight int64) (err error) {
+	defer annotate("write answer", &err)
+	m := answerForm{ID: id, InFlight: inFlight}
+	var body []byte
+	switch t := result.(type) {
+	case request.Answered:
+		body = t.Body()
+		m.Kind, m.Status, m.Headers = answered, t.Status(), t.Headers()
+		m.Length, m.Digest = len(body), xxhash.Sum64(body)
+	case request.Refused:
+		m.Kind, m.Reason, m.Message, m.RetryAfter = refused, t.Reason(), t.Message(), int64(t.RetryAfter())
+	case request.Lost:
+		m.Kind, m.Reason, m.Message = lost, t.Reason(), t.Message()
+	case request.Unkept:
+		m.Kind, m.Status = unkept, t.Status()
+	}
+	if err = writeFrame(w, m); err != nil {
+		return err
+	}
+	_, err = w.Write(body)
+	return err
+}
+
+// ReadAnswer reads the whole result of the request with the given identity and the endpoint's load.
+func ReadAnswer(r io.Reader, id string, bodyLimit int) (result request.Result, inFlight int64, err error) {
+	defer annotate("read answer", &err)
+	var m answerForm
+	if err = readFrame(r, &m, maxHeaderFrameBytes); err != nil {
+		return nil, 0, unexpected(err)
+	}
+	if m.ID != id {
+		return nil, 0, fmt.Errorf("answer is for request %q, want %q", m.ID, id)
+	}
+	switch m.Kind {
+	case answered:
+		body, err := readBody(r, m.Length, m.Digest, bodyLimit)
+		if err != nil {
+			return nil, 0, err
+		}
+		return request.NewAnswered(m.Status, m.Headers, body), m.InFlight, nil
+	case refused:
+		return request.NewRefused(m.Reason, m.Message, time.Duration(m.RetryAfter)), m.InFlight, nil
+	case lost:
+		return request.NewLost(m.Reason, m.Message), m.InFlight, nil
+	case unkept:
+		return request.NewUnkept(m.Status), m.InFlight, nil
+	default:
+		return nil, 0, fmt.Errorf("answer of unknown kind %q", m.Kind)
+	}
+}
+
+func readBody(r io.Reader, length int, digest uint64, limit int) (body []byte, err error) {
+	if length < 0 || length > limit {
+		return nil, fmt.Errorf("body of %d bytes exceeds the limit of %d", length, limit)
+	}
+	body = make([]byte, length)
+	if _, err = io.ReadFull(r, body); err != nil {
+		return nil, unexpected(err)
+	}
+	if got := xxhash.Sum64(body); got != digest {
+		return nil, fmt.Errorf("body digest is %x, want %x", got, digest)
+	}
+	return body, nil
+}
--- /dev/null
+++ b/internal/wire/frame.go
@@ -0,0 +1,129 @@
+package wire
+
+import (
+	"encoding/binary"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// Version is the version of the protocol between the system's processes.
+const Version = 1
+
+const (
+	frameHeaderBytes = 4
+	// MaxFrameBytes bounds a frame that is not a body.
+	MaxFrameBytes = 16 << 20
+)
+
+// Kind says what a stream is for.
+type Kind string
+
+// The kinds of streams.
+const (
+	KindForward  Kind = "forward"
+	KindAnnounce Kind = "announce"
+	KindWatch    Kind = "watch"
+	KindPropose  Kind = "propose"
+	KindOrders   Kind = "orders"
+	KindLedger   Kind = "ledger"
+)
+
+type openingForm struct {
+	Version int    `cbor:"1,keyasint"`
+	Kind    Kind   `cbor:"2,keyasint"`
+	Trace   string `cbor:"3,keyasint,omitempty"`
+}
+
+// Opening is the first frame of a stream.
+type Opening struct {
+	kind  Kind
+	trace string
+}
+
+// NewOpening returns the first frame of a stream of the given kind with the sender's trace context.
+func NewOpening(kind Kind, trace string) Opening { return Opening{kind: kind, trace: trace} }
+
+// Kind returns what the stream is for.
+func (o Opening) Kind() Kind { return o.kind }
+
+// Trace returns the sender's W3C trace context, or an empty string.
+func (o Opening) Trace() string { return o.trace }
+
+// WriteOpening writes the first frame of a stream.
+func WriteOpening(w io.Writer, o Opening) error {
+	return writeFrame(w, openingForm{Version: Version, Kind: o.kind, Trace: o.trace})
+}
+
+// ReadOpening reads the first frame of a stream; it fails on another protocol version.
+func ReadOpening(r io.Reader) (o Opening, err error) {
+	defer annotate("read opening", &err)
+	var f openingForm
+	if err = readFrame(r, &f, maxOpeningBytes); err != nil {
+		return Opening{}, err
+	}
+	if f.Version != Version {
+		return Opening{}, fmt.Errorf("protocol version %d is not supported, want %d", f.Version, Version)
+	}
+	return Opening{kind: f.Kind, trace: f.Trace}, nil
+}
+
+const maxOpeningBytes = 4 << 10
+
+func writeFrame(w io.Writer, v any) (err error) {
+	defer annotate("write frame", &err)
+	data, err := cbor.Marshal(v)
+	if err != nil {
+		return err
+	}
+	buffer := make([]byte, frameHeaderBytes, frameHeaderBytes+len(data))
+	binary.BigEndian.PutUint32(buffer, uint32(len(data)))
+	_, err = w.Write(append(buffer, data...))
+	return err
+}
+
+func readFrame(r io.Reader, v any, limit int) (err error) {
+	var header [frameHeaderBytes]byte
+	if _, err = io.ReadFull(r, header[:]); err != nil {
+		return err
+	}
+	size := int(binary.BigEndian.Uint32(header[:]))
+	if size > limit {
+		return fmt.Errorf("frame of %d bytes exceeds the limit of %d", size, limit)
+	}
+	data := make([]byte, size)
+	if _, err = io.ReadFull(r, data); err != nil {
+		return unexpected(err)
+	}
+	return cbor.Unmarshal(data, v)
+}
+
+// unexpected turns the end of the stream inside a message into an error.
+func unexpected(err error) error {
+	if err == io.EOF {
+		return io.ErrUnexpectedEOF
+	}
+	return err
+}
+
+func annotate(what string, err *error) {
+	if *err != nil && *err != io.EOF {
+		*err = fmt.Errorf("%s: %w", what, *err)
+	}
+}
+
+func toNanos(t time.Time) int64 {
+	if t.IsZero() {
+		return 0
+	}
+	return t.UnixNano()
+}
+
+func fromNanos(n int64) time.Time {
+	if n == 0 {
+		return time.Time{}
+	}
+	return time.Unix(0, n)
+}
--- /dev/null
+++ b/internal/wire/state.go
@@ -0,0 +1,86 @@
+package wire
+
+import (
+	"github.com/fxamacker/cbor/v2"
+
+	"rosemarywind.example/rosemarywind/internal/job"
+	"rosemarywind.example/rosemarywind/internal/lease"
+	"rosemarywind.example/rosemarywind/internal/registry"
+)
+
+type storedReplyForm struct {
+	RequestID string     `cbor:"1,keyasint"`
+	Result    resultForm `cbor:"2,keyasint"`
+	At        int64      `cbor:"3,keyasint"`
+}
+
+type stateForm struct {
+	Config   configForm        `cbor:"1,keyasint"`
+	Jobs     []jobForm         `cbor:"2,keyasint,omitempty"`
+	Claims   []claimForm       `cbor:"3,keyasint,omitempty"`
+	Replies  []storedReplyForm `cbor:"4,keyasint,omitempty"`
+	Drained  []string          `cbor:"5,keyasint,omitempty"`
+	Fence    uint64            `cbor:"6,keyasint"`
+	Sequence uint64            `cbor:"7,keyasint"`
+}
+
+// EncodeState returns a snapshot of the state machine.
+func EncodeState(s registry.State) (data []byte, err error) {
+	defer annotate("encode state", &err)
+	f := stateForm{Config: fromConfig(s.Config()), Fence: uint64(s.Fence()), Sequence: s.Sequence()}
+	for _, j := range s.Jobs().All() {
+		f.Jobs = append(f.Jobs, fromJob(j))
+	}
+	for _, c := range s.Claims().All() {
+		f.Claims = append(f.Claims, fromClaim(c))
+	}
+	for _, r := range s.Replies().All() {
+		f.Replies = append(f.Replies, storedReplyForm{
+			RequestID: r.RequestID(), Result: fromResult(r.Result()), At: toNanos(r.At()),
+		})
+	}
+	for name := range s.Drained().All() {
+		f.Drained = append(f.Drained, name)
+	}
+	return cbor.Marshal(f)
+}
+
+// DecodeState returns the state machine that a snapshot holds.
+func DecodeState(data []byte) (s registry.State, err error) {
+	defer annotate("decode state", &err)
+	options := cbor.DecOptions{MaxArrayElements: maxStateElements}
+	mode, err := options.DecMode()
+	if err != nil {
+		return registry.State{}, err
+	}
+	var f stateForm
+	if err = mode.Unmarshal(data, &f); err != nil {
+		return registry.State{}, err
+	}
+	config, err := f.Config.config()
+	if err != nil {
+		return registry.State{}, err
+	}
+	jobs := make([]job.Job, len(f.Jobs))
+	for i, j := range f.Jobs {
+		if jobs[i], err = j.job(); err != nil {
+			return registry.State{}, err
+		}
+	}
+	claims := make([]registry.Claim, len(f.Claims))
+	for i, c := range f.Claims {
+		claims[i] = c.claim()
+	}
+	replies := make([]registry.Reply, len(f.Replies))
+	for i, r := range f.Replies {
+		result, err := r.Result.result()
+		if err != nil {
+			return registry.State{}, err
+		}
+		replies[i] = registry.NewReply(r.RequestID, result, fromNanos(r.At))
+	}
+	return registry.RestoreState(config, jobs, claims, replies, f.Drained, lease.Fence(f.Fence), f.Sequence), nil
+}
+
+// maxStateElements covers the claims of a day at 100 a second.
+const maxStateElements = 10_000_000
--- a/internal/workspace/workspace.go
+++ b/internal/workspace/workspace.go
@@ -6,6 +6,7 @@
 	tenant    string
 	guarantee Shape
 	limits    Limits
+	digests   []string
 }
 
 // New returns a workspace that belongs to tenant.
@@ -25,6 +26,15 @@
 // Limits returns the bounds on the workspace's requests.
 func (w Workspace) Limits() Limits { return w.limits }
 
+// WithTokenDigests returns the workspace with the digests of its callers' tokens, as "sha256:HEX".
+func (w Workspace) WithTokenDigests(digests []string) Workspace {
+	w.digests = digests
+	return w
+}
+
+// TokenDigests returns the digests of the callers' tokens, which the caller must not modify.
+func (w Workspace) TokenDigests() []string { return w.digests }
+
 // Limits bounds the requests of one workspace at one entry process.
 type Limits struct {
 	inFlight int
