Add the settings of the roles

The roles need settings whose checks, defaults and documentation cannot drift apart. Structs with tags were ruled out because a tag would be a second declaration of each key and stops at the first wrong type.

--- /dev/null
+++ b/internal/settings/keys.go
@@ -0,0 +1,124 @@
+package settings
+
+import "time"
+
+// mostMembers is the number of hosts that may be set aside for control.
+const mostMembers = 7
+
+const (
+	mebibyte = 1 << 20
+	gibibyte = 1 << 30
+)
+
+// The keys of every process that serves.
+var (
+	nameKey    = name("name", "identity of the process, unique in its role").needed("ROLE1")
+	regionKey  = text("region", "region of the host").withDefault("")
+	zoneKey    = name("availability_zone", "availability zone of the host").needed("az1")
+	graceKey   = duration("stop.grace", 0, 10*time.Minute, "time for requests in flight after SIGTERM").withDefault("30s")
+	metricsKey = listenAddress("operators.listen", "HTTP address for metrics and health, and on control hosts for operators").needed("127.0.0.1:9700")
+	levelKey   = choice("log.level", "least level that is logged", "trace", "debug", "info", "warn", "error").withDefault("info")
+	traceKey   = path("trace.file", "file that receives spans as JSON lines; empty for none").withDefault("")
+	otlpKey    = anyURL("trace.otlp", "URL of an OTLP/HTTP collector; empty for none").withDefault("")
+
+	commonKeys = []declared{
+		nameKey.declared, regionKey.declared, zoneKey.declared, metricsKey.declared,
+		levelKey.declared, traceKey.declared, otlpKey.declared, graceKey.declared,
+	}
+)
+
+// The key files of the processes that speak QUIC.
+var (
+	certificateKey = path("keys.certificate", "PEM file of the certificate; may be empty when every address to listen on is a loopback address").withDefault("")
+	privateKey     = path("keys.key", "PEM file of the private key; may be empty like keys.certificate").withDefault("")
+	authorityKey   = path("keys.authority", "PEM file of the certificate authority; may be empty like keys.certificate").withDefault("")
+
+	keyFileKeys = []declared{certificateKey.declared, privateKey.declared, authorityKey.declared}
+)
+
+// Keys that more than one role has.
+var (
+	controlAddressesKey = addresses("control.addresses", "QUIC addresses of the control hosts").needed([]any{"127.0.0.1:9601"})
+	bodyBytesKey        = integer("limits.body_bytes", "bytes", 1, gibibyte, "largest request or answer body").withDefault(int64(4 * mebibyte))
+	quicListenKey       = listenAddress("listen", "QUIC address").needed("127.0.0.1:9600")
+	httpListenKey       = listenAddress("listen", "HTTP address").needed("127.0.0.1:8080")
+	coresKey            = integer("cores", "cores", 0, 4096, "processor cores of the worker").withDefault(int64(0))
+	acceleratorsKey     = integer("accelerators", "accelerators", 0, 1024, "accelerators of the worker").withDefault(int64(0))
+)
+
+// The keys of the entry role.
+var (
+	headerBytesKey     = integer("limits.header_bytes", "bytes", 1024, mebibyte, "largest header of a caller's request").withDefault(int64(64 << 10))
+	headerTimeoutKey   = duration("limits.header_timeout", 100*time.Millisecond, time.Minute, "time for a caller to send its header").withDefault("5s")
+	bodyTimeoutKey     = duration("limits.body_timeout", 100*time.Millisecond, 10*time.Minute, "time for a caller to send its body").withDefault("30s")
+	queueWaitKey       = duration("limits.queue_wait", 0, time.Minute, "longest wait for a slot before a refusal").withDefault("2s")
+	bufferedBytesKey   = integer("limits.buffered_bytes", "bytes", 1, 16*gibibyte, "total of buffered request bodies; at least limits.body_bytes").withDefault(int64(64 * mebibyte))
+	deadlineDefaultKey = duration("deadline.default", time.Millisecond, 24*time.Hour, "deadline of a request that states none; at most deadline.max").withDefault("30s")
+	deadlineMaxKey     = duration("deadline.max", time.Millisecond, 24*time.Hour, "longest deadline that a caller may state").withDefault("10m")
+	retryShareKey      = integer("retry.share_percent", "percent", 0, 100, "retries allowed in percent of first attempts").withDefault(int64(10))
+	retryAttemptsKey   = integer("retry.attempts", "attempts", 1, 10, "attempts of a request, the first included").withDefault(int64(3))
+	retryPauseKey      = duration("retry.base_pause", time.Millisecond, 10*time.Second, "pause before the first retry, doubled for each further one").withDefault("25ms")
+
+	entryKeys = []declared{
+		httpListenKey.declared, controlAddressesKey.declared, bodyBytesKey.declared, headerBytesKey.declared,
+		headerTimeoutKey.declared, bodyTimeoutKey.declared, queueWaitKey.declared, bufferedBytesKey.declared,
+		deadlineDefaultKey.declared, deadlineMaxKey.declared, retryShareKey.declared, retryAttemptsKey.declared,
+		retryPauseKey.declared,
+	}
+)
+
+// The keys of the agent role.
+var (
+	rackKey          = name("rack", "rack of the worker").needed("rack1")
+	memoryKey        = integer("memory_mb", "MB", 0, 1<<30, "memory of the worker").withDefault(int64(0))
+	slotsKey         = integer("slots", "requests", 1, 65536, "requests that the endpoint runs at once").withDefault(int64(8))
+	connectionsKey   = integer("connections", "connections", 1, 65536, "connections that the endpoint accepts").withDefault(int64(64))
+	advertiseKey     = address("advertise", "address that others reach the agent at; the listen address when empty")
+	endpointURLKey   = hostURL("endpoint.url", "HTTP address of the endpoint").needed("http://127.0.0.1:8081")
+	workerURLKey     = hostURL("worker.url", "HTTP address of the worker").needed("http://127.0.0.1:8081")
+	probeIntervalKey = duration("probe.interval", 10*time.Millisecond, time.Minute, "time between probes of the endpoint").withDefault("500ms")
+	probeTimeoutKey  = duration("probe.timeout", 10*time.Millisecond, time.Minute, "time after which a probe has failed").withDefault("1s")
+
+	agentKeys = []declared{
+		rackKey.declared, coresKey.declared, memoryKey.declared, acceleratorsKey.declared, slotsKey.declared,
+		connectionsKey.declared, quicListenKey.declared, advertiseKey.declared, endpointURLKey.declared,
+		workerURLKey.declared, probeIntervalKey.declared, probeTimeoutKey.declared,
+		controlAddressesKey.declared, bodyBytesKey.declared,
+	}
+)
+
+// The keys of the control role.
+var (
+	controlListenKey = listenAddress("listen", "QUIC address").needed("127.0.0.1:9601")
+	dataKey          = path("data", "folder of the ledger's files").needed("/var/lib/rosemarywind")
+	membersKey       = members("members", "identity and QUIC address of each control host").needed(map[string]any{"control1": "127.0.0.1:9601"})
+	announceLeaseKey = duration("announce_lease", time.Second, time.Minute, "time after which a silent agent counts as gone").withDefault("3s")
+	taskLeaseKey     = duration("task_lease", 5*time.Second, time.Hour, "time for which a task runs without a renewal").withDefault("2m")
+	tokenDigestsKey  = digests("operator_token_digests", "digests of the operators' tokens; without one operators are refused").withDefault([]any{})
+	completionKey    = number("planner.completion_weight", 0, 100, "weight of completion time in a placement").withDefault(1.0)
+	fragmentationKey = number("planner.fragmentation_weight", 0, 100, "weight of fragmentation in a placement").withDefault(1.0)
+
+	controlKeys = []declared{
+		dataKey.declared, controlListenKey.declared, announceLeaseKey.declared, taskLeaseKey.declared,
+		tokenDigestsKey.declared, membersKey.declared, completionKey.declared, fragmentationKey.declared,
+	}
+)
+
+// The keys of the operator role.
+var (
+	controlURLsKey = hostURLs("control.urls", "HTTP addresses of the control hosts").needed([]any{"http://127.0.0.1:9700"})
+	tokenFileKey   = path("token_file", "file that holds the bearer token; empty for no token").withDefault("")
+	timeoutKey     = duration("timeout", 100*time.Millisecond, 10*time.Minute, "time for one request over all control hosts").withDefault("10s")
+
+	operatorKeys = []declared{tokenFileKey.declared, timeoutKey.declared, controlURLsKey.declared, levelKey.declared, traceKey.declared, otlpKey.declared}
+)
+
+// The keys of the standin role.
+var (
+	reportLagKey = duration("report_lag", 0, time.Hour, "delay of the usage that the worker reports").withDefault("2s")
+	latencyKey   = duration("latency", 0, time.Hour, "time that the endpoint takes for a request").withDefault("0s")
+
+	standinKeys = []declared{
+		httpListenKey.declared, coresKey.declared, acceleratorsKey.declared, reportLagKey.declared, latencyKey.declared,
+	}
+)
