Add certificates, mutual TLS and tokens

The system's processes need mutual TLS whose files can be replaced while they run, and operators and callers need tokens of which only digests are stored.

--- /dev/null
+++ b/internal/keys/doc.go
@@ -0,0 +1,3 @@
+// Package keys issues certificates for a trial, configures mutual TLS between
+// the system's processes, and makes and compares bearer tokens.
+package keys
