Add the planner: types, placement, rejection and guarantee check

Cause: the control role needs decisions about jobs; none existed. Change: package plan with an immutable View, sealed decisions, placement from an index by availability zone, rack and free count, a cell per guaranteed shape, rejection of shapes that no fleet of this kind can run, pauses of faulty workers.

--- /dev/null
+++ b/internal/plan/guarantee.go
@@ -0,0 +1,72 @@
+package plan
+
+import (
+	"rosemarywind.example/rosemarywind/internal/workspace"
+)
+
+// cell is where a guaranteed shape is set apart; it is kept while its workers stay usable,
+// because moving it turns jobs of its workspace into borrowers.
+type cell struct {
+	guarantee workspace.Shape
+	parts     []cellAt
+}
+
+type cellAt struct {
+	worker       string
+	accelerators int
+}
+
+// settleCells gives each workspace a cell on usable workers.
+func (p *pass) settleCells() {
+	top := p.planner.top
+	free := top.idle(func(i int32) bool { return p.state.sites[i].usable })
+	chosen := map[string][]cellPart{}
+	var missing []workspace.Workspace
+	for _, w := range p.view.workspaces {
+		if parts := p.keep(free, w); parts != nil {
+			chosen[w.Name()] = parts
+		} else if w.Guarantee().Members() > 0 {
+			missing = append(missing, w)
+		}
+	}
+	if len(missing) > 0 {
+		added, failed := assignCells(free, missing)
+		if failed != "" {
+			free = top.idle(func(i int32) bool { return p.state.sites[i].usable })
+			chosen = map[string][]cellPart{}
+			added, _ = assignCells(free, p.view.workspaces)
+		}
+		for name, parts := range added {
+			chosen[name] = parts
+		}
+	}
+	p.planner.cells = make(map[string]cell, len(chosen))
+	for _, w := range p.view.workspaces {
+		c := cell{guarantee: w.Guarantee()}
+		for _, a := range chosen[w.Name()] {
+			c.parts = append(c.parts, cellAt{top.sites[a.site].name, a.accelerators})
+		}
+		p.planner.cells[w.Name()] = c
+		p.state.setCells(p.state.owner(w.Name()), chosen[w.Name()])
+	}
+}
+
+// keep returns the workspace's cell of the previous pass and takes it off the pool, nil when it cannot stay.
+func (p *pass) keep(free *pool, w workspace.Workspace) []cellPart {
+	old, ok := p.planner.cells[w.Name()]
+	if !ok || old.guarantee != w.Guarantee() || len(old.parts) == 0 {
+		return nil
+	}
+	parts := make([]cellPart, 0, len(old.parts))
+	for _, a := range old.parts {
+		site, ok := p.planner.top.byName[a.worker]
+		if !ok || free.level[site] < a.accelerators {
+			return nil
+		}
+		parts = append(parts, cellPart{site, a.accelerators})
+	}
+	for _, c := range parts {
+		free.set(c.site, free.level[c.site]-c.accelerators)
+	}
+	return parts
+}
--- /dev/null
+++ b/internal/plan/planner.go
@@ -0,0 +1,74 @@
+package plan
+
+import (
+	"time"
+)
+
+// Defaults of the options.
+const (
+	// defaultAgeing is half an hour: long against previews of seconds, short against jobs of hours.
+	defaultAgeing = 30 * time.Minute
+	// defaultPause is the first pause of a faulty worker; each further failure doubles it.
+	defaultPause        = time.Minute
+	defaultLongestPause = time.Hour
+	// defaultFailures is the number of different jobs that must fail on a worker in a row.
+	defaultFailures = 3
+)
+
+// Planner decides from views; it keeps only caches, so that a new one decides as well from the same view.
+// One goroutine at a time may use it.
+type Planner struct {
+	policy       Policy
+	ageing       time.Duration
+	pause        time.Duration
+	longestPause time.Duration
+	failures     int
+
+	top   *topology
+	cells map[string]cell
+}
+
+// Option sets a part of a Planner.
+type Option func(*Planner)
+
+// New returns a planner.
+func New(opts ...Option) *Planner {
+	p := &Planner{
+		policy: Reserving, ageing: defaultAgeing, pause: defaultPause, longestPause: defaultLongestPause,
+		failures: defaultFailures, cells: map[string]cell{},
+	}
+	for _, o := range opts {
+		o(p)
+	}
+	return p
+}
+
+// WithAgeing sets the wait after which a patient job goes before urgent ones that exceed their guarantee.
+func WithAgeing(d time.Duration) Option { return func(p *Planner) { p.ageing = d } }
+
+// WithBackOff sets the number of different jobs that must fail on a worker in a row, and its first and longest pause.
+func WithBackOff(failures int, first, longest time.Duration) Option {
+	return func(p *Planner) { p.failures, p.pause, p.longestPause = max(1, failures), first, max(first, longest) }
+}
+
+// WithPolicy chooses the policy; the default is Reserving.
+func WithPolicy(policy Policy) Option { return func(p *Planner) { p.policy = policy } }
+
+// Policy names a way to order and place jobs.
+type Policy string
+
+// The policies; all but Reserving are baselines for measurements.
+const (
+	// Reserving is the planner's own policy.
+	Reserving Policy = "reserving"
+	// FirstFit takes jobs by age, places each at the first worker that has room, and neither reserves nor reclaims.
+	FirstFit Policy = "first-fit"
+	// StrictPriority takes urgent jobs first and then jobs by age, without reservation.
+	StrictPriority Policy = "strict-priority"
+)
+
+// Decide returns the decisions for all queued jobs and faulty workers.
+// Place decisions assume that Reclaim decisions of the same call are not yet carried out.
+func (p *Planner) Decide(v View, now time.Time) []Decision {
+	return p.begin(v, now).run()
+}
--- /dev/null
+++ b/internal/plan/report.go
@@ -0,0 +1,90 @@
+package plan
+
+import "time"
+
+// Usage is a worker's late report of the accelerators that its tasks hold.
+type Usage struct {
+	worker string
+	at     time.Time
+	inUse  int
+}
+
+// NewUsage returns a report that the worker made at the given time.
+func NewUsage(worker string, at time.Time, inUse int) Usage {
+	return Usage{worker: worker, at: at, inUse: inUse}
+}
+
+// Worker returns the name of the worker.
+func (u Usage) Worker() string { return u.worker }
+
+// At returns when the report was made.
+func (u Usage) At() time.Time { return u.at }
+
+// InUse returns the number of accelerators that tasks held.
+func (u Usage) InUse() int { return u.inUse }
+
+// Progress is what is known about a running job beyond its spec.
+type Progress struct {
+	job            string
+	startedAt      time.Time
+	checkpointedAt time.Time
+	checkpointTime time.Duration
+	throttleable   bool
+}
+
+// NewProgress returns the progress of a job that was started at the given time.
+func NewProgress(id string, startedAt time.Time) Progress {
+	return Progress{job: id, startedAt: startedAt}
+}
+
+// WithCheckpoint returns the progress with the time of the last checkpoint, zero if there is none, and the duration of one.
+func (p Progress) WithCheckpoint(at time.Time, takes time.Duration) Progress {
+	p.checkpointedAt, p.checkpointTime = at, takes
+	return p
+}
+
+// WithThrottle returns the progress of a job whose workers can throttle its tasks until they hold no accelerator.
+func (p Progress) WithThrottle(yes bool) Progress {
+	p.throttleable = yes
+	return p
+}
+
+// Job returns the id of the job.
+func (p Progress) Job() string { return p.job }
+
+// StartedAt returns when the members were started.
+func (p Progress) StartedAt() time.Time { return p.startedAt }
+
+// CheckpointedAt returns the time of the last checkpoint, zero if there is none.
+func (p Progress) CheckpointedAt() time.Time { return p.checkpointedAt }
+
+// CheckpointTime returns how long a checkpoint takes, 0 when unknown.
+func (p Progress) CheckpointTime() time.Duration { return p.checkpointTime }
+
+// Throttleable reports whether the job's tasks can be throttled until they hold no accelerator.
+func (p Progress) Throttleable() bool { return p.throttleable }
+
+// Start is the outcome of starting one task on a worker.
+type Start struct {
+	worker string
+	job    string
+	at     time.Time
+	ok     bool
+}
+
+// NewStart returns the outcome of a start at the given time.
+func NewStart(worker, id string, at time.Time, ok bool) Start {
+	return Start{worker: worker, job: id, at: at, ok: ok}
+}
+
+// Worker returns the name of the worker.
+func (s Start) Worker() string { return s.worker }
+
+// Job returns the id of the job.
+func (s Start) Job() string { return s.job }
+
+// At returns when the outcome was known.
+func (s Start) At() time.Time { return s.at }
+
+// OK reports whether the task started.
+func (s Start) OK() bool { return s.ok }
--- /dev/null
+++ b/internal/plan/state.go
@@ -0,0 +1,194 @@
+package plan
+
+import (
+	"slices"
+	"time"
+
+	"rosemarywind.example/rosemarywind/internal/job"
+	"rosemarywind.example/rosemarywind/internal/workspace"
+)
+
+// state is the use of each site by workspace, with two pools that index it.
+//
+// On each site a cell sets accelerators apart for a workspace. What a workspace
+// uses beyond its cells there is borrowed, first from accelerators of no cell.
+type state struct {
+	top   *topology
+	sites []usage
+	// loan holds what is free at all, safe what is free and belongs to no cell.
+	loan, safe *pool
+	owners     map[string]int32
+	cells      [][]cellPart
+}
+
+// usage is the use of one site.
+type usage struct {
+	free, releasing int
+	claimed, held   int
+	usable          bool
+	shares          []share
+}
+
+// share is a workspace's part of one site; movable is what its patient jobs that may be reclaimed use.
+type share struct {
+	owner               int32
+	cell, used, movable int
+}
+
+// cellPart is the part of a cell on one site.
+type cellPart struct {
+	site         int32
+	accelerators int
+}
+
+func newState(top *topology, v View, now time.Time) *state {
+	s := &state{
+		top: top, sites: make([]usage, len(top.sites)), loan: newPool(top), safe: newPool(top),
+		owners: make(map[string]int32, len(v.workspaces)),
+	}
+	for _, w := range v.workspaces {
+		s.owner(w.Name())
+	}
+	for i := range s.sites {
+		u := &s.sites[i]
+		name := top.sites[i].name
+		u.free, u.usable = top.sites[i].capacity, v.usable(name, now)
+	}
+	for _, j := range v.jobs {
+		if j.Placed() {
+			s.use(j, 1)
+		}
+	}
+	return s
+}
+
+// owner returns the number of a workspace, also of one that the configuration no longer has.
+func (s *state) owner(name string) int32 {
+	o, ok := s.owners[name]
+	if !ok {
+		o = int32(len(s.owners))
+		s.owners[name] = o
+		s.cells = append(s.cells, nil)
+	}
+	return o
+}
+
+// use counts the members of a placed job, or takes them off the count when sign is -1.
+func (s *state) use(j job.Job, sign int) {
+	owner, movable := s.owner(j.Spec().Workspace()), movable(j.Spec())
+	for _, m := range j.Members() {
+		site, ok := s.top.byName[m.Worker()]
+		if !ok {
+			continue
+		}
+		n := sign * m.Accelerators()
+		u := &s.sites[site]
+		u.free -= n
+		h := u.share(owner)
+		h.used += n
+		if movable {
+			h.movable += n
+		}
+		if j.State() == job.Stopping {
+			u.releasing += n
+		}
+	}
+}
+
+// movable reports whether an urgent job of the same workspace may take the job's place.
+func movable(s job.Spec) bool {
+	return s.Urgency() == job.Patient && (s.Checkpointable() || s.Idempotent())
+}
+
+func (u *usage) share(owner int32) *share {
+	for i := range u.shares {
+		if u.shares[i].owner == owner {
+			return &u.shares[i]
+		}
+	}
+	u.shares = append(u.shares, share{owner: owner})
+	return &u.shares[len(u.shares)-1]
+}
+
+// peek returns a copy of the workspace's share without adding one.
+func (u *usage) peek(owner int32) share {
+	for _, h := range u.shares {
+		if h.owner == owner {
+			return h
+		}
+	}
+	return share{owner: owner}
+}
+
+// common returns the accelerators of no cell that nobody uses, negative when part of a cell is lent.
+func (u *usage) common(capacity int) int {
+	for _, h := range u.shares {
+		capacity -= max(h.cell, h.used)
+	}
+	return capacity
+}
+
+// room returns how much of the workspace's cell it does not use itself.
+func (h share) room() int { return max(0, h.cell-h.used) }
+
+// setCells sets the accelerators of a workspace's cell apart.
+func (s *state) setCells(owner int32, parts []cellPart) {
+	s.cells[owner] = parts
+	for _, p := range parts {
+		s.sites[p.site].share(owner).cell += p.accelerators
+	}
+}
+
+// refresh brings the pools up to date with one site.
+func (s *state) refresh(site int32) {
+	u := &s.sites[site]
+	if !u.usable {
+		s.loan.set(site, 0)
+		s.safe.set(site, 0)
+		return
+	}
+	free := max(0, u.free-u.claimed-u.held)
+	s.loan.set(site, free)
+	s.safe.set(site, max(0, min(free, u.common(s.top.sites[site].capacity))))
+}
+
+func (s *state) refreshAll() {
+	for i := range s.sites {
+		s.refresh(int32(i))
+	}
+}
+
+// showOwn adds the free part of the workspace's own cell to the safe pool, held or not; hideOwn takes it off again.
+func (s *state) showOwn(owner int32) {
+	for _, p := range s.cells[owner] {
+		u := &s.sites[p.site]
+		if !u.usable {
+			continue
+		}
+		entitled := u.peek(owner).room() + max(0, u.common(s.top.sites[p.site].capacity))
+		s.safe.set(p.site, max(s.safe.level[p.site], min(u.free-u.claimed, entitled)))
+	}
+}
+
+func (s *state) hideOwn(owner int32) {
+	for _, p := range s.cells[owner] {
+		s.refresh(p.site)
+	}
+}
+
+// members turns the site of each member into members of a job.
+func (s *state) members(sites []int32, shape workspace.Shape) []job.Member {
+	members := make([]job.Member, len(sites))
+	for i, site := range sites {
+		members[i] = job.NewMember(i, s.top.sites[site].name, shape.Accelerators())
+	}
+	return members
+}
+
+// occupy counts a job that was just placed.
+func (s *state) occupy(spec job.Spec, members []job.Member, sites []int32) {
+	s.use(job.New(spec).Reserve(0, members), 1)
+	for _, site := range slices.Compact(slices.Clone(sites)) {
+		s.refresh(site)
+	}
+}
