--- a/internal/agent/forward.go
+++ b/internal/agent/forward.go
@@ -114,9 +114,7 @@
 	for name, values := range r.Headers() {
 		h.Header[name] = values
 	}
-	if t := telemetry.Inject(ctx); t != "" {
-		h.Header.Set("Traceparent", t)
-	}
+	telemetry.InjectHeader(ctx, h.Header)
 	return h, nil
 }
 
--- /dev/null
+++ b/internal/control/api.go
@@ -0,0 +1,187 @@
+package control
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"rosemarywind.example/rosemarywind/internal/ledger/driver"
+	"rosemarywind.example/rosemarywind/internal/registry"
+	"rosemarywind.example/rosemarywind/pkg/outcome"
+)
+
+const (
+	requestIDHeader = "Rosemarywind-Request-Id"
+	maxAPIBody      = 4 << 20
+)
+
+// api is the operators' HTTP interface.
+type api struct {
+	control *Control
+	mux     *http.ServeMux
+}
+
+// apiHandler serves one operation for a known principal.
+type apiHandler func(w http.ResponseWriter, h *http.Request, p principal)
+
+func newAPI(c *Control) *api {
+	a := &api{control: c, mux: http.NewServeMux()}
+	a.route("POST /v1/apply", a.apply)
+	a.route("GET /v1/config", a.config)
+	a.route("POST /v1/jobs", a.submit)
+	a.route("GET /v1/jobs", a.jobs)
+	a.route("GET /v1/jobs/{id}", a.job)
+	a.route("GET /v1/jobs/{id}/explain", a.explain)
+	a.route("DELETE /v1/jobs/{id}", a.cancel)
+	a.route("GET /v1/endpoints", a.endpoints)
+	a.route("POST /v1/endpoints/{name}/drain", a.drain)
+	return a
+}
+
+// ServeHTTP serves one request of an operator or a caller.
+func (a *api) ServeHTTP(w http.ResponseWriter, h *http.Request) {
+	h.Body = http.MaxBytesReader(w, h.Body, maxAPIBody)
+	a.mux.ServeHTTP(w, h)
+}
+
+// route adds an operation that only a leader serves, to a principal that it knows.
+func (a *api) route(pattern string, f apiHandler) {
+	a.mux.HandleFunc(pattern, func(w http.ResponseWriter, h *http.Request) {
+		if status := a.control.leading(); status != nil {
+			writeError(w, http.StatusMisdirectedRequest, errorForm{
+				Outcome: outcome.NotRun, Reason: outcome.ControlAway, Message: "this control host is not the leader",
+				Leader: status.Leader(),
+			})
+			return
+		}
+		p, ok := a.control.identify(h)
+		if !ok {
+			writeError(w, http.StatusUnauthorized, errorForm{
+				Outcome: outcome.NotRun, Reason: outcome.Unauthorized, Message: "the token is not known",
+			})
+			return
+		}
+		f(w, h, p)
+	})
+}
+
+// propose commits a command and writes the error if there is one.
+func (a *api) propose(w http.ResponseWriter, h *http.Request, c registry.Command) (r registry.Result, ok bool) {
+	ctx, cancel := context.WithTimeout(h.Context(), proposeTimeout)
+	defer cancel()
+	r, err := a.control.propose(ctx, c)
+	var notLeader *driver.NotLeaderError
+	switch {
+	case err == nil:
+	case errors.As(err, &notLeader):
+		writeError(w, http.StatusMisdirectedRequest, errorForm{
+			Outcome: outcome.NotRun, Reason: outcome.ControlAway, Message: err.Error(), Leader: notLeader.Address(),
+		})
+		return nil, false
+	default:
+		writeError(w, http.StatusServiceUnavailable, errorForm{
+			Outcome: outcome.MayHaveRun, Reason: outcome.ControlAway, Message: err.Error(),
+		})
+		return nil, false
+	}
+	switch t := r.(type) {
+	case registry.Conflict:
+		writeError(w, http.StatusConflict, errorForm{
+			Outcome: outcome.NotRun, Reason: outcome.RevisionConflict, Revision: t.Revision(),
+			Message: fmt.Sprintf("another change was first; the revision in force is %d", t.Revision()),
+		})
+		return nil, false
+	case registry.Denied:
+		writeError(w, http.StatusConflict, errorForm{
+			Outcome: outcome.NotRun, Reason: outcome.BadRequest, Message: t.Reason(),
+		})
+		return nil, false
+	case registry.Accepted, registry.Claimed, registry.Known:
+	}
+	return r, true
+}
+
+func (a *api) endpoints(w http.ResponseWriter, _ *http.Request, _ principal) {
+	roster := a.control.board.roster.Load()
+	list := []endpointForm{}
+	for _, e := range roster.snapshot.All() {
+		n, _ := roster.inFlight.Get(e.Name())
+		list = append(list, endpointForm{
+			Name: e.Name(), AvailabilityZone: string(e.Worker().AvailabilityZone()), Rack: string(e.Worker().Rack()),
+			State: string(e.State()), Slots: e.Slots(), InFlight: n, Accelerators: e.Worker().Accelerators(),
+		})
+	}
+	writeJSON(w, http.StatusOK, list)
+}
+
+func (a *api) drain(w http.ResponseWriter, h *http.Request, p principal) {
+	if !only(w, p) {
+		return
+	}
+	f := drainForm{Drained: true}
+	if err := json.NewDecoder(h.Body).Decode(&f); err != nil && !errors.Is(err, io.EOF) {
+		badRequest(w, err)
+		return
+	}
+	c := registry.NewDrainEndpoint(h.Header.Get(requestIDHeader), h.PathValue("name"), f.Drained, time.Now())
+	if _, ok := a.propose(w, h, c); ok {
+		writeJSON(w, http.StatusOK, f)
+	}
+}
+
+func (a *api) jobs(w http.ResponseWriter, _ *http.Request, p principal) {
+	list := []jobForm{}
+	for _, j := range a.control.board.state.Load().Jobs().All() {
+		if may(p, j.Spec().Workspace()) {
+			list = append(list, toJobForm(j))
+		}
+	}
+	slices.SortFunc(list, func(x, y jobForm) int { return cmp.Compare(x.ID, y.ID) })
+	writeJSON(w, http.StatusOK, list)
+}
+
+// only refuses everyone but operators.
+func only(w http.ResponseWriter, p principal) bool {
+	switch p.(type) {
+	case operator:
+		return true
+	case caller:
+	}
+	writeError(w, http.StatusForbidden, errorForm{
+		Outcome: outcome.NotRun, Reason: outcome.Unauthorized, Message: "only an operator may do this",
+	})
+	return false
+}
+
+func badRequest(w http.ResponseWriter, err error) {
+	writeError(w, http.StatusBadRequest, errorForm{
+		Outcome: outcome.NotRun, Reason: outcome.BadRequest, Message: err.Error(),
+	})
+}
+
+func writeError(w http.ResponseWriter, status int, f errorForm) {
+	w.Header().Set(outcome.Header, string(f.Outcome))
+	if status == http.StatusServiceUnavailable {
+		w.Header().Set("Retry-After", "1")
+	}
+	writeJSON(w, status, f)
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	data, err := json.Marshal(v)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
+	w.WriteHeader(status)
+	_, _ = w.Write(data)
+}
--- /dev/null
+++ b/internal/control/declarations.go
@@ -0,0 +1,104 @@
+package control
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"rosemarywind.example/rosemarywind/internal/declaration"
+	"rosemarywind.example/rosemarywind/internal/fleet"
+	"rosemarywind.example/rosemarywind/internal/plan"
+	"rosemarywind.example/rosemarywind/internal/registry"
+	"rosemarywind.example/rosemarywind/internal/workspace"
+)
+
+func (a *api) config(w http.ResponseWriter, _ *http.Request, p principal) {
+	if !only(w, p) {
+		return
+	}
+	c := a.control.board.state.Load().Config()
+	writeJSON(w, http.StatusOK, configForm{Revision: c.Revision(), Text: string(declaration.Format(c))})
+}
+
+// apply replaces the configuration by the declared one; a declaration that changes nothing keeps the revision.
+func (a *api) apply(w http.ResponseWriter, h *http.Request, p principal) {
+	if !only(w, p) {
+		return
+	}
+	next, err := readDeclaration(h)
+	if err != nil {
+		badRequest(w, err)
+		return
+	}
+	if err = a.checkGuarantees(next); err != nil {
+		badRequest(w, err)
+		return
+	}
+	current := a.control.board.state.Load().Config()
+	base, err := baseRevision(h, current.Revision())
+	if err != nil {
+		badRequest(w, err)
+		return
+	}
+	f := applyForm{Revision: current.Revision(), Changes: []string{}}
+	for _, c := range declaration.Diff(current, next) {
+		f.Changes = append(f.Changes, c.String())
+	}
+	unchanged := len(f.Changes) == 0 && base == current.Revision()
+	if h.URL.Query().Get("dry") == "true" || unchanged {
+		writeJSON(w, http.StatusOK, f)
+		return
+	}
+	c := registry.NewApplyConfig(h.Header.Get(requestIDHeader), base, next, time.Now())
+	r, ok := a.propose(w, h, c)
+	if !ok {
+		return
+	}
+	if t, ok := r.(registry.Accepted); ok {
+		f.Repeated = t.Revision() <= current.Revision()
+		f.Revision = t.Revision()
+	}
+	writeJSON(w, http.StatusOK, f)
+}
+
+func readDeclaration(h *http.Request) (c *workspace.Config, err error) {
+	data, err := io.ReadAll(h.Body)
+	if err != nil {
+		return nil, fmt.Errorf("read declaration: %w", err)
+	}
+	name := h.URL.Query().Get("file")
+	if name == "" {
+		name = "declaration"
+	}
+	return declaration.Parse(name, data)
+}
+
+// baseRevision returns the revision that the operator's change is based on.
+func baseRevision(h *http.Request, current uint64) (base uint64, err error) {
+	text := h.URL.Query().Get("base")
+	if text == "" {
+		return current, nil
+	}
+	if base, err = strconv.ParseUint(text, 10, 64); err != nil {
+		return 0, fmt.Errorf("base must be a revision, not %q", text)
+	}
+	return base, nil
+}
+
+// checkGuarantees refuses guarantees that the known fleet cannot hold at once; an empty fleet is not judged.
+func (a *api) checkGuarantees(c *workspace.Config) error {
+	roster := a.control.board.roster.Load()
+	var workers []fleet.Worker
+	for _, e := range roster.snapshot.All() {
+		workers = append(workers, e.Worker())
+	}
+	for _, w := range roster.lost.All() {
+		workers = append(workers, w)
+	}
+	if len(workers) == 0 {
+		return nil
+	}
+	return plan.CheckGuarantees(workers, c.Workspaces())
+}
--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -15,8 +15,8 @@
 
 const (
 	// peerBuffer holds more than a leader sends within one timeout; the ledger sends again what was dropped.
-	peerBuffer     = 4096
-	peerTimeout    = time.Second
+	peerBuffer  = 4096
+	peerTimeout = time.Second
 )
 
 // peers is the ledger's transport: one goroutine and one stream for each other member.
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -7,8 +7,6 @@
 	"net/http"
 	"time"
 
-	"go.opentelemetry.io/otel/propagation"
-
 	"rosemarywind.example/rosemarywind/internal/keys"
 	"rosemarywind.example/rosemarywind/internal/request"
 	"rosemarywind.example/rosemarywind/internal/telemetry"
@@ -17,8 +15,7 @@
 
 // ServeHTTP serves one caller's request.
 func (e *Entry) ServeHTTP(w http.ResponseWriter, h *http.Request) {
-	ctx := telemetry.Propagator().Extract(h.Context(), propagation.HeaderCarrier(h.Header))
-	ctx, span := e.tracer.Start(ctx, "request")
+	ctx, span := e.tracer.Start(telemetry.ExtractHeader(h.Context(), h.Header), "request")
 	defer span.End()
 	result := e.handle(ctx, w, h)
 	reply(w, result)
--- a/pkg/outcome/outcome.go
+++ b/pkg/outcome/outcome.go
@@ -38,4 +38,5 @@
 	AnswerTruncated  Reason = "answer-truncated"
 	Stopping         Reason = "stopping"
 	StaleIncarnation Reason = "stale-incarnation"
+	RevisionConflict Reason = "revision-conflict"
 )
