--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -10,8 +10,6 @@
 
 	crand "crypto/rand"
 
-	"go.opentelemetry.io/otel"
-	"go.opentelemetry.io/otel/trace"
 	"golang.org/x/sync/errgroup"
 
 	"rosemarywind.example/rosemarywind/internal/fleet"
@@ -27,12 +25,11 @@
 	incarnation uint64
 	endpoint    *http.Client
 	platform    *platform
-	tracer      trace.Tracer
 }
 
 // New returns an agent that Run starts.
 func New(opts ...Option) *Agent {
-	a := &Agent{options: defaults(), board: newBoard(), tracer: otel.Tracer("agent")}
+	a := &Agent{options: defaults(), board: newBoard()}
 	for _, o := range opts {
 		o(&a.options)
 	}
--- a/internal/agent/options.go
+++ b/internal/agent/options.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"go.opentelemetry.io/otel/trace"
+	"go.opentelemetry.io/otel/trace/noop"
 
 	"rosemarywind.example/rosemarywind/internal/fleet"
 	"rosemarywind.example/rosemarywind/internal/link"
@@ -14,6 +16,7 @@
 type Option func(*options)
 
 type options struct {
+	tracer        trace.Tracer
 	logger        hclog.Logger
 	tls           *tls.Config
 	server        *link.Server
@@ -32,6 +35,7 @@
 
 func defaults() options {
 	return options{
+		tracer: noop.NewTracerProvider().Tracer(""),
 		logger: hclog.NewNullLogger(), slots: 8, connections: 64, probeInterval: 500 * time.Millisecond,
 		probeTimeout: time.Second, bodyLimit: 4 << 20, grace: 30 * time.Second,
 	}
@@ -40,6 +44,9 @@
 // WithLogger sets the logger.
 func WithLogger(l hclog.Logger) Option { return func(o *options) { o.logger = l } }
 
+// WithTracer sets the tracer of the spans.
+func WithTracer(t trace.Tracer) Option { return func(o *options) { o.tracer = t } }
+
 // WithTLS sets the configuration with which control hosts are dialed.
 func WithTLS(c *tls.Config) Option { return func(o *options) { o.tls = c } }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -8,8 +8,6 @@
 	"sync/atomic"
 	"time"
 
-	"go.opentelemetry.io/otel"
-	"go.opentelemetry.io/otel/trace"
 	"golang.org/x/sync/errgroup"
 
 	"rosemarywind.example/rosemarywind/internal/link"
@@ -25,7 +23,6 @@
 	queue    *dispatcher
 	buffered atomic.Int64
 	ids      *identities
-	tracer   trace.Tracer
 	stopping atomic.Bool
 }
 
@@ -40,7 +37,6 @@
 	e.budget = route.NewBudget(e.retryShare)
 	e.queue = newDispatcher(e.board)
 	e.ids = newIdentities()
-	e.tracer = otel.Tracer("entry")
 	return e
 }
 
--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -6,12 +6,15 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"go.opentelemetry.io/otel/trace"
+	"go.opentelemetry.io/otel/trace/noop"
 )
 
 // Option sets a part of an Entry.
 type Option func(*options)
 
 type options struct {
+	tracer        trace.Tracer
 	logger        hclog.Logger
 	tls           *tls.Config
 	control       []string
@@ -32,6 +35,7 @@
 
 func defaults() options {
 	return options{
+		tracer: noop.NewTracerProvider().Tracer(""),
 		logger: hclog.NewNullLogger(), bodyLimit: 4 << 20, bufferedLimit: 64 << 20, headerLimit: 64 << 10,
 		headerTimeout: 5 * time.Second, bodyTimeout: 30 * time.Second, queueWait: 2 * time.Second,
 		deadline: 30 * time.Second, maxDeadline: 10 * time.Minute, retryShare: 10, retryAttempts: 3,
@@ -42,6 +46,9 @@
 // WithLogger sets the logger.
 func WithLogger(l hclog.Logger) Option { return func(o *options) { o.logger = l } }
 
+// WithTracer sets the tracer of the spans.
+func WithTracer(t trace.Tracer) Option { return func(o *options) { o.tracer = t } }
+
 // WithTLS sets the configuration with which agents and control hosts are dialed.
 func WithTLS(c *tls.Config) Option { return func(o *options) { o.tls = c } }
 
