--- a/internal/workspace/workspace.go
+++ b/internal/workspace/workspace.go
@@ -1,11 +1,14 @@
 package workspace
 
+import "slices"
+
 // Workspace is a tenant's share of the fleet: a guaranteed shape and limits for requests.
 type Workspace struct {
 	name      string
 	tenant    string
 	guarantee Shape
 	limits    Limits
+	digests   []string
 }
 
 // New returns a workspace that belongs to tenant.
@@ -13,6 +16,12 @@
 	return Workspace{name: name, tenant: tenant, guarantee: guarantee, limits: limits}
 }
 
+// WithTokenDigests returns the workspace with the digests, sha256:HEX, of its callers' tokens.
+func (w Workspace) WithTokenDigests(digests []string) Workspace {
+	w.digests = slices.Clone(digests)
+	return w
+}
+
 // Name returns the name that is unique in a configuration.
 func (w Workspace) Name() string { return w.name }
 
@@ -25,6 +34,9 @@
 // Limits returns the bounds on the workspace's requests.
 func (w Workspace) Limits() Limits { return w.limits }
 
+// TokenDigests returns the digests of the callers' tokens, which the caller must not modify.
+func (w Workspace) TokenDigests() []string { return w.digests }
+
 // Limits bounds the requests of one workspace at one entry process.
 type Limits struct {
 	inFlight int
