Run a request and a gang job from end to end

Cause: the roles existed without a program that runs them together. Change: commands for the roles, the stand-in and the demo; one place that waits for time to pass; lost watches and announcements are recovered in one function.

--- /dev/null
+++ b/cmd/rosemarywind/roles.go
@@ -0,0 +1,237 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/urfave/cli/v3"
+	"golang.org/x/sync/errgroup"
+
+	"rosemarywind.example/rosemarywind/internal/agent"
+	"rosemarywind.example/rosemarywind/internal/control"
+	"rosemarywind.example/rosemarywind/internal/entry"
+	"rosemarywind.example/rosemarywind/internal/fleet"
+	"rosemarywind.example/rosemarywind/internal/keys"
+	"rosemarywind.example/rosemarywind/internal/ledger"
+	"rosemarywind.example/rosemarywind/internal/ledger/driver"
+	"rosemarywind.example/rosemarywind/internal/ledger/storage"
+	"rosemarywind.example/rosemarywind/internal/link"
+	"rosemarywind.example/rosemarywind/internal/settings"
+	"rosemarywind.example/rosemarywind/internal/telemetry"
+)
+
+func entryCommand() *cli.Command {
+	return roleCommand("entry", "admit callers' requests and forward them", runEntry)
+}
+
+func agentCommand() *cli.Command {
+	return roleCommand("agent", "serve beside an endpoint", runAgent)
+}
+
+func controlCommand() *cli.Command {
+	return roleCommand("control", "keep the ledger, plan jobs and drive gangs", runControl)
+}
+
+func roleCommand(name, usage string, run func(ctx context.Context, file string) error) *cli.Command {
+	return &cli.Command{
+		Name: name, Usage: usage,
+		Flags: []cli.Flag{&cli.StringFlag{Name: "settings", Usage: "settings `FILE` (TOML)", Required: true}},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			return run(ctx, c.String("settings"))
+		},
+	}
+}
+
+func runEntry(ctx context.Context, file string) error {
+	s, err := settings.LoadEntry(file)
+	if err != nil {
+		return cli.Exit(err.Error(), exitSettings)
+	}
+	p, err := newProcess(ctx, "entry", s.Common)
+	if err != nil {
+		return err
+	}
+	l, err := net.Listen("tcp", s.Listen().String())
+	if err != nil {
+		return err
+	}
+	e := entry.New(
+		entry.WithLogger(p.logger), entry.WithTracer(p.tracing.Tracer()),
+		entry.WithTLS(p.keys.Client("agent"), p.keys.Client("control")),
+		entry.WithControl(texts(s.ControlAddresses())), entry.WithListener(l),
+		entry.WithBodyLimits(int(s.BodyBytes()), s.BufferedBytes()), entry.WithHeaderLimit(int(s.HeaderBytes())),
+		entry.WithReadTimeouts(s.HeaderTimeout(), s.BodyTimeout()), entry.WithQueueWait(s.QueueWait()),
+		entry.WithDeadlines(s.DeadlineDefault(), s.DeadlineMax()),
+		entry.WithRetries(s.RetrySharePercent(), s.RetryAttempts(), s.RetryBasePause()),
+		entry.WithGrace(s.StopGrace()),
+	)
+	return p.run(ctx, e.Run)
+}
+
+func runAgent(ctx context.Context, file string) error {
+	s, err := settings.LoadAgent(file)
+	if err != nil {
+		return cli.Exit(err.Error(), exitSettings)
+	}
+	p, err := newProcess(ctx, "agent", s.Common)
+	if err != nil {
+		return err
+	}
+	server, err := link.Listen(s.Listen().String(), p.keys.Server())
+	if err != nil {
+		return err
+	}
+	worker := fleet.NewWorker(s.Name(), fleet.Region(s.Region()), fleet.AvailabilityZone(s.AvailabilityZone()),
+		fleet.Rack(s.Rack())).WithResources(s.Cores(), s.MemoryMB(), s.Accelerators())
+	a := agent.New(
+		agent.WithLogger(p.logger), agent.WithTracer(p.tracing.Tracer()), agent.WithTLS(p.keys.Client("control")),
+		agent.WithServer(server, s.Advertise().String()), agent.WithControl(texts(s.ControlAddresses())),
+		agent.WithWorker(worker, s.WorkerURL()), agent.WithEndpoint(s.EndpointURL(), s.Slots(), s.Connections()),
+		agent.WithProbe(s.ProbeInterval(), s.ProbeTimeout()), agent.WithBodyLimit(int(s.BodyBytes())),
+		agent.WithGrace(s.StopGrace()),
+	)
+	return p.run(ctx, a.Run)
+}
+
+func runControl(ctx context.Context, file string) error {
+	s, err := settings.LoadControl(file)
+	if err != nil {
+		return cli.Exit(err.Error(), exitSettings)
+	}
+	p, err := newProcess(ctx, "control", s.Common)
+	if err != nil {
+		return err
+	}
+	folder, err := storage.OpenFolder(s.Data())
+	if err != nil {
+		return err
+	}
+	store, saved, err := storage.Open(folder)
+	if err != nil {
+		return err
+	}
+	server, err := link.Listen(s.Listen().String(), p.keys.Server())
+	if err != nil {
+		return err
+	}
+	l, err := net.Listen("tcp", s.OperatorsListen().String())
+	if err != nil {
+		return err
+	}
+	members := map[ledger.MemberID]string{}
+	for id, address := range s.Members() {
+		members[ledger.MemberID(id)] = address.String()
+	}
+	c, err := control.New(
+		control.WithLogger(p.logger), control.WithTLS(p.keys.Client("agent"), p.keys.Client("control")),
+		control.WithServer(server), control.WithListener(l), control.WithLeases(s.AnnounceLease(), s.TaskLease()),
+		control.WithOperatorDigests(s.OperatorTokenDigests()), control.WithGrace(s.StopGrace()),
+		control.WithMonitor(p.monitor()),
+		control.WithLedger(
+			driver.WithMember(ledger.MemberID(s.Name()), s.Listen().String()), driver.WithInitialMembers(members),
+			driver.WithStorage(store, saved), driver.WithRandom(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+		),
+	)
+	if err != nil {
+		return err
+	}
+	p.listen = netip.AddrPort{}
+	return p.run(ctx, c.Run)
+}
+
+func texts(addresses []netip.AddrPort) []string {
+	list := make([]string, len(addresses))
+	for i, a := range addresses {
+		list[i] = a.String()
+	}
+	return list
+}
+
+// process is what all roles have in common.
+type process struct {
+	logger   hclog.Logger
+	tracing  *telemetry.Tracing
+	keys     *keys.Reloader
+	registry *telemetry.Registry
+	health   *telemetry.Health
+	listen   netip.AddrPort
+}
+
+func newProcess(ctx context.Context, role string, s settings.Common) (p *process, err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("start %s: %w", role, err)
+		}
+	}()
+	origin := telemetry.NewOrigin(role, s.Name(), s.AvailabilityZone())
+	p = &process{
+		logger:   telemetry.NewLogger(os.Stderr, s.Telemetry().LogLevel(), origin),
+		registry: telemetry.NewRegistry(), health: telemetry.NewHealth(), listen: s.OperatorsListen(),
+	}
+	p.tracing, err = telemetry.NewTracing(ctx, origin, telemetry.WithFile(s.Telemetry().TraceFile()),
+		telemetry.WithOTLP(s.Telemetry().TraceOTLP()),
+		telemetry.WithOnError(func(err error) { p.logger.Warn("spans not exported", "error", err) }))
+	if err != nil {
+		return nil, err
+	}
+	if p.keys, err = material(role, s, p.logger); err != nil {
+		return nil, err
+	}
+	return p, nil
+}
+
+// material reads the key files of the settings.
+func material(role string, s settings.Common, l hclog.Logger) (r *keys.Reloader, err error) {
+	if !s.Keys().Present() {
+		return nil, fmt.Errorf("keys.certificate, keys.key and keys.authority are required; make a set with rosemarywind keys")
+	}
+	r, err = keys.NewReloader(s.Keys().Certificate(), s.Keys().Key(), s.Keys().Authority(),
+		keys.WithOnError(func(err error) { l.Error("new key files cannot be used", "error", err) }))
+	if err != nil {
+		return nil, err
+	}
+	if id := r.Identity(); id.Role() != role || id.Name() != s.Name() {
+		return nil, fmt.Errorf("the certificate is for %s, not for %s/%s", id, role, s.Name())
+	}
+	return r, nil
+}
+
+func (p *process) monitor() http.Handler { return telemetry.Handler(p.registry, p.health) }
+
+// run runs a role and the port for metrics and health beside it.
+func (p *process) run(ctx context.Context, role func(context.Context) error) (err error) {
+	p.logger.Info("started")
+	defer func() { p.logger.Info("ended", "error", err) }()
+	defer func() { _ = p.tracing.Shutdown(context.WithoutCancel(ctx)) }()
+	var g errgroup.Group
+	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	if p.listen.IsValid() {
+		server := &http.Server{Addr: p.listen.String(), Handler: p.monitor(), ReadHeaderTimeout: monitorTimeout}
+		g.Go(func() error {
+			if err := server.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+				return err
+			}
+			return nil
+		})
+		g.Go(func() error {
+			<-inner.Done()
+			return server.Close()
+		})
+	}
+	g.Go(func() error {
+		defer cancel()
+		return role(ctx)
+	})
+	return g.Wait()
+}
+
+const monitorTimeout = 5 * time.Second
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -12,6 +12,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"rosemarywind.example/rosemarywind/internal/clock"
 	"rosemarywind.example/rosemarywind/internal/fleet"
 	"rosemarywind.example/rosemarywind/internal/link"
 	"rosemarywind.example/rosemarywind/internal/wire"
@@ -92,7 +93,7 @@
 func (a *Agent) finish(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, a.grace)
 	defer cancel()
-	if pause(ctx, leaveTime) != nil {
+	if !clock.Pause(ctx, leaveTime) {
 		return
 	}
 	if err := a.board.waitIdle(ctx); err != nil {
@@ -139,14 +140,3 @@
 	_, _ = crand.Read(b[:]) // crypto/rand.Read never returns an error
 	return binary.BigEndian.Uint64(b[:])
 }
-
-func pause(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/agent/announcer.go
+++ b/internal/agent/announcer.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"time"
 
+	"rosemarywind.example/rosemarywind/internal/clock"
 	"rosemarywind.example/rosemarywind/internal/fleet"
 	"rosemarywind.example/rosemarywind/internal/wire"
 )
@@ -26,22 +27,25 @@
 
 // run announces to the leader, and looks for it among the control hosts after each loss.
 func (n *announcer) run(ctx context.Context) error {
-	for {
+	for ctx.Err() == nil {
 		address := n.address()
-		err := n.announce(ctx, address)
-		if ctx.Err() != nil {
-			return nil
-		}
-		n.agent.logger.Warn("announcing ended", "control", address, "error", err)
-		var status *wire.StatusError
-		if errors.As(err, &status) && status.Leader() != "" && status.Leader() != address {
-			n.followed = status.Leader()
-			continue
-		}
-		if pause(ctx, redialPause) != nil {
-			return nil
-		}
+		n.recover(ctx, address, n.announce(ctx, address))
+	}
+	return nil
+}
+
+// recover follows a follower's word about the leader at once, and pauses after any other error.
+func (n *announcer) recover(ctx context.Context, address string, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	n.agent.logger.Warn("announcing ended", "control", address, "error", err)
+	var status *wire.StatusError
+	if errors.As(err, &status) && status.Leader() != "" && status.Leader() != address {
+		n.followed = status.Leader()
+		return
 	}
+	clock.Pause(ctx, redialPause)
 }
 
 // address returns the leader that a follower named, else the next control host.
--- a/internal/agent/prober.go
+++ b/internal/agent/prober.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"rosemarywind.example/rosemarywind/internal/clock"
 	"rosemarywind.example/rosemarywind/internal/fleet"
 )
 
@@ -35,7 +36,7 @@
 func (p *prober) run(ctx context.Context) error {
 	for {
 		p.publish(p.probe(ctx))
-		if pause(ctx, p.agent.probeInterval) != nil {
+		if !clock.Pause(ctx, p.agent.probeInterval) {
 			return nil
 		}
 	}
--- a/internal/agent/reporter.go
+++ b/internal/agent/reporter.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"rosemarywind.example/rosemarywind/internal/clock"
 )
 
 const reporterPause = 500 * time.Millisecond
@@ -22,7 +24,7 @@
 		if err != nil {
 			version = 0
 			r.agent.logger.Warn("worker does not answer", "error", err)
-			if pause(ctx, reporterPause) != nil {
+			if !clock.Pause(ctx, reporterPause) {
 				return nil
 			}
 			continue
--- /dev/null
+++ b/internal/clock/doc.go
@@ -0,0 +1,2 @@
+// Package clock waits for time to pass.
+package clock
--- a/internal/control/api.go
+++ b/internal/control/api.go
@@ -42,6 +42,7 @@
 	a.route("DELETE /v1/jobs/{id}", a.cancel)
 	a.route("GET /v1/endpoints", a.endpoints)
 	a.route("POST /v1/endpoints/{name}/drain", a.drain)
+	a.mux.Handle("/", c.monitor)
 	return a
 }
 
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -20,7 +20,8 @@
 	options
 	board  *Board
 	node   *driver.Node[registry.Result]
-	pool   *link.Pool
+	agents *link.Pool
+	others *link.Pool
 	keeper *keeper
 	peers  *peers
 }
@@ -36,9 +37,10 @@
 	for _, o := range opts {
 		o(&c.options)
 	}
-	c.pool = link.NewPool(c.tls)
+	c.agents = link.NewPool(c.agentTLS)
+	c.others = link.NewPool(c.peerTLS)
 	c.keeper = newKeeper(c.board, c.announceLease, c.logger)
-	c.peers = newPeers(c.pool, c.logger)
+	c.peers = newPeers(c.others, c.logger)
 	node, err := driver.NewNode[registry.Result](newApplier(c.board, c.logger),
 		append(c.ledger, driver.WithTransport(c.peers))...)
 	if err != nil {
@@ -58,7 +60,8 @@
 			err = fmt.Errorf("control: %w", err)
 		}
 	}()
-	defer c.pool.Close()
+	defer c.agents.Close()
+	defer c.others.Close()
 	defer c.peers.Close()
 	// The ledger outlives ctx, since exchanges in progress need it during the grace.
 	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
--- a/internal/control/gangs.go
+++ b/internal/control/gangs.go
@@ -16,6 +16,8 @@
 	// startsKept bounds the outcomes of starts that the planner judges workers by.
 	startsKept = 256
 	idleCheck  = time.Minute
+	// followerCheck is how soon a new leader takes up the gangs when nothing else wakes it.
+	followerCheck = time.Second
 )
 
 // reply is what became of one order.
@@ -57,12 +59,11 @@
 	for {
 		_, stateChanged := b.state.Watch()
 		_, rosterChanged := b.roster.Watch()
-		next := idleCheck
+		next := followerCheck
 		if g.control.leading() == nil {
 			next = g.pass(ctx, time.Now())
 		} else {
 			clear(g.progress)
-			next = time.Second
 		}
 		timer.Reset(next)
 		select {
--- a/internal/control/options.go
+++ b/internal/control/options.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/tls"
 	"net"
+	"net/http"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -17,7 +18,8 @@
 
 type options struct {
 	logger        hclog.Logger
-	tls           *tls.Config
+	agentTLS      *tls.Config
+	peerTLS       *tls.Config
 	server        *link.Server
 	listener      net.Listener
 	ledger        []driver.Option
@@ -26,20 +28,23 @@
 	taskLease     time.Duration
 	digests       []string
 	grace         time.Duration
+	monitor       http.Handler
 }
 
 func defaults() options {
 	return options{
 		logger: hclog.NewNullLogger(), announceLease: 3 * time.Second, taskLease: 2 * time.Minute,
-		grace: 30 * time.Second,
+		grace: 30 * time.Second, monitor: http.NotFoundHandler(),
 	}
 }
 
 // WithLogger sets the logger.
 func WithLogger(l hclog.Logger) Option { return func(o *options) { o.logger = l } }
 
-// WithTLS sets the configuration with which agents and other control hosts are dialed.
-func WithTLS(c *tls.Config) Option { return func(o *options) { o.tls = c } }
+// WithTLS sets the configurations with which agents and other control hosts are dialed.
+func WithTLS(agents, peers *tls.Config) Option {
+	return func(o *options) { o.agentTLS, o.peerTLS = agents, peers }
+}
 
 // WithServer sets the QUIC port.
 func WithServer(s *link.Server) Option { return func(o *options) { o.server = s } }
@@ -65,5 +70,8 @@
 // WithOperatorDigests sets the digests of the operators' tokens, as "sha256:HEX".
 func WithOperatorDigests(digests []string) Option { return func(o *options) { o.digests = digests } }
 
+// WithMonitor sets the handler of metrics and health beside the operators' interface.
+func WithMonitor(h http.Handler) Option { return func(o *options) { o.monitor = h } }
+
 // WithGrace sets how long a planned stop waits for exchanges in progress.
 func WithGrace(d time.Duration) Option { return func(o *options) { o.grace = d } }
--- a/internal/control/orders.go
+++ b/internal/control/orders.go
@@ -28,7 +28,7 @@
 	if !ok {
 		return task.NewReply(task.Unanswered, "the worker is not in the roster"), nil
 	}
-	s, err := c.pool.Open(ctx, e.Address())
+	s, err := c.agents.Open(ctx, e.Address())
 	if err != nil {
 		return task.Reply{}, err
 	}
--- /dev/null
+++ b/internal/demo/demo.go
@@ -0,0 +1,102 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"golang.org/x/sync/errgroup"
+
+	"rosemarywind.example/rosemarywind"
+	"rosemarywind.example/rosemarywind/internal/keys"
+)
+
+const (
+	limit          = 25 * time.Second
+	requestsOfEach = 50
+	threads        = 16
+)
+
+// names are the workspaces of the demo; the first is the one that submits the gang.
+var names = []string{"mastering", "previews", "recipes", "scans"}
+
+// Run runs the demo in folder, prints the result table to out and fails when an outcome is wrong.
+func Run(ctx context.Context, out io.Writer, folder string, logger hclog.Logger, now time.Time) (err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("demo: %w", err)
+		}
+	}()
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	s, err := rosemarywind.New(now, rosemarywind.WithFolder(folder), rosemarywind.WithLogger(logger),
+		rosemarywind.WithHosts(1, 2, 11))
+	if err != nil {
+		return err
+	}
+	running, stop := context.WithCancel(ctx)
+	var g errgroup.Group
+	g.Go(func() error { return s.Run(running) })
+	d := newDriver(s)
+	table, err := d.drive(ctx)
+	stop()
+	if runErr := g.Wait(); err == nil {
+		err = runErr
+	}
+	if err != nil {
+		return err
+	}
+	return table.print(out)
+}
+
+// driver sends the work of the demo.
+type driver struct {
+	system *rosemarywind.System
+	tokens map[string]string
+	client *apiClient
+}
+
+func newDriver(s *rosemarywind.System) *driver {
+	d := &driver{system: s, tokens: map[string]string{}, client: newAPIClient(s.ControlURLs()[0], s.OperatorToken())}
+	for _, n := range names {
+		d.tokens[n] = keys.NewToken()
+	}
+	return d
+}
+
+// drive declares the workspaces, waits until they are in force, and runs all work at once.
+func (d *driver) drive(ctx context.Context) (t *table, err error) {
+	if err = d.client.awaitEndpoints(ctx, 11); err != nil {
+		return nil, err
+	}
+	if err = d.client.apply(ctx, declarationOf(d.tokens)); err != nil {
+		return nil, err
+	}
+	if err = d.awaitInForce(ctx); err != nil {
+		return nil, err
+	}
+	t = newTable()
+	g, ctx := errgroup.WithContext(ctx)
+	for _, n := range names {
+		g.Go(func() error { return d.requests(ctx, n, t) })
+	}
+	g.Go(func() error { return d.gang(ctx, t) })
+	return t, g.Wait()
+}
+
+// gang submits a job with two members of eight accelerators in one rack, and waits for its end.
+func (d *driver) gang(ctx context.Context, t *table) error {
+	began := time.Now()
+	id, err := d.client.submit(ctx, names[0])
+	if err != nil {
+		return err
+	}
+	j, err := d.client.awaitDone(ctx, id)
+	if err != nil {
+		return err
+	}
+	t.gang(j, time.Since(began))
+	return nil
+}
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"rosemarywind.example/rosemarywind/internal/clock"
 	"rosemarywind.example/rosemarywind/internal/fleet"
 	"rosemarywind.example/rosemarywind/internal/request"
 	"rosemarywind.example/rosemarywind/internal/route"
@@ -32,7 +33,7 @@
 			return result
 		}
 		excluded = append(excluded, target.Name())
-		if pause(ctx, jitter(e.retryPause, n)) != nil {
+		if !clock.Pause(ctx, jitter(e.retryPause, n)) {
 			return result
 		}
 		next, ok := route.Choose(e.board.fleet.Load(), globalRandom{}, excluded)
@@ -62,7 +63,7 @@
 func (e *Entry) attempt(ctx context.Context, r request.Request, target fleet.Endpoint) request.Result {
 	ctx, span := e.tracer.Start(ctx, "forward")
 	defer span.End()
-	s, err := e.pool.Open(ctx, target.Address())
+	s, err := e.agents.Open(ctx, target.Address())
 	if err != nil {
 		return request.NewRefused(outcome.ConnectionLost, "the agent cannot be reached", retryLater)
 	}
--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"time"
 
+	"rosemarywind.example/rosemarywind/internal/clock"
 	"rosemarywind.example/rosemarywind/internal/registry"
 	"rosemarywind.example/rosemarywind/internal/request"
 	"rosemarywind.example/rosemarywind/internal/wire"
@@ -93,7 +94,7 @@
 		if err == nil {
 			return
 		}
-		if pause(ctx, settlePause) != nil {
+		if !clock.Pause(ctx, settlePause) {
 			e.logger.Error("ending not recorded", "request", r.ID(), "error", err)
 			return
 		}
@@ -111,7 +112,7 @@
 	if leader == "" {
 		return nil, fmt.Errorf("the leader is not known")
 	}
-	s, err := e.pool.Open(ctx, leader)
+	s, err := e.leaders.Open(ctx, leader)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -18,7 +18,8 @@
 type Entry struct {
 	options
 	board    *Board
-	pool     *link.Pool
+	agents   *link.Pool
+	leaders  *link.Pool
 	budget   *route.Budget
 	queue    *dispatcher
 	buffered atomic.Int64
@@ -33,7 +34,8 @@
 		o(&e.options)
 	}
 	e.board = newBoard()
-	e.pool = link.NewPool(e.tls)
+	e.agents = link.NewPool(e.agentTLS)
+	e.leaders = link.NewPool(e.controlTLS)
 	e.budget = route.NewBudget(e.retryShare)
 	e.queue = newDispatcher(e.board)
 	e.ids = newIdentities()
@@ -50,12 +52,13 @@
 			err = fmt.Errorf("entry: %w", err)
 		}
 	}()
-	defer e.pool.Close()
+	defer e.agents.Close()
+	defer e.leaders.Close()
 	// The controllers outlive ctx, since requests in flight need them during the grace.
 	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	var g errgroup.Group
-	w := newWatcher(e.board, e.pool, e.control, e.logger)
+	w := newWatcher(e.board, e.leaders, e.control, e.logger)
 	g.Go(func() error { return w.run(inner) })
 	g.Go(func() error { return e.queue.run(inner) })
 	server := e.server()
--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -16,7 +16,8 @@
 type options struct {
 	tracer        trace.Tracer
 	logger        hclog.Logger
-	tls           *tls.Config
+	agentTLS      *tls.Config
+	controlTLS    *tls.Config
 	control       []string
 	listener      net.Listener
 	bodyLimit     int
@@ -49,8 +50,10 @@
 // WithTracer sets the tracer of the spans.
 func WithTracer(t trace.Tracer) Option { return func(o *options) { o.tracer = t } }
 
-// WithTLS sets the configuration with which agents and control hosts are dialed.
-func WithTLS(c *tls.Config) Option { return func(o *options) { o.tls = c } }
+// WithTLS sets the configurations with which agents and control hosts are dialed.
+func WithTLS(agents, control *tls.Config) Option {
+	return func(o *options) { o.agentTLS, o.controlTLS = agents, control }
+}
 
 // WithControl sets the QUIC addresses of the control hosts.
 func WithControl(addresses []string) Option { return func(o *options) { o.control = addresses } }
--- a/internal/entry/watcher.go
+++ b/internal/entry/watcher.go
@@ -8,6 +8,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"rosemarywind.example/rosemarywind/internal/clock"
 	"rosemarywind.example/rosemarywind/internal/fleet"
 	"rosemarywind.example/rosemarywind/internal/link"
 	"rosemarywind.example/rosemarywind/internal/wire"
@@ -39,22 +40,25 @@
 		address := w.address()
 		err := w.watch(ctx, address)
 		w.board.control.Publish(Control{heardAt: w.board.control.Load().heardAt})
-		if ctx.Err() != nil {
-			return nil
-		}
-		w.logger.Warn("watch ended", "control", address, "error", err)
-		var status *wire.StatusError
-		if errors.As(err, &status) && status.Leader() != "" && status.Leader() != address {
-			w.followed = status.Leader()
-			continue
-		}
-		if err := pause(ctx, watchPause); err != nil {
-			return nil
-		}
+		w.recover(ctx, address, err)
 	}
 	return nil
 }
 
+// recover follows a follower's word about the leader at once, and pauses after any other error.
+func (w *watcher) recover(ctx context.Context, address string, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	w.logger.Warn("watch ended", "control", address, "error", err)
+	var status *wire.StatusError
+	if errors.As(err, &status) && status.Leader() != "" && status.Leader() != address {
+		w.followed = status.Leader()
+		return
+	}
+	clock.Pause(ctx, watchPause)
+}
+
 // address returns the leader that a follower named, else the next control host.
 func (w *watcher) address() string {
 	if w.followed != "" {
@@ -123,14 +127,3 @@
 	}
 	return kept
 }
-
-func pause(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"errors"
 	"fmt"
 	"io"
 	"time"
@@ -102,14 +103,14 @@
 
 // unexpected turns the end of the stream inside a message into an error.
 func unexpected(err error) error {
-	if err == io.EOF {
+	if errors.Is(err, io.EOF) {
 		return io.ErrUnexpectedEOF
 	}
 	return err
 }
 
 func annotate(what string, err *error) {
-	if *err != nil && *err != io.EOF {
+	if *err != nil && !errors.Is(*err, io.EOF) {
 		*err = fmt.Errorf("%s: %w", what, *err)
 	}
 }
--- a/roles.go
+++ b/roles.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"path/filepath"
 	"time"
 
@@ -61,7 +59,7 @@
 		return err
 	}
 	c, err := control.New(
-		control.WithLogger(s.logger.Named(name)), control.WithTLS(anyPeer(material)), control.WithServer(server),
+		control.WithLogger(s.logger.Named(name)), control.WithTLS(material.Client("agent"), material.Client("control")), control.WithServer(server),
 		control.WithListener(l), control.WithLeases(announceLease, s.taskLease),
 		control.WithOperatorDigests([]string{keys.Digest(s.token)}),
 		control.WithLedger(
@@ -90,7 +88,7 @@
 	}
 	stand := standin.New(name, s.accelerators, standin.WithLatency(s.latency))
 	s.standins = append(s.standins, stand)
-	s.runs = append(s.runs, func(ctx context.Context) error { return runStandin(ctx, stand, l) })
+	s.runs = append(s.runs, func(ctx context.Context) error { return stand.Run(ctx, l) })
 	material, err := s.reloader("agent", name, now)
 	if err != nil {
 		return err
@@ -103,7 +101,7 @@
 	worker := fleet.NewWorker(name, "r1", fleet.AvailabilityZone(fmt.Sprintf("az%d", rack%s.zones+1)),
 		fleet.Rack(fmt.Sprintf("rack%d", rack+1))).WithResources(workerCores, workerMemoryMB, s.accelerators)
 	a := agent.New(
-		agent.WithLogger(s.logger.Named(name)), agent.WithTLS(anyPeer(material)),
+		agent.WithLogger(s.logger.Named(name)), agent.WithTLS(material.Client("control")),
 		agent.WithServer(server, server.Address().String()), agent.WithControl(controls),
 		agent.WithWorker(worker, url), agent.WithEndpoint(url, s.slots, workerConnections),
 	)
@@ -119,11 +117,6 @@
 	workerConnections = 64
 )
 
-// runStandin keeps the stand-in up while its agent finishes requests in flight.
-func runStandin(ctx context.Context, s *standin.Standin, l net.Listener) error {
-	return s.Run(ctx, l)
-}
-
 func (s *System) addEntry(i int, controls []string, now time.Time) (err error) {
 	name := fmt.Sprintf("e%d", i+1)
 	material, err := s.reloader("entry", name, now)
@@ -135,7 +128,7 @@
 		return err
 	}
 	e := entry.New(
-		entry.WithLogger(s.logger.Named(name)), entry.WithTLS(anyPeer(material)),
+		entry.WithLogger(s.logger.Named(name)), entry.WithTLS(material.Client("agent"), material.Client("control")),
 		entry.WithControl(controls), entry.WithListener(l),
 	)
 	s.entries = append(s.entries, e)
@@ -143,6 +136,3 @@
 	s.runs = append(s.runs, e.Run)
 	return nil
 }
-
-// anyPeer dials agents and control hosts alike.
-func anyPeer(material *keys.Reloader) *tls.Config { return material.Client("") }
