Measure what the control role costs for each agent and watcher

Cause: the size to design for needs slopes, not estimates. Change: a program that plays agents and watchers against one control process and reads its processor time, memory and traffic.

--- /dev/null
+++ b/internal/capacity/folder.go
@@ -0,0 +1,104 @@
+package capacity
+
+import (
+	"fmt"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"time"
+
+	"rosemarywind.example/rosemarywind/internal/keys"
+)
+
+const (
+	keyLife       = 24 * time.Hour
+	authorityFile = "authority.pem"
+	signingFile   = "authority.key"
+	tokenFile     = "token"
+)
+
+// Prepare writes an authority, a token and the settings of one control process into folder.
+func Prepare(folder, quicAddress, httpAddress string, now time.Time) (err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("prepare %s: %w", folder, err)
+		}
+	}()
+	if err = os.MkdirAll(folder, 0o700); err != nil {
+		return err
+	}
+	a, err := keys.NewAuthority("capacity", now, keyLife)
+	if err != nil {
+		return err
+	}
+	at := func(name string) string { return filepath.Join(folder, name) }
+	if err = a.Pair().WriteFiles(at(authorityFile), at(signingFile)); err != nil {
+		return err
+	}
+	id, err := keys.NewIdentity("control", "c1")
+	if err != nil {
+		return err
+	}
+	pair, err := a.Issue(id, []netip.Addr{netip.MustParseAddr("127.0.0.1")}, now, keyLife)
+	if err != nil {
+		return err
+	}
+	if err = pair.WriteFiles(at("c1.pem"), at("c1.key")); err != nil {
+		return err
+	}
+	token := keys.NewToken()
+	if err = os.WriteFile(at(tokenFile), []byte(token), 0o600); err != nil {
+		return err
+	}
+	return os.WriteFile(at("c1.toml"), []byte(settingsOf(folder, quicAddress, httpAddress, token)), 0o600)
+}
+
+func settingsOf(folder, quicAddress, httpAddress, token string) string {
+	return fmt.Sprintf(`name = "c1"
+availability_zone = "az1"
+data = %q
+listen = %q
+operator_token_digests = [%q]
+[operators]
+listen = %q
+[keys]
+certificate = %q
+key = %q
+authority = %q
+[log]
+level = "error"
+[members]
+c1 = %q
+`, filepath.Join(folder, "data"), quicAddress, keys.Digest(token), httpAddress,
+		filepath.Join(folder, "c1.pem"), filepath.Join(folder, "c1.key"), filepath.Join(folder, authorityFile), quicAddress)
+}
+
+// identities issues certificates of the authority in a folder.
+type identities struct {
+	authority *keys.Authority
+	now       time.Time
+}
+
+func openFolder(folder string, now time.Time) (i *identities, err error) {
+	pair, err := keys.ReadPair(filepath.Join(folder, authorityFile), filepath.Join(folder, signingFile))
+	if err != nil {
+		return nil, err
+	}
+	a, err := keys.ParseAuthority(pair)
+	if err != nil {
+		return nil, err
+	}
+	return &identities{authority: a, now: now}, nil
+}
+
+func (i *identities) material(role, name string) (r *keys.Reloader, err error) {
+	id, err := keys.NewIdentity(role, name)
+	if err != nil {
+		return nil, err
+	}
+	pair, err := i.authority.Issue(id, []netip.Addr{netip.MustParseAddr("127.0.0.1")}, i.now, keyLife)
+	if err != nil {
+		return nil, err
+	}
+	return keys.NewMemory(pair, i.authority.Pair().Certificate())
+}
