Add the HTTP client of operators and callers

Operators' requests must reach the leader, survive the loss of a control host, and have one effect when an answer is lost; callers' requests must not run twice because a client went on to another entry host.

The operator client goes to the leader that a follower names, tries the other hosts in rounds with growing pauses, and keeps the request id in each resend. A change that was sent and never answered is Unknown, with the id to send it again; a question is only Unreachable. A call of a caller is sent to a second entry host only if the first one cannot have received it, if it is idempotent, or if it has a key. Redirects are not followed, because they would carry the token elsewhere.

--- /dev/null
+++ b/pkg/client/client_test.go
@@ -0,0 +1,342 @@
+package client_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"rosemarywind.example/rosemarywind/pkg/client"
+	"rosemarywind.example/rosemarywind/pkg/outcome"
+)
+
+const job = `{"id":"j1","workspace":"w","state":"started","members":[{"index":0,"worker":"w1","accelerators":8}],"shape":{"members":1,"accelerators":8,"adjacency":"rack"}}`
+
+// Guards against a request that stays with a follower or a dead host, or is sent anew under another id.
+func TestFailover(t *testing.T) {
+	t.Run("follows the leader", func(t *testing.T) {
+		leader := newHost(t, answer(http.StatusOK, job))
+		follower := newHost(t, misdirect(leader.url()))
+		o := operator(t, follower.url())
+		for range 2 {
+			j, err := o.Job(t.Context(), "j1")
+			require.NoError(t, err)
+			assert.Equal(t, "1x8/rack", j.Shape())
+			assert.Equal(t, []string{"w1"}, j.Workers())
+		}
+		assert.Len(t, follower.seen(), 1)
+	})
+	t.Run("leader as an address", func(t *testing.T) {
+		leader := newHost(t, answer(http.StatusOK, job))
+		follower := newHost(t, misdirect(strings.TrimPrefix(leader.url(), "http://")))
+		_, err := operator(t, follower.url()).Job(t.Context(), "j1")
+		require.NoError(t, err)
+	})
+	t.Run("waits for a leader", func(t *testing.T) {
+		h := newHost(t, misdirect(""), answer(http.StatusServiceUnavailable, `{"reason":"control-unavailable"}`), answer(http.StatusOK, job))
+		_, err := operator(t, h.url()).Job(t.Context(), "j1")
+		require.NoError(t, err)
+	})
+	t.Run("goes on from a dead host", func(t *testing.T) {
+		h := newHost(t, answer(http.StatusOK, job))
+		_, err := operator(t, deadHost(t), h.url()).Job(t.Context(), "j1")
+		require.NoError(t, err)
+	})
+	t.Run("resends a lost answer under the same id", func(t *testing.T) {
+		h := newHost(t, cut, answer(http.StatusOK, job))
+		_, err := operator(t, h.url()).Cancel(t.Context(), "j1", "id-1")
+		require.NoError(t, err)
+		assertRequests(t, h, "DELETE /v1/jobs/j1 id-1", "DELETE /v1/jobs/j1 id-1")
+	})
+	t.Run("draws an id", func(t *testing.T) {
+		h := newHost(t, cut, answer(http.StatusOK, job))
+		_, err := operator(t, h.url()).Cancel(t.Context(), "j/1", "")
+		require.NoError(t, err)
+		seen := h.seen()
+		require.Len(t, seen, 2)
+		assert.Equal(t, seen[0], seen[1])
+		assert.Regexp(t, "^DELETE /v1/jobs/j%2F1 [0-9a-f]{32}$", seen[0])
+	})
+}
+
+// Guards against a failure that claims more or less than is known.
+func TestFailures(t *testing.T) {
+	t.Run("lost change is unknown", func(t *testing.T) {
+		h := newHost(t, cut)
+		_, err := operator(t, h.url()).Apply(t.Context(), nil, 3, "id-1")
+		var u *client.Unknown
+		require.ErrorAs(t, err, &u)
+		assert.Equal(t, "id-1", u.RequestID())
+	})
+	t.Run("lost question is not", func(t *testing.T) {
+		_, err := operator(t, newHost(t, cut).url()).Jobs(t.Context())
+		assertFailure[*client.Unreachable](t, err)
+	})
+	t.Run("no host listens", func(t *testing.T) {
+		_, err := operator(t, deadHost(t)).Submit(t.Context(), submission(), "")
+		assertFailure[*client.Unreachable](t, err)
+	})
+	t.Run("silent host", func(t *testing.T) {
+		h := newHost(t, func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+		err := operator(t, h.url()).Drain(t.Context(), "w1", "")
+		assertFailure[*client.Unknown](t, err)
+	})
+	t.Run("host that may have run it", func(t *testing.T) {
+		h := newHost(t, answer(http.StatusServiceUnavailable, `{"outcome":"may-have-run","reason":"control-unavailable"}`))
+		err := operator(t, h.url()).Drain(t.Context(), "w1", "")
+		assertFailure[*client.Unknown](t, err)
+	})
+	t.Run("conflict", func(t *testing.T) {
+		h := newHost(t, answer(http.StatusConflict, `{"reason":"revision-conflict","revision":9,"message":"m"}`))
+		_, err := operator(t, h.url()).Apply(t.Context(), nil, 3, "")
+		assert.Equal(t, uint64(9), requireFailure[*client.Conflict](t, err).Revision())
+	})
+	t.Run("refusal", func(t *testing.T) {
+		h := newHost(t, answer(http.StatusUnauthorized, `{"outcome":"not-run","reason":"unauthorized","message":"m"}`))
+		_, err := operator(t, h.url()).Endpoints(t.Context())
+		r := requireFailure[*client.Refusal](t, err)
+		assert.Equal(t, outcome.Unauthorized, r.Reason())
+		assert.Equal(t, outcome.NotRun, r.Outcome())
+		assert.Equal(t, http.StatusUnauthorized, r.Status())
+	})
+	t.Run("refusal that is not JSON", func(t *testing.T) {
+		h := newHost(t, answer(http.StatusBadGateway, strings.Repeat("x", 10000)))
+		_, err := operator(t, h.url()).Jobs(t.Context())
+		assert.Less(t, len(requireFailure[*client.Refusal](t, err).Error()), 300)
+	})
+	t.Run("answer that is not JSON", func(t *testing.T) {
+		_, err := operator(t, newHost(t, answer(http.StatusOK, "<html>")).url()).Jobs(t.Context())
+		assert.ErrorContains(t, err, "decode answer to GET /v1/jobs")
+	})
+	t.Run("configuration without a revision", func(t *testing.T) {
+		_, _, err := operator(t, newHost(t, answer(http.StatusOK, "")).url()).Config(t.Context())
+		assert.ErrorContains(t, err, client.RevisionHeader)
+	})
+	t.Run("bad hosts", func(t *testing.T) {
+		for _, list := range [][]string{nil, {"127.0.0.1:1"}, {"ftp://127.0.0.1"}} {
+			_, err := client.NewOperator(list)
+			require.Error(t, err)
+			_, err = client.NewCaller(list)
+			assert.Error(t, err)
+		}
+	})
+}
+
+// Guards against a token that is printed or carried elsewhere by a redirect.
+func TestToken(t *testing.T) {
+	other := newHost(t, answer(http.StatusOK, job))
+	h := newHost(t, func(w http.ResponseWriter, r *http.Request) {
+		assert.Equal(t, "Bearer hunter2", r.Header.Get("Authorization"))
+		http.Redirect(w, r, other.url(), http.StatusTemporaryRedirect)
+	})
+	o := operator(t, h.url())
+	_, err := o.Jobs(t.Context())
+	assertFailure[*client.Refusal](t, err)
+	assert.Empty(t, other.seen())
+	assert.NotContains(t, fmt.Sprintf("%+v %v", o, err), "hunter2")
+}
+
+// Guards against request forms that differ from the control hosts' interface.
+func TestRequests(t *testing.T) {
+	t.Run("apply", func(t *testing.T) {
+		h := newHost(t, answer(http.StatusOK, `{"revision":4,"changes":["added a"],"repeated":true}`))
+		a, err := operator(t, h.url()).Apply(t.Context(), []byte("x"), 3, "i")
+		require.NoError(t, err)
+		assert.Equal(t, uint64(4), a.Revision())
+		assert.True(t, a.Repeated())
+		assert.Equal(t, []string{"added a"}, a.Changes())
+		assertRequests(t, h, "POST /v1/apply?base=3 i x")
+	})
+	t.Run("dry apply", func(t *testing.T) {
+		h := newHost(t, answer(http.StatusOK, `{"revision":3}`))
+		_, err := operator(t, h.url()).DryApply(t.Context(), nil, 3)
+		require.NoError(t, err)
+		assert.Regexp(t, `^POST /v1/apply\?base=3&dry=true `, h.seen()[0])
+	})
+	t.Run("config", func(t *testing.T) {
+		h := newHost(t, func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(client.RevisionHeader, "7")
+			_, _ = io.WriteString(w, "[defaults]")
+		})
+		text, revision, err := operator(t, h.url()).Config(t.Context())
+		require.NoError(t, err)
+		assert.Equal(t, "[defaults]", string(text))
+		assert.Equal(t, uint64(7), revision)
+	})
+	t.Run("submit", func(t *testing.T) {
+		h := newHost(t, answer(http.StatusOK, job))
+		s := client.NewSubmission("w", 2, 8, "rack", client.WithUrgent(), client.WithIdempotent(),
+			client.WithCheckpointable(), client.WithRunTime(90*time.Second), client.WithPayload("p"))
+		_, err := operator(t, h.url()).Submit(t.Context(), s, "i")
+		require.NoError(t, err)
+		assertRequests(t, h, `POST /v1/jobs i {"workspace":"w","shape":{"members":2,"accelerators":8,"adjacency":"rack"},`+
+			`"urgency":"urgent","idempotent":true,"checkpointable":true,"run_time_s":90,"payload":"p"}`)
+	})
+	t.Run("lists", func(t *testing.T) {
+		jobs, err := operator(t, newHost(t, answer(http.StatusOK, `{"jobs":[`+job+`]}`)).url()).Jobs(t.Context())
+		require.NoError(t, err)
+		require.Len(t, jobs, 1)
+		data, err := json.Marshal(jobs[0])
+		require.NoError(t, err)
+		assert.Contains(t, string(data), `"worker":"w1"`)
+		endpoints, err := operator(t, newHost(t, answer(http.StatusOK, `{"endpoints":[{"name":"w1","in_flight":2}]}`)).url()).Endpoints(t.Context())
+		require.NoError(t, err)
+		require.Len(t, endpoints, 1)
+		assert.Equal(t, 2, endpoints[0].InFlight())
+	})
+	t.Run("explain", func(t *testing.T) {
+		h := newHost(t, answer(http.StatusOK, `{"id":"j1","state":"queued","details":["a"]}`))
+		e, err := operator(t, h.url()).Explain(t.Context(), "j1")
+		require.NoError(t, err)
+		assert.Equal(t, []string{"a"}, e.Details())
+		assertRequests(t, h, "GET /v1/jobs/j1/explain")
+	})
+}
+
+// Guards against a call that runs twice because it was sent to a second entry host.
+func TestCaller(t *testing.T) {
+	t.Run("answer", func(t *testing.T) {
+		h := newHost(t, func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(outcome.Header, string(outcome.Ran))
+			w.WriteHeader(http.StatusAccepted)
+		})
+		a, err := caller(t, h.url()).Do(t.Context(), call(client.WithUrgentCall(), client.WithDeadline(time.Second)))
+		require.NoError(t, err)
+		assert.Equal(t, outcome.Ran, a.Outcome())
+		assert.Equal(t, http.StatusAccepted, a.Status())
+		assertRequests(t, h, "POST /w/scans/run?x=1")
+	})
+	t.Run("no resend without a key", func(t *testing.T) {
+		a, b := newHost(t, cut), newHost(t, cut)
+		_, err := caller(t, a.url(), b.url()).Do(t.Context(), call())
+		assertFailure[*client.Unknown](t, err)
+		assert.Equal(t, 1, len(a.seen())+len(b.seen()))
+	})
+	t.Run("resend with a key", func(t *testing.T) {
+		a, b := newHost(t, cut), newHost(t, cut)
+		_, err := caller(t, a.url(), b.url()).Do(t.Context(), call(client.WithKey("k")))
+		assert.Equal(t, "k", requireFailure[*client.Unknown](t, err).RequestID())
+		assert.NotEmpty(t, a.seen())
+		assert.NotEmpty(t, b.seen())
+	})
+	t.Run("resend of an idempotent call", func(t *testing.T) {
+		h := newHost(t, answer(http.StatusOK, ""))
+		c := caller(t, h.url(), newHost(t, cut).url())
+		for range 2 {
+			_, err := c.Do(t.Context(), call(client.WithIdempotence(true)))
+			require.NoError(t, err)
+		}
+	})
+	t.Run("dead host is no reason to stop", func(t *testing.T) {
+		h := newHost(t, answer(http.StatusOK, ""))
+		c := caller(t, h.url(), deadHost(t))
+		for range 2 {
+			_, err := c.Do(t.Context(), call())
+			require.NoError(t, err)
+		}
+	})
+	t.Run("no host listens", func(t *testing.T) {
+		_, err := caller(t, deadHost(t)).Do(t.Context(), call(client.WithIdempotence(false)))
+		assertFailure[*client.Unreachable](t, err)
+	})
+}
+
+// host is a stand-in of a control or entry host that gives its answers in order and repeats the last one.
+type host struct {
+	server   *httptest.Server
+	mutex    sync.Mutex
+	requests []string
+}
+
+func newHost(t *testing.T, answers ...http.HandlerFunc) *host {
+	t.Helper()
+	h := &host{}
+	h.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		line := fmt.Sprintf("%s %s %s %s", r.Method, r.URL.RequestURI(), r.Header.Get(client.RequestIDHeader), body)
+		h.mutex.Lock()
+		h.requests = append(h.requests, strings.TrimSpace(line))
+		next := answers[min(len(h.requests), len(answers))-1]
+		h.mutex.Unlock()
+		next(w, r)
+	}))
+	t.Cleanup(h.server.Close)
+	return h
+}
+
+func (h *host) url() string { return h.server.URL }
+
+func (h *host) seen() []string {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return append([]string(nil), h.requests...)
+}
+
+func answer(status int, body string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(status)
+		_, _ = io.WriteString(w, body)
+	}
+}
+
+func misdirect(leader string) http.HandlerFunc {
+	return answer(http.StatusMisdirectedRequest, fmt.Sprintf(`{"outcome":"not-run","reason":"not-leader","leader":%q}`, leader))
+}
+
+// cut closes the connection in place of an answer.
+func cut(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+
+func deadHost(t *testing.T) string {
+	t.Helper()
+	s := httptest.NewServer(http.NotFoundHandler())
+	s.Close()
+	return s.URL
+}
+
+func operator(t *testing.T, hosts ...string) *client.Operator {
+	t.Helper()
+	o, err := client.NewOperator(hosts, client.WithToken("hunter2"),
+		client.WithTimeout(700*time.Millisecond), client.WithAttemptTimeout(300*time.Millisecond))
+	require.NoError(t, err)
+	t.Cleanup(o.Close)
+	return o
+}
+
+func caller(t *testing.T, hosts ...string) *client.Caller {
+	t.Helper()
+	c, err := client.NewCaller(hosts, client.WithTimeout(5*time.Second))
+	require.NoError(t, err)
+	t.Cleanup(c.Close)
+	return c
+}
+
+func submission() client.Submission { return client.NewSubmission("w", 1, 8, "rack") }
+
+func call(list ...client.CallOption) *client.Call {
+	return client.NewCall(http.MethodPost, "scans", "/run?x=1", nil, list...)
+}
+
+func requireFailure[F error](t *testing.T, err error) (f F) {
+	t.Helper()
+	require.ErrorAs(t, err, &f)
+	return f
+}
+
+func assertFailure[F error](t *testing.T, err error) {
+	t.Helper()
+	var f F
+	assert.ErrorAs(t, err, &f)
+}
+
+func assertRequests(t *testing.T, h *host, want ...string) {
+	t.Helper()
+	assert.Equal(t, want, h.seen())
+}
--- /dev/null
+++ b/pkg/client/option.go
@@ -0,0 +1,70 @@
+package client
+
+import (
+	"fmt"
+	"net/netip"
+	"net/url"
+	"strings"
+	"time"
+)
+
+// Times that apply without an option.
+const (
+	defaultTimeout = 10 * time.Second
+	defaultAttempt = 3 * time.Second
+	// An entry host answers within a request's deadline, 30 s if none is stated.
+	defaultCallTimeout = 35 * time.Second
+)
+
+// options holds what both clients need; the token is held where no printing of the client shows it.
+type options struct {
+	token   func() string
+	timeout time.Duration
+	attempt time.Duration
+}
+
+// Option changes a client.
+type Option func(*options)
+
+// WithToken sends a bearer token with each request.
+func WithToken(token string) Option {
+	return func(o *options) { o.token = func() string { return token } }
+}
+
+// WithTimeout bounds one request over all hosts; the default is 10 s for operators and 35 s for callers.
+func WithTimeout(d time.Duration) Option { return func(o *options) { o.timeout = d } }
+
+// WithAttemptTimeout bounds the wait for one host; the default is 3 s for operators and no bound for callers.
+func WithAttemptTimeout(d time.Duration) Option { return func(o *options) { o.attempt = d } }
+
+func newOptions(timeout, attempt time.Duration, list []Option) options {
+	o := options{timeout: timeout, attempt: attempt, token: func() string { return "" }}
+	for _, set := range list {
+		set(&o)
+	}
+	return o
+}
+
+// parseHosts returns the base URLs without a trailing slash.
+func parseHosts(list []string) (hosts []string, err error) {
+	if len(list) == 0 {
+		return nil, fmt.Errorf("no host is given")
+	}
+	for _, s := range list {
+		u, err := url.Parse(s)
+		if err != nil || u.Host == "" || u.Scheme != "http" && u.Scheme != "https" {
+			return nil, fmt.Errorf("host %q is not an http URL", s)
+		}
+		hosts = append(hosts, strings.TrimSuffix(s, "/"))
+	}
+	return hosts, nil
+}
+
+// leaderHost returns the base URL of a leader that a follower named as a URL or as IP:port.
+func leaderHost(leader string) (host string, ok bool) {
+	address, _ := strings.CutPrefix(strings.TrimSuffix(leader, "/"), "http://")
+	if _, err := netip.ParseAddrPort(address); err != nil {
+		return "", false
+	}
+	return "http://" + address, true
+}
--- /dev/null
+++ b/pkg/client/request.go
@@ -0,0 +1,104 @@
+package client
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/url"
+	"strconv"
+)
+
+// Paths of the operators' interface.
+const (
+	applyPath     = "/v1/apply"
+	configPath    = "/v1/config"
+	jobsPath      = "/v1/jobs"
+	endpointsPath = "/v1/endpoints"
+)
+
+// Apply replaces the configuration at the base revision with a TOML text; an empty request id means a new one.
+func (o *Operator) Apply(ctx context.Context, text []byte, base uint64, requestID string) (a Applied, err error) {
+	return o.apply(ctx, text, url.Values{"base": {strconv.FormatUint(base, 10)}}, requestID)
+}
+
+// DryApply returns what Apply would change, without changing it.
+func (o *Operator) DryApply(ctx context.Context, text []byte, base uint64) (a Applied, err error) {
+	return o.apply(ctx, text, url.Values{"base": {strconv.FormatUint(base, 10)}, "dry": {"true"}}, "")
+}
+
+func (o *Operator) apply(ctx context.Context, text []byte, query url.Values, requestID string) (a Applied, err error) {
+	m := newMessage(http.MethodPost, applyPath+"?"+query.Encode(), "application/toml", requestID, text)
+	_, err = o.exchange(ctx, m, &a.body)
+	return a, err
+}
+
+// Config returns the TOML text of the configuration and its revision.
+func (o *Operator) Config(ctx context.Context) (text []byte, revision uint64, err error) {
+	r, err := o.exchange(ctx, newMessage(http.MethodGet, configPath, "", "", nil), nil)
+	if err != nil {
+		return nil, 0, err
+	}
+	revision, err = strconv.ParseUint(r.header.Get(RevisionHeader), 10, 64)
+	if err != nil {
+		return nil, 0, fmt.Errorf("read %s of the configuration: %w", RevisionHeader, err)
+	}
+	return r.body, revision, nil
+}
+
+// Submit submits a job; an empty request id means a new one.
+func (o *Operator) Submit(ctx context.Context, s Submission, requestID string) (j Job, err error) {
+	body, err := json.Marshal(s.body)
+	if err != nil {
+		return Job{}, fmt.Errorf("encode submission: %w", err)
+	}
+	_, err = o.exchange(ctx, newMessage(http.MethodPost, jobsPath, "application/json", requestID, body), &j.body)
+	return j, err
+}
+
+// Cancel cancels a job and returns it; an empty request id means a new one.
+func (o *Operator) Cancel(ctx context.Context, id, requestID string) (j Job, err error) {
+	_, err = o.exchange(ctx, newMessage(http.MethodDelete, jobPath(id), "", requestID, nil), &j.body)
+	return j, err
+}
+
+// Jobs returns all jobs that the control hosts keep.
+func (o *Operator) Jobs(ctx context.Context) (jobs []Job, err error) {
+	var body JobsBody
+	_, err = o.exchange(ctx, newMessage(http.MethodGet, jobsPath, "", "", nil), &body)
+	for _, b := range body.Jobs {
+		jobs = append(jobs, Job{body: b})
+	}
+	return jobs, err
+}
+
+// Job returns one job.
+func (o *Operator) Job(ctx context.Context, id string) (j Job, err error) {
+	_, err = o.exchange(ctx, newMessage(http.MethodGet, jobPath(id), "", "", nil), &j.body)
+	return j, err
+}
+
+// Explain returns why a job is in its state.
+func (o *Operator) Explain(ctx context.Context, id string) (e Explanation, err error) {
+	_, err = o.exchange(ctx, newMessage(http.MethodGet, jobPath(id)+"/explain", "", "", nil), &e.body)
+	return e, err
+}
+
+// Endpoints returns the announced endpoints.
+func (o *Operator) Endpoints(ctx context.Context) (endpoints []Endpoint, err error) {
+	var body EndpointsBody
+	_, err = o.exchange(ctx, newMessage(http.MethodGet, endpointsPath, "", "", nil), &body)
+	for _, b := range body.Endpoints {
+		endpoints = append(endpoints, Endpoint{body: b})
+	}
+	return endpoints, err
+}
+
+// Drain tells an endpoint to take no new work and to leave; an empty request id means a new one.
+func (o *Operator) Drain(ctx context.Context, name, requestID string) (err error) {
+	path := endpointsPath + "/" + url.PathEscape(name) + "/drain"
+	_, err = o.exchange(ctx, newMessage(http.MethodPost, path, "", requestID, nil), nil)
+	return err
+}
+
+func jobPath(id string) string { return jobsPath + "/" + url.PathEscape(id) }
