--- /dev/null
+++ b/internal/operator/commands.go
@@ -0,0 +1,43 @@
+package operator
+
+import (
+	"github.com/urfave/cli/v3"
+)
+
+// Names of the flags that more than one command has.
+const (
+	settingsFlag  = "settings"
+	jsonFlag      = "json"
+	requestIDFlag = "request-id"
+	baseFlag      = "base"
+)
+
+// SettingsVariable names the environment variable with the settings file of the command line client.
+const SettingsVariable = "ROSEMARYWIND_SETTINGS"
+
+// Commands returns the verbs of the command line client, new ones at each call.
+func Commands() []*cli.Command {
+	return []*cli.Command{
+		applyCommand(), diffCommand(), submitCommand(), cancelCommand(), statusCommand(),
+		explainCommand(), drainCommand(), keysCommand(), settingsCommand(),
+	}
+}
+
+// remote returns a command that talks to the control hosts, with the flags that all of these have.
+func remote(name, usage, args string, action func(*session) error, flags ...cli.Flag) *cli.Command {
+	return &cli.Command{
+		Name: name, Usage: usage, ArgsUsage: args, Action: withSession(action),
+		Flags: append([]cli.Flag{
+			&cli.StringFlag{Name: settingsFlag, Usage: "settings file of the role operator", Sources: cli.EnvVars(SettingsVariable), TakesFile: true},
+			&cli.BoolFlag{Name: jsonFlag, Usage: "print JSON"},
+		}, flags...),
+	}
+}
+
+func requestID() cli.Flag {
+	return &cli.StringFlag{Name: requestIDFlag, Usage: "id under which the request is sent; give the same one to repeat a request whose outcome is unknown"}
+}
+
+func base() cli.Flag {
+	return &cli.Uint64Flag{Name: baseFlag, Usage: "revision that the file was made from; read from its \"# revision N\" line if not given"}
+}
--- /dev/null
+++ b/internal/operator/session.go
@@ -0,0 +1,94 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+
+	"github.com/urfave/cli/v3"
+
+	"rosemarywind.example/rosemarywind/internal/settings"
+	"rosemarywind.example/rosemarywind/pkg/client"
+)
+
+// session is one run of a command that talks to the control hosts.
+type session struct {
+	ctx    context.Context
+	cmd    *cli.Command
+	client *client.Operator
+	out    io.Writer
+}
+
+func withSession(action func(*session) error) cli.ActionFunc {
+	return func(ctx context.Context, c *cli.Command) (err error) {
+		file := c.String(settingsFlag)
+		if file == "" {
+			return usage("--%s FILE is required", settingsFlag)
+		}
+		o, err := settings.LoadOperator(file)
+		if err != nil {
+			return &failure{code: ExitUsage, cause: err}
+		}
+		token, err := readToken(o.TokenFile())
+		if err != nil {
+			return &failure{code: ExitUsage, cause: err}
+		}
+		k, err := client.NewOperator(o.ControlURLs(), client.WithToken(token), client.WithTimeout(o.Timeout()))
+		if err != nil {
+			return &failure{code: ExitUsage, cause: err}
+		}
+		defer k.Close()
+		return action(&session{ctx: ctx, cmd: c, client: k, out: c.Root().Writer})
+	}
+}
+
+// readToken returns the token in a file without the white space around it.
+func readToken(file string) (token string, err error) {
+	if file == "" {
+		return "", nil
+	}
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return "", fmt.Errorf("read token: %w", err)
+	}
+	if token = strings.TrimSpace(string(data)); token == "" {
+		return "", fmt.Errorf("token file %s is empty", file)
+	}
+	return token, nil
+}
+
+// argument returns the only positional argument.
+func (s *session) argument(name string) (value string, err error) {
+	return argument(s.cmd, name)
+}
+
+func argument(c *cli.Command, name string) (value string, err error) {
+	if c.Args().Len() != 1 || c.Args().First() == "" {
+		return "", usage("%s needs exactly one argument, %s", c.Name, name)
+	}
+	return c.Args().First(), nil
+}
+
+func (s *session) noArguments() error {
+	if s.cmd.Args().Present() {
+		return usage("%s takes no argument, got %q", s.cmd.Name, s.cmd.Args().First())
+	}
+	return nil
+}
+
+// print writes the value as JSON, or the text for people.
+func (s *session) print(value any, people func(io.Writer)) error {
+	if !s.cmd.Bool(jsonFlag) {
+		people(s.out)
+		return nil
+	}
+	data, err := json.MarshalIndent(value, "", "  ")
+	if err != nil {
+		return fmt.Errorf("encode output: %w", err)
+	}
+	_, err = fmt.Fprintln(s.out, string(data))
+	return err
+}
--- a/pkg/client/request.go
+++ b/pkg/client/request.go
@@ -66,6 +66,7 @@
 func (o *Operator) Jobs(ctx context.Context) (jobs []Job, err error) {
 	var body JobsBody
 	_, err = o.exchange(ctx, newMessage(http.MethodGet, jobsPath, "", "", nil), &body)
+	jobs = make([]Job, 0, len(body.Jobs))
 	for _, b := range body.Jobs {
 		jobs = append(jobs, Job{body: b})
 	}
@@ -88,6 +89,7 @@
 func (o *Operator) Endpoints(ctx context.Context) (endpoints []Endpoint, err error) {
 	var body EndpointsBody
 	_, err = o.exchange(ctx, newMessage(http.MethodGet, endpointsPath, "", "", nil), &body)
+	endpoints = make([]Endpoint, 0, len(body.Endpoints))
 	for _, b := range body.Endpoints {
 		endpoints = append(endpoints, Endpoint{body: b})
 	}
