--- a/internal/document/document.go
+++ b/internal/document/document.go
@@ -10,6 +10,9 @@
 	"github.com/pelletier/go-toml/v2"
 )
 
+// mostBytes bounds a text; 7,200 exceptions of 150 bytes take 1.1 MB.
+const mostBytes = 8 << 20
+
 // Document is a parsed TOML text that collects problems as its keys are checked.
 type Document struct {
 	file     string
@@ -20,6 +23,9 @@
 
 // Parse returns the document of the given file name; a text that is not TOML gives a *Problems error.
 func Parse(file string, data []byte) (d *Document, err error) {
+	if len(data) > mostBytes {
+		return nil, newProblems([]Problem{{file: file, line: 1, message: fmt.Sprintf("text of %d bytes; allowed: %d", len(data), mostBytes)}})
+	}
 	d = &Document{file: file, root: map[string]any{}}
 	if err = toml.Unmarshal(data, &d.root); err != nil {
 		line, message := 1, err.Error()
--- a/internal/document/lines.go
+++ b/internal/document/lines.go
@@ -6,6 +6,10 @@
 	"github.com/pelletier/go-toml/v2/unstable"
 )
 
+// mostParts bounds the recorded parts of a dotted key: the paths of all prefixes
+// of a key of 100 KB with one letter a part add up to 2.5 GB.
+const mostParts = 16
+
 // lineIndex maps the dotted path of each key of a text to its line.
 type lineIndex struct {
 	parser unstable.Parser
@@ -61,7 +65,8 @@
 // path records the line of a dotted key; a part that names an array of tables means its last element.
 func (x *lineIndex) path(prefix string, n *unstable.Node) string {
 	path := prefix
-	for it := n.Key(); it.Next(); {
+	it := n.Key()
+	for i := 0; i < mostParts && it.Next(); i++ {
 		path = join(path, string(it.Node().Data))
 		x.record(path, it.Node())
 		if c := x.counts[path]; c > 0 {
@@ -73,7 +78,8 @@
 
 func (x *lineIndex) element(n *unstable.Node) string {
 	path := ""
-	for it := n.Key(); it.Next(); {
+	it := n.Key()
+	for i := 0; i < mostParts && it.Next(); i++ {
 		path = join(path, string(it.Node().Data))
 		x.record(path, it.Node())
 		if it.IsLast() {
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -55,6 +55,16 @@
 	})
 }
 
+// Guards against a failure that is survived without a trace of it.
+func TestReportError(t *testing.T) {
+	var b bytes.Buffer
+	r := telemetry.NewRegistry()
+	report := telemetry.ReportError(telemetry.NewLogger(&b, "info", origin), r.Counter(telemetry.KeyFailuresMetric), telemetry.KeyFailureMessage)
+	report(errors.New("broken"))
+	assertLine(t, b.Bytes(), map[string]any{"@level": "warn", "@message": telemetry.KeyFailureMessage, "error": "broken"})
+	assert.Equal(t, int64(1), r.Counter(telemetry.KeyFailuresMetric).Count())
+}
+
 // Guards against figures that are lost, and a health that hides a failing check.
 func TestHandler(t *testing.T) {
 	r, h := telemetry.NewRegistry(), telemetry.NewHealth()
