--- a/internal/keys/keys_test.go
+++ b/internal/keys/keys_test.go
@@ -105,6 +105,18 @@
 		assertServes(t, r, memory(t, b, "entry", "e1"), "agent/w4")
 		assertRefused(t, r.Server(), client.Client("agent"), "unknown authority")
 	})
+	t.Run("an expired certificate keeps the old pair", func(t *testing.T) {
+		before, at := r.ExpiresAt(), time.Now().Add(-time.Minute)
+		b, err := keys.NewAuthority("trial", time.Now(), time.Hour)
+		require.NoError(t, err)
+		expired, err := b.Issue(identity(t, "agent", "w5"), loopback, at, time.Second)
+		require.NoError(t, err)
+		require.NoError(t, b.WriteAuthority(ca))
+		require.NoError(t, expired.WriteFiles(cert, key))
+		assert.Equal(t, before, r.ExpiresAt())
+		assert.Equal(t, "agent/w4", r.Identity().String())
+		assert.ErrorContains(t, problems[len(problems)-1], "expired")
+	})
 	t.Run("missing files at the start", func(t *testing.T) {
 		_, err := keys.NewReloader(filepath.Join(folder, "none"), key, ca)
 		assert.ErrorIs(t, err, os.ErrNotExist)
--- a/internal/keys/reloader.go
+++ b/internal/keys/reloader.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"sync/atomic"
+	"time"
 )
 
 // Reloader holds a process's key material and reads its files anew at each handshake.
@@ -76,6 +77,9 @@
 // Identity returns the identity in the certificate in use.
 func (r *Reloader) Identity() Identity { return r.current.Load().identity }
 
+// ExpiresAt returns the end of the validity of the certificate that the next handshake uses.
+func (r *Reloader) ExpiresAt() time.Time { return r.fresh().pair.Leaf.NotAfter }
+
 // fresh returns the material of the files, or the last usable one when they cannot be used.
 func (r *Reloader) fresh() *loaded {
 	old := r.current.Load()
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -125,6 +125,30 @@
 	})
 }
 
+// Guards against a command whose trace ends on the operator's host, and a collector that fails a command.
+func TestTrace(t *testing.T) {
+	c := control(t, http.StatusOK, `{"jobs":[]}`)
+	t.Run("file", func(t *testing.T) {
+		spans := filepath.Join(t.TempDir(), "spans")
+		file := write(t, fmt.Sprintf("control.urls = [%q]\ntoken_file = %q\ntrace.file = %q\n", c.url, write(t, "hunter2"), spans))
+		assertOutput(t, execute(t, "status", "--settings", file), "JOB")
+		data, err := os.ReadFile(spans)
+		require.NoError(t, err)
+		assert.Contains(t, string(data), `"Name":"status"`)
+		require.Len(t, strings.Split(c.trace, "-"), 4)
+		assert.Contains(t, string(data), strings.Split(c.trace, "-")[1])
+		assert.NotContains(t, string(data), "hunter2")
+	})
+	t.Run("collector away", func(t *testing.T) {
+		file := write(t, fmt.Sprintf("control.urls = [%q]\ntoken_file = %q\ntrace.otlp = \"http://127.0.0.1:1\"\n", c.url, write(t, "hunter2")))
+		assertOutput(t, execute(t, "status", "--settings", file), "JOB")
+	})
+	t.Run("file that cannot be opened", func(t *testing.T) {
+		file := write(t, fmt.Sprintf("control.urls = [%q]\ntrace.file = %q\n", c.url, t.TempDir()))
+		assertFailed(t, execute(t, "status", "--settings", file), operator.ExitUsage, "set up tracing")
+	})
+}
+
 // Guards against exit codes that differ from the documented ones.
 func TestExitCodes(t *testing.T) {
 	t.Run("refused", func(t *testing.T) {
@@ -219,9 +243,10 @@
 
 // host is a stand-in of a control host that gives one answer and keeps the latest request; status 0 cuts the connection.
 type host struct {
-	url  string
-	line string
-	body string
+	url   string
+	line  string
+	body  string
+	trace string
 }
 
 func control(t *testing.T, status int, answer string) *host {
@@ -231,6 +256,7 @@
 		body, _ := io.ReadAll(r.Body)
 		assert.Equal(t, "Bearer hunter2", r.Header.Get("Authorization"))
 		h.body = string(body)
+		h.trace = r.Header.Get("traceparent")
 		h.line = fmt.Sprintf("%s %s %s", r.Method, r.URL.RequestURI(), r.Header.Get("Rosemarywind-Request-Id"))
 		if status == 0 {
 			panic(http.ErrAbortHandler)
--- a/internal/operator/session.go
+++ b/internal/operator/session.go
@@ -7,10 +7,12 @@
 	"io"
 	"os"
 	"strings"
+	"time"
 
 	"github.com/urfave/cli/v3"
 
 	"rosemarywind.example/rosemarywind/internal/settings"
+	"rosemarywind.example/rosemarywind/internal/telemetry"
 	"rosemarywind.example/rosemarywind/pkg/client"
 )
 
@@ -22,29 +24,53 @@
 	out    io.Writer
 }
 
+// exportTimeout bounds the wait for a collector of traces at the end of a command.
+const exportTimeout = 2 * time.Second
+
 func withSession(action func(*session) error) cli.ActionFunc {
 	return func(ctx context.Context, c *cli.Command) (err error) {
-		file := c.String(settingsFlag)
-		if file == "" {
-			return usage("--%s FILE is required", settingsFlag)
-		}
-		o, err := settings.LoadOperator(file)
+		o, k, err := open(c)
 		if err != nil {
 			return &failure{code: ExitUsage, cause: err}
 		}
-		token, err := readToken(o.TokenFile())
-		if err != nil {
-			return &failure{code: ExitUsage, cause: err}
-		}
-		k, err := client.NewOperator(o.ControlURLs(), client.WithToken(token), client.WithTimeout(o.Timeout()))
+		defer k.Close()
+		tracing, err := telemetry.NewTracing(ctx, telemetry.NewOrigin(string(settings.RoleOperator), c.Name, ""),
+			telemetry.WithFile(o.TraceFile()), telemetry.WithOTLP(o.TraceOTLP()))
 		if err != nil {
 			return &failure{code: ExitUsage, cause: err}
 		}
-		defer k.Close()
+		defer func() {
+			// A collector that is away must not fail a command that was done.
+			ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), exportTimeout)
+			defer cancel()
+			if e := tracing.Shutdown(ctx); e != nil {
+				_, _ = fmt.Fprintf(c.Root().ErrWriter, "%s: %s\n", c.Root().Name, plainLines(e.Error()))
+			}
+		}()
+		ctx, span := tracing.Tracer().Start(ctx, c.Name)
+		defer span.End()
 		return action(&session{ctx: ctx, cmd: c, client: k, out: c.Root().Writer})
 	}
 }
 
+// open reads the settings and returns a client of the control hosts that they name.
+func open(c *cli.Command) (o settings.Operator, k *client.Operator, err error) {
+	file := c.String(settingsFlag)
+	if file == "" {
+		return o, nil, fmt.Errorf("--%s FILE is required", settingsFlag)
+	}
+	if o, err = settings.LoadOperator(file); err != nil {
+		return o, nil, err
+	}
+	token, err := readToken(o.TokenFile())
+	if err != nil {
+		return o, nil, err
+	}
+	k, err = client.NewOperator(o.ControlURLs(), client.WithToken(token), client.WithTimeout(o.Timeout()),
+		client.WithHeader(telemetry.InjectHeader))
+	return o, k, err
+}
+
 // readToken returns the token in a file without the white space around it.
 func readToken(file string) (token string, err error) {
 	if file == "" {
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -110,7 +110,7 @@
 	tokenFileKey   = path("token_file", "file that holds the bearer token; empty for no token").withDefault("")
 	timeoutKey     = duration("timeout", 100*time.Millisecond, 10*time.Minute, "time for one request over all control hosts").withDefault("10s")
 
-	operatorKeys = []declared{tokenFileKey.declared, timeoutKey.declared, controlURLsKey.declared, levelKey.declared, traceKey.declared, otlpKey.declared}
+	operatorKeys = []declared{tokenFileKey.declared, timeoutKey.declared, controlURLsKey.declared, traceKey.declared, otlpKey.declared}
 )
 
 // The keys of the standin role.
--- a/internal/settings/operator.go
+++ b/internal/settings/operator.go
@@ -20,5 +20,8 @@
 // Timeout returns the time for one request over all control hosts.
 func (o Operator) Timeout() time.Duration { return timeoutKey.of(o.v) }
 
-// Telemetry returns the settings of logs and traces.
-func (o Operator) Telemetry() Telemetry { return Telemetry(o) }
+// TraceFile returns the path of the file for spans, or "".
+func (o Operator) TraceFile() string { return traceKey.of(o.v) }
+
+// TraceOTLP returns the URL of the OTLP collector, or "".
+func (o Operator) TraceOTLP() string { return otlpKey.of(o.v) }
--- a/internal/telemetry/registry.go
+++ b/internal/telemetry/registry.go
@@ -13,6 +13,8 @@
 	HeapBytesMetric     = "process.heap_bytes"
 	TraceFailuresMetric = "trace.export_failures"
 	KeyFailuresMetric   = "keys.reload_failures"
+	// KeyExpiryMetric is registered by the roles that have keys: seconds until the certificate ends.
+	KeyExpiryMetric = "keys.certificate_expires_s"
 )
 
 // Registry holds the metrics of one process.
--- a/pkg/client/attempt.go
+++ b/pkg/client/attempt.go
@@ -65,6 +65,7 @@
 		return reply{}, false, err
 	}
 	request.Header = m.header.Clone()
+	o.header(ctx, request.Header)
 	if token := o.token(); token != "" {
 		request.Header.Set("Authorization", "Bearer "+token)
 	}
--- a/pkg/client/option.go
+++ b/pkg/client/option.go
@@ -1,7 +1,9 @@
 package client
 
 import (
+	"context"
 	"fmt"
+	"net/http"
 	"net/netip"
 	"net/url"
 	"strings"
@@ -21,6 +23,7 @@
 	token   func() string
 	timeout time.Duration
 	attempt time.Duration
+	header  func(context.Context, http.Header)
 }
 
 // Option changes a client.
@@ -37,8 +40,13 @@
 // WithAttemptTimeout bounds the wait for one host; the default is 3 s for operators and no bound for callers.
 func WithAttemptTimeout(d time.Duration) Option { return func(o *options) { o.attempt = d } }
 
+// WithHeader sets a function that adds to the header of each request, such as the context of a trace.
+func WithHeader(f func(context.Context, http.Header)) Option {
+	return func(o *options) { o.header = f }
+}
+
 func newOptions(timeout, attempt time.Duration, list []Option) options {
-	o := options{timeout: timeout, attempt: attempt, token: func() string { return "" }}
+	o := options{timeout: timeout, attempt: attempt, token: func() string { return "" }, header: func(context.Context, http.Header) {}}
 	for _, set := range list {
 		set(&o)
 	}
