Serve operators with the bodies of the client package

Cause: the client and the control role each declared the JSON of the operators' interface, and they differed in lists, in the configuration's revision and in explanations. Conclusion: one declaration of each body.

--- a/cmd/rosemarywind/main.go
+++ b/cmd/rosemarywind/main.go
@@ -3,32 +3,26 @@
 
 import (
 	"context"
-	"fmt"
 	"os"
 	"os/signal"
 	"syscall"
 
 	"github.com/urfave/cli/v3"
-)
 
-// The exit codes; docs/operations.md lists them.
-const (
-	exitFailed   = 1
-	exitSettings = 2
+	"rosemarywind.example/rosemarywind/internal/operator"
 )
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
 	app := &cli.Command{
 		Name:  "rosemarywind",
 		Usage: "scheduler for multi-accelerator jobs under workspace guarantees",
-		Commands: []*cli.Command{
+		Commands: append([]*cli.Command{
 			entryCommand(), agentCommand(), controlCommand(), demoCommand(),
-		},
-	}
-	if err := app.Run(ctx, os.Args); err != nil {
-		fmt.Fprintln(os.Stderr, "rosemarywind:", err)
-		os.Exit(exitFailed)
+		}, operator.Commands()...),
 	}
+	app.ErrWriter = os.Stderr
+	code := operator.Execute(ctx, app, os.Args)
+	stop()
+	os.Exit(code)
 }
--- a/cmd/rosemarywind/roles.go
+++ b/cmd/rosemarywind/roles.go
@@ -24,6 +24,7 @@
 	"rosemarywind.example/rosemarywind/internal/ledger/driver"
 	"rosemarywind.example/rosemarywind/internal/ledger/storage"
 	"rosemarywind.example/rosemarywind/internal/link"
+	"rosemarywind.example/rosemarywind/internal/operator"
 	"rosemarywind.example/rosemarywind/internal/settings"
 	"rosemarywind.example/rosemarywind/internal/telemetry"
 )
@@ -53,7 +54,7 @@
 func runEntry(ctx context.Context, file string) error {
 	s, err := settings.LoadEntry(file)
 	if err != nil {
-		return cli.Exit(err.Error(), exitSettings)
+		return operator.BadSettings(err)
 	}
 	p, err := newProcess(ctx, "entry", s.Common)
 	if err != nil {
@@ -79,7 +80,7 @@
 func runAgent(ctx context.Context, file string) error {
 	s, err := settings.LoadAgent(file)
 	if err != nil {
-		return cli.Exit(err.Error(), exitSettings)
+		return operator.BadSettings(err)
 	}
 	p, err := newProcess(ctx, "agent", s.Common)
 	if err != nil {
@@ -104,7 +105,7 @@
 func runControl(ctx context.Context, file string) error {
 	s, err := settings.LoadControl(file)
 	if err != nil {
-		return cli.Exit(err.Error(), exitSettings)
+		return operator.BadSettings(err)
 	}
 	p, err := newProcess(ctx, "control", s.Common)
 	if err != nil {
--- a/internal/control/api.go
+++ b/internal/control/api.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -14,12 +13,12 @@
 
 	"rosemarywind.example/rosemarywind/internal/ledger/driver"
 	"rosemarywind.example/rosemarywind/internal/registry"
+	"rosemarywind.example/rosemarywind/pkg/client"
 	"rosemarywind.example/rosemarywind/pkg/outcome"
 )
 
 const (
-	requestIDHeader = "Rosemarywind-Request-Id"
-	maxAPIBody      = 4 << 20
+	maxAPIBody = 4 << 20
 )
 
 // api is the operators' HTTP interface.
@@ -56,16 +55,16 @@
 func (a *api) route(pattern string, f apiHandler) {
 	a.mux.HandleFunc(pattern, func(w http.ResponseWriter, h *http.Request) {
 		if status := a.control.leading(); status != nil {
-			writeError(w, http.StatusMisdirectedRequest, errorForm{
-				Outcome: outcome.NotRun, Reason: outcome.ControlAway, Message: "this control host is not the leader",
+			writeError(w, http.StatusMisdirectedRequest, client.RefusalBody{
+				Outcome: string(outcome.NotRun), Reason: string(outcome.ControlAway), Message: "this control host is not the leader",
 				Leader: status.Leader(),
 			})
 			return
 		}
 		p, ok := a.control.identify(h)
 		if !ok {
-			writeError(w, http.StatusUnauthorized, errorForm{
-				Outcome: outcome.NotRun, Reason: outcome.Unauthorized, Message: "the token is not known",
+			writeError(w, http.StatusUnauthorized, client.RefusalBody{
+				Outcome: string(outcome.NotRun), Reason: string(outcome.Unauthorized), Message: "the token is not known",
 			})
 			return
 		}
@@ -82,26 +81,26 @@
 	switch {
 	case err == nil:
 	case errors.As(err, &notLeader):
-		writeError(w, http.StatusMisdirectedRequest, errorForm{
-			Outcome: outcome.NotRun, Reason: outcome.ControlAway, Message: err.Error(), Leader: notLeader.Address(),
+		writeError(w, http.StatusMisdirectedRequest, client.RefusalBody{
+			Outcome: string(outcome.NotRun), Reason: string(outcome.ControlAway), Message: err.Error(), Leader: notLeader.Address(),
 		})
 		return nil, false
 	default:
-		writeError(w, http.StatusServiceUnavailable, errorForm{
-			Outcome: outcome.MayHaveRun, Reason: outcome.ControlAway, Message: err.Error(),
+		writeError(w, http.StatusServiceUnavailable, client.RefusalBody{
+			Outcome: string(outcome.MayHaveRun), Reason: string(outcome.ControlAway), Message: err.Error(),
 		})
 		return nil, false
 	}
 	switch t := r.(type) {
 	case registry.Conflict:
-		writeError(w, http.StatusConflict, errorForm{
-			Outcome: outcome.NotRun, Reason: outcome.RevisionConflict, Revision: t.Revision(),
+		writeError(w, http.StatusConflict, client.RefusalBody{
+			Outcome: string(outcome.NotRun), Reason: string(outcome.RevisionConflict), Revision: t.Revision(),
 			Message: fmt.Sprintf("another change was first; the revision in force is %d", t.Revision()),
 		})
 		return nil, false
 	case registry.Denied:
-		writeError(w, http.StatusConflict, errorForm{
-			Outcome: outcome.NotRun, Reason: outcome.BadRequest, Message: t.Reason(),
+		writeError(w, http.StatusConflict, client.RefusalBody{
+			Outcome: string(outcome.NotRun), Reason: string(outcome.BadRequest), Message: t.Reason(),
 		})
 		return nil, false
 	case registry.Accepted, registry.Claimed, registry.Known:
@@ -111,41 +110,37 @@
 
 func (a *api) endpoints(w http.ResponseWriter, _ *http.Request, _ principal) {
 	roster := a.control.board.roster.Load()
-	list := []endpointForm{}
+	body := client.EndpointsBody{Endpoints: []client.EndpointBody{}}
 	for _, e := range roster.snapshot.All() {
 		n, _ := roster.inFlight.Get(e.Name())
-		list = append(list, endpointForm{
+		body.Endpoints = append(body.Endpoints, client.EndpointBody{
 			Name: e.Name(), AvailabilityZone: string(e.Worker().AvailabilityZone()), Rack: string(e.Worker().Rack()),
 			State: string(e.State()), Slots: e.Slots(), InFlight: n, Accelerators: e.Worker().Accelerators(),
 		})
 	}
-	writeJSON(w, http.StatusOK, list)
+	writeJSON(w, http.StatusOK, body)
 }
 
 func (a *api) drain(w http.ResponseWriter, h *http.Request, p principal) {
 	if !only(w, p) {
 		return
 	}
-	f := drainForm{Drained: true}
-	if err := json.NewDecoder(h.Body).Decode(&f); err != nil && !errors.Is(err, io.EOF) {
-		badRequest(w, err)
-		return
-	}
-	c := registry.NewDrainEndpoint(h.Header.Get(requestIDHeader), h.PathValue("name"), f.Drained, time.Now())
+	drained := h.URL.Query().Get("undo") != "true"
+	c := registry.NewDrainEndpoint(h.Header.Get(client.RequestIDHeader), h.PathValue("name"), drained, time.Now())
 	if _, ok := a.propose(w, h, c); ok {
-		writeJSON(w, http.StatusOK, f)
+		writeJSON(w, http.StatusOK, struct{}{})
 	}
 }
 
 func (a *api) jobs(w http.ResponseWriter, _ *http.Request, p principal) {
-	list := []jobForm{}
+	body := client.JobsBody{Jobs: []client.JobBody{}}
 	for _, j := range a.control.board.state.Load().Jobs().All() {
 		if may(p, j.Spec().Workspace()) {
-			list = append(list, toJobForm(j))
+			body.Jobs = append(body.Jobs, toJobBody(j))
 		}
 	}
-	slices.SortFunc(list, func(x, y jobForm) int { return cmp.Compare(x.ID, y.ID) })
-	writeJSON(w, http.StatusOK, list)
+	slices.SortFunc(body.Jobs, func(x, y client.JobBody) int { return cmp.Compare(x.ID, y.ID) })
+	writeJSON(w, http.StatusOK, body)
 }
 
 // only refuses everyone but operators.
@@ -155,20 +150,20 @@
 		return true
 	case caller:
 	}
-	writeError(w, http.StatusForbidden, errorForm{
-		Outcome: outcome.NotRun, Reason: outcome.Unauthorized, Message: "only an operator may do this",
+	writeError(w, http.StatusForbidden, client.RefusalBody{
+		Outcome: string(outcome.NotRun), Reason: string(outcome.Unauthorized), Message: "only an operator may do this",
 	})
 	return false
 }
 
 func badRequest(w http.ResponseWriter, err error) {
-	writeError(w, http.StatusBadRequest, errorForm{
-		Outcome: outcome.NotRun, Reason: outcome.BadRequest, Message: err.Error(),
+	writeError(w, http.StatusBadRequest, client.RefusalBody{
+		Outcome: string(outcome.NotRun), Reason: string(outcome.BadRequest), Message: err.Error(),
 	})
 }
 
-func writeError(w http.ResponseWriter, status int, f errorForm) {
-	w.Header().Set(outcome.Header, string(f.Outcome))
+func writeError(w http.ResponseWriter, status int, f client.RefusalBody) {
+	w.Header().Set(outcome.Header, f.Outcome)
 	if status == http.StatusServiceUnavailable {
 		w.Header().Set("Retry-After", "1")
 	}
--- a/internal/control/declarations.go
+++ b/internal/control/declarations.go
@@ -12,6 +12,7 @@
 	"rosemarywind.example/rosemarywind/internal/plan"
 	"rosemarywind.example/rosemarywind/internal/registry"
 	"rosemarywind.example/rosemarywind/internal/workspace"
+	"rosemarywind.example/rosemarywind/pkg/client"
 )
 
 func (a *api) config(w http.ResponseWriter, _ *http.Request, p principal) {
@@ -19,7 +20,9 @@
 		return
 	}
 	c := a.control.board.state.Load().Config()
-	writeJSON(w, http.StatusOK, configForm{Revision: c.Revision(), Text: string(declaration.Format(c))})
+	w.Header().Set(client.RevisionHeader, strconv.FormatUint(c.Revision(), 10))
+	w.Header().Set("Content-Type", "application/toml")
+	_, _ = w.Write(declaration.Format(c))
 }
 
 // apply replaces the configuration by the declared one; a declaration that changes nothing keeps the revision.
@@ -42,7 +45,7 @@
 		badRequest(w, err)
 		return
 	}
-	f := applyForm{Revision: current.Revision(), Changes: []string{}}
+	f := client.ApplyBody{Revision: current.Revision(), Changes: []string{}}
 	for _, c := range declaration.Diff(current, next) {
 		f.Changes = append(f.Changes, c.String())
 	}
@@ -51,7 +54,7 @@
 		writeJSON(w, http.StatusOK, f)
 		return
 	}
-	c := registry.NewApplyConfig(h.Header.Get(requestIDHeader), base, next, time.Now())
+	c := registry.NewApplyConfig(h.Header.Get(client.RequestIDHeader), base, next, time.Now())
 	r, ok := a.propose(w, h, c)
 	if !ok {
 		return
--- a/internal/control/jobs.go
+++ b/internal/control/jobs.go
@@ -10,11 +10,12 @@
 	"rosemarywind.example/rosemarywind/internal/job"
 	"rosemarywind.example/rosemarywind/internal/registry"
 	"rosemarywind.example/rosemarywind/internal/workspace"
+	"rosemarywind.example/rosemarywind/pkg/client"
 	"rosemarywind.example/rosemarywind/pkg/outcome"
 )
 
 func (a *api) submit(w http.ResponseWriter, h *http.Request, p principal) {
-	var f submitForm
+	var f client.SubmitBody
 	decoder := json.NewDecoder(h.Body)
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(&f); err != nil {
@@ -22,16 +23,16 @@
 		return
 	}
 	if !may(p, f.Workspace) {
-		writeError(w, http.StatusForbidden, errorForm{
-			Outcome: outcome.NotRun, Reason: outcome.Unauthorized, Message: "the token is bound to another workspace",
+		writeError(w, http.StatusForbidden, client.RefusalBody{
+			Outcome: string(outcome.NotRun), Reason: string(outcome.Unauthorized), Message: "the token is bound to another workspace",
 		})
 		return
 	}
-	requestID := h.Header.Get(requestIDHeader)
+	requestID := h.Header.Get(client.RequestIDHeader)
 	if requestID == "" {
 		requestID = rand.Text()
 	}
-	spec, err := f.spec("j-"+requestID, time.Now())
+	spec, err := specOf(f, "j-"+requestID, time.Now())
 	if err != nil {
 		badRequest(w, err)
 		return
@@ -40,14 +41,14 @@
 		return
 	}
 	if j, ok := a.control.board.state.Load().Jobs().Get(spec.ID()); ok {
-		writeJSON(w, http.StatusOK, toJobForm(j))
+		writeJSON(w, http.StatusOK, toJobBody(j))
 		return
 	}
-	writeJSON(w, http.StatusOK, toJobForm(job.New(spec)))
+	writeJSON(w, http.StatusOK, toJobBody(job.New(spec)))
 }
 
-func (f submitForm) spec(id string, now time.Time) (s job.Spec, err error) {
-	shape, err := workspace.NewShape(f.Shape.Members, f.Shape.Accelerators, f.Shape.Adjacency)
+func specOf(f client.SubmitBody, id string, now time.Time) (s job.Spec, err error) {
+	shape, err := workspace.NewShape(f.Shape.Members, f.Shape.Accelerators, workspace.Adjacency(f.Shape.Adjacency))
 	if err != nil {
 		return job.Spec{}, err
 	}
@@ -55,20 +56,20 @@
 	if err != nil {
 		return job.Spec{}, err
 	}
-	if f.RunTimeSeconds < 0 {
+	if f.RunTimeS < 0 {
 		return job.Spec{}, fmt.Errorf("run_time_s must not be negative")
 	}
 	return job.NewSpec(id, f.Workspace, shape, now,
 		job.WithUrgency(urgency), job.WithIdempotent(f.Idempotent), job.WithCheckpointable(f.Checkpointable),
-		job.WithRunTime(time.Duration(f.RunTimeSeconds*float64(time.Second))), job.WithPayload(f.Payload))
+		job.WithRunTime(time.Duration(f.RunTimeS*float64(time.Second))), job.WithPayload(f.Payload))
 }
 
 // find returns the job of the request if the principal may see it.
 func (a *api) find(w http.ResponseWriter, h *http.Request, p principal) (j job.Job, ok bool) {
 	j, ok = a.control.board.state.Load().Jobs().Get(h.PathValue("id"))
 	if !ok || !may(p, j.Spec().Workspace()) {
-		writeError(w, http.StatusNotFound, errorForm{
-			Outcome: outcome.NotRun, Reason: outcome.BadRequest, Message: "the job does not exist",
+		writeError(w, http.StatusNotFound, client.RefusalBody{
+			Outcome: string(outcome.NotRun), Reason: string(outcome.BadRequest), Message: "the job does not exist",
 		})
 		return job.Job{}, false
 	}
@@ -77,7 +78,7 @@
 
 func (a *api) job(w http.ResponseWriter, h *http.Request, p principal) {
 	if j, ok := a.find(w, h, p); ok {
-		writeJSON(w, http.StatusOK, toJobForm(j))
+		writeJSON(w, http.StatusOK, toJobBody(j))
 	}
 }
 
@@ -86,11 +87,11 @@
 	if !ok {
 		return
 	}
-	text, ok := a.control.board.explains.Load().Get(j.Spec().ID())
-	if !ok || j.State() != job.Queued {
-		text = fmt.Sprintf("%s: %s", j.State(), j.Reason())
+	body := client.ExplainBody{ID: j.Spec().ID(), State: string(j.State()), Reason: j.Reason(), Details: []string{}}
+	if text, ok := a.control.board.explains.Load().Get(j.Spec().ID()); ok && j.State() == job.Queued {
+		body.Details = append(body.Details, text)
 	}
-	writeJSON(w, http.StatusOK, explainForm{ID: j.Spec().ID(), Explanation: text})
+	writeJSON(w, http.StatusOK, body)
 }
 
 func (a *api) cancel(w http.ResponseWriter, h *http.Request, p principal) {
@@ -98,11 +99,11 @@
 	if !ok {
 		return
 	}
-	c := registry.NewCancelJob(h.Header.Get(requestIDHeader), j.Spec().ID(), scope(p), time.Now())
+	c := registry.NewCancelJob(h.Header.Get(client.RequestIDHeader), j.Spec().ID(), scope(p), time.Now())
 	if _, ok := a.propose(w, h, c); !ok {
 		return
 	}
 	if j, ok = a.control.board.state.Load().Jobs().Get(j.Spec().ID()); ok {
-		writeJSON(w, http.StatusOK, toJobForm(j))
+		writeJSON(w, http.StatusOK, toJobBody(j))
 	}
 }
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -11,12 +11,14 @@
 
 	"rosemarywind.example/rosemarywind"
 	"rosemarywind.example/rosemarywind/internal/keys"
+	"rosemarywind.example/rosemarywind/pkg/client"
 )
 
 const (
 	limit          = 25 * time.Second
 	requestsOfEach = 50
 	threads        = 16
+	workers        = 11
 )
 
 // names are the workspaces of the demo; the first is the one that submits the gang.
@@ -32,14 +34,17 @@
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	s, err := rosemarywind.New(now, rosemarywind.WithFolder(folder), rosemarywind.WithLogger(logger),
-		rosemarywind.WithHosts(1, 2, 11))
+		rosemarywind.WithHosts(1, 2, workers))
+	if err != nil {
+		return err
+	}
+	d, err := newDriver(s)
 	if err != nil {
 		return err
 	}
 	running, stop := context.WithCancel(ctx)
 	var g errgroup.Group
 	g.Go(func() error { return s.Run(running) })
-	d := newDriver(s)
 	table, err := d.drive(ctx)
 	stop()
 	if runErr := g.Wait(); err == nil {
@@ -53,25 +58,26 @@
 
 // driver sends the work of the demo.
 type driver struct {
-	system *rosemarywind.System
-	tokens map[string]string
-	client *apiClient
+	system   *rosemarywind.System
+	tokens   map[string]string
+	operator *client.Operator
 }
 
-func newDriver(s *rosemarywind.System) *driver {
-	d := &driver{system: s, tokens: map[string]string{}, client: newAPIClient(s.ControlURLs()[0], s.OperatorToken())}
+func newDriver(s *rosemarywind.System) (d *driver, err error) {
+	d = &driver{system: s, tokens: map[string]string{}}
 	for _, n := range names {
 		d.tokens[n] = keys.NewToken()
 	}
-	return d
+	d.operator, err = client.NewOperator(s.ControlURLs(), client.WithToken(s.OperatorToken()))
+	return d, err
 }
 
 // drive declares the workspaces, waits until they are in force, and runs all work at once.
 func (d *driver) drive(ctx context.Context) (t *table, err error) {
-	if err = d.client.awaitEndpoints(ctx, 11); err != nil {
+	if err = d.awaitEndpoints(ctx, workers); err != nil {
 		return nil, err
 	}
-	if err = d.client.apply(ctx, declarationOf(d.tokens)); err != nil {
+	if _, err = d.operator.Apply(ctx, declarationOf(d.tokens), 0, ""); err != nil {
 		return nil, err
 	}
 	if err = d.awaitInForce(ctx); err != nil {
@@ -89,11 +95,11 @@
 // gang submits a job with two members of eight accelerators in one rack, and waits for its end.
 func (d *driver) gang(ctx context.Context, t *table) error {
 	began := time.Now()
-	id, err := d.client.submit(ctx, names[0])
+	j, err := d.operator.Submit(ctx, client.NewSubmission(names[0], 2, 8, "rack", client.WithPayload("sleep 300ms")), "")
 	if err != nil {
 		return err
 	}
-	j, err := d.client.awaitDone(ctx, id)
+	j, err = d.awaitDone(ctx, j.ID())
 	if err != nil {
 		return err
 	}
--- a/internal/demo/requests.go
+++ b/internal/demo/requests.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"rosemarywind.example/rosemarywind/internal/clock"
+	"rosemarywind.example/rosemarywind/pkg/client"
 	"rosemarywind.example/rosemarywind/pkg/outcome"
 )
 
@@ -77,9 +78,9 @@
 		return 0, "", nil, err
 	}
 	h.Header.Set("Authorization", "Bearer "+d.tokens[name])
-	h.Header.Set("Rosemarywind-Urgency", urgency)
+	h.Header.Set(client.UrgencyHeader, urgency)
 	if key != "" {
-		h.Header.Set("Idempotency-Key", key)
+		h.Header.Set(client.KeyHeader, key)
 	}
 	answer, err := http.DefaultClient.Do(h)
 	if err != nil {
--- a/internal/demo/table.go
+++ b/internal/demo/table.go
@@ -7,6 +7,8 @@
 	"sync"
 	"text/tabwriter"
 	"time"
+
+	"rosemarywind.example/rosemarywind/pkg/client"
 )
 
 // verdict is the judgement of one request.
@@ -39,12 +41,12 @@
 	t.row(name, kind+" requests").add(v)
 }
 
-func (t *table) gang(j jobView, took time.Duration) {
+func (t *table) gang(j client.Job, took time.Duration) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	r := t.row("gang 2x8", "job")
-	r.add(verdict{ok: j.result == "succeeded", took: took})
-	r.note = j.result + ": " + j.reason
+	r.add(verdict{ok: j.Result() == "succeeded", took: took})
+	r.note = j.Result() + ": " + j.Reason()
 }
 
 func (t *table) row(name, kind string) *row {
--- a/internal/entry/parse.go
+++ b/internal/entry/parse.go
@@ -9,14 +9,7 @@
 
 	"rosemarywind.example/rosemarywind/internal/job"
 	"rosemarywind.example/rosemarywind/internal/request"
-)
-
-// The names of the headers that callers send.
-const (
-	headerKey        = "Idempotency-Key"
-	headerUrgency    = "Rosemarywind-Urgency"
-	headerIdempotent = "Rosemarywind-Idempotent"
-	headerDeadline   = "Rosemarywind-Deadline-Ms"
+	"rosemarywind.example/rosemarywind/pkg/client"
 )
 
 const (
@@ -28,7 +21,7 @@
 var hopHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "Te", "Trailer",
 	"Transfer-Encoding", "Upgrade", "Content-Length", "Authorization",
-	headerUrgency, headerIdempotent, headerDeadline,
+	client.UrgencyHeader, client.IdempotentHeader, client.DeadlineHeader,
 }
 
 // form is a caller's request before its body is read.
@@ -50,15 +43,15 @@
 		return form{}, fmt.Errorf("the path must begin with %s{workspace}/", workspacePrefix)
 	}
 	name, path, _ := strings.Cut(rest, "/")
-	f = form{workspace: name, method: h.Method, target: "/" + path, key: h.Header.Get(headerKey)}
+	f = form{workspace: name, method: h.Method, target: "/" + path, key: h.Header.Get(client.KeyHeader)}
 	if h.URL.RawQuery != "" {
 		f.target += "?" + h.URL.RawQuery
 	}
 	if len(f.key) > maxKeyBytes || strings.ContainsRune(f.key, 0) {
-		return form{}, fmt.Errorf("%s must have at most %d bytes", headerKey, maxKeyBytes)
+		return form{}, fmt.Errorf("%s must have at most %d bytes", client.KeyHeader, maxKeyBytes)
 	}
 	f.token = strings.TrimPrefix(h.Header.Get("Authorization"), "Bearer ")
-	if f.urgency, err = job.ParseUrgency(h.Header.Get(headerUrgency)); err != nil {
+	if f.urgency, err = job.ParseUrgency(h.Header.Get(client.UrgencyHeader)); err != nil {
 		return form{}, err
 	}
 	if f.idempotent, err = idempotent(h); err != nil {
@@ -79,14 +72,14 @@
 
 // idempotent follows the header, else the method's definition in HTTP.
 func idempotent(h *http.Request) (yes bool, err error) {
-	switch v := h.Header.Get(headerIdempotent); v {
+	switch v := h.Header.Get(client.IdempotentHeader); v {
 	case "yes":
 		return true, nil
 	case "no":
 		return false, nil
 	case "":
 	default:
-		return false, fmt.Errorf("%s must be yes or no, not %q", headerIdempotent, v)
+		return false, fmt.Errorf("%s must be yes or no, not %q", client.IdempotentHeader, v)
 	}
 	switch h.Method {
 	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodPut, http.MethodDelete:
@@ -97,13 +90,13 @@
 }
 
 func deadline(h *http.Request, standard, longest time.Duration) (d time.Duration, err error) {
-	v := h.Header.Get(headerDeadline)
+	v := h.Header.Get(client.DeadlineHeader)
 	if v == "" {
 		return standard, nil
 	}
 	ms, err := strconv.ParseInt(v, 10, 64)
 	if err != nil || ms < 1 || ms > longest.Milliseconds() {
-		return 0, fmt.Errorf("%s must be a number from 1 to %d", headerDeadline, longest.Milliseconds())
+		return 0, fmt.Errorf("%s must be a number from 1 to %d", client.DeadlineHeader, longest.Milliseconds())
 	}
 	return time.Duration(ms) * time.Millisecond, nil
 }
--- a/internal/operator/exit.go
+++ b/internal/operator/exit.go
@@ -93,3 +93,6 @@
 		prepare(s)
 	}
 }
+
+// BadSettings returns an error that ends the process with ExitUsage.
+func BadSettings(err error) error { return &failure{code: ExitUsage, cause: err} }
