Bring the operators' client in line with the control hosts' interface

The client was written before the interface that control hosts serve: it expected lists in an object, the revision of the configuration in a header, an explanation in several lines, and a leader named by its HTTP address.

Control hosts name the leader by its id or by the address of the replication protocol. The client follows a URL, a known host with the named address, or the only known host with the named IP; it goes on to its other hosts in every other case, because a token that is sent to another port of the leader could reach another program. diff ends with exit code 3 when its base is not the present revision, because a dry run does not check the base.

--- a/internal/operator/apply.go
+++ b/internal/operator/apply.go
@@ -54,18 +54,24 @@
 	}
 	revision, ok := s.base(text)
 	if !ok {
-		if _, revision, err = s.client.Config(s.ctx); err != nil {
+		c, err := s.client.Config(s.ctx)
+		if err != nil {
 			return err
 		}
+		revision = c.Revision()
 	}
 	a, err := s.client.DryApply(s.ctx, text, revision)
 	if err != nil {
 		return err
 	}
-	return s.print(a, func(w io.Writer) {
+	err = s.print(a, func(w io.Writer) {
 		printChanges(w, a)
-		_, _ = fmt.Fprintf(w, "%d changes to revision %d\n", len(a.Changes()), revision)
+		_, _ = fmt.Fprintf(w, "%d changes to revision %d\n", len(a.Changes()), a.Revision())
 	})
+	if err == nil && a.Revision() != revision {
+		err = &failure{code: ExitConflict, cause: fmt.Errorf("the base is revision %d, the present one is %d", revision, a.Revision())}
+	}
+	return err
 }
 
 // declaration returns the text of the file, refused here already when it is bad.
--- a/internal/operator/exit.go
+++ b/internal/operator/exit.go
@@ -45,6 +45,10 @@
 	if errors.As(err, &own) {
 		return own.code
 	}
+	var coded cli.ExitCoder
+	if errors.As(err, &coded) {
+		return coded.ExitCode()
+	}
 	var f client.Failure
 	if !errors.As(err, &f) {
 		return ExitFailed
--- a/internal/operator/job.go
+++ b/internal/operator/job.go
@@ -101,10 +101,7 @@
 		return err
 	}
 	return s.print(e, func(w io.Writer) {
-		_, _ = fmt.Fprintf(w, "%s is %s: %s\n", plain(e.ID()), plain(e.State()), plain(e.Reason()))
-		for _, d := range e.Details() {
-			_, _ = fmt.Fprintf(w, "  %s\n", plain(d))
-		}
+		_, _ = fmt.Fprintln(w, plainLines(e.Text()))
 	})
 }
 
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -17,7 +17,8 @@
 }
 
 func drainCommand() *cli.Command {
-	return remote("drain", "make an endpoint leave after its requests in flight", "ENDPOINT", drain, requestID())
+	return remote("drain", "make an endpoint leave after its requests in flight", "ENDPOINT", drain,
+		&cli.BoolFlag{Name: "undo", Usage: "let the endpoint take new work again"}, requestID())
 }
 
 func status(s *session) (err error) {
@@ -37,7 +38,7 @@
 		if err != nil {
 			return err
 		}
-		return s.print(map[string]any{"jobs": jobs}, func(w io.Writer) { table(w, jobRows(jobs...)) })
+		return s.print(jobs, func(w io.Writer) { table(w, jobRows(jobs...)) })
 	}
 }
 
@@ -54,12 +55,12 @@
 }
 
 func (s *session) statusConfig() (err error) {
-	text, revision, err := s.client.Config(s.ctx)
+	c, err := s.client.Config(s.ctx)
 	if err != nil {
 		return err
 	}
-	return s.print(map[string]any{"revision": revision, "text": string(text)}, func(w io.Writer) {
-		_, _ = fmt.Fprintf(w, "%s%d\n%s", revisionPrefix, revision, plainLines(string(text)))
+	return s.print(c, func(w io.Writer) {
+		_, _ = fmt.Fprintf(w, "%s%d\n%s", revisionPrefix, c.Revision(), plainLines(c.Text()))
 	})
 }
 
@@ -68,7 +69,7 @@
 	if err != nil {
 		return err
 	}
-	return s.print(map[string]any{"endpoints": endpoints}, func(w io.Writer) { table(w, endpointRows(endpoints)) })
+	return s.print(endpoints, func(w io.Writer) { table(w, endpointRows(endpoints)) })
 }
 
 func endpointRows(endpoints []client.Endpoint) (rows [][]string) {
@@ -87,10 +88,18 @@
 	if err != nil {
 		return err
 	}
-	if err = s.client.Drain(s.ctx, name, s.cmd.String(requestIDFlag)); err != nil {
+	undo, id := s.cmd.Bool("undo"), s.cmd.String(requestIDFlag)
+	text := "takes no new work"
+	if undo {
+		text = "takes new work"
+		err = s.client.Undrain(s.ctx, name, id)
+	} else {
+		err = s.client.Drain(s.ctx, name, id)
+	}
+	if err != nil {
 		return err
 	}
-	return s.print(map[string]string{"endpoint": name, "state": "leaving"}, func(w io.Writer) {
-		_, _ = fmt.Fprintf(w, "%s is leaving\n", plain(name))
+	return s.print(map[string]any{"endpoint": name, "drained": !undo}, func(w io.Writer) {
+		_, _ = fmt.Fprintf(w, "%s %s\n", plain(name), text)
 	})
 }
--- a/pkg/client/encoding.go
+++ b/pkg/client/encoding.go
@@ -28,9 +28,10 @@
 	Adjacency    string `json:"adjacency"`
 }
 
-// JobsBody is the answer to GET /v1/jobs.
-type JobsBody struct {
-	Jobs []JobBody `json:"jobs"`
+// ConfigBody is the answer to GET /v1/config: the TOML text of the configuration.
+type ConfigBody struct {
+	Revision uint64 `json:"revision"`
+	Text     string `json:"text"`
 }
 
 // SubmitBody is the body of POST /v1/jobs.
@@ -44,12 +45,10 @@
 	Payload        string    `json:"payload"`
 }
 
-// ExplainBody is the answer to GET /v1/jobs/{id}/explain: why a job is in its state, in one line each.
+// ExplainBody is the answer to GET /v1/jobs/{id}/explain: why a job is in its state.
 type ExplainBody struct {
-	ID      string   `json:"id"`
-	State   string   `json:"state"`
-	Reason  string   `json:"reason"`
-	Details []string `json:"details"`
+	ID          string `json:"id"`
+	Explanation string `json:"explanation"`
 }
 
 // EndpointBody is an endpoint as control hosts send it.
@@ -63,9 +62,9 @@
 	Accelerators     int    `json:"accelerators"`
 }
 
-// EndpointsBody is the answer to GET /v1/endpoints.
-type EndpointsBody struct {
-	Endpoints []EndpointBody `json:"endpoints"`
+// DrainBody is the body of POST /v1/endpoints/{name}/drain and its answer.
+type DrainBody struct {
+	Drained bool `json:"drained"`
 }
 
 // ApplyBody is the answer to POST /v1/apply.
--- a/pkg/client/header.go
+++ b/pkg/client/header.go
@@ -4,8 +4,6 @@
 const (
 	// RequestIDHeader holds the id by which a host recognizes a request that is sent again.
 	RequestIDHeader = "Rosemarywind-Request-Id"
-	// RevisionHeader holds the revision of the text that GET /v1/config answers.
-	RevisionHeader = "Rosemarywind-Revision"
 	// KeyHeader holds the key by which an entry host recognizes a caller's retry.
 	KeyHeader = "Idempotency-Key"
 	// UrgencyHeader holds urgent or patient.
--- a/pkg/client/job.go
+++ b/pkg/client/job.go
@@ -56,14 +56,8 @@
 // ID returns the id of the job.
 func (e Explanation) ID() string { return e.body.ID }
 
-// State returns how far the job has come.
-func (e Explanation) State() string { return e.body.State }
-
-// Reason returns the reason in short.
-func (e Explanation) Reason() string { return e.body.Reason }
-
-// Details returns what the planner found, one line each.
-func (e Explanation) Details() []string { return e.body.Details }
+// Text returns why the job is in its state.
+func (e Explanation) Text() string { return e.body.Explanation }
 
 // MarshalJSON returns the explanation as the control host sent it.
 func (e Explanation) MarshalJSON() ([]byte, error) { return json.Marshal(e.body) }
--- a/pkg/client/option.go
+++ b/pkg/client/option.go
@@ -68,11 +68,34 @@
 	return hosts, nil
 }
 
-// leaderHost returns the base URL of a leader that a follower named as a URL or as IP:port.
-func leaderHost(leader string) (host string, ok bool) {
-	address, _ := strings.CutPrefix(strings.TrimSuffix(leader, "/"), "http://")
-	if _, err := netip.ParseAddrPort(address); err != nil {
+// leaderHost returns the base URL of the leader that a follower named: a URL is taken as it is, and
+// an IP:port means the only known host with this address, or else with this IP. The token is never
+// sent to an address that is neither known nor named as a URL, because something else may listen there.
+func leaderHost(leader string, hosts []string) (host string, ok bool) {
+	leader = strings.TrimSuffix(leader, "/")
+	if u, err := url.Parse(leader); err == nil && u.Scheme == "http" {
+		_, err = netip.ParseAddrPort(u.Host)
+		return leader, err == nil && leader == "http://"+u.Host
+	}
+	address, err := netip.ParseAddrPort(leader)
+	if err != nil {
+		return "", false
+	}
+	var near []string
+	for _, h := range hosts {
+		u, err := url.Parse(h)
+		if err != nil {
+			continue
+		}
+		if u.Host == leader {
+			return h, true
+		}
+		if known, err := netip.ParseAddrPort(u.Host); err == nil && known.Addr() == address.Addr() {
+			near = append(near, h)
+		}
+	}
+	if len(near) != 1 {
 		return "", false
 	}
-	return "http://" + address, true
+	return near[0], true
 }
