Follow the client package in the operators' interface

Cause: two changes met; each side had moved to the other's form. Change: the control role uses the forms of pkg/client as they are now.

--- a/internal/control/api.go
+++ b/internal/control/api.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -110,37 +111,41 @@
 
 func (a *api) endpoints(w http.ResponseWriter, _ *http.Request, _ principal) {
 	roster := a.control.board.roster.Load()
-	body := client.EndpointsBody{Endpoints: []client.EndpointBody{}}
+	list := []client.EndpointBody{}
 	for _, e := range roster.snapshot.All() {
 		n, _ := roster.inFlight.Get(e.Name())
-		body.Endpoints = append(body.Endpoints, client.EndpointBody{
+		list = append(list, client.EndpointBody{
 			Name: e.Name(), AvailabilityZone: string(e.Worker().AvailabilityZone()), Rack: string(e.Worker().Rack()),
 			State: string(e.State()), Slots: e.Slots(), InFlight: n, Accelerators: e.Worker().Accelerators(),
 		})
 	}
-	writeJSON(w, http.StatusOK, body)
+	writeJSON(w, http.StatusOK, list)
 }
 
 func (a *api) drain(w http.ResponseWriter, h *http.Request, p principal) {
 	if !only(w, p) {
 		return
 	}
-	drained := h.URL.Query().Get("undo") != "true"
-	c := registry.NewDrainEndpoint(h.Header.Get(client.RequestIDHeader), h.PathValue("name"), drained, time.Now())
+	body := client.DrainBody{Drained: true}
+	if err := json.NewDecoder(h.Body).Decode(&body); err != nil && !errors.Is(err, io.EOF) {
+		badRequest(w, err)
+		return
+	}
+	c := registry.NewDrainEndpoint(h.Header.Get(client.RequestIDHeader), h.PathValue("name"), body.Drained, time.Now())
 	if _, ok := a.propose(w, h, c); ok {
-		writeJSON(w, http.StatusOK, struct{}{})
+		writeJSON(w, http.StatusOK, body)
 	}
 }
 
 func (a *api) jobs(w http.ResponseWriter, _ *http.Request, p principal) {
-	body := client.JobsBody{Jobs: []client.JobBody{}}
+	list := []client.JobBody{}
 	for _, j := range a.control.board.state.Load().Jobs().All() {
 		if may(p, j.Spec().Workspace()) {
-			body.Jobs = append(body.Jobs, toJobBody(j))
+			list = append(list, toJobBody(j))
 		}
 	}
-	slices.SortFunc(body.Jobs, func(x, y client.JobBody) int { return cmp.Compare(x.ID, y.ID) })
-	writeJSON(w, http.StatusOK, body)
+	slices.SortFunc(list, func(x, y client.JobBody) int { return cmp.Compare(x.ID, y.ID) })
+	writeJSON(w, http.StatusOK, list)
 }
 
 // only refuses everyone but operators.
--- a/internal/control/declarations.go
+++ b/internal/control/declarations.go
@@ -20,9 +20,7 @@
 		return
 	}
 	c := a.control.board.state.Load().Config()
-	w.Header().Set(client.RevisionHeader, strconv.FormatUint(c.Revision(), 10))
-	w.Header().Set("Content-Type", "application/toml")
-	_, _ = w.Write(declaration.Format(c))
+	writeJSON(w, http.StatusOK, client.ConfigBody{Revision: c.Revision(), Text: string(declaration.Format(c))})
 }
 
 // apply replaces the configuration by the declared one; a declaration that changes nothing keeps the revision.
--- a/internal/control/jobs.go
+++ b/internal/control/jobs.go
@@ -87,11 +87,11 @@
 	if !ok {
 		return
 	}
-	body := client.ExplainBody{ID: j.Spec().ID(), State: string(j.State()), Reason: j.Reason(), Details: []string{}}
-	if text, ok := a.control.board.explains.Load().Get(j.Spec().ID()); ok && j.State() == job.Queued {
-		body.Details = append(body.Details, text)
+	text, ok := a.control.board.explains.Load().Get(j.Spec().ID())
+	if !ok || j.State() != job.Queued {
+		text = fmt.Sprintf("%s: %s", j.State(), j.Reason())
 	}
-	writeJSON(w, http.StatusOK, body)
+	writeJSON(w, http.StatusOK, client.ExplainBody{ID: j.Spec().ID(), Explanation: text})
 }
 
 func (a *api) cancel(w http.ResponseWriter, h *http.Request, p principal) {
