--- a/internal/capacity/players.go
+++ b/internal/capacity/players.go
@@ -137,11 +137,12 @@
 	}
 }
 
+// ended drops the error of an exchange that the end of the measurement cut off.
 func ended(ctx context.Context, err error) error {
-	if ctx.Err() != nil {
-		return nil
+	if ctx.Err() == nil {
+		return err
 	}
-	return err
+	return nil
 }
 
 func announcementOf(n int) fleet.Announcement {
