Send watchers the change of a configuration, not all of it

Ruled out: compressing the whole text, which still grows with the workspaces. Change: a delta with its base revision; a watcher that has another base starts again with the full configuration and never takes an older revision. Conclusion: the cost of a change no longer depends on the number of workspaces.

--- a/internal/capacity/players.go
+++ b/internal/capacity/players.go
@@ -130,7 +130,7 @@
 			return ended(ctx, err)
 		}
 		p.updates.Add(1)
-		if u.Config() != nil {
+		if _, ok := u.Config(); ok {
 			p.lastAt.Store(time.Now().UnixNano())
 			p.configs.Add(1)
 		}
--- a/internal/control/streams.go
+++ b/internal/control/streams.go
@@ -10,6 +10,7 @@
 	"rosemarywind.example/rosemarywind/internal/ledger/driver"
 	"rosemarywind.example/rosemarywind/internal/link"
 	"rosemarywind.example/rosemarywind/internal/wire"
+	"rosemarywind.example/rosemarywind/internal/workspace"
 )
 
 const (
@@ -67,7 +68,7 @@
 	timer := time.NewTimer(heartbeat)
 	defer timer.Stop()
 	var sent *fleet.Snapshot
-	var revision uint64
+	config := workspace.EmptyConfig()
 	for {
 		roster, rosterChanged := c.board.roster.Watch()
 		state, stateChanged := c.board.state.Watch()
@@ -80,8 +81,8 @@
 		} else {
 			u = fleet.Diff(sent, roster.snapshot)
 		}
-		if config := state.Config(); config.Revision() > revision {
-			u, revision = u.WithConfig(config), config.Revision()
+		if next := state.Config(); next.Revision() > config.Revision() {
+			u, config = u.WithConfig(workspace.Between(config, next)), next
 		}
 		sent = roster.snapshot
 		_ = s.SetDeadline(time.Now().Add(writeTimeout))
@@ -89,7 +90,7 @@
 			return
 		}
 		timer.Reset(heartbeat)
-		if !c.awaitChange(ctx, timer, sent, revision, rosterChanged, stateChanged) {
+		if !c.awaitChange(ctx, timer, sent, config.Revision(), rosterChanged, stateChanged) {
 			return
 		}
 	}
--- a/internal/entry/watcher.go
+++ b/internal/entry/watcher.go
@@ -12,6 +12,7 @@
 	"rosemarywind.example/rosemarywind/internal/fleet"
 	"rosemarywind.example/rosemarywind/internal/link"
 	"rosemarywind.example/rosemarywind/internal/wire"
+	"rosemarywind.example/rosemarywind/internal/workspace"
 )
 
 const (
@@ -94,12 +95,14 @@
 		if err != nil {
 			return fmt.Errorf("watch %s: %w", address, err)
 		}
-		w.take(u, address, time.Now())
+		if err = w.take(u, address, time.Now()); err != nil {
+			return err
+		}
 	}
 }
 
 // take publishes an update; a configuration never goes back to an older revision.
-func (w *watcher) take(u fleet.Update, address string, now time.Time) {
+func (w *watcher) take(u fleet.Update, address string, now time.Time) (err error) {
 	old := w.board.fleet.Load()
 	if u.Full() {
 		old = fleet.NewSnapshot(0, keepLoads(old, u.Changed()))
@@ -107,13 +110,32 @@
 	} else if len(u.Changed())+len(u.Removed()) > 0 {
 		w.board.fleet.Publish(old.With(u.Revision(), u.Changed(), u.Removed()))
 	}
-	if c := u.Config(); c != nil {
-		if p := w.board.policy.Load(); c.Revision() > p.config.Revision() {
-			w.board.policy.Publish(p.with(c))
-			w.logger.Info("configuration in force", "revision", c.Revision())
+	if d, ok := u.Config(); ok {
+		if err = w.takeConfig(d); err != nil {
+			return err
 		}
 	}
 	w.board.control.Publish(Control{leader: address, heardAt: now})
+	return nil
+}
+
+// takeConfig publishes a configuration that is newer than the one in force; a change from another base is an error.
+func (w *watcher) takeConfig(d workspace.Delta) (err error) {
+	p := w.board.policy.Load()
+	if d.Revision() <= p.config.Revision() {
+		return nil
+	}
+	base := p.config
+	if d.Base() == 0 {
+		base = workspace.EmptyConfig()
+	}
+	next, err := base.With(d)
+	if err != nil {
+		return fmt.Errorf("take configuration: %w", err)
+	}
+	w.board.policy.Publish(p.with(next))
+	w.logger.Info("configuration in force", "revision", next.Revision())
+	return nil
 }
 
 // keepLoads carries the load counters over to a full list of endpoints.
--- a/internal/fleet/announcement.go
+++ b/internal/fleet/announcement.go
@@ -51,7 +51,7 @@
 	revision uint64
 	changed  []Endpoint
 	removed  []string
-	config   *workspace.Config
+	config   *workspace.Delta
 }
 
 // NewUpdate returns a change of the fleet; a full one replaces all that the watcher has.
@@ -59,9 +59,9 @@
 	return Update{full: full, revision: revision, changed: changed, removed: removed}
 }
 
-// WithConfig returns the update together with a new configuration.
-func (u Update) WithConfig(c *workspace.Config) Update {
-	u.config = c
+// WithConfig returns the update together with a change of the configuration.
+func (u Update) WithConfig(d workspace.Delta) Update {
+	u.config = &d
 	return u
 }
 
@@ -77,8 +77,13 @@
 // Removed returns the names of the endpoints that are gone.
 func (u Update) Removed() []string { return u.removed }
 
-// Config returns the new configuration, nil when it has not changed.
-func (u Update) Config() *workspace.Config { return u.config }
+// Config returns the change of the configuration, if there is one.
+func (u Update) Config() (d workspace.Delta, ok bool) {
+	if u.config == nil {
+		return workspace.Delta{}, false
+	}
+	return *u.config, true
+}
 
 // Diff returns the update that leads from one snapshot to the next.
 func Diff(from, to *Snapshot) Update {
--- a/internal/wire/config.go
+++ b/internal/wire/config.go
@@ -44,35 +44,64 @@
 func fromConfig(c *workspace.Config) configForm {
 	m := configForm{Revision: c.Revision(), Defaults: c.Defaults()}
 	for _, w := range c.Workspaces() {
-		m.Workspaces = append(m.Workspaces, workspaceForm{
-			Name: w.Name(), Tenant: w.Tenant(), Guarantee: fromShape(w.Guarantee()),
-			InFlight: w.Limits().InFlight(), Queued: w.Limits().Queued(), Digests: w.TokenDigests(),
-		})
-	}
-	for _, e := range c.Exceptions() {
-		m.Exceptions = append(m.Exceptions, exceptionForm{
-			Target: e.Target(), Key: e.Key(), Value: e.Value(), Reason: e.Reason(),
-		})
+		m.Workspaces = append(m.Workspaces, fromWorkspace(w))
 	}
+	m.Exceptions = fromExceptions(c.Exceptions())
 	return m
 }
 
-func (f configForm) config() (c *workspace.Config, err error) {
-	workspaces := make([]workspace.Workspace, len(f.Workspaces))
-	for i, w := range f.Workspaces {
-		s, err := w.Guarantee.shape()
-		if err != nil {
+func fromWorkspace(w workspace.Workspace) workspaceForm {
+	return workspaceForm{
+		Name: w.Name(), Tenant: w.Tenant(), Guarantee: fromShape(w.Guarantee()),
+		InFlight: w.Limits().InFlight(), Queued: w.Limits().Queued(), Digests: w.TokenDigests(),
+	}
+}
+
+func (f workspaceForm) workspace() (w workspace.Workspace, err error) {
+	s, err := f.Guarantee.shape()
+	if err != nil {
+		return workspace.Workspace{}, err
+	}
+	return workspace.New(f.Name, f.Tenant, s, workspace.NewLimits(f.InFlight, f.Queued)).
+		WithTokenDigests(f.Digests), nil
+}
+
+func toWorkspaces(forms []workspaceForm) (list []workspace.Workspace, err error) {
+	list = make([]workspace.Workspace, len(forms))
+	for i, f := range forms {
+		if list[i], err = f.workspace(); err != nil {
 			return nil, err
 		}
-		workspaces[i] = workspace.New(w.Name, w.Tenant, s, workspace.NewLimits(w.InFlight, w.Queued)).
-			WithTokenDigests(w.Digests)
 	}
-	exceptions := make([]workspace.Exception, len(f.Exceptions))
-	for i, e := range f.Exceptions {
-		if exceptions[i], err = workspace.NewException(e.Target, e.Key, e.Value, e.Reason); err != nil {
+	return list, nil
+}
+
+func fromExceptions(list []workspace.Exception) (forms []exceptionForm) {
+	for _, e := range list {
+		forms = append(forms, exceptionForm{Target: e.Target(), Key: e.Key(), Value: e.Value(), Reason: e.Reason()})
+	}
+	return forms
+}
+
+func toExceptions(forms []exceptionForm) (list []workspace.Exception, err error) {
+	list = make([]workspace.Exception, len(forms))
+	for i, f := range forms {
+		if list[i], err = workspace.NewException(f.Target, f.Key, f.Value, f.Reason); err != nil {
 			return nil, err
 		}
 	}
+	return list, nil
+}
+
+func (f configForm) config() (c *workspace.Config, err error) {
+	workspaces, err := toWorkspaces(f.Workspaces)
+	if err != nil {
+		return nil, err
+	}
+	exceptions, err := toExceptions(f.Exceptions)
+	if err != nil {
+		return nil, err
+	}
 	if c, err = workspace.NewConfig(workspaces, f.Defaults, exceptions); err != nil {
 		return nil, err
 	}
--- a/internal/wire/fleet.go
+++ b/internal/wire/fleet.go
@@ -7,7 +7,6 @@
 	"rosemarywind.example/rosemarywind/internal/fleet"
 	"rosemarywind.example/rosemarywind/internal/lease"
 	"rosemarywind.example/rosemarywind/internal/task"
-	"rosemarywind.example/rosemarywind/internal/workspace"
 )
 
 type endpointForm struct {
@@ -48,7 +47,7 @@
 	Revision uint64         `cbor:"2,keyasint"`
 	Changed  []endpointForm `cbor:"3,keyasint,omitempty"`
 	Removed  []string       `cbor:"4,keyasint,omitempty"`
-	Config   *configForm    `cbor:"5,keyasint,omitempty"`
+	Config   *deltaForm     `cbor:"5,keyasint,omitempty"`
 }
 
 // WriteAnnouncement writes what an agent says of its endpoint.
@@ -95,9 +94,9 @@
 	for _, e := range u.Changed() {
 		m.Changed = append(m.Changed, fromEndpoint(e))
 	}
-	if u.Config() != nil {
-		c := fromConfig(u.Config())
-		m.Config = &c
+	if d, ok := u.Config(); ok {
+		f := fromDelta(d)
+		m.Config = &f
 	}
 	return writeFrame(w, m)
 }
@@ -117,11 +116,11 @@
 	if m.Config == nil {
 		return u, nil
 	}
-	var c *workspace.Config
-	if c, err = m.Config.config(); err != nil {
+	d, err := m.Config.delta()
+	if err != nil {
 		return fleet.Update{}, err
 	}
-	return u.WithConfig(c), nil
+	return u.WithConfig(d), nil
 }
 
 func fromEndpoint(e fleet.Endpoint) endpointForm {
--- /dev/null
+++ b/internal/workspace/delta.go
@@ -0,0 +1,85 @@
+package workspace
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+)
+
+// Delta leads from one revision of the configuration to a later one, so that a change of one
+// workspace costs a watcher one workspace and not all of them.
+type Delta struct {
+	base       uint64
+	revision   uint64
+	changed    []Workspace
+	removed    []string
+	defaults   map[string]string
+	exceptions []Exception
+	rest       bool
+}
+
+// NewDelta returns a delta without defaults and exceptions; base is 0 for one that replaces everything.
+func NewDelta(base, revision uint64, changed []Workspace, removed []string) Delta {
+	return Delta{base: base, revision: revision, changed: changed, removed: removed}
+}
+
+// WithRest returns the delta with the defaults and exceptions after it.
+func (d Delta) WithRest(defaults map[string]string, exceptions []Exception) Delta {
+	d.defaults, d.exceptions, d.rest = defaults, exceptions, true
+	return d
+}
+
+// Base returns the revision that the delta starts from.
+func (d Delta) Base() uint64 { return d.base }
+
+// Revision returns the revision after the delta.
+func (d Delta) Revision() uint64 { return d.revision }
+
+// Changed returns the workspaces that are new or differ, which the caller must not modify.
+func (d Delta) Changed() []Workspace { return d.changed }
+
+// Removed returns the names of the workspaces that are gone, which the caller must not modify.
+func (d Delta) Removed() []string { return d.removed }
+
+// Rest returns the defaults and exceptions after the delta, if they differ from those before.
+func (d Delta) Rest() (defaults map[string]string, exceptions []Exception, ok bool) {
+	return d.defaults, d.exceptions, d.rest
+}
+
+// Between returns the delta from one configuration to a later one.
+func Between(from, to *Config) Delta {
+	d := Delta{base: from.revision, revision: to.revision}
+	for _, w := range to.workspaces {
+		if old, ok := from.Workspace(w.name); !ok || !old.equal(w) {
+			d.changed = append(d.changed, w)
+		}
+	}
+	for _, w := range from.workspaces {
+		if _, ok := to.Workspace(w.name); !ok {
+			d.removed = append(d.removed, w.name)
+		}
+	}
+	if !maps.Equal(from.defaults, to.defaults) || !slices.Equal(from.exceptions, to.exceptions) {
+		d = d.WithRest(to.defaults, to.exceptions)
+	}
+	return d
+}
+
+// With returns the configuration after a delta; it fails when the delta starts from another revision.
+func (c *Config) With(d Delta) (next *Config, err error) {
+	if d.base != c.revision {
+		return nil, fmt.Errorf("configuration is at revision %d, the change starts from %d", c.revision, d.base)
+	}
+	workspaces := slices.DeleteFunc(slices.Clone(c.workspaces), func(w Workspace) bool {
+		return slices.Contains(d.removed, w.name) ||
+			slices.ContainsFunc(d.changed, func(n Workspace) bool { return n.name == w.name })
+	})
+	defaults, exceptions := c.defaults, c.exceptions
+	if d.rest {
+		defaults, exceptions = d.defaults, d.exceptions
+	}
+	if next, err = NewConfig(append(workspaces, d.changed...), defaults, exceptions); err != nil {
+		return nil, err
+	}
+	return next.WithRevision(d.revision), nil
+}
--- a/internal/workspace/workspace.go
+++ b/internal/workspace/workspace.go
@@ -37,6 +37,12 @@
 // TokenDigests returns the digests of the callers' tokens, which the caller must not modify.
 func (w Workspace) TokenDigests() []string { return w.digests }
 
+// equal reports whether two workspaces agree in everything.
+func (w Workspace) equal(o Workspace) bool {
+	return w.name == o.name && w.tenant == o.tenant && w.guarantee == o.guarantee && w.limits == o.limits &&
+		slices.Equal(w.digests, o.digests)
+}
+
 // Limits bounds the requests of one workspace at one entry process.
 type Limits struct {
 	inFlight int
