Renew announcements without repeating them

Cause: an agent sent its endpoint and all its tasks each second. Change: the stream remembers its last announcement; a renewal carries only the requests in flight.

--- a/internal/agent/announcer.go
+++ b/internal/agent/announcer.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"time"
 
 	"rosemarywind.example/rosemarywind/internal/clock"
@@ -82,12 +83,15 @@
 	if err = wire.ReadStatus(s); err != nil {
 		return err
 	}
+	var last fleet.Announcement
 	for {
 		changed := n.changes()
 		_ = s.SetDeadline(time.Now().Add(receiptTimeout))
-		if err = wire.WriteAnnouncement(s, n.announcement()); err != nil {
+		a := n.announcement()
+		if err = write(s, a, last); err != nil {
 			return err
 		}
+		last = a
 		receipt, err := wire.ReadReceipt(s)
 		if err != nil {
 			return err
@@ -99,6 +103,14 @@
 	}
 }
 
+// write sends an announcement, or a renewal if the stream's last one still holds.
+func write(w io.Writer, a, last fleet.Announcement) error {
+	if a.Renews(last) {
+		return wire.WriteRenewal(w, a.InFlight())
+	}
+	return wire.WriteAnnouncement(w, a)
+}
+
 func (n *announcer) announcement() fleet.Announcement {
 	b := n.agent.board
 	return fleet.NewAnnouncement(n.agent.self(), int(b.InFlight()), b.tasks.Load())
--- a/internal/capacity/players.go
+++ b/internal/capacity/players.go
@@ -101,17 +101,19 @@
 	if err := wire.ReadStatus(s); err != nil {
 		return err
 	}
-	a := announcementOf(n)
+	if err := wire.WriteAnnouncement(s, announcementOf(n)); err != nil {
+		return ended(ctx, err)
+	}
 	for {
-		if err := wire.WriteAnnouncement(s, a); err != nil {
-			return ended(ctx, err)
-		}
 		if _, err := wire.ReadReceipt(s); err != nil {
 			return ended(ctx, err)
 		}
 		if !clock.Pause(ctx, heartbeat) {
 			return nil
 		}
+		if err := wire.WriteRenewal(s, 0); err != nil {
+			return ended(ctx, err)
+		}
 	}
 }
 
--- a/internal/control/streams.go
+++ b/internal/control/streams.go
@@ -34,9 +34,10 @@
 		c.logger.Warn("announcement refused", "peer", s.RemoteAddr().String(), "error", err)
 		return
 	}
+	var a fleet.Announcement
 	for {
 		_ = s.SetReadDeadline(time.Now().Add(streamSilence))
-		a, err := wire.ReadAnnouncement(s)
+		a, err = wire.ReadAnnouncement(s, a)
 		if err != nil {
 			c.logger.Info("agent fell silent", "peer", peer.String(), "error", err)
 			return
--- a/internal/fleet/announcement.go
+++ b/internal/fleet/announcement.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"slices"
 	"time"
 
 	"rosemarywind.example/rosemarywind/internal/task"
@@ -28,6 +29,11 @@
 // Tasks returns the tasks of the worker, which the caller must not modify.
 func (a Announcement) Tasks() []task.Report { return a.tasks }
 
+// Renews reports whether an announcement differs from an earlier one in nothing but the requests in flight.
+func (a Announcement) Renews(earlier Announcement) bool {
+	return a.endpoint.SameAs(earlier.endpoint) && slices.Equal(a.tasks, earlier.tasks)
+}
+
 // Receipt is the leader's answer to an announcement.
 type Receipt struct {
 	lease   time.Duration
--- a/internal/wire/fleet.go
+++ b/internal/wire/fleet.go
@@ -32,9 +32,9 @@
 }
 
 type announcementForm struct {
-	Endpoint endpointForm `cbor:"1,keyasint"`
-	InFlight int          `cbor:"2,keyasint,omitempty"`
-	Tasks    []reportForm `cbor:"3,keyasint,omitempty"`
+	Endpoint *endpointForm `cbor:"1,keyasint,omitempty"`
+	InFlight int           `cbor:"2,keyasint,omitempty"`
+	Tasks    []reportForm  `cbor:"3,keyasint,omitempty"`
 }
 
 type receiptForm struct {
@@ -52,20 +52,29 @@
 
 // WriteAnnouncement writes what an agent says of its endpoint.
 func WriteAnnouncement(w io.Writer, a fleet.Announcement) error {
-	m := announcementForm{Endpoint: fromEndpoint(a.Endpoint()), InFlight: a.InFlight()}
+	e := fromEndpoint(a.Endpoint())
+	m := announcementForm{Endpoint: &e, InFlight: a.InFlight()}
 	for _, t := range a.Tasks() {
 		m.Tasks = append(m.Tasks, fromReport(t))
 	}
 	return writeFrame(w, m)
 }
 
-// ReadAnnouncement reads what an agent says of its endpoint.
-func ReadAnnouncement(r io.Reader) (a fleet.Announcement, err error) {
+// WriteRenewal writes that nothing but the requests in flight changed since the stream's last announcement.
+func WriteRenewal(w io.Writer, inFlight int) error {
+	return writeFrame(w, announcementForm{InFlight: inFlight})
+}
+
+// ReadAnnouncement reads what an agent says of its endpoint; a renewal repeats the last announcement of the stream.
+func ReadAnnouncement(r io.Reader, last fleet.Announcement) (a fleet.Announcement, err error) {
 	defer annotate("read announcement", &err)
 	var m announcementForm
 	if err = readFrame(r, &m, MaxFrameBytes); err != nil {
 		return fleet.Announcement{}, err
 	}
+	if m.Endpoint == nil {
+		return fleet.NewAnnouncement(last.Endpoint(), m.InFlight, last.Tasks()), nil
+	}
 	tasks := make([]task.Report, len(m.Tasks))
 	for i, t := range m.Tasks {
 		tasks[i] = t.report()
