--- a/internal/fleet/endpoint.go
+++ b/internal/fleet/endpoint.go
@@ -11,22 +11,26 @@
 )
 
 // Endpoint is a worker's service together with the agent beside it; it is immutable but for its load.
+// It is a small handle, since a snapshot copies all its endpoints at each change.
 type Endpoint struct {
+	facts *facts
+	state EndpointState
+	load  *Load
+}
+
+// facts is what one incarnation of an agent never changes.
+type facts struct {
 	worker      Worker
 	address     string
 	slots       int
 	connections int
 	incarnation uint64
-	state       EndpointState
-	load        *Load
 }
 
 // NewEndpoint returns an endpoint in state Ready whose agent listens on address.
 func NewEndpoint(worker Worker, address string, slots, connections int, incarnation uint64) Endpoint {
-	return Endpoint{
-		worker: worker, address: address, slots: slots, connections: connections,
-		incarnation: incarnation, state: Ready, load: &Load{},
-	}
+	f := &facts{worker: worker, address: address, slots: slots, connections: connections, incarnation: incarnation}
+	return Endpoint{facts: f, state: Ready, load: &Load{}}
 }
 
 // WithState returns the endpoint in another state, sharing its load.
@@ -42,22 +46,22 @@
 }
 
 // Worker returns the worker that the endpoint runs on.
-func (e Endpoint) Worker() Worker { return e.worker }
+func (e Endpoint) Worker() Worker { return e.facts.worker }
 
 // Name returns the name of the worker.
-func (e Endpoint) Name() string { return e.worker.name }
+func (e Endpoint) Name() string { return e.facts.worker.name }
 
 // Address returns the IP address and port of the agent.
-func (e Endpoint) Address() string { return e.address }
+func (e Endpoint) Address() string { return e.facts.address }
 
 // Slots returns the number of requests that the endpoint runs at once.
-func (e Endpoint) Slots() int { return e.slots }
+func (e Endpoint) Slots() int { return e.facts.slots }
 
 // Connections returns the number of connections that the endpoint accepts.
-func (e Endpoint) Connections() int { return e.connections }
+func (e Endpoint) Connections() int { return e.facts.connections }
 
 // Incarnation returns the number that each start of the agent draws anew.
-func (e Endpoint) Incarnation() uint64 { return e.incarnation }
+func (e Endpoint) Incarnation() uint64 { return e.facts.incarnation }
 
 // State returns whether the endpoint takes new work.
 func (e Endpoint) State() EndpointState { return e.state }
@@ -65,8 +69,13 @@
 // Load returns the counter of requests in flight.
 func (e Endpoint) Load() *Load { return e.load }
 
+// IsZero reports whether the endpoint is the zero value, which no agent announces.
+func (e Endpoint) IsZero() bool { return e.facts == nil }
+
 // SameAs reports whether two endpoints agree in everything but their load.
 func (e Endpoint) SameAs(o Endpoint) bool {
-	e.load, o.load = nil, nil
-	return e == o
+	if e.facts == o.facts || e.facts == nil || o.facts == nil {
+		return e.facts == o.facts && e.state == o.state
+	}
+	return *e.facts == *o.facts && e.state == o.state
 }
--- a/internal/fleet/snapshot.go
+++ b/internal/fleet/snapshot.go
@@ -1,33 +1,27 @@
 package fleet
 
 import (
-	"maps"
 	"slices"
+	"strings"
 )
 
 // Snapshot is an immutable list of endpoints, sorted by name.
 type Snapshot struct {
 	endpoints []Endpoint
 	ready     []Endpoint
-	index     map[string]int
 	revision  uint64
 }
 
 // NewSnapshot returns a snapshot of the endpoints at the given revision.
 func NewSnapshot(revision uint64, endpoints []Endpoint) *Snapshot {
-	s := &Snapshot{
-		endpoints: slices.Clone(endpoints),
-		index:     make(map[string]int, len(endpoints)),
-		revision:  revision,
-	}
-	slices.SortFunc(s.endpoints, func(a, b Endpoint) int {
-		if a.Name() < b.Name() {
-			return -1
-		}
-		return 1
-	})
-	for i, e := range s.endpoints {
-		s.index[e.Name()] = i
+	sorted := slices.Clone(endpoints)
+	slices.SortFunc(sorted, byName)
+	return fromSorted(revision, sorted)
+}
+
+func fromSorted(revision uint64, endpoints []Endpoint) *Snapshot {
+	s := &Snapshot{endpoints: endpoints, ready: make([]Endpoint, 0, len(endpoints)), revision: revision}
+	for _, e := range endpoints {
 		if e.state == Ready {
 			s.ready = append(s.ready, e)
 		}
@@ -35,6 +29,8 @@
 	return s
 }
 
+func byName(a, b Endpoint) int { return strings.Compare(a.Name(), b.Name()) }
+
 // Revision returns the number that grows with each change of the fleet.
 func (s *Snapshot) Revision() uint64 { return s.revision }
 
@@ -49,7 +45,7 @@
 
 // Find returns the endpoint of the named worker.
 func (s *Snapshot) Find(name string) (e Endpoint, ok bool) {
-	i, ok := s.index[name]
+	i, ok := search(s.endpoints, name)
 	if !ok {
 		return Endpoint{}, false
 	}
@@ -58,18 +54,38 @@
 
 // With returns a snapshot in which changed endpoints replace those of the same name and removed ones are gone.
 func (s *Snapshot) With(revision uint64, changed []Endpoint, removed []string) *Snapshot {
-	byName := make(map[string]Endpoint, len(s.endpoints)+len(changed))
-	for _, e := range s.endpoints {
-		byName[e.Name()] = e
+	next := slices.Clone(changed)
+	slices.SortFunc(next, byName)
+	kept := s.endpoints
+	if len(removed) > 0 {
+		gone := slices.Sorted(slices.Values(removed))
+		kept = slices.DeleteFunc(slices.Clone(kept), func(e Endpoint) bool {
+			_, lost := slices.BinarySearch(gone, e.Name())
+			return lost
+		})
 	}
-	for _, e := range changed {
-		if old, ok := byName[e.Name()]; ok && old.incarnation == e.incarnation {
-			e.load = old.load
+	merged := make([]Endpoint, 0, len(kept)+len(next))
+	for _, e := range next {
+		// Runs of unchanged endpoints are copied whole; comparing each name costs ten times as much at 7,200.
+		at, known := search(kept, e.Name())
+		merged = append(merged, kept[:at]...)
+		kept = kept[at:]
+		if known {
+			e, kept = successor(kept[0], e), kept[1:]
 		}
-		byName[e.Name()] = e
+		merged = append(merged, e)
 	}
-	for _, name := range removed {
-		delete(byName, name)
+	return fromSorted(revision, append(merged, kept...))
+}
+
+func search(sorted []Endpoint, name string) (at int, ok bool) {
+	return slices.BinarySearchFunc(sorted, name, func(e Endpoint, n string) int { return strings.Compare(e.Name(), n) })
+}
+
+// successor returns the changed endpoint, with the load of the old one if the agent has not restarted.
+func successor(old, changed Endpoint) Endpoint {
+	if old.Incarnation() == changed.Incarnation() {
+		return changed.WithLoad(old.load)
 	}
-	return NewSnapshot(revision, slices.Collect(maps.Values(byName)))
+	return changed
 }
