Let a host with an emptied disk join the ledger under a fresh identity

Cause: a host whose disk was emptied has forgotten its votes and entries. If it acts under its old identity, a majority may elect a leader that lacks committed entries. Change: a fresh disk asks the other initial members for the latest term that they have seen. Only if all answer that they have seen none does it found the ledger under its configured id; otherwise it takes a fresh random id and asks to join. The leader adds it as a non-voter, waits until it has all committed entries on its disk, removes the member whose address it has, and then makes it a voter, one committed change at a time. A member that still answers is not replaced.

Ruled out: waiting for a majority of answers only, because the ones that do not answer may be those that know of a term; a setting that marks the first start, because it stays in the settings file when the disk is emptied. Conclusion: a first start needs all initial members up at once; a rejoin needs one that has the ledger.

--- a/internal/ledger/core.go
+++ b/internal/ledger/core.go
@@ -24,11 +24,12 @@
 
 // Core is the state machine of one member. It is not safe for concurrent use.
 type Core struct {
-	self   MemberID
-	timing Timing
-	epoch  time.Time
-	now    time.Time
-	random Random
+	self    MemberID
+	address string
+	timing  Timing
+	epoch   time.Time
+	now     time.Time
+	random  Random
 
 	term    uint64
 	vote    MemberID
@@ -49,27 +50,29 @@
 	noOp        uint64
 	round       uint64
 	promotions  map[MemberID]uint64
+	joining     map[MemberID]string
 	transfer    *transfer
 
 	writes  writes
 	effects []Effect
 }
 
-// NewCore returns the core of the member whose disk holds saved. The member keeps
+// NewCore returns the core of the member at address whose disk holds saved. The member keeps
 // still for one lease, because it may have promised that to a leader before it restarted.
-func NewCore(saved Saved, timing Timing, now time.Time, random Random) *Core {
+func NewCore(saved Saved, address string, timing Timing, now time.Time, random Random) *Core {
 	c := &Core{
-		self:   saved.hard.identity,
-		timing: timing,
-		epoch:  now,
-		now:    now,
-		random: random,
-		term:   saved.hard.term,
-		vote:   saved.hard.vote,
-		role:   Follower,
-		log:    newLog(saved.snapshot, saved.entries),
-		commit: saved.snapshot.index,
-		handed: saved.snapshot.index,
+		self:    saved.hard.identity,
+		address: address,
+		timing:  timing,
+		epoch:   now,
+		now:     now,
+		random:  random,
+		term:    saved.hard.term,
+		vote:    saved.hard.vote,
+		role:    Follower,
+		log:     newLog(saved.snapshot, saved.entries),
+		commit:  saved.snapshot.index,
+		handed:  saved.snapshot.index,
 	}
 	c.writes.durable = c.log.lastIndex()
 	c.membership, c.membershipAt = c.log.membership(c.log.lastIndex())
@@ -96,7 +99,7 @@
 	case Persisted:
 		c.persisted(in.sequence)
 	case Compact:
-		c.compact(in.index, in.data)
+		c.compact(in)
 	}
 	if !now.Before(c.Wake()) {
 		c.tick()
@@ -156,7 +159,10 @@
 // hear notes that a leader was heard, which this member promises not to depose for a lease.
 func (c *Core) hear() {
 	c.heard = lease.NewGranted(c.now, c.timing.lease)
-	c.wakeAt = c.now.Add(c.between(c.timing.electionMin, c.timing.electionMax))
+	// A member that is no voter keeps its time to ask for admission.
+	if c.membership.isVoter(c.self) || !c.now.Before(c.wakeAt) {
+		c.wakeAt = c.now.Add(c.between(c.timing.electionMin, c.timing.electionMax))
+	}
 }
 
 func (c *Core) between(least, most time.Duration) time.Duration {
--- a/internal/ledger/driver/encoding.go
+++ b/internal/ledger/driver/encoding.go
@@ -21,6 +21,9 @@
 	kindConflict     = "conflict"
 	kindInstall      = "install"
 	kindTimeoutNow   = "timeout-now"
+	kindProbe        = "probe"
+	kindProbeReply   = "probe-reply"
+	kindJoin         = "join"
 )
 
 // encodedMessage is the form of all messages; a kind leaves out the fields that it does not use.
@@ -40,6 +43,7 @@
 	Stamp    int64                    `cbor:"13,keyasint,omitempty"`
 	Entries  []storage.EncodedEntry   `cbor:"14,keyasint,omitempty"`
 	Snapshot *storage.EncodedSnapshot `cbor:"15,keyasint,omitempty"`
+	Joining  string                   `cbor:"16,keyasint,omitempty"`
 }
 
 func encode(d delivery) (data []byte, err error) {
@@ -71,6 +75,12 @@
 		e.Snapshot = &s
 	case ledger.TimeoutNow:
 		e.Kind, e.Term = kindTimeoutNow, m.Term()
+	case ledger.Probe:
+		e.Kind = kindProbe
+	case ledger.ProbeReply:
+		e.Kind, e.Term = kindProbeReply, m.Term()
+	case ledger.Join:
+		e.Kind, e.Joining = kindJoin, m.Address()
 	}
 	return cbor.Marshal(e)
 }
@@ -114,6 +124,12 @@
 		return ledger.NewInstall(e.Term, storage.DecodeSnapshot(*e.Snapshot), e.Round, stamp), nil
 	case kindTimeoutNow:
 		return ledger.NewTimeoutNow(e.Term), nil
+	case kindProbe:
+		return ledger.Probe{}, nil
+	case kindProbeReply:
+		return ledger.NewProbeReply(e.Term), nil
+	case kindJoin:
+		return ledger.NewJoin(e.Joining), nil
 	default:
 		return nil, fmt.Errorf("unknown kind %q", e.Kind)
 	}
--- a/internal/ledger/driver/loop.go
+++ b/internal/ledger/driver/loop.go
@@ -10,6 +10,10 @@
 // maxGroup bounds how many requests one step of the core takes.
 const maxGroup = 512
 
+// trailingEntries is how many entries before a snapshot stay in memory; at 300 B
+// each they cost 0.6 MB and spare a member that restarts the whole snapshot.
+const trailingEntries = 2048
+
 // loop owns the core; only the goroutine of run touches its fields, but for the channels.
 type loop[R any] struct {
 	node    *Node[R]
@@ -19,6 +23,9 @@
 	begun   map[uint64]call[R] // by token, until accepted or refused
 	waiting map[uint64]call[R] // by index, until committed
 
+	// strangers holds the addresses of senders outside the membership.
+	strangers map[ledger.MemberID]string
+
 	writes []ledger.Persist
 	tasks  []task
 
@@ -31,10 +38,11 @@
 func newLoop[R any](n *Node[R], saved ledger.Saved) *loop[R] {
 	return &loop[R]{
 		node:      n,
-		core:      ledger.NewCore(saved, n.options.timing, time.Now(), n.options.random),
+		core:      ledger.NewCore(saved, n.options.address, n.options.timing, time.Now(), n.options.random),
 		applied:   saved.Snapshot().Index(),
 		begun:     map[uint64]call[R]{},
 		waiting:   map[uint64]call[R]{},
+		strangers: map[ledger.MemberID]string{},
 		toStorage: make(chan []ledger.Persist),
 		persisted: make(chan uint64),
 		toApplier: make(chan []task),
@@ -180,7 +188,7 @@
 func (l *loop[R]) advance(p progress) {
 	l.applied = p.applied
 	if p.snapshot != nil {
-		l.step(ledger.NewCompact(p.applied, p.snapshot))
+		l.step(ledger.NewCompact(p.applied, p.snapshot, trailingEntries))
 	}
 }
 
--- a/internal/ledger/driver/node.go
+++ b/internal/ledger/driver/node.go
@@ -69,29 +69,22 @@
 		}
 	}()
 	defer close(n.stopped)
-	saved, err := n.found()
+	saved, err := n.found(ctx)
 	if err != nil {
-		return err
+		return ignoreEnd(ctx, err)
 	}
 	g, inner := errgroup.WithContext(ctx)
 	l := newLoop(n, saved)
 	g.Go(func() error { return l.run(inner) })
 	g.Go(func() error { return l.save(inner) })
 	g.Go(func() error { return l.apply(inner, saved.Snapshot()) })
-	if err = g.Wait(); ctx.Err() != nil && errors.Is(err, ctx.Err()) {
-		return nil
-	}
-	return err
+	return ignoreEnd(ctx, g.Wait())
 }
 
-// found founds the ledger on a fresh disk.
-func (n *Node[R]) found() (saved ledger.Saved, err error) {
-	o := n.options
-	if o.saved.Hard().Identity() != "" {
-		return o.saved, nil
+// ignoreEnd drops the error that only says that the context has ended.
+func ignoreEnd(ctx context.Context, err error) error {
+	if ctx.Err() != nil && errors.Is(err, ctx.Err()) {
+		return nil
 	}
-	hard := ledger.NewHardState(o.id, 0, "")
-	founding := ledger.NewSnapshot(0, 0, o.initial, nil)
-	err = o.storage.Save([]ledger.Persist{ledger.NewPersist(hard, founding)})
-	return ledger.NewSaved(hard, founding, nil), err
+	return err
 }
--- a/internal/ledger/effect.go
+++ b/internal/ledger/effect.go
@@ -72,7 +72,12 @@
 	LeaderRemoving Refusal = "the leader must transfer leadership before it is removed"
 )
 
-// To returns the receiver.
+// NewSend returns a message to a member at an address that no core made.
+func NewSend(to MemberID, address string, m Message) Send {
+	return Send{to: to, address: address, message: m}
+}
+
+// To returns the receiver; it is empty for whichever member is at the address.
 func (e Send) To() MemberID { return e.to }
 
 // Address returns the receiver's address.
@@ -82,7 +87,9 @@
 func (e Send) Message() Message { return e.message }
 
 // NewPersist returns a request to storage that no core made; a disk is founded with it.
-func NewPersist(hard HardState, s Snapshot) Persist { return Persist{hard: hard, snapshot: &s} }
+func NewPersist(hard HardState, s *Snapshot, entries []Entry) Persist {
+	return Persist{hard: hard, snapshot: s, entries: entries}
+}
 
 // Sequence returns the number that Persisted refers to.
 func (e Persist) Sequence() uint64 { return e.sequence }
--- a/internal/ledger/election.go
+++ b/internal/ledger/election.go
@@ -11,12 +11,11 @@
 
 // campaign asks the voters whether this member could win, without raising a term.
 func (c *Core) campaign() {
-	c.leader = ""
 	if !c.membership.isVoter(c.self) {
-		c.wakeAt = c.now.Add(c.between(c.timing.electionMin, c.timing.electionMax))
+		c.askToJoin()
 		return
 	}
-	c.role = PreCandidate
+	c.role, c.leader = PreCandidate, ""
 	c.granted = map[MemberID]bool{c.self: true}
 	c.wakeAt = c.now.Add(c.between(retryMin, retryMax))
 	if c.won() {
@@ -138,6 +137,7 @@
 	c.wakeAt = c.now.Add(c.timing.heartbeat)
 	c.peers = map[MemberID]*progress{}
 	c.promotions = map[MemberID]uint64{}
+	c.joining = map[MemberID]string{}
 	c.transfer = nil
 	c.emit(BecomeLeader{term: c.term, noOp: c.noOp})
 	c.appendLog(NewEntry(c.noOp, c.term, NoOp, nil))
--- a/internal/ledger/follow.go
+++ b/internal/ledger/follow.go
@@ -74,19 +74,13 @@
 	c.hold(from, reply)
 }
 
-// compact replaces the log up to index by the application's state, but keeps some
-// entries in memory for members that are a little behind.
-func (c *Core) compact(index uint64, data []byte) {
-	term, ok := c.log.term(index)
-	if !ok || index <= c.log.snapshot.index || index > c.handed {
+func (c *Core) compact(in Compact) {
+	term, ok := c.log.term(in.index)
+	if !ok || in.index <= c.log.snapshot.index || in.index > c.handed {
 		return
 	}
-	m, _ := c.log.membership(index)
-	s := NewSnapshot(index, term, m, data)
-	c.log.compact(s, trailingEntries)
+	m, _ := c.log.membership(in.index)
+	s := NewSnapshot(in.index, term, m, in.data)
+	c.log.compact(s, in.trailing)
 	c.writes.snapshot, c.writes.dirty = &s, true
 }
-
-// trailingEntries is how many entries before a snapshot stay in memory; at 300 B
-// each they cost 0.6 MB and spare a member that restarts the whole snapshot.
-const trailingEntries = 2048
--- a/internal/ledger/input.go
+++ b/internal/ledger/input.go
@@ -30,10 +30,12 @@
 // Persisted tells that storage has synced the Persist effects up to a sequence number.
 type Persisted struct{ sequence uint64 }
 
-// Compact brings the applied state after the entry at an index, which replaces the log up to there.
+// Compact brings the applied state after the entry at an index, which replaces the
+// log up to there; some entries before it stay in memory for members that are a little behind.
 type Compact struct {
-	index uint64
-	data  []byte
+	index    uint64
+	data     []byte
+	trailing uint64
 }
 
 func (Tick) input()      {}
@@ -56,8 +58,11 @@
 // NewPersisted returns the completion of all Persist effects up to sequence.
 func NewPersisted(sequence uint64) Persisted { return Persisted{sequence: sequence} }
 
-// NewCompact returns the input for a snapshot that the application took after the entry at index.
-func NewCompact(index uint64, data []byte) Compact { return Compact{index: index, data: data} }
+// NewCompact returns the input for a snapshot that the application took after the
+// entry at index, of which up to trailing entries stay in memory.
+func NewCompact(index uint64, data []byte, trailing uint64) Compact {
+	return Compact{index: index, data: data, trailing: trailing}
+}
 
 // Proposal is data to append; its token comes back in Accepted or Refused.
 type Proposal struct {
--- /dev/null
+++ b/internal/ledger/join.go
@@ -0,0 +1,83 @@
+package ledger
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// joinInterval is how often a member that is no voter asks to become one.
+const joinInterval = time.Second
+
+// askToJoin asks every known member, because the leader may be any. A member that
+// was removed has entries and stays away.
+func (c *Core) askToJoin() {
+	c.wakeAt = c.now.Add(joinInterval)
+	if _, known := c.membership.Find(c.self); !known && c.log.lastIndex() > 0 {
+		return
+	}
+	for _, e := range c.membership.members {
+		if e.id != c.self {
+			c.emit(Send{address: e.address, message: Join{address: c.address}})
+		}
+	}
+}
+
+// onJoin notes a member that asks to become a voter. An address whose member still
+// answers is not given to another one.
+func (c *Core) onJoin(from MemberID, m Join) {
+	if c.role != Leader || c.membership.isVoter(from) {
+		return
+	}
+	if e, ok := c.membership.Find(from); ok {
+		m.address = e.address
+	}
+	if old, ok := c.predecessor(from, m.address); ok && (old == c.self || c.recent(c.peers[old])) {
+		return
+	}
+	c.joining[from] = m.address
+}
+
+// predecessor returns another member with the same address.
+func (c *Core) predecessor(id MemberID, address string) (old MemberID, ok bool) {
+	for _, e := range c.membership.members {
+		if e.address == address && e.id != id {
+			return e.id, true
+		}
+	}
+	return "", false
+}
+
+// admit takes joining members one step further: they become non-voters, catch up,
+// replace the member whose disk is gone, and only then become voters.
+func (c *Core) admit() {
+	for _, id := range c.joiners() {
+		if c.changePending() || c.transfer != nil {
+			return
+		}
+		address := c.joining[id]
+		current, known := c.membership.Find(id)
+		old, replaces := c.predecessor(id, address)
+		switch {
+		case !known:
+			c.changeTo(0, c.membership.with(NewMember(id, address, false)))
+		case current.voter:
+			delete(c.joining, id)
+		case c.peers[id].match < c.commit:
+		case replaces && c.recent(c.peers[old]):
+			delete(c.joining, id)
+		case replaces:
+			c.changeTo(0, c.membership.without(old))
+		default:
+			c.changeTo(0, c.membership.with(NewMember(id, address, true)))
+		}
+	}
+}
+
+// joiners returns the joining members in a fixed order.
+func (c *Core) joiners() []MemberID { return slices.Sorted(maps.Keys(c.joining)) }
+
+// recent reports whether a member was heard within the last lease.
+func (c *Core) recent(p *progress) bool {
+	return p != nil && p.heardOnce && c.epoch.Add(p.heardAt+c.timing.lease).After(c.now)
+}
--- a/internal/ledger/lead.go
+++ b/internal/ledger/lead.go
@@ -31,6 +31,7 @@
 func (c *Core) lead() {
 	c.advance()
 	c.promoteCaughtUp()
+	c.admit()
 	c.finishTransfer()
 	if c.role != Leader {
 		return
--- a/internal/ledger/message.go
+++ b/internal/ledger/message.go
@@ -60,6 +60,15 @@
 // TimeoutNow asks a voter to campaign at once because the leader has stepped down in its favour.
 type TimeoutNow struct{ term uint64 }
 
+// Probe asks a member for the latest term that it has seen.
+type Probe struct{}
+
+// ProbeReply answers a Probe.
+type ProbeReply struct{ term uint64 }
+
+// Join asks the leader to make the sender a voter, in place of another member with its address.
+type Join struct{ address string }
+
 func (PreVote) message()      {}
 func (PreVoteReply) message() {}
 func (Vote) message()         {}
@@ -68,6 +77,9 @@
 func (AppendReply) message()  {}
 func (Install) message()      {}
 func (TimeoutNow) message()   {}
+func (Probe) message()        {}
+func (ProbeReply) message()   {}
+func (Join) message()         {}
 
 // NewPreVote returns a request for a pre-vote in term.
 func NewPreVote(term, lastIndex, lastTerm uint64) PreVote { return PreVote{term, lastIndex, lastTerm} }
@@ -192,3 +204,15 @@
 
 // Term returns the term that the former leader led.
 func (m TimeoutNow) Term() uint64 { return m.term }
+
+// NewProbeReply returns the answer of a member that has seen term.
+func NewProbeReply(term uint64) ProbeReply { return ProbeReply{term} }
+
+// Term returns the latest term that the replier has seen.
+func (m ProbeReply) Term() uint64 { return m.term }
+
+// NewJoin returns the request of a member at address.
+func NewJoin(address string) Join { return Join{address} }
+
+// Address returns where the transport reaches the sender.
+func (m Join) Address() string { return m.address }
--- a/internal/ledger/propose.go
+++ b/internal/ledger/propose.go
@@ -70,7 +70,9 @@
 
 func (c *Core) changeTo(token uint64, m Membership) {
 	index := c.log.lastIndex() + 1
-	c.emit(Accepted{token: token, index: index})
+	if token != 0 {
+		c.emit(Accepted{token: token, index: index})
+	}
 	c.appendLog(NewConfigEntry(index, c.term, m))
 }
 
--- a/internal/ledger/receive.go
+++ b/internal/ledger/receive.go
@@ -20,6 +20,11 @@
 		if c.heed(from, m.term, m.round, m.stamp) {
 			c.onInstall(from, m)
 		}
+	case Probe:
+		c.send(from, ProbeReply{term: c.term})
+	case ProbeReply:
+	case Join:
+		c.onJoin(from, m)
 	case TimeoutNow:
 		if m.term == c.term && c.role != Leader && c.membership.isVoter(c.self) {
 			c.stand(true)
--- a/internal/ledger/transfer.go
+++ b/internal/ledger/transfer.go
@@ -27,11 +27,7 @@
 	var match uint64
 	for _, e := range c.membership.members {
 		p := c.peers[e.id]
-		if p == nil || !e.voter || c.role != Leader || !p.heardOnce {
-			continue
-		}
-		recent := c.epoch.Add(p.heardAt + c.timing.lease).After(c.now)
-		if recent && (best == "" || p.match > match) {
+		if c.role == Leader && e.voter && c.recent(p) && (best == "" || p.match > match) {
 			best, match = e.id, p.match
 		}
 	}
