Reclaim guarantees, reserve for gangs, and fuzz both against an oracle

Cause: blocked jobs only waited; P1 and freedom from starvation had no mechanism. Change: each guarantee has a cell; use beyond the own cell is borrowed and is reclaimed by the cheapest of checkpoint, throttle and stop, never twice for two owners. A blocked job holds a domain until the jobs there end; only jobs that can be checkpointed are backfilled on it and they are evicted once they are all that is in the way, so no bound depends on declared run times. Nobody borrows from a workspace whose own guaranteed job still waits. Ruled out: a test of every placement against all guarantees instead of cells; it would search for all shapes again at each placement.

--- a/internal/plan/main_test.go
+++ b/internal/plan/main_test.go
@@ -8,7 +8,6 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
-	_ "pgregory.net/rapid" // defines the flags that fuzzing.Setup sets
 
 	"rosemarywind.example/rosemarywind/internal/fleet"
 	"rosemarywind.example/rosemarywind/internal/fuzzing"
--- a/internal/plan/order.go
+++ b/internal/plan/order.go
@@ -30,21 +30,51 @@
 		})
 	}
 	slices.SortFunc(queue, compareWaiting)
-	room := make([]int, len(p.state.cells))
+	p.markGuaranteed(queue)
+	p.findOldest(queue)
+	slices.SortStableFunc(queue, compareWaiting)
+	return queue
+}
+
+// markGuaranteed marks the jobs that fit into their workspace's cell and that what is left of it suffices for;
+// to urgent ones, what its own patient jobs use counts as left.
+func (p *pass) markGuaranteed(queue []waiting) {
+	room, own := make([]int, len(p.state.cells)), make([]int, len(p.state.cells))
 	for o, parts := range p.state.cells {
 		for _, c := range parts {
-			room[o] += p.state.sites[c.site].peek(int32(o)).room()
+			h := p.state.sites[c.site].peek(int32(o))
+			room[o] += h.room()
+			own[o] += min(h.movable, h.cell-h.room())
 		}
 	}
 	for i := range queue {
 		q := &queue[i]
-		if n := q.job.Spec().Shape().Total(); n <= room[q.owner] {
-			q.guaranteed = true
-			room[q.owner] -= n
+		n := q.job.Spec().Shape().Total()
+		left := room[q.owner]
+		if q.job.Spec().Urgency() == job.Urgent {
+			left += own[q.owner]
+		}
+		if n > left || !p.state.cellFits(q.owner, q.job.Spec().Shape()) {
+			continue
+		}
+		q.guaranteed = true
+		own[q.owner] -= max(0, n-room[q.owner])
+		room[q.owner] = max(0, room[q.owner]-n)
+	}
+}
+
+// findOldest notes the job that has waited longest of those that neither a guarantee nor any single accelerator serves.
+func (p *pass) findOldest(queue []waiting) {
+	var since time.Time
+	for _, q := range queue {
+		s := q.job.Spec()
+		if q.guaranteed || s.Shape().Total() == 1 || p.never(s.Shape()) != "" {
+			continue
+		}
+		if p.oldest == "" || s.SubmittedAt().Before(since) || (s.SubmittedAt().Equal(since) && s.ID() < p.oldest) {
+			p.oldest, since = s.ID(), s.SubmittedAt()
 		}
 	}
-	slices.SortStableFunc(queue, compareWaiting)
-	return queue
 }
 
 func compareWaiting(a, b waiting) int {
--- a/internal/plan/pass.go
+++ b/internal/plan/pass.go
@@ -17,6 +17,9 @@
 	now       time.Time
 	state     *state
 	idle      *pool
+	running   map[int32][]*victim
+	chosen    map[string]bool
+	oldest    string
 	decisions []Decision
 	blocked   map[attempt]string
 	reasons   map[workspace.Shape]string
@@ -27,6 +30,7 @@
 	owner   int32
 	shape   workspace.Shape
 	fragile bool
+	urgent  bool
 }
 
 func (p *Planner) begin(v View, now time.Time) *pass {
@@ -35,11 +39,13 @@
 	}
 	s := &pass{
 		planner: p, view: v, now: now,
+		chosen:  map[string]bool{},
 		blocked: map[attempt]string{}, reasons: map[workspace.Shape]string{},
 	}
 	s.findFaulty()
-	s.state = newState(p.top, s.view, now)
+	s.state = newState(p.top, s.view, p.backfilled, now)
 	s.settleCells()
+	s.restoreHolds()
 	s.state.refreshAll()
 	return s
 }
@@ -49,13 +55,58 @@
 	return len(workers) == len(t.source) && (len(workers) == 0 || &workers[0] == &t.source[0] || slices.Equal(workers, t.source))
 }
 
+// run serves jobs within guarantees first: on own and common accelerators, then by borrowing and reclaim.
+// Nobody borrows from a workspace whose own job still waits for its guarantee.
 func (p *pass) run() []Decision {
-	for _, q := range p.order() {
+	queue := p.order()
+	p.dropClaims(queue)
+	var entitled, others []waiting
+	for _, q := range queue {
+		switch {
+		case !q.guaranteed:
+			others = append(others, q)
+		case !p.early(q):
+			entitled = append(entitled, q)
+		}
+	}
+	for _, q := range entitled {
+		p.state.demand(q.owner, true)
+	}
+	for _, q := range entitled {
+		p.state.demand(q.owner, false)
+		p.consider(q)
+		p.state.demand(q.owner, true)
+	}
+	for _, q := range entitled {
+		p.state.demand(q.owner, false)
+	}
+	clear(p.blocked)
+	for _, q := range others {
 		p.consider(q)
 	}
 	return p.decisions
 }
 
+// early places a job within its guarantee when that needs neither borrowing nor reclaim.
+func (p *pass) early(q waiting) bool {
+	if p.never(q.job.Spec().Shape()) != "" {
+		return false
+	}
+	old, holds := p.lift(q.job.Spec().ID())
+	if sites := p.cleared(old, q.job.Spec().Shape()); sites != nil {
+		p.place(q, sites, "placed on the accelerators that were reclaimed for it")
+		return true
+	}
+	if sites, how := p.searchSafe(q); sites != nil {
+		p.place(q, sites, how)
+		return true
+	}
+	if holds {
+		p.hold(q.job.Spec().ID(), old)
+	}
+	return false
+}
+
 func (p *pass) decide(d Decision) { p.decisions = append(p.decisions, d) }
 
 // consider decides about one queued job.
@@ -69,15 +120,43 @@
 		p.decide(Reject{spec.ID(), reason})
 		return
 	}
-	key := attempt{q.owner, spec.Shape(), fragile(spec)}
-	if reason, ok := p.blocked[key]; ok {
+	key := attempt{q.owner, spec.Shape(), fragile(spec), spec.Urgency() == job.Urgent}
+	old, holds := p.lift(spec.ID())
+	if reason, ok := p.blocked[key]; ok && !holds {
 		p.decide(Wait{spec.ID(), reason})
 		return
 	}
 	if sites, how := p.search(q); sites != nil {
+		if holds {
+			clear(p.blocked)
+		}
 		p.place(q, sites, how)
 		return
 	}
+	p.block(q, key, old, holds && !old.claim)
+}
+
+// block reclaims, backfills or reserves for a job that finds no free accelerators.
+func (p *pass) block(q waiting, key attempt, old hold, holds bool) {
+	spec := q.job.Spec()
+	switch {
+	case p.reclaim(q):
+		return
+	case holds:
+		p.hold(spec.ID(), old)
+		if p.evict(q, old) {
+			p.decide(Wait{spec.ID(), "waits for backfilled jobs to leave the accelerators held for it"})
+			return
+		}
+		p.decide(Wait{spec.ID(), fmt.Sprintf("waits for jobs to end on the accelerators held for it on %d workers since %s",
+			len(old.parts), old.since.Format(time.RFC3339))})
+		return
+	case p.backfill(q):
+		return
+	case p.reserve(q):
+		p.decide(Wait{spec.ID(), p.shortage(spec.Shape()) + "; a place is now held for it"})
+		return
+	}
 	p.blocked[key] = p.shortage(spec.Shape())
 	p.decide(Wait{spec.ID(), p.blocked[key]})
 }
@@ -85,31 +164,43 @@
 func (p *pass) place(q waiting, sites []int32, how string) {
 	spec := q.job.Spec()
 	members := p.state.members(sites, spec.Shape())
-	p.state.occupy(spec, members, sites)
+	p.state.occupy(spec, members, sites, p.planner.backfilled[spec.ID()])
 	p.decide(Place{spec.ID(), members, fmt.Sprintf("%s after %s in the queue: %s", spec.Shape(), waited(q.job, p.now), how)})
 }
 
 // search looks for free accelerators, those that no owner can reclaim first.
 func (p *pass) search(q waiting) (sites []int32, how string) {
-	spec := q.job.Spec()
-	p.state.showOwn(q.owner)
-	sites = p.state.safe.find(spec.Shape())
-	p.state.hideOwn(q.owner)
-	if sites != nil {
-		return sites, "placed on the workspace's own and common accelerators"
+	if sites, how = p.searchSafe(q); sites != nil {
+		return sites, how
 	}
-	if fragile(spec) && p.fitsSafely(q) {
-		return nil, ""
-	}
-	if sites = p.state.loan.find(spec.Shape()); sites != nil {
+	if sites = p.findWithOwn(p.lendable(q), q); sites != nil {
 		return sites, "placed on accelerators borrowed from idle guarantees"
 	}
 	return nil, ""
 }
 
+func (p *pass) searchSafe(q waiting) (sites []int32, how string) {
+	return p.findWithOwn(p.state.safe, q), "placed on the workspace's own and common accelerators"
+}
+
+func (p *pass) findWithOwn(free *pool, q waiting) []int32 {
+	p.state.showOwn(free, q.owner)
+	defer p.state.hideOwn(q.owner)
+	return free.find(q.job.Spec().Shape())
+}
+
 // fragile reports whether a reclaim would lose the job, because it can neither be checkpointed nor run again.
 func fragile(s job.Spec) bool { return !s.Checkpointable() && !s.Idempotent() }
 
+// lendable returns the pool that the job may take from. A job that a reclaim would lose
+// borrows only when it fits nowhere else even on an idle fleet.
+func (p *pass) lendable(q waiting) *pool {
+	if fragile(q.job.Spec()) && p.fitsSafely(q) {
+		return p.state.safe
+	}
+	return p.state.loan
+}
+
 // fitsSafely reports whether the job fits without borrowing on a fleet that is otherwise idle.
 func (p *pass) fitsSafely(q waiting) bool {
 	idle := p.planner.top.idle(func(int32) bool { return false })
--- a/internal/plan/planner.go
+++ b/internal/plan/planner.go
@@ -12,7 +12,8 @@
 	defaultPause        = time.Minute
 	defaultLongestPause = time.Hour
 	// defaultFailures is the number of different jobs that must fail on a worker in a row.
-	defaultFailures = 3
+	defaultFailures     = 3
+	defaultReservations = 2
 )
 
 // Planner decides from views; it keeps only caches, so that a new one decides as well from the same view.
@@ -24,8 +25,12 @@
 	longestPause time.Duration
 	failures     int
 
-	top   *topology
-	cells map[string]cell
+	reservations int
+
+	top        *topology
+	cells      map[string]cell
+	holds      map[string]hold
+	backfilled map[string]bool
 }
 
 // Option sets a part of a Planner.
@@ -35,7 +40,8 @@
 func New(opts ...Option) *Planner {
 	p := &Planner{
 		policy: Reserving, ageing: defaultAgeing, pause: defaultPause, longestPause: defaultLongestPause,
-		failures: defaultFailures, cells: map[string]cell{},
+		failures: defaultFailures, reservations: defaultReservations,
+		cells: map[string]cell{}, holds: map[string]hold{}, backfilled: map[string]bool{},
 	}
 	for _, o := range opts {
 		o(p)
@@ -51,6 +57,9 @@
 	return func(p *Planner) { p.failures, p.pause, p.longestPause = max(1, failures), first, max(first, longest) }
 }
 
+// WithReservations sets how many blocked jobs hold accelerators at once.
+func WithReservations(n int) Option { return func(p *Planner) { p.reservations = n } }
+
 // WithPolicy chooses the policy; the default is Reserving.
 func WithPolicy(policy Policy) Option { return func(p *Planner) { p.policy = policy } }
 
--- a/internal/plan/pool.go
+++ b/internal/plan/pool.go
@@ -167,6 +167,14 @@
 
 // take fills the sites with the fewest free accelerators first, and among those the racks with the fewest.
 func (p *pool) take(racks []int32, members, size int) []int32 {
+	if found := p.takeSome(racks, members, size); len(found) == members {
+		return found
+	}
+	return nil
+}
+
+// takeSome is take for as many members as fit.
+func (p *pool) takeSome(racks []int32, members, size int) []int32 {
 	if len(racks) > 1 {
 		racks = slices.Clone(racks)
 		slices.SortFunc(racks, func(a, b int32) int {
@@ -185,5 +193,5 @@
 			}
 		}
 	}
-	return nil
+	return found
 }
--- a/internal/plan/state.go
+++ b/internal/plan/state.go
@@ -19,20 +19,25 @@
 	loan, safe *pool
 	owners     map[string]int32
 	cells      [][]cellPart
+	// demands marks workspaces with a queued job within their guarantee; nobody borrows from them.
+	demands map[int32]bool
 }
 
 // usage is the use of one site.
 type usage struct {
 	free, releasing int
 	claimed, held   int
+	backfilled      int
 	usable          bool
 	shares          []share
 }
 
-// share is a workspace's part of one site; movable is what its patient jobs that may be reclaimed use.
+// share is a workspace's part of one site. Movable is what its patient jobs use that may be reclaimed,
+// leaving is the use that ends soon, and claimed is kept for queued jobs of the workspace.
 type share struct {
 	owner               int32
 	cell, used, movable int
+	leaving, claimed    int
 }
 
 // cellPart is the part of a cell on one site.
@@ -41,10 +46,10 @@
 	accelerators int
 }
 
-func newState(top *topology, v View, now time.Time) *state {
+func newState(top *topology, v View, backfilled map[string]bool, now time.Time) *state {
 	s := &state{
 		top: top, sites: make([]usage, len(top.sites)), loan: newPool(top), safe: newPool(top),
-		owners: make(map[string]int32, len(v.workspaces)),
+		owners: make(map[string]int32, len(v.workspaces)), demands: map[int32]bool{},
 	}
 	for _, w := range v.workspaces {
 		s.owner(w.Name())
@@ -56,7 +61,7 @@
 	}
 	for _, j := range v.jobs {
 		if j.Placed() {
-			s.use(j, 1)
+			s.use(j, backfilled[j.Spec().ID()])
 		}
 	}
 	return s
@@ -73,24 +78,28 @@
 	return o
 }
 
-// use counts the members of a placed job, or takes them off the count when sign is -1.
-func (s *state) use(j job.Job, sign int) {
+// use counts the members of a placed job.
+func (s *state) use(j job.Job, backfilled bool) {
 	owner, movable := s.owner(j.Spec().Workspace()), movable(j.Spec())
 	for _, m := range j.Members() {
 		site, ok := s.top.byName[m.Worker()]
 		if !ok {
 			continue
 		}
-		n := sign * m.Accelerators()
+		n := m.Accelerators()
 		u := &s.sites[site]
 		u.free -= n
 		h := u.share(owner)
 		h.used += n
-		if movable {
+		if movable && j.State() != job.Stopping {
 			h.movable += n
 		}
+		if backfilled {
+			u.backfilled += n
+		}
 		if j.State() == job.Stopping {
 			u.releasing += n
+			h.leaving += n
 		}
 	}
 }
@@ -139,6 +148,31 @@
 	}
 }
 
+// cellFits reports whether the shape fits into the workspace's cell when that is idle.
+func (s *state) cellFits(owner int32, shape workspace.Shape) bool {
+	members, size := shape.Members(), shape.Accelerators()
+	if reach(shape) == 0 {
+		members, size = 1, shape.Total()
+	}
+	fits := map[int32]int{}
+	for _, c := range s.cells[owner] {
+		domain := int32(0)
+		switch shape.Adjacency() {
+		case workspace.SameWorker:
+			domain = c.site
+		case workspace.SameRack:
+			domain = s.top.sites[c.site].rack
+		case workspace.SameZone:
+			domain = s.top.sites[c.site].zone
+		case workspace.Anywhere:
+		}
+		if fits[domain] += c.accelerators / size; fits[domain] >= members {
+			return true
+		}
+	}
+	return false
+}
+
 // refresh brings the pools up to date with one site.
 func (s *state) refresh(site int32) {
 	u := &s.sites[site]
@@ -147,26 +181,55 @@
 		s.safe.set(site, 0)
 		return
 	}
-	free := max(0, u.free-u.claimed-u.held)
-	s.loan.set(site, free)
+	free := max(0, u.free-u.claimed-u.kept())
+	s.loan.set(site, max(0, free-s.demanded(u)))
 	s.safe.set(site, max(0, min(free, u.common(s.top.sites[site].capacity))))
 }
 
+// kept returns what new jobs may not take because of a hold; what backfilled jobs use can be taken off them.
+func (u *usage) kept() int { return max(0, u.held-u.backfilled) }
+
+// demanded returns what no borrower may take on the site.
+func (s *state) demanded(u *usage) (n int) {
+	if len(s.demands) == 0 {
+		return 0
+	}
+	for _, h := range u.shares {
+		if s.demands[h.owner] {
+			n += h.room()
+		}
+	}
+	return n
+}
+
+// demand sets whether others may borrow from the workspace's cell.
+func (s *state) demand(owner int32, yes bool) {
+	if yes {
+		s.demands[owner] = true
+	} else {
+		delete(s.demands, owner)
+	}
+	for _, c := range s.cells[owner] {
+		s.refresh(c.site)
+	}
+}
+
 func (s *state) refreshAll() {
 	for i := range s.sites {
 		s.refresh(int32(i))
 	}
 }
 
-// showOwn adds the free part of the workspace's own cell to the safe pool, held or not; hideOwn takes it off again.
-func (s *state) showOwn(owner int32) {
-	for _, p := range s.cells[owner] {
-		u := &s.sites[p.site]
+// showOwn adds the free part of the workspace's own cell to a pool, held or not; hideOwn takes it off again.
+func (s *state) showOwn(p *pool, owner int32) {
+	for _, c := range s.cells[owner] {
+		u := &s.sites[c.site]
 		if !u.usable {
 			continue
 		}
-		entitled := u.peek(owner).room() + max(0, u.common(s.top.sites[p.site].capacity))
-		s.safe.set(p.site, max(s.safe.level[p.site], min(u.free-u.claimed, entitled)))
+		h := u.peek(owner)
+		entitled := max(0, h.room()-h.claimed) + max(0, u.common(s.top.sites[c.site].capacity))
+		p.set(c.site, max(p.level[c.site], min(u.free-u.claimed, entitled)))
 	}
 }
 
@@ -186,8 +249,8 @@
 }
 
 // occupy counts a job that was just placed.
-func (s *state) occupy(spec job.Spec, members []job.Member, sites []int32) {
-	s.use(job.New(spec).Reserve(0, members), 1)
+func (s *state) occupy(spec job.Spec, members []job.Member, sites []int32, backfilled bool) {
+	s.use(job.New(spec).Reserve(0, members), backfilled)
 	for _, site := range slices.Compact(slices.Clone(sites)) {
 		s.refresh(site)
 	}
--- a/internal/plan/topology.go
+++ b/internal/plan/topology.go
@@ -13,6 +13,7 @@
 	sites     []site
 	byName    map[string]int32
 	rackZone  []int32
+	rackFirst []int32
 	zoneRacks [][]int32
 	allRacks  []int32
 	rackNames []string
@@ -53,6 +54,7 @@
 			r = int32(len(t.rackZone))
 			racks[key] = r
 			t.rackZone = append(t.rackZone, z)
+			t.rackFirst = append(t.rackFirst, int32(len(t.sites)))
 			t.rackNames = append(t.rackNames, string(w.Rack()))
 			t.zoneRacks[z] = append(t.zoneRacks[z], r)
 			t.allRacks = append(t.allRacks, r)
@@ -64,6 +66,15 @@
 	return t
 }
 
+// rackSites returns the range of the rack's sites, which are sorted by rack.
+func (t *topology) rackSites(rack int32) (first, end int32) {
+	first = t.rackFirst[rack]
+	if int(rack)+1 < len(t.rackFirst) {
+		return first, t.rackFirst[rack+1]
+	}
+	return first, int32(len(t.sites))
+}
+
 // idle returns a pool in which every accelerator of the given sites is free.
 func (t *topology) idle(include func(site int32) bool) *pool {
 	p := newPool(t)
--- /dev/null
+++ b/internal/plan/world_test.go
@@ -0,0 +1,188 @@
+package plan_test
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"rosemarywind.example/rosemarywind/internal/fleet"
+	"rosemarywind.example/rosemarywind/internal/job"
+	"rosemarywind.example/rosemarywind/internal/plan"
+	"rosemarywind.example/rosemarywind/internal/workspace"
+)
+
+// world is the oracle: it carries decisions out and checks each against the plainest reading of the promises.
+type world struct {
+	t       *rapid.T
+	planner *plan.Planner
+	workers []fleet.Worker
+	spaces  []workspace.Workspace
+	jobs    map[string]job.Job
+	down    map[string]bool
+	now     time.Time
+	serial  int
+}
+
+func newWorld(t *rapid.T) *world {
+	w := &world{t: t, planner: plan.New(), jobs: map[string]job.Job{}, down: map[string]bool{}, now: start}
+	w.workers = workersOf(rapid.IntRange(2, 11).Draw(t, "workers"), rapid.IntRange(1, 3).Draw(t, "zones"))
+	for i := range rapid.IntRange(0, 4).Draw(t, "workspaces") {
+		s := workspace.New(fmt.Sprintf("s%d", i), "t", w.drawShape(), workspace.Limits{})
+		if plan.CheckGuarantees(w.workers, append(slices.Clone(w.spaces), s)) == nil {
+			w.spaces = append(w.spaces, s)
+		}
+	}
+	return w
+}
+
+func (w *world) drawShape() workspace.Shape {
+	adjacency := rapid.SampledFrom([]workspace.Adjacency{
+		workspace.SameWorker, workspace.SameRack, workspace.SameZone, workspace.Anywhere,
+	}).Draw(w.t, "adjacency")
+	return shapeOf(w.t, rapid.IntRange(1, 4).Draw(w.t, "members"), rapid.IntRange(1, 8).Draw(w.t, "accelerators"), adjacency)
+}
+
+func (w *world) submit(space string, s workspace.Shape, opts ...job.SpecOption) string {
+	w.serial++
+	spec, err := job.NewSpec(fmt.Sprintf("j%04d", w.serial), space, s, w.now, opts...)
+	require.NoError(w.t, err)
+	w.jobs[spec.ID()] = job.New(spec)
+	return spec.ID()
+}
+
+func (w *world) submitAny(t *rapid.T) {
+	space := rapid.SampledFrom([]string{"s0", "s1", "s2", "s3", "unknown"}).Draw(t, "space")
+	w.submit(space, w.drawShape(),
+		job.WithUrgency(rapid.SampledFrom([]job.Urgency{job.Urgent, job.Patient}).Draw(t, "urgency")),
+		job.WithIdempotent(rapid.Bool().Draw(t, "idempotent")),
+		job.WithCheckpointable(rapid.Bool().Draw(t, "checkpointable")),
+		job.WithRunTime(time.Duration(rapid.IntRange(0, 100).Draw(t, "declared"))*time.Minute))
+}
+
+func (w *world) ids(states ...job.State) (ids []string) {
+	for _, id := range slices.Sorted(maps.Keys(w.jobs)) {
+		if slices.Contains(states, w.jobs[id].State()) {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+func (w *world) view() plan.View {
+	jobs := make([]job.Job, 0, len(w.jobs))
+	for _, id := range slices.Sorted(maps.Keys(w.jobs)) {
+		jobs = append(jobs, w.jobs[id])
+	}
+	return plan.NewView(w.workers, jobs, w.spaces, plan.WithUnreachable(slices.Sorted(maps.Keys(w.down))...))
+}
+
+// decide carries all decisions out; stops take effect with settle.
+func (w *world) decide() (rejected int) {
+	for _, d := range w.planner.Decide(w.view(), w.now) {
+		require.NotEmpty(w.t, d.Explanation())
+		require.NotContains(w.t, d.Explanation(), "\n")
+		switch d := d.(type) {
+		case plan.Place:
+			j := w.jobs[d.Job()]
+			require.Equal(w.t, job.Queued, j.State())
+			w.jobs[d.Job()] = j.Reserve(j.Fence().Next(), d.Members())
+			w.checkGang(w.jobs[d.Job()])
+		case plan.Reclaim:
+			require.Contains(w.t, []job.State{job.Reserved, job.Started}, w.jobs[d.Job()].State())
+			w.jobs[d.Job()] = w.jobs[d.Job()].Stop(d.Explanation())
+		case plan.Reject:
+			delete(w.jobs, d.Job())
+			rejected++
+		case plan.Wait:
+			require.Equal(w.t, job.Queued, w.jobs[d.Job()].State())
+		case plan.SetAside:
+		}
+	}
+	w.check()
+	return rejected
+}
+
+// settle ends the stops: a job that may run again is queued, another is over.
+func (w *world) settle() {
+	for _, id := range w.ids(job.Stopping) {
+		if s := w.jobs[id].Spec(); s.Idempotent() || s.Checkpointable() {
+			w.jobs[id] = w.jobs[id].Requeue("reclaimed")
+		} else {
+			delete(w.jobs, id)
+		}
+	}
+}
+
+// check holds that no worker gives more accelerators than it has.
+func (w *world) check() {
+	free := map[string]int{}
+	for _, x := range w.workers {
+		free[x.Name()] = x.Accelerators()
+	}
+	for _, j := range w.jobs {
+		for _, m := range j.Members() {
+			free[m.Worker()] -= m.Accelerators()
+		}
+	}
+	for name, n := range free {
+		require.GreaterOrEqual(w.t, n, 0, "worker %s gives more than it has", name)
+	}
+}
+
+// checkGang holds that a gang has all members, on usable workers that are as close as asked for.
+func (w *world) checkGang(j job.Job) {
+	s := j.Spec().Shape()
+	require.Len(w.t, j.Members(), s.Members())
+	near := map[string]bool{}
+	for i, m := range j.Members() {
+		require.Equal(w.t, i, m.Index())
+		require.Equal(w.t, s.Accelerators(), m.Accelerators())
+		require.False(w.t, w.down[m.Worker()])
+		x := w.workers[slices.IndexFunc(w.workers, func(x fleet.Worker) bool { return x.Name() == m.Worker() })]
+		near[map[workspace.Adjacency]string{
+			workspace.SameWorker: x.Name(), workspace.SameRack: string(x.Rack()), workspace.SameZone: string(x.AvailabilityZone()),
+		}[s.Adjacency()]] = true
+	}
+	require.Len(w.t, near, 1, "members of %s are too far apart", j.Spec().ID())
+}
+
+// recall holds P1: workspaces that run nothing themselves get their guaranteed shapes back
+// at the second decision, with nothing but reclaims in between.
+func (w *world) recall(t *rapid.T) {
+	up := slices.DeleteFunc(slices.Clone(w.workers), func(x fleet.Worker) bool { return w.down[x.Name()] })
+	if plan.CheckGuarantees(up, w.spaces) != nil {
+		return
+	}
+	var demands []string
+	for _, s := range w.spaces {
+		if rapid.Bool().Draw(t, "demands") {
+			maps.DeleteFunc(w.jobs, func(_ string, j job.Job) bool { return j.Spec().Workspace() == s.Name() })
+			demands = append(demands, w.submit(s.Name(), s.Guarantee()))
+		}
+	}
+	w.decide()
+	w.settle()
+	w.decide()
+	for _, id := range demands {
+		require.True(w.t, w.jobs[id].Placed(), "guaranteed %s of %s is not placed: %v",
+			w.jobs[id].Spec().Shape(), w.jobs[id].Spec().Workspace(), w.jobs)
+	}
+}
+
+// finishAll holds that every job that the fleet can run is placed as others end.
+func (w *world) finishAll() {
+	clear(w.down)
+	for rounds := 4*len(w.jobs) + 4; len(w.jobs) > 0; rounds-- {
+		require.Positive(w.t, rounds, "starved: %v %v", w.jobs)
+		w.now = w.now.Add(time.Minute)
+		w.decide()
+		w.settle()
+		if running := w.ids(job.Reserved); len(running) > 0 {
+			delete(w.jobs, running[0])
+		}
+	}
+}
