Report, count and bound requests correctly at the entry

Faults found in review, each with a test that failed before:

- A load figure from one answer stayed in force until the next answer, so an endpoint that once reported a full load was never chosen again when this process had nothing there.
Such an endpoint now stays usable.
The report also counted the answered request as ended on one side only.
- A slow sender whose request was refused held its connection for good, since net/http reads the rest of a body before it sends the answer.
The rest now has 50 ms, and a body has the shorter of its timeout and the caller's deadline.
- Callers behind a dead agent dialed one after the other: 8 callers took 16.0 s, now 2.0 s, because they share one dial and its error.
- A leader that has just taken over listed no agents yet and emptied the fleet of each entry.
Endpoints that it lacks count for one announcement lease more.
- An entry without a configuration called each workspace unknown.
- A retry share of 0 still allowed one retry.
- The length of a HEAD answer was replaced by 0, and 204 carried a length.
- A status that HTTP does not have stopped the handler without an outcome.
- Two values of one header that matters were accepted, the first one counting.
- Deadlines that passed in the queue were reported as a cancellation.
- Refusals were not logged.
Connections that end inside the headers are logged too; net/http answers those itself and reports nothing.

The silence limit of QUIC connections counts from the unanswered probe, which is sent 1 s after the last packet, so 3 s found a dead connection after 4 s. It is now 1.8 s, 2.8 s in all.

A stopping entry asks callers to close their connections and serves for 500 ms before it closes the idle ones.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"time"
 
 	"rosemarywind.example/rosemarywind/internal/clock"
 	"rosemarywind.example/rosemarywind/internal/fleet"
+	"rosemarywind.example/rosemarywind/internal/link"
 	"rosemarywind.example/rosemarywind/internal/request"
 	"rosemarywind.example/rosemarywind/internal/route"
 	"rosemarywind.example/rosemarywind/internal/telemetry"
@@ -15,7 +17,7 @@
 )
 
 // serve runs an admitted request: at most once if it is not idempotent, else with retries.
-func (e *Entry) serve(ctx context.Context, r request.Request, t ticket) request.Result {
+func (e *Entry) serve(ctx context.Context, r request.Request, t *ticket) request.Result {
 	e.budget.Earn()
 	if r.Idempotent() || r.Key() == "" {
 		return e.attempts(ctx, r, t)
@@ -24,28 +26,37 @@
 }
 
 // attempts tries endpoints until one answers or a retry is not allowed.
-func (e *Entry) attempts(ctx context.Context, r request.Request, t ticket) request.Result {
+func (e *Entry) attempts(ctx context.Context, r request.Request, t *ticket) (result request.Result) {
 	var excluded []string
-	target := t.endpoint
+	mayHaveRun := false
 	for n := 1; ; n++ {
-		result := e.attempt(ctx, r, target)
+		result = e.attempt(ctx, r, t.endpoint)
+		if _, lost := result.(request.Lost); lost {
+			mayHaveRun = true
+		}
 		if n >= e.retryAttempts || !retryable(r, result) || ctx.Err() != nil || !e.budget.Spend() {
-			return result
+			return overall(result, mayHaveRun)
 		}
-		excluded = append(excluded, target.Name())
+		excluded = append(excluded, t.endpoint.Name())
 		if !clock.Pause(ctx, jitter(e.retryPause, n)) {
-			return result
+			return overall(result, mayHaveRun)
 		}
 		next, ok := route.Choose(e.board.fleet.Load(), globalRandom{}, excluded)
 		if !ok {
-			return result
+			return overall(result, mayHaveRun)
 		}
-		target = next
-		target.Load().Begin()
-		defer target.Load().End()
+		e.queue.move(t, next)
 	}
 }
 
+// overall returns the result of all attempts: a refusal of the last one does not undo an earlier one that may have run.
+func overall(last request.Result, mayHaveRun bool) request.Result {
+	if refused, ok := last.(request.Refused); ok && mayHaveRun {
+		return request.NewLost(refused.Reason(), "an earlier attempt may have run; the last one was refused: "+refused.Message())
+	}
+	return last
+}
+
 // retryable reports whether another attempt cannot break the request's promise.
 func retryable(r request.Request, result request.Result) bool {
 	switch t := result.(type) {
@@ -63,9 +74,13 @@
 func (e *Entry) attempt(ctx context.Context, r request.Request, target fleet.Endpoint) request.Result {
 	ctx, span := e.tracer.Start(ctx, "forward")
 	defer span.End()
+	if ctx.Err() != nil {
+		return e.unsent(ctx)
+	}
 	s, err := e.agents.Open(ctx, target.Address())
 	if err != nil {
-		return request.NewRefused(outcome.ConnectionLost, "the agent cannot be reached", retryLater)
+		e.logger.Info("agent not reached", "request", r.ID(), "endpoint", target.Name(), "error", err)
+		return e.unsent(ctx)
 	}
 	stop := s.Watch(ctx)
 	defer stop()
@@ -74,32 +89,55 @@
 	result, inFlight, err := e.exchange(ctx, s, r, target)
 	if err != nil {
 		e.logger.Warn("exchange failed", "request", r.ID(), "endpoint", target.Name(), "error", err)
+		if link.NotServed(err) {
+			return request.NewRefused(outcome.Incompatible, "the agent did not take up the request", retryLater)
+		}
 		return lostBy(ctx, r, time.Now())
 	}
 	target.Load().Report(inFlight)
 	return result
 }
 
+// unsent returns the refusal of a request that was not sent to an agent.
+func (e *Entry) unsent(ctx context.Context) request.Result {
+	if refusal := ended(ctx); refusal != nil {
+		return refusal
+	}
+	return request.NewRefused(outcome.ConnectionLost, "the agent cannot be reached", retryLater)
+}
+
+// ended returns the refusal of a request whose deadline passed or whose caller left before it was sent, else nil.
+func ended(ctx context.Context) request.Result {
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return request.NewRefused(outcome.DeadlineExceeded, "the deadline passed before the request was sent", 0)
+	case ctx.Err() != nil:
+		return request.NewRefused(outcome.Cancelled, "the caller gave up before the request was sent", 0)
+	default:
+		return nil
+	}
+}
+
 // stream is what an exchange needs of a link.Stream.
 type stream interface {
 	Read(p []byte) (int, error)
 	Write(p []byte) (int, error)
-	CloseWrite() error
 }
 
+// exchange leaves the stream open for writing: its end tells the agent that the answer arrived.
 func (e *Entry) exchange(
 	ctx context.Context, s stream, r request.Request, target fleet.Endpoint,
 ) (result request.Result, inFlight int64, err error) {
 	if err = wire.WriteOpening(s, wire.NewOpening(wire.KindForward, telemetry.Inject(ctx))); err != nil {
 		return nil, 0, err
 	}
-	if err = wire.WriteForward(s, wire.NewForward(r, target.Incarnation()), time.Now()); err != nil {
-		return nil, 0, err
-	}
-	if err = s.CloseWrite(); err != nil {
-		return nil, 0, err
+	// An agent that refuses stops reading, so a failed write may have an answer.
+	unwritten := wire.WriteForward(s, wire.NewForward(r, target.Incarnation()), time.Now())
+	result, inFlight, err = wire.ReadAnswer(s, r.ID(), e.bodyLimit)
+	if err != nil {
+		return nil, 0, errors.Join(unwritten, err)
 	}
-	return wire.ReadAnswer(s, r.ID(), e.bodyLimit)
+	return result, inFlight, nil
 }
 
 func lostBy(ctx context.Context, r request.Request, now time.Time) request.Result {
--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -24,7 +24,7 @@
 )
 
 // claimed records the attempt in the ledger, runs it if the key is new, and records how it ended.
-func (e *Entry) claimed(ctx context.Context, r request.Request, t ticket) request.Result {
+func (e *Entry) claimed(ctx context.Context, r request.Request, t *ticket) request.Result {
 	number, result := e.claim(ctx, r)
 	if result != nil {
 		return result
--- a/internal/entry/dispatcher.go
+++ b/internal/entry/dispatcher.go
@@ -83,19 +83,25 @@
 	if !w.decided.CompareAndSwap(false, true) {
 		return <-w.granted, nil
 	}
-	if ctx.Err() != nil {
-		return ticket{}, request.NewRefused(outcome.Cancelled, "the caller gave up or the deadline passed in the queue", 0)
+	if refusal := ended(ctx); refusal != nil {
+		return ticket{}, refusal
 	}
 	return ticket{}, d.noSlot()
 }
 
 // release gives a ticket back and wakes the queue.
-func (d *dispatcher) release(t ticket) {
+func (d *dispatcher) release(t *ticket) {
 	t.endpoint.Load().End()
 	t.tenure.gate.Leave()
-	if d.waiting.Load() > 0 {
-		d.wake()
-	}
+	d.wake()
+}
+
+// move exchanges the slot of a ticket for one of another endpoint.
+func (d *dispatcher) move(t *ticket, next fleet.Endpoint) {
+	next.Load().Begin()
+	t.endpoint.Load().End()
+	t.endpoint = next
+	d.wake()
 }
 
 // run grants tickets to waiters as slots become free.
@@ -109,6 +115,7 @@
 			return nil
 		case w := <-d.arrivals:
 			q.Push(w.tenure.workspace.Name(), w.urgency, w)
+			d.collect(q)
 		case <-d.released:
 		case <-fleetChanged:
 		case <-policyChanged:
@@ -119,6 +126,18 @@
 	}
 }
 
+// collect takes what has arrived meanwhile, so that a burst is ordered once and the buffer is free for others.
+func (d *dispatcher) collect(q *admission.Queue[*waiter]) {
+	for range arrivalBuffer {
+		select {
+		case w := <-d.arrivals:
+			q.Push(w.tenure.workspace.Name(), w.urgency, w)
+		default:
+			return
+		}
+	}
+}
+
 // grant serves one waiter and reports whether it did.
 func (d *dispatcher) grant(q *admission.Queue[*waiter]) bool {
 	var got ticket
@@ -134,7 +153,7 @@
 		return false
 	}
 	if !w.decided.CompareAndSwap(false, true) {
-		d.release(got)
+		d.release(&got)
 		return true
 	}
 	w.granted <- got
@@ -162,7 +181,11 @@
 	return request.NewRefused(outcome.NoSlot, "no slot became free in time", retryLater)
 }
 
+// wake tells the queue of a free slot if anything waits.
 func (d *dispatcher) wake() {
+	if d.waiting.Load() == 0 {
+		return
+	}
 	select {
 	case d.released <- struct{}{}:
 	default:
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -10,6 +10,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"rosemarywind.example/rosemarywind/internal/clock"
 	"rosemarywind.example/rosemarywind/internal/link"
 	"rosemarywind.example/rosemarywind/internal/route"
 )
@@ -24,6 +25,7 @@
 	queue    *dispatcher
 	buffered atomic.Int64
 	ids      *identities
+	leaving  atomic.Bool
 	stopping atomic.Bool
 }
 
@@ -63,7 +65,7 @@
 	g.Go(func() error { return e.queue.run(inner) })
 	server := e.server()
 	g.Go(func() error {
-		if err := server.Serve(e.listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(listener{e.listener}); !errors.Is(err, http.ErrServerClosed) {
 			cancel()
 			return err
 		}
@@ -76,15 +78,30 @@
 		case <-inner.Done():
 			return nil
 		}
-		e.stopping.Store(true)
 		e.logger.Info("stopping", "grace", e.grace.String())
-		graceful, done := context.WithTimeout(inner, e.grace)
-		defer done()
-		return server.Shutdown(graceful)
+		e.finish(inner, server)
+		return nil
 	})
 	return g.Wait()
 }
 
+// leaveTime is how long a stopping entry serves on while it asks callers to close their connections, since a request
+// that arrives on an idle connection while it is closed would get no answer.
+const leaveTime = 500 * time.Millisecond
+
+// finish serves what is in flight, at most for the grace.
+func (e *Entry) finish(ctx context.Context, server *http.Server) {
+	ctx, cancel := context.WithTimeout(ctx, e.grace)
+	defer cancel()
+	e.leaving.Store(true)
+	clock.Pause(ctx, leaveTime)
+	e.stopping.Store(true)
+	if err := server.Shutdown(ctx); err != nil {
+		e.logger.Warn("grace is over", "error", err)
+		_ = server.Close()
+	}
+}
+
 func (e *Entry) server() *http.Server {
 	return &http.Server{
 		Handler:           e,
@@ -92,5 +109,26 @@
 		MaxHeaderBytes:    e.headerLimit,
 		IdleTimeout:       time.Minute,
 		ErrorLog:          e.logger.StandardLogger(nil),
+		ConnContext:       withConnection,
+		ConnState:         e.watchConnection,
 	}
 }
+
+// InFlight returns the number of requests of a workspace that hold a place in its limit.
+func (e *Entry) InFlight(workspace string) int64 {
+	if t, ok := e.board.policy.Load().tenures[workspace]; ok {
+		return t.gate.InFlight()
+	}
+	return 0
+}
+
+// Queued returns the number of requests of a workspace that wait for a slot.
+func (e *Entry) Queued(workspace string) int64 {
+	if t, ok := e.board.policy.Load().tenures[workspace]; ok {
+		return t.gate.Queued()
+	}
+	return 0
+}
+
+// BufferedBytes returns the bytes reserved for callers' bodies.
+func (e *Entry) BufferedBytes() int64 { return e.buffered.Load() }
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"net/http"
 	"time"
 
@@ -13,16 +11,37 @@
 	"rosemarywind.example/rosemarywind/pkg/outcome"
 )
 
+// drainTime is how long net/http may wait for the rest of a body that is not needed before it sends the answer.
+const drainTime = 50 * time.Millisecond
+
 // ServeHTTP serves one caller's request.
 func (e *Entry) ServeHTTP(w http.ResponseWriter, h *http.Request) {
+	begun := time.Now()
+	countRequest(h.Context())
+	control := http.NewResponseController(w)
+	// The deadline of the answer before on this connection no longer counts.
+	_ = control.SetWriteDeadline(time.Time{})
 	ctx, span := e.tracer.Start(telemetry.ExtractHeader(h.Context(), h.Header), "request")
 	defer span.End()
-	result := e.handle(ctx, w, h)
-	reply(w, result)
+	b := newBody(h)
+	result := e.handle(ctx, h, b, control, begun)
+	e.note(h, result)
+	now := time.Now()
+	if !b.ended {
+		_ = control.SetReadDeadline(now.Add(drainTime))
+		w.Header().Set("Connection", "close")
+	}
+	if e.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	_ = control.SetWriteDeadline(now.Add(e.bodyTimeout))
+	reply(w, h.Method, result)
 }
 
 // handle returns the result for the caller; it refuses before it dispatches wherever it can.
-func (e *Entry) handle(ctx context.Context, w http.ResponseWriter, h *http.Request) request.Result {
+func (e *Entry) handle(
+	ctx context.Context, h *http.Request, b *body, control *http.ResponseController, now time.Time,
+) request.Result {
 	if e.stopping.Load() {
 		return request.NewRefused(outcome.Stopping, "the entry host is stopping", retryLater)
 	}
@@ -30,58 +49,54 @@
 	if err != nil {
 		return request.NewRefused(outcome.BadRequest, err.Error(), 0)
 	}
-	t, ok := e.board.policy.Load().tenures[f.workspace]
-	if !ok {
-		return request.NewRefused(outcome.UnknownWorkspace, "the workspace does not exist", 0)
-	}
-	if !keys.Match(f.token, t.workspace.TokenDigests()) {
-		return request.NewRefused(outcome.Unauthorized, "the token is not valid for the workspace", 0)
-	}
-	now := time.Now()
-	body, release, refusal := e.body(w, h, now)
-	defer release()
+	t, refusal := e.authorize(f)
 	if refusal != nil {
 		return refusal
 	}
-	r := f.request(e.ids.draw(), body, now)
-	ctx, cancel := context.WithDeadline(ctx, r.Deadline())
+	ctx, cancel := context.WithDeadline(ctx, now.Add(f.deadline))
 	defer cancel()
+	data, refusal := e.receive(ctx, b, control, now.Add(min(f.deadline, e.bodyTimeout)))
+	defer e.buffered.Add(-b.share)
+	if refusal != nil {
+		return refusal
+	}
+	r := f.request(e.ids.draw(), data, now)
 	got, refusal := e.queue.enter(ctx, t, r.Urgency(), e.queueWait)
 	if refusal != nil {
 		return refusal
 	}
-	defer e.queue.release(got)
-	return e.serve(ctx, r, got)
+	defer e.queue.release(&got)
+	return e.serve(ctx, r, &got)
 }
 
-// body reads the whole body within the limits; release gives its share of the buffer back.
-func (e *Entry) body(w http.ResponseWriter, h *http.Request, now time.Time) (body []byte, release func(), refusal request.Result) {
-	release = func() {}
-	if h.ContentLength > int64(e.bodyLimit) {
-		return nil, release, request.NewRefused(outcome.TooLarge, "the body exceeds the limit", 0)
-	}
-	if h.ContentLength == 0 {
-		return nil, release, nil
-	}
-	share := int64(e.bodyLimit)
-	if h.ContentLength > 0 {
-		share = h.ContentLength
+// authorize returns the workspace of a request whose token fits.
+func (e *Entry) authorize(f form) (t *tenure, refusal request.Result) {
+	t, ok := e.board.policy.Load().tenures[f.workspace]
+	if !ok && e.board.control.Load().heardAt.IsZero() {
+		return nil, request.NewRefused(outcome.ControlAway, "the entry host has no configuration yet", retryLater)
 	}
-	if e.buffered.Add(share) > e.bufferedLimit {
-		e.buffered.Add(-share)
-		return nil, release, request.NewRefused(outcome.QueueFull, "too many bodies are buffered", retryLater)
+	if !ok {
+		return nil, request.NewRefused(outcome.UnknownWorkspace, "the workspace does not exist", 0)
 	}
-	release = func() { e.buffered.Add(-share) }
-	control := http.NewResponseController(w)
-	_ = control.SetReadDeadline(now.Add(e.bodyTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(w, h.Body, int64(e.bodyLimit)))
-	_ = control.SetReadDeadline(time.Time{})
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, release, request.NewRefused(outcome.TooLarge, "the body exceeds the limit", 0)
+	if !keys.Match(f.token, t.workspace.TokenDigests()) {
+		return nil, request.NewRefused(outcome.Unauthorized, "the token is not valid for the workspace", 0)
 	}
-	if err != nil {
-		return nil, release, request.NewRefused(outcome.BadRequest, "the body is not whole or came too slowly", 0)
+	return t, nil
+}
+
+// note logs a request that was not answered; faults of the caller and losses are of interest at any load.
+func (e *Entry) note(h *http.Request, result request.Result) {
+	switch t := result.(type) {
+	case request.Refused:
+		log := e.logger.Debug
+		switch refusalStatus(t.Reason()) {
+		case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusGatewayTimeout:
+		default:
+			log = e.logger.Info
+		}
+		log("request refused", "peer", h.RemoteAddr, "reason", string(t.Reason()), "message", t.Message())
+	case request.Lost:
+		e.logger.Info("request lost", "peer", h.RemoteAddr, "reason", string(t.Reason()), "message", t.Message())
+	case request.Answered, request.Unkept:
 	}
-	return body, release, nil
 }
--- a/internal/entry/parse.go
+++ b/internal/entry/parse.go
@@ -27,7 +27,7 @@
 // hopHeaders are the headers that concern one connection, and those that are meant for this process.
 var hopHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "Te", "Trailer",
-	"Transfer-Encoding", "Upgrade", "Content-Length", "Authorization",
+	"Transfer-Encoding", "Upgrade", "Content-Length", "Expect", "Authorization",
 	headerUrgency, headerIdempotent, headerDeadline,
 }
 
@@ -45,6 +45,9 @@
 }
 
 func parse(h *http.Request, standard, longest time.Duration) (f form, err error) {
+	if err = unambiguous(h.Header); err != nil {
+		return form{}, err
+	}
 	rest, ok := strings.CutPrefix(h.URL.EscapedPath(), workspacePrefix)
 	if !ok {
 		return form{}, fmt.Errorf("the path must begin with %s{workspace}/", workspacePrefix)
@@ -71,6 +74,16 @@
 	return f, nil
 }
 
+// unambiguous refuses a header of which two values could be read by different readers.
+func unambiguous(h http.Header) error {
+	for _, name := range []string{headerKey, headerUrgency, headerIdempotent, headerDeadline, "Authorization"} {
+		if len(h.Values(name)) > 1 {
+			return fmt.Errorf("%s must be given once", name)
+		}
+	}
+	return nil
+}
+
 func (f form) request(id string, body []byte, now time.Time) request.Request {
 	return request.New(id, f.workspace, f.method, f.target,
 		request.WithBody(f.headers, body), request.WithUrgency(f.urgency), request.WithIdempotent(f.idempotent),
@@ -110,6 +123,11 @@
 
 func forEndpoint(h http.Header) request.Headers {
 	kept := h.Clone()
+	for _, list := range h.Values("Connection") {
+		for name := range strings.SplitSeq(list, ",") {
+			kept.Del(strings.TrimSpace(name))
+		}
+	}
 	for _, name := range hopHeaders {
 		kept.Del(name)
 	}
--- a/internal/entry/reply.go
+++ b/internal/entry/reply.go
@@ -11,16 +11,10 @@
 )
 
 // reply writes the result of a request to its caller.
-func reply(w http.ResponseWriter, result request.Result) {
+func reply(w http.ResponseWriter, method string, result request.Result) {
 	switch t := result.(type) {
 	case request.Answered:
-		for name, values := range t.Headers() {
-			w.Header()[name] = values
-		}
-		w.Header().Set(outcome.Header, string(outcome.Ran))
-		w.Header().Set("Content-Length", strconv.Itoa(len(t.Body())))
-		w.WriteHeader(t.Status())
-		_, _ = w.Write(t.Body())
+		answer(w, method, t)
 	case request.Refused:
 		if t.RetryAfter() > 0 {
 			w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(t.RetryAfter().Seconds()))))
@@ -43,6 +37,29 @@
 	}
 }
 
+// answer writes an endpoint's answer; the length that it gave for a HEAD request is kept.
+func answer(w http.ResponseWriter, method string, a request.Answered) {
+	if a.Status() < http.StatusOK || a.Status() > maxStatus {
+		refuse(w, http.StatusBadGateway, outcome.Body{
+			Outcome: outcome.MayHaveRun, Reason: outcome.AnswerTruncated,
+			Message: "the endpoint answered with status " + strconv.Itoa(a.Status()),
+		})
+		return
+	}
+	for name, values := range a.Headers() {
+		w.Header()[name] = values
+	}
+	w.Header().Set(outcome.Header, string(outcome.Ran))
+	if method != http.MethodHead && a.Status() != http.StatusNoContent && a.Status() != http.StatusNotModified {
+		w.Header().Set("Content-Length", strconv.Itoa(len(a.Body())))
+	}
+	w.WriteHeader(a.Status())
+	_, _ = w.Write(a.Body())
+}
+
+// maxStatus is the largest status that HTTP has.
+const maxStatus = 599
+
 func refuse(w http.ResponseWriter, status int, b outcome.Body) {
 	w.Header().Set(outcome.Header, string(b.Outcome))
 	w.Header().Set("Content-Type", "application/json")
--- a/internal/entry/watcher.go
+++ b/internal/entry/watcher.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -18,6 +20,8 @@
 	// watchSilence is three missed heartbeats of one second.
 	watchSilence = 3 * time.Second
 	watchPause   = 200 * time.Millisecond
+	// confirmTime is the announcement lease: an agent that is alive has announced to a new leader by then.
+	confirmTime = 3 * time.Second
 )
 
 // watcher is the controller that keeps the board up to date with the leader.
@@ -28,6 +32,9 @@
 	logger   hclog.Logger
 	next     int
 	followed string
+	// unconfirmed are the endpoints that a new leader has not listed yet, which count until confirmBy.
+	unconfirmed map[string]bool
+	confirmBy   time.Time
 }
 
 func newWatcher(b *Board, p *link.Pool, control []string, l hclog.Logger) *watcher {
@@ -100,13 +107,7 @@
 
 // take publishes an update; a configuration never goes back to an older revision.
 func (w *watcher) take(u fleet.Update, address string, now time.Time) {
-	old := w.board.fleet.Load()
-	if u.Full() {
-		old = fleet.NewSnapshot(0, keepLoads(old, u.Changed()))
-		w.board.fleet.Publish(old.With(u.Revision(), nil, nil))
-	} else if len(u.Changed())+len(u.Removed()) > 0 {
-		w.board.fleet.Publish(old.With(u.Revision(), u.Changed(), u.Removed()))
-	}
+	w.takeFleet(u, now)
 	if c := u.Config(); c != nil {
 		if p := w.board.policy.Load(); c.Revision() > p.config.Revision() {
 			w.board.policy.Publish(p.with(c))
@@ -116,14 +117,25 @@
 	w.board.control.Publish(Control{leader: address, heardAt: now})
 }
 
-// keepLoads carries the load counters over to a full list of endpoints.
-func keepLoads(old *fleet.Snapshot, list []fleet.Endpoint) []fleet.Endpoint {
-	kept := make([]fleet.Endpoint, len(list))
-	for i, e := range list {
-		if o, ok := old.Find(e.Name()); ok && o.Incarnation() == e.Incarnation() {
-			e = e.WithLoad(o.Load())
+// takeFleet publishes the endpoints. A leader that has just taken over lists only the agents that have announced to
+// it, so an endpoint that a full list lacks counts for confirmTime; its agent refuses what must not reach it.
+func (w *watcher) takeFleet(u fleet.Update, now time.Time) {
+	old := w.board.fleet.Load()
+	if u.Full() {
+		w.unconfirmed, w.confirmBy = map[string]bool{}, now.Add(confirmTime)
+		for _, e := range old.All() {
+			w.unconfirmed[e.Name()] = true
 		}
-		kept[i] = e
 	}
-	return kept
+	for _, e := range u.Changed() {
+		delete(w.unconfirmed, e.Name())
+	}
+	removed := u.Removed()
+	if len(w.unconfirmed) > 0 && !now.Before(w.confirmBy) {
+		removed = slices.AppendSeq(slices.Clone(removed), maps.Keys(w.unconfirmed))
+		w.unconfirmed = nil
+	}
+	if u.Full() || len(u.Changed())+len(removed) > 0 {
+		w.board.fleet.Publish(old.With(u.Revision(), u.Changed(), removed))
+	}
 }
--- a/internal/link/pool.go
+++ b/internal/link/pool.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 
 	"github.com/quic-go/quic-go"
+	"golang.org/x/sync/singleflight"
 )
 
 // Pool keeps one connection to each address and replaces one that was lost.
@@ -16,12 +17,13 @@
 	tls     *tls.Config
 	slots   atomic.Pointer[map[string]*slot]
 	growing sync.Mutex
+	closed  atomic.Bool
 }
 
-// slot is the place of one address; dialing admits one dialer at a time.
+// slot is the place of one address; all that wait for a connection share one dial and its error.
 type slot struct {
 	current atomic.Pointer[quic.Conn]
-	dialing chan struct{}
+	dials   singleflight.Group
 }
 
 // NewPool returns an empty pool that dials with the given TLS configuration.
@@ -61,6 +63,7 @@
 
 // Close closes all connections.
 func (p *Pool) Close() {
+	p.closed.Store(true)
 	for address := range *p.slots.Load() {
 		p.Forget(address)
 	}
@@ -70,19 +73,32 @@
 	if c = at.current.Load(); c != nil && c.Context().Err() == nil {
 		return c, nil
 	}
+	dialed := at.dials.DoChan("", func() (any, error) { return p.dial(context.WithoutCancel(ctx), at, address) })
 	select {
-	case at.dialing <- struct{}{}:
-		defer func() { <-at.dialing }()
+	case d := <-dialed:
+		if d.Err != nil {
+			return nil, d.Err
+		}
+		return d.Val.(*quic.Conn), nil
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
+}
+
+// dial outlives the caller that began it, since others wait for the same connection.
+func (p *Pool) dial(ctx context.Context, at *slot, address string) (c *quic.Conn, err error) {
 	if c = at.current.Load(); c != nil && c.Context().Err() == nil {
 		return c, nil
 	}
+	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
+	defer cancel()
 	if c, err = quic.DialAddr(ctx, address, p.tls, config()); err != nil {
 		return nil, err
 	}
 	at.current.Store(c)
+	if p.closed.Load() {
+		p.Forget(address)
+	}
 	return c, nil
 }
 
@@ -97,7 +113,7 @@
 	if at, ok := old[address]; ok {
 		return at
 	}
-	at := &slot{dialing: make(chan struct{}, 1)}
+	at := &slot{}
 	grown := maps.Clone(old)
 	grown[address] = at
 	p.slots.Store(&grown)
--- a/internal/link/quic.go
+++ b/internal/link/quic.go
@@ -7,9 +7,10 @@
 )
 
 const (
-	// probeInterval and silenceLimit find a connection that went silent within 3 s, the bound for new work.
+	// A connection is probed probeInterval after the last packet and given up silenceLimit after the unanswered probe,
+	// so that one that went silent is found within 3 s, the bound for new work.
 	probeInterval = time.Second
-	silenceLimit  = 3 * time.Second
+	silenceLimit  = 1800 * time.Millisecond
 
 	handshakeTimeout = 2 * time.Second
 	maxStreams       = 16_384
@@ -25,6 +26,10 @@
 const (
 	codeDone   = 0
 	codeCancel = 1
+	// codeRefused says that the handler did not act on the stream.
+	codeRefused = 2
+	// codeStopped says that each stream that was served has been answered and that no other will be.
+	codeStopped = 3
 )
 
 func config() *quic.Config {
--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 
 	"github.com/quic-go/quic-go"
 )
@@ -18,6 +19,7 @@
 type Server struct {
 	listener *quic.Listener
 	active   sync.WaitGroup
+	stopped  atomic.Bool
 }
 
 // Listen opens a UDP port at address.
@@ -47,11 +49,22 @@
 	}
 }
 
+// Stopped promises that each stream that was served has been answered and that no other will be served; the
+// connections are then closed with a code that says so.
+func (s *Server) Stopped() { s.stopped.Store(true) }
+
 // Close closes the port and all connections.
 func (s *Server) Close() error { return s.listener.Close() }
 
+func (s *Server) closingCode() quic.ApplicationErrorCode {
+	if s.stopped.Load() {
+		return codeStopped
+	}
+	return codeDone
+}
+
 func (s *Server) connection(ctx context.Context, c *quic.Conn, handler Handler) {
-	stop := context.AfterFunc(ctx, func() { _ = c.CloseWithError(codeDone, "stopped") })
+	stop := context.AfterFunc(ctx, func() { _ = c.CloseWithError(s.closingCode(), "stopped") })
 	defer stop()
 	for {
 		stream, err := c.AcceptStream(ctx)
--- a/internal/link/stream.go
+++ b/internal/link/stream.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"net"
 	"time"
 
@@ -30,6 +31,22 @@
 	s.stream.CancelWrite(codeCancel)
 }
 
+// Refuse ends both sides and tells the peer that the stream was not acted on.
+func (s *Stream) Refuse() {
+	s.stream.CancelRead(codeRefused)
+	s.stream.CancelWrite(codeRefused)
+}
+
+// NotServed reports whether err says that the peer did not act on the stream.
+func NotServed(err error) bool {
+	var ofStream *quic.StreamError
+	if errors.As(err, &ofStream) {
+		return ofStream.Remote && ofStream.ErrorCode == codeRefused
+	}
+	var ofConnection *quic.ApplicationError
+	return errors.As(err, &ofConnection) && ofConnection.Remote && ofConnection.ErrorCode == codeStopped
+}
+
 // SetDeadline bounds all reads and writes.
 func (s *Stream) SetDeadline(t time.Time) error { return s.stream.SetDeadline(t) }
 
--- a/internal/route/budget.go
+++ b/internal/route/budget.go
@@ -18,7 +18,9 @@
 // NewBudget returns a budget for retries of sharePercent of the requests, from 0 to 100.
 func NewBudget(sharePercent int) *Budget {
 	b := &Budget{sharePercent: int64(sharePercent)}
-	b.units.Store(unitsPerRetry)
+	if sharePercent > 0 {
+		b.units.Store(unitsPerRetry)
+	}
 	return b
 }
 
--- a/internal/route/choose.go
+++ b/internal/route/choose.go
@@ -47,8 +47,11 @@
 	return -1
 }
 
+// usable reports whether e may take one more request. The count of other processes' requests is as old as the
+// last answer, so it does not bar an endpoint at which this process has nothing; the next answer corrects it.
 func usable(e *fleet.Endpoint, excluded []string) bool {
-	return e.Load().InFlight() < int64(e.Slots()) && !slices.Contains(excluded, e.Name())
+	l := e.Load()
+	return (l.Own() == 0 || l.InFlight() < int64(e.Slots())) && !slices.Contains(excluded, e.Name())
 }
 
 // less compares the shares of slots in use without a division.
--- a/pkg/outcome/outcome.go
+++ b/pkg/outcome/outcome.go
@@ -38,5 +38,6 @@
 	AnswerTruncated  Reason = "answer-truncated"
 	Stopping         Reason = "stopping"
 	StaleIncarnation Reason = "stale-incarnation"
+	Incompatible     Reason = "not-taken-up"
 	RevisionConflict Reason = "revision-conflict"
 )
