Refuse at the agent with a clear answer, and deliver answers before a stop

Faults found in review, each with a test that failed before:

- A planned stop counted a request as ended before its answer was delivered, and then closed the connection.
The entry now ends its side when it has the whole answer, and the agent waits for that.
- Bad input ended the stream without a word, so the entry had to report may-have-run for what was not acted on.
A refused stream now has its own error code, and a bad or oversized body gets a refusal.
- Bodies were read before the request had a slot, up to 4 MB for each of 16,384 streams.
The header decides now and the body is read after.
- An agent took up requests from any role and orders from any role.
- A frame allocated its claimed length before any of it arrived.
- A stream that never said its kind was kept for good.
- An endpoint's headers could exceed one frame to the entry.
- A dead connection to the endpoint was found after 10 s, and with bytes on the way after minutes.
Keep-alive probes and TCP_USER_TIMEOUT now bound both to 3 s.

An agent that stops when all has been answered closes its connections with a code that says so; a request that was on its way is then reported as not-run.

internal/impair forwards datagrams and loses some, for tests only.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/binary"
 	"fmt"
-	"net"
 	"net/http"
 	"time"
 
@@ -14,6 +13,7 @@
 
 	"rosemarywind.example/rosemarywind/internal/clock"
 	"rosemarywind.example/rosemarywind/internal/fleet"
+	"rosemarywind.example/rosemarywind/internal/keys"
 	"rosemarywind.example/rosemarywind/internal/link"
 	"rosemarywind.example/rosemarywind/internal/wire"
 )
@@ -96,30 +96,44 @@
 	if !clock.Pause(ctx, leaveTime) {
 		return
 	}
+	a.logger.Info("waiting for requests in flight", "in_flight", a.board.InFlight())
 	if err := a.board.waitIdle(ctx); err != nil {
 		a.logger.Warn("grace is over", "in_flight", a.board.InFlight())
+		return
+	}
+	if !a.board.unanswered.Load() {
+		a.server.Stopped()
 	}
 }
 
 // serve handles one stream of an entry or of the leader.
 func (a *Agent) serve(ctx context.Context, s *link.Stream) {
+	_ = s.SetReadDeadline(time.Now().Add(readTimeout))
 	o, err := wire.ReadOpening(s)
 	if err != nil {
 		a.logger.Warn("stream refused", "peer", s.RemoteAddr().String(), "error", err)
+		s.Refuse()
 		return
 	}
-	switch o.Kind() {
-	case wire.KindForward:
+	peer, err := keys.PeerIdentity(s.TLS())
+	switch {
+	case err == nil && o.Kind() == wire.KindForward && peer.Role() == entryRole:
 		a.forward(ctx, s, o.Trace())
-	case wire.KindOrders:
+	case err == nil && o.Kind() == wire.KindOrders && peer.Role() == controlRole:
 		a.orders(ctx, s)
-	case wire.KindAnnounce, wire.KindWatch, wire.KindPropose, wire.KindLedger:
-		a.logger.Warn("stream refused", "peer", s.RemoteAddr().String(), "kind", string(o.Kind()))
 	default:
-		a.logger.Warn("stream refused", "peer", s.RemoteAddr().String(), "kind", string(o.Kind()))
+		a.logger.Warn("stream refused", "peer", s.RemoteAddr().String(), "identity", peer.String(),
+			"kind", string(o.Kind()), "error", err)
+		s.Refuse()
 	}
 }
 
+// The roles whose streams an agent takes up.
+const (
+	entryRole   = "entry"
+	controlRole = "control"
+)
+
 // self returns the endpoint as this process sees it.
 func (a *Agent) self() fleet.Endpoint {
 	return fleet.NewEndpoint(a.worker, a.advertise, a.slots, a.connections, a.incarnation).WithState(a.board.State())
@@ -127,14 +141,18 @@
 
 func transport(connections int) *http.Transport {
 	return &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: time.Second, KeepAlive: time.Second}).DialContext,
-		MaxConnsPerHost:     connections,
-		MaxIdleConnsPerHost: connections,
-		IdleConnTimeout:     time.Minute,
-		DisableCompression:  true,
+		DialContext:            dialer().DialContext,
+		MaxConnsPerHost:        connections,
+		MaxIdleConnsPerHost:    connections,
+		IdleConnTimeout:        time.Minute,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxAnswerHeaderBytes,
 	}
 }
 
+// maxAnswerHeaderBytes keeps the headers of an answer within one frame to the entry.
+const maxAnswerHeaderBytes = 128 << 10
+
 func drawIncarnation() uint64 {
 	var b [8]byte
 	_, _ = crand.Read(b[:]) // crypto/rand.Read never returns an error
--- a/internal/agent/board.go
+++ b/internal/agent/board.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync/atomic"
 
 	"rosemarywind.example/rosemarywind/internal/board"
@@ -16,9 +17,15 @@
 	stopping *board.Section[bool]                // written by Run
 	tasks    *board.Section[[]task.Report]       // written by the reporter
 	inFlight atomic.Int64
-	idle     chan struct{} // receives a notice when a stopping process has nothing in flight
+	// exchanges counts the streams of requests until the entry has the answer; it is closedExchanges after a stop.
+	exchanges  atomic.Int64
+	unanswered atomic.Bool   // an answer may not have arrived
+	idle       chan struct{} // receives a notice when a stopping process has no exchange
 }
 
+// closedExchanges is below any count, so that no exchange begins after a stop.
+const closedExchanges = math.MinInt64 / 2
+
 func newBoard() *Board {
 	return &Board{
 		probed:   board.NewSection(fleet.Silent),
@@ -37,6 +44,12 @@
 	return b.probed.Load()
 }
 
+// Probed returns the section of what the prober found.
+func (b *Board) Probed() *board.Section[fleet.EndpointState] { return b.probed }
+
+// Stopping returns the section that says whether a planned stop has begun.
+func (b *Board) Stopping() *board.Section[bool] { return b.stopping }
+
 // InFlight returns the number of requests in flight at the endpoint.
 func (b *Board) InFlight() int64 { return b.inFlight.Load() }
 
@@ -52,8 +65,17 @@
 	return false
 }
 
-func (b *Board) leave() {
-	if b.inFlight.Add(-1) > 0 || !b.stopping.Load() {
+func (b *Board) leave() { b.inFlight.Add(-1) }
+
+// begin counts an exchange and reports whether it may go on.
+func (b *Board) begin() bool { return b.exchanges.Add(1) > 0 }
+
+// end counts an exchange as ended; answered says that the entry does not wait for an answer any more.
+func (b *Board) end(answered bool) {
+	if !answered {
+		b.unanswered.Store(true)
+	}
+	if b.exchanges.Add(-1) > 0 || !b.stopping.Load() {
 		return
 	}
 	select {
@@ -62,9 +84,9 @@
 	}
 }
 
-// waitIdle returns when nothing is in flight; it is for the one thread that set the stopping section.
+// waitIdle returns when no exchange is left and none can begin; it is for the thread that set the stopping section.
 func (b *Board) waitIdle(ctx context.Context) error {
-	for b.inFlight.Load() > 0 {
+	for !b.exchanges.CompareAndSwap(0, closedExchanges) {
 		select {
 		case <-b.idle:
 		case <-ctx.Done():
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -197,9 +197,13 @@
 		if _, err := wire.ReadOpening(s); err != nil {
 			return
 		}
-		got, err := wire.ReadForward(s, time.Now(), 8<<20)
+		got, err := wire.ReadForward(s, time.Now())
+		if err != nil {
+			return
+		}
+		r, err := got.ReadBody(s, 8<<20)
 		if err == nil {
-			f(ctx, s, got)
+			f(ctx, s, wire.NewForward(r, got.Incarnation()))
 		}
 	})
 	return fleet.NewEndpoint(fleet.NewWorker(name, "r1", "az1", "rack1"), address, slots, 64, 1)
--- /dev/null
+++ b/internal/link/link_test.go
@@ -0,0 +1,178 @@
+package link_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"rosemarywind.example/rosemarywind/internal/impair"
+	"rosemarywind.example/rosemarywind/internal/keys"
+	"rosemarywind.example/rosemarywind/internal/link"
+)
+
+const (
+	loopback = "127.0.0.1:0"
+	patience = 10 * time.Second
+)
+
+// Guards against a peer that cannot tell a stream that was not acted on from one that may have been.
+func TestNotServed(t *testing.T) {
+	t.Run("refused", func(t *testing.T) {
+		w := newWorld(t, func(_ context.Context, s *link.Stream) { s.Refuse() })
+		assert.True(t, link.NotServed(readError(t, w.open(t))))
+	})
+	t.Run("cancelled", func(t *testing.T) {
+		w := newWorld(t, func(_ context.Context, s *link.Stream) { s.Cancel() })
+		assert.False(t, link.NotServed(readError(t, w.open(t))))
+	})
+	t.Run("stopped after all streams were answered", func(t *testing.T) {
+		entered := make(chan struct{})
+		w := newWorld(t, func(ctx context.Context, _ *link.Stream) {
+			close(entered)
+			<-ctx.Done()
+		})
+		s := w.open(t)
+		<-entered
+		w.server.Stopped()
+		w.stop()
+		assert.True(t, link.NotServed(readError(t, s)))
+	})
+	t.Run("stopped with streams that were not answered", func(t *testing.T) {
+		entered := make(chan struct{})
+		w := newWorld(t, func(ctx context.Context, _ *link.Stream) {
+			close(entered)
+			<-ctx.Done()
+		})
+		s := w.open(t)
+		<-entered
+		w.stop()
+		assert.False(t, link.NotServed(readError(t, s)))
+	})
+}
+
+// Guards against a connection that stays in use after something between its ends has lost its state.
+func TestSilence(t *testing.T) {
+	w := newWorld(t, func(ctx context.Context, s *link.Stream) {
+		_, _ = io.Copy(s, s)
+		<-ctx.Done()
+	})
+	between, err := impair.NewRelay(w.address)
+	require.NoError(t, err)
+	t.Cleanup(between.Close)
+	w.address = between.Address()
+	assertEchoes(t, w.open(t))
+	for range 2 {
+		s := w.open(t)
+		between.Silence()
+		begun := time.Now()
+		err := readError(t, s)
+		took := time.Since(begun)
+		assert.False(t, link.NotServed(err))
+		assert.Less(t, took, 3*time.Second)
+		t.Logf("found after %v: %v", took, err)
+		assertEchoes(t, w.open(t))
+	}
+	assert.Equal(t, 3, between.Flows())
+}
+
+// Guards against callers of a dead address that wait for each other's dials, and against a dial that ends with its first caller.
+func TestDial(t *testing.T) {
+	w := newWorld(t, func(_ context.Context, s *link.Stream) { _, _ = io.Copy(s, s) })
+	t.Run("an address where nobody answers", func(t *testing.T) {
+		begun := time.Now()
+		failed := make(chan error, 8)
+		for range cap(failed) {
+			go func() {
+				_, err := w.pool.Open(context.Background(), "127.0.0.1:9")
+				failed <- err
+			}()
+		}
+		for range cap(failed) {
+			assert.Error(t, <-failed)
+		}
+		assert.Less(t, time.Since(begun), 3*time.Second)
+	})
+	t.Run("a caller that gives up", func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		_, err := w.pool.Open(ctx, w.address)
+		require.ErrorIs(t, err, context.Canceled)
+		assertEchoes(t, w.open(t))
+	})
+}
+
+type world struct {
+	server  *link.Server
+	pool    *link.Pool
+	address string
+	stop    context.CancelFunc
+}
+
+func newWorld(t *testing.T, handler link.Handler) *world {
+	t.Helper()
+	a, err := keys.NewAuthority("test", time.Now(), time.Hour)
+	require.NoError(t, err)
+	w := &world{pool: link.NewPool(material(t, a, "entry", "e1").Client("agent"))}
+	w.server, err = link.Listen(loopback, material(t, a, "agent", "w1").Server())
+	require.NoError(t, err)
+	w.address = w.server.Address().String()
+	ctx, stop := context.WithCancel(context.Background())
+	w.stop = stop
+	ended := make(chan error, 1)
+	go func() { ended <- w.server.Serve(ctx, handler) }()
+	t.Cleanup(func() {
+		w.pool.Close()
+		stop()
+		assert.NoError(t, <-ended)
+		_ = w.server.Close()
+	})
+	return w
+}
+
+func (w *world) open(t *testing.T) *link.Stream {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), patience)
+	defer cancel()
+	s, err := w.pool.Open(ctx, w.address)
+	require.NoError(t, err)
+	t.Cleanup(s.Cancel)
+	require.NoError(t, s.SetDeadline(time.Now().Add(patience)))
+	_, err = s.Write([]byte("x"))
+	require.NoError(t, err)
+	return s
+}
+
+func material(t *testing.T, a *keys.Authority, role, name string) *keys.Reloader {
+	t.Helper()
+	id, err := keys.NewIdentity(role, name)
+	require.NoError(t, err)
+	pair, err := a.Issue(id, []netip.Addr{netip.MustParseAddr("127.0.0.1")}, time.Now(), time.Hour)
+	require.NoError(t, err)
+	r, err := keys.NewMemory(pair, a.Pair().Certificate())
+	require.NoError(t, err)
+	return r
+}
+
+// readError returns the error that ends the stream.
+func readError(t *testing.T, s *link.Stream) error {
+	t.Helper()
+	_, err := io.Copy(io.Discard, s)
+	if err == nil {
+		err = errors.New("ended in order")
+	}
+	return err
+}
+
+func assertEchoes(t *testing.T, s *link.Stream) {
+	t.Helper()
+	b := make([]byte, 1)
+	_, err := io.ReadFull(s, b)
+	assert.NoError(t, err)
+	assert.Equal(t, "x", string(b))
+}
--- a/internal/wire/forward.go
+++ b/internal/wire/forward.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"time"
@@ -49,10 +50,16 @@
 
 const maxHeaderFrameBytes = 256 << 10
 
-// Forward is a request on its way to one incarnation of an agent.
+// ErrTooLarge says that a body exceeds the reader's limit.
+var ErrTooLarge = errors.New("body exceeds the limit")
+
+// Forward is a request on its way to one incarnation of an agent; a reader gets the body after the rest.
 type Forward struct {
 	request     request.Request
 	incarnation uint64
+	headers     request.Headers
+	length      int
+	digest      uint64
 }
 
 // NewForward returns a request for the given incarnation of an agent.
@@ -82,21 +89,29 @@
 	return err
 }
 
-// ReadForward reads a whole request whose body has at most bodyLimit bytes.
-func ReadForward(r io.Reader, now time.Time, bodyLimit int) (f Forward, err error) {
+// ReadForward reads a request without its body, which the receiver reads only if it takes the request.
+func ReadForward(r io.Reader, now time.Time) (f Forward, err error) {
 	defer annotate("read request", &err)
 	var m forwardForm
 	if err = readFrame(r, &m, maxHeaderFrameBytes); err != nil {
 		return Forward{}, unexpected(err)
 	}
-	body, err := readBody(r, m.Length, m.Digest, bodyLimit)
-	if err != nil {
-		return Forward{}, err
-	}
 	q := request.New(m.ID, m.Workspace, m.Method, m.Target,
-		request.WithBody(m.Headers, body), request.WithUrgency(m.Urgency),
+		request.WithBody(m.Headers, nil), request.WithUrgency(m.Urgency),
 		request.WithIdempotent(m.Idempotent), request.WithDeadline(now.Add(time.Duration(m.Remaining))))
-	return Forward{request: q, incarnation: m.Incarnation}, nil
+	return Forward{request: q, incarnation: m.Incarnation, headers: m.Headers, length: m.Length, digest: m.Digest}, nil
+}
+
+// ReadBody returns the request with its whole body, which has at most limit bytes.
+func (f Forward) ReadBody(r io.Reader, limit int) (q request.Request, err error) {
+	defer annotate("read request", &err)
+	body, err := readBody(r, f.length, f.digest, limit)
+	if err != nil {
+		return request.Request{}, err
+	}
+	q = f.request
+	request.WithBody(f.headers, body)(&q)
+	return q, nil
 }
 
 // WriteAnswer writes the result of the request with the given identity and the endpoint's load.
@@ -153,7 +168,7 @@
 
 func readBody(r io.Reader, length int, digest uint64, limit int) (body []byte, err error) {
 	if length < 0 || length > limit {
-		return nil, fmt.Errorf("body of %d bytes exceeds the limit of %d", length, limit)
+		return nil, fmt.Errorf("%w of %d bytes: %d", ErrTooLarge, limit, length)
 	}
 	body = make([]byte, length)
 	if _, err = io.ReadFull(r, body); err != nil {
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"bytes"
 	"encoding/binary"
 	"errors"
 	"fmt"
@@ -94,13 +95,30 @@
 	if size > limit {
 		return fmt.Errorf("frame of %d bytes exceeds the limit of %d", size, limit)
 	}
-	data := make([]byte, size)
-	if _, err = io.ReadFull(r, data); err != nil {
+	data, err := readData(r, size)
+	if err != nil {
 		return unexpected(err)
 	}
 	return cbor.Unmarshal(data, v)
 }
 
+// readData allocates a large frame as it arrives, since its length is only the sender's word.
+func readData(r io.Reader, size int) (data []byte, err error) {
+	if size <= maxTrustedBytes {
+		data = make([]byte, size)
+		_, err = io.ReadFull(r, data)
+		return data, err
+	}
+	var b bytes.Buffer
+	if _, err = io.CopyN(&b, r, int64(size)); err != nil {
+		return nil, err
+	}
+	return b.Bytes(), nil
+}
+
+// maxTrustedBytes is what a sender can make a receiver allocate with one length.
+const maxTrustedBytes = 64 << 10
+
 // unexpected turns the end of the stream inside a message into an error.
 func unexpected(err error) error {
 	if errors.Is(err, io.EOF) {
