Fuzz the promises of a request with failing agents, entries and ledgers

Two real entries talk over loopback sockets to stand-ins of two agents and of the leader, which applies the registry's real decisions. The agents drop before or after a run, refuse, truncate, alter, cross or repeat an answer, or restart; a claim is lost before or after its commit or its outcome is unknown; an entry dies after dispatch; a request is resent through one or both entries. The oracle: a non-idempotent keyed request runs at most once, an attempt that is reported as not-run did not run, an answer is the whole answer to its own request.

--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -15,7 +15,6 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
-	_ "pgregory.net/rapid"
 
 	"rosemarywind.example/rosemarywind/internal/board"
 	"rosemarywind.example/rosemarywind/internal/entry"
@@ -104,6 +103,7 @@
 	dropCommand  fault = "the command is not committed"
 	dropAnswer   fault = "the command is committed and its answer is lost"
 	unknownError fault = "the command is committed and its outcome is reported as unknown"
+	swallow      fault = "the command is not committed and its sender is told otherwise"
 )
 
 func newLedger(w *world, u fleet.Update) *ledger {
@@ -151,7 +151,7 @@
 	}
 	result, f := l.apply(c)
 	switch f {
-	case dropCommand, dropAnswer:
+	case dropCommand, dropAnswer, swallow:
 	case unknownError:
 		_ = wire.WriteStatus(s, wire.NewStatusError(wire.Unknown, "", "the outcome is not known"))
 	case sound:
@@ -166,12 +166,21 @@
 	if l.fault != nil {
 		f = l.fault(c)
 	}
+	if f == swallow {
+		return registry.NewAccepted(0, "", 0), sound
+	}
 	if f != dropCommand {
 		l.state, r = registry.Apply(l.state, c)
 	}
 	return r, f
 }
 
+func (l *ledger) setFault(f func(registry.Command) fault) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.fault = f
+}
+
 // run is what a stand-in of an agent does with one request.
 type run func(ctx context.Context, s *link.Stream, f wire.Forward)
 
