--- a/internal/agent/prober.go
+++ b/internal/agent/prober.go
@@ -35,18 +35,32 @@
 
 func (p *prober) run(ctx context.Context) error {
 	for {
-		p.publish(p.probe(ctx))
-		if !clock.Pause(ctx, p.agent.probeInterval) {
+		state := p.probe(ctx)
+		p.publish(state)
+		if !clock.Pause(ctx, p.pause(state)) {
 			return nil
 		}
 	}
 }
 
+// pause is short after a first failure: with the whole interval an endpoint that froze right after a probe was
+// found after 3.0 s with the default settings, which is the bound.
+func (p *prober) pause(state fleet.EndpointState) time.Duration {
+	if state == fleet.Silent && p.failures < failuresUntilSilent {
+		return p.agent.probeInterval / suspicionDivisor
+	}
+	return p.agent.probeInterval
+}
+
+// suspicionDivisor is the part of the interval after which a failed probe is repeated.
+const suspicionDivisor = 5
+
 // publish changes the section only when the state changed, since each change is announced.
 func (p *prober) publish(state fleet.EndpointState) {
 	section := p.agent.board.probed
 	if state == fleet.Silent {
 		p.failures++
+		p.agent.logger.Debug("probe failed", "failures", p.failures)
 		if p.failures < failuresUntilSilent {
 			return
 		}
