Bound the lease of a gang member by when its renewal was sent

Cause: a renewal extended the lease from the moment it arrived, so a late one kept a member running after the leader had given its accelerators away. A refused stop was sent again without a pause, a refused renewal was ignored until the lease ran out, the refusal of a copy of an accepted order stopped the gang, a new leader went on with a reservation whose leases it did not know, and a gang that could not be reserved was placed again at once.

Change: reservations and renewals carry a mark, and a renewal counts from a mark whose acceptance the leader knows. A new leader extends nothing until all members answered, and releases reservations that were not started. A refused reservation waits 250 ms to 4 s before the next one. A job whose members all succeeded ends as succeeded even if it was being stopped. The registry keeps an index of unfinished jobs. The decisions of the stand-in's worker are the pure type standin.Host, which also refuses a late reservation of a task that it has forgotten.

Ruled out: counting the lease from the answer, since the answer may be lost; a bound on the delay of an order, since an agent may be frozen.

TestGangsFuzz drives the real gang, registry and worker decisions.

The oracle assumes that an order does not outlive a restart of its worker.

--- a/internal/agent/encoding.go
+++ b/internal/agent/encoding.go
@@ -13,6 +13,8 @@
 	Accelerators int        `json:"accelerators,omitempty"`
 	LeaseMS      int64      `json:"lease_ms,omitempty"`
 	Payload      string     `json:"payload,omitempty"`
+	Mark         uint64     `json:"mark,omitempty"`
+	Since        uint64     `json:"since,omitempty"`
 	Percent      int        `json:"percent,omitempty"`
 	State        task.State `json:"state,omitempty"`
 }
--- a/internal/agent/platform.go
+++ b/internal/agent/platform.go
@@ -39,11 +39,12 @@
 	case task.Reserve:
 		verb, f = "reserve", form(t.ID(), uint64(t.Fence()))
 		f.Accelerators, f.LeaseMS, f.Payload = t.Accelerators(), t.Length().Milliseconds(), t.Payload()
+		f.Mark = uint64(t.Mark())
 	case task.Start:
 		verb, f = "start", form(t.ID(), uint64(t.Fence()))
 	case task.Renew:
 		verb, f = "renew", form(t.ID(), uint64(t.Fence()))
-		f.LeaseMS = t.Length().Milliseconds()
+		f.LeaseMS, f.Mark, f.Since = t.Length().Milliseconds(), uint64(t.Mark()), uint64(t.Since())
 	case task.Stop:
 		verb, f = "stop", form(t.ID(), uint64(t.Fence()))
 		if t.Checkpoint() {
--- a/internal/control/gangs.go
+++ b/internal/control/gangs.go
@@ -111,7 +111,7 @@
 func (g *gangs) observe(j job.Job, now time.Time) gang.Progress {
 	p, ok := g.progress[j.Spec().ID()]
 	if !ok || p.Fence() != j.Fence() {
-		p = gang.NewProgress(j, g.control.taskLease, now)
+		p = gang.NewProgress(j, g.control.taskLease, g.control.node.Status().Load().Term(), now)
 	}
 	roster := g.control.board.roster.Load()
 	for i, m := range j.Members() {
@@ -140,7 +140,7 @@
 		g.control.logger.Info("stopping job", "job", id, "reason", t.Reason())
 		g.commit(ctx, id, registry.NewStopGang(id, fence, t.Reason()))
 	case gang.Requeue:
-		g.commit(ctx, id, registry.NewRequeueJob(id, fence, t.Reason()))
+		g.commit(ctx, id, registry.NewRequeueJob(id, fence, t.Reason(), t.NotBefore()))
 	case gang.End:
 		g.control.logger.Info("job ended", "job", id, "result", string(t.Result()), "reason", t.Reason())
 		g.record(j, t.Result(), now)
--- a/internal/gang/action.go
+++ b/internal/gang/action.go
@@ -1,6 +1,8 @@
 package gang
 
 import (
+	"time"
+
 	"rosemarywind.example/rosemarywind/internal/job"
 	"rosemarywind.example/rosemarywind/internal/task"
 )
@@ -28,7 +30,8 @@
 
 // Requeue commits that the job waits again, all members being over.
 type Requeue struct {
-	reason string
+	reason    string
+	notBefore time.Time
 }
 
 // End commits the result of the job, all members being over.
@@ -55,6 +58,9 @@
 // Reason returns why the job waits again, for people.
 func (r Requeue) Reason() string { return r.reason }
 
+// NotBefore returns when the job may be placed again.
+func (r Requeue) NotBefore() time.Time { return r.notBefore }
+
 // Result returns how the job ended.
 func (e End) Result() job.Result { return e.result }
 
--- /dev/null
+++ b/internal/gang/fuzz_test.go
@@ -0,0 +1,127 @@
+package gang_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"rosemarywind.example/rosemarywind/internal/job"
+	"rosemarywind.example/rosemarywind/internal/registry"
+	"rosemarywind.example/rosemarywind/internal/standin"
+	"rosemarywind.example/rosemarywind/internal/task"
+	"rosemarywind.example/rosemarywind/internal/workspace"
+)
+
+// TestGangsFuzz guards P2 and the at-most-once rule of jobs against lost, late, doubled and reordered orders,
+// frozen, restarted and partitioned workers, clocks that differ by 3% each way, and leaders that are replaced.
+func TestGangsFuzz(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t)
+		t.Repeat(map[string]func(*rapid.T){
+			"pass":    func(t *rapid.T) { w.advance(tick * time.Duration(rapid.IntRange(1, 60).Draw(t, "ticks"))) },
+			"wait":    func(*rapid.T) { w.advance(leaseLength / 2) },
+			"outlast": func(*rapid.T) { w.advance(leaseLength * 11 / 10) },
+			"submit":  w.submit,
+			"place":   func(*rapid.T) { w.place() },
+			"cancel":  w.cancel,
+			"reclaim": w.reclaim,
+			"strand":  w.strand,
+			"freeze":  func(t *rapid.T) { w.pick(t).frozen = true },
+			"thaw":    func(t *rapid.T) { w.pick(t).frozen = false },
+			"cut":     func(t *rapid.T) { w.pick(t).cut = true },
+			"heal":    func(t *rapid.T) { w.pick(t).cut = false },
+			"restart": func(t *rapid.T) { w.restart(w.pick(t)) },
+			"depose":  func(*rapid.T) { w.leads = false },
+			"elect":   func(*rapid.T) { w.elect() },
+			"replace": func(*rapid.T) { w.leads = false; w.advance(5 * time.Second); w.elect() },
+			"": func(*rapid.T) {
+				if w.leads {
+					w.place()
+				}
+				w.advance(5 * tick)
+			},
+		})
+		w.settle()
+	})
+}
+
+func (w *world) pick(t *rapid.T) *machine {
+	return w.machines[rapid.IntRange(0, len(w.machines)-1).Draw(t, "worker")]
+}
+
+func (w *world) submit(t *rapid.T) {
+	shape, err := workspace.NewShape(rapid.IntRange(1, 3).Draw(t, "members"), rapid.IntRange(1, capacity).Draw(t, "accelerators"),
+		workspace.Anywhere)
+	require.NoError(t, err)
+	w.jobs++
+	payload := rapid.SampledFrom([]string{"sleep 1s", "sleep 12s", "sleep 50s", "fail 9s"}).Draw(t, "payload")
+	spec, err := job.NewSpec(fmt.Sprintf("j%d", w.jobs), "team", shape, w.now,
+		job.WithIdempotent(rapid.Bool().Draw(t, "idempotent")), job.WithPayload(payload))
+	require.NoError(t, err)
+	w.commit(registry.NewSubmitJob("", spec, w.now))
+	w.place()
+}
+
+func (w *world) cancel(t *rapid.T) {
+	id := fmt.Sprintf("j%d", rapid.IntRange(1, w.jobs+1).Draw(t, "job"))
+	w.commit(registry.NewCancelJob("", id, "", w.now))
+}
+
+func (w *world) reclaim(*rapid.T) {
+	if ids := w.placed(); len(ids) > 0 {
+		j, _ := w.state.Jobs().Get(ids[0])
+		w.commit(registry.NewStopGang(ids[0], j.Fence(), "reclaimed"))
+	}
+}
+
+// strand reclaims a gang whose workers cannot be reached, so that only the ends of their leases free them.
+func (w *world) strand(*rapid.T) {
+	ids := w.placed()
+	if len(ids) == 0 {
+		return
+	}
+	j, _ := w.state.Jobs().Get(ids[0])
+	for _, m := range j.Members() {
+		w.find(m.Worker()).cut = true
+	}
+	w.commit(registry.NewStopGang(ids[0], j.Fence(), "reclaimed"))
+	w.advance(leaseLength * 11 / 10)
+}
+
+// restart loses the tasks of a worker.
+func (w *world) restart(m *machine) {
+	for _, r := range m.host.Reports() {
+		if !r.State().Final() {
+			w.oracle.lost(run{r.ID().Job(), r.Fence()}, w.now)
+		}
+	}
+	m.host, m.frozen = standin.NewHost(capacity), false
+	m.life++
+}
+
+// settle heals everything and requires that each job ends.
+func (w *world) settle() {
+	for _, m := range w.machines {
+		m.cut, m.frozen = false, false
+	}
+	w.elect()
+	for range 3000 {
+		w.place()
+		w.advance(tick)
+		if w.state.Unfinished().Len() == 0 {
+			break
+		}
+		w.advance(9 * tick)
+	}
+	for id, j := range w.state.Unfinished().All() {
+		require.Fail(w.t, "job does not end", "%s is %s: %s", id, j.State(), j.Reason())
+	}
+	for _, m := range w.machines {
+		for _, r := range m.host.Reports() {
+			require.NotEqual(w.t, task.Running, r.State(), "%s runs after all jobs ended", r.ID())
+		}
+	}
+}
--- /dev/null
+++ b/internal/gang/oracle_test.go
@@ -0,0 +1,132 @@
+package gang_test
+
+import (
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"rosemarywind.example/rosemarywind/internal/job"
+	"rosemarywind.example/rosemarywind/internal/lease"
+	"rosemarywind.example/rosemarywind/internal/task"
+)
+
+// partialBound is how long a member may run after another one of its gang was lost: the time to notice it
+// (a renewal, two sends of it, a report, a lapsed announcement) and then one lease with its margin of 5%.
+const partialBound = leaseLength/4 + 2*4*time.Second + 3*time.Second + silenceLimit + leaseLength*105/100 + tick
+
+// run is one reservation of a job.
+type run struct {
+	job   string
+	fence lease.Fence
+}
+
+// oracle keeps what happened at the workers and judges it.
+type oracle struct {
+	t         require.TestingT
+	reserved  map[run]map[int]bool
+	ran       map[string]map[lease.Fence]bool
+	succeeded map[run]map[int]bool
+	gone      map[run]bool
+	lostAt    map[run]time.Time
+	running   map[run]bool
+}
+
+func newOracle(t require.TestingT) *oracle {
+	return &oracle{
+		t: t, reserved: map[run]map[int]bool{}, ran: map[string]map[lease.Fence]bool{},
+		succeeded: map[run]map[int]bool{}, gone: map[run]bool{}, lostAt: map[run]time.Time{},
+	}
+}
+
+// carried notes a reservation that a worker accepted.
+func (o *oracle) carried(order task.Order, refusal string) {
+	if t, ok := order.(task.Reserve); ok && refusal == "" {
+		k := run{t.ID().Job(), t.Fence()}
+		if o.reserved[k] == nil {
+			o.reserved[k] = map[int]bool{}
+		}
+		o.reserved[k][t.ID().Index()] = true
+	}
+}
+
+// released judges the end of a reservation, after which the accelerators may be given away.
+func (o *oracle) released(j job.Job, result job.Result) {
+	k := run{j.Spec().ID(), j.Fence()}
+	o.gone[k] = true
+	switch result {
+	case job.Succeeded:
+		require.Len(o.t, o.succeeded[k], j.Spec().Shape().Members(), "%v succeeded without all of its members", k)
+	case job.Unfinished, job.Rejected:
+		require.True(o.t, j.Spec().Idempotent() || len(o.ran[k.job]) == 0, "%v ran, is not idempotent and waits again", k)
+	case job.Failed, job.Cancelled, job.MayHaveRun:
+	}
+}
+
+// observe notes the state of each task; a frozen worker runs nothing.
+func (o *oracle) observe(w *world) {
+	o.running = map[run]bool{}
+	for _, m := range w.machines {
+		require.LessOrEqual(o.t, m.host.Held(), capacity, "worker %s gave accelerators to two tasks", m.name)
+		if m.frozen {
+			continue
+		}
+		for _, r := range m.host.Reports() {
+			k := run{r.ID().Job(), r.Fence()}
+			o.note(k, r, w.now)
+			if r.State() == task.Running {
+				o.running[k] = true
+			}
+		}
+	}
+}
+
+// check judges what runs.
+func (o *oracle) check(w *world) {
+	for k := range o.running {
+		j, ok := w.state.Jobs().Get(k.job)
+		require.True(o.t, ok)
+		assertMayRun(o, k, j, w.now)
+	}
+}
+
+func (o *oracle) note(k run, r task.Report, now time.Time) {
+	switch r.State() {
+	case task.Running, task.Succeeded:
+		if o.ran[k.job] == nil {
+			o.ran[k.job] = map[lease.Fence]bool{}
+		}
+		o.ran[k.job][k.fence] = true
+		if r.State() == task.Succeeded {
+			if o.succeeded[k] == nil {
+				o.succeeded[k] = map[int]bool{}
+			}
+			o.succeeded[k][r.ID().Index()] = true
+		}
+	case task.Failed, task.Stopped, task.Expired:
+		o.lost(k, now)
+	case task.Reserved:
+	}
+}
+
+// lost notes the first loss of a member.
+func (o *oracle) lost(k run, now time.Time) {
+	if _, known := o.lostAt[k]; !known {
+		o.lostAt[k] = now
+	}
+}
+
+// assertMayRun judges one running member of a reservation.
+func assertMayRun(o *oracle, k run, j job.Job, now time.Time) {
+	require.Len(o.t, o.reserved[k], j.Spec().Shape().Members(), "%v runs before all members were reserved", k)
+	require.False(o.t, o.gone[k], "%v runs after its accelerators were given away", k)
+	if !j.Spec().Idempotent() {
+		require.Len(o.t, o.ran[k.job], 1, "job %s is not idempotent and ran under two fences", k.job)
+	}
+	if at, lost := o.lostAt[k]; lost {
+		assert.LessOrEqual(o.t, now.Sub(at), partialBound, "%v runs long after a member was lost", k)
+		if now.Sub(at) > partialBound {
+			o.t.FailNow()
+		}
+	}
+}
--- a/internal/gang/step.go
+++ b/internal/gang/step.go
@@ -10,12 +10,20 @@
 
 const (
 	// resendAfter is longer than an agent takes to answer an order.
-	resendAfter = 4 * time.Second
-	// reserveWithin bounds how long accelerators are held for a gang that cannot be completed.
-	reserveWithin = 20 * time.Second
+	resendAfter    = 4 * time.Second
+	maxReserveTime = 20 * time.Second
+	// reportWithin is how long after a refused renewal the report of the member's end may take to arrive.
+	reportWithin = 3 * time.Second
 	// renewals is the number of tries to renew within one lease.
-	renewals    = 4
-	maxAttempts = 5
+	renewals = 4
+	// sinceMarginPercent shortens what a renewal adds to the moment that it counts from, since that part
+	// passes on the worker's clock as well and the margin of the lease covers one lease only.
+	sinceMarginPercent = 5
+	maxAttempts        = 5
+	// firstPause and longestPause bound the wait before a gang that could not be reserved is placed again;
+	// urgent work must start within 6.5 s.
+	firstPause   = 250 * time.Millisecond
+	longestPause = 4 * time.Second
 )
 
 // Step returns what the leader does next for a job that holds accelerators.
@@ -33,25 +41,10 @@
 	return nil
 }
 
-// Next returns when Step is due again if nothing else happens.
-func Next(j job.Job, p Progress, now time.Time) time.Time {
-	next := now.Add(p.length / renewals)
-	for i := range p.members {
-		m := &p.members[i]
-		if due := m.lastSent.Add(resendAfter); !m.lastSent.IsZero() && due.After(now) && due.Before(next) {
-			next = due
-		}
-		if due := m.granted.OverAt(); j.State() == job.Stopping && due.After(now) && due.Before(next) {
-			next = due
-		}
-	}
-	if due := p.began.Add(reserveWithin); j.State() == job.Reserved && due.After(now) && due.Before(next) {
-		next = due
-	}
-	return next
-}
-
 func reserved(j job.Job, p Progress, now time.Time) (actions []Action) {
+	if p.adopted {
+		return []Action{Stop{reason: "the leader changed while the members were being reserved"}}
+	}
 	ready := 0
 	for i, m := range j.Members() {
 		k := &p.members[i]
@@ -64,20 +57,20 @@
 			ready++
 		case due(k, now):
 			actions = append(actions, Send{worker: m.Worker(), order: task.NewReserve(
-				task.NewID(j.Spec().ID(), i), j.Fence(), m.Accelerators(), p.length, j.Spec().Payload())})
+				task.NewID(j.Spec().ID(), i), j.Fence(), p.mark+1, m.Accelerators(), p.length, j.Spec().Payload())})
 		}
 	}
+	if !now.Before(p.began.Add(p.reserveWithin())) {
+		return []Action{Stop{reason: "not all members could be reserved in time"}}
+	}
 	if ready == len(p.members) {
 		return []Action{Start{}}
 	}
-	if !now.Before(p.began.Add(reserveWithin)) {
-		return []Action{Stop{reason: "not all members could be reserved in time"}}
-	}
 	return actions
 }
 
 func started(j job.Job, p Progress, now time.Time) (actions []Action) {
-	succeeded, silent := 0, 0
+	succeeded, silent, complete := 0, 0, p.complete()
 	for i, m := range j.Members() {
 		k := &p.members[i]
 		if k.reported == task.Succeeded {
@@ -87,19 +80,11 @@
 		if k.silent {
 			silent++
 		}
-		switch {
-		case k.reported.Final():
-			return []Action{Stop{reason: fmt.Sprintf("member %d on worker %s ended: %s", i, m.Worker(), k.reported)}}
-		case k.refusal != "":
-			return []Action{Stop{reason: fmt.Sprintf("worker %s refused to start member %d: %s", m.Worker(), i, k.refusal)}}
-		case k.granted.Over(now):
-			return []Action{Stop{reason: fmt.Sprintf("the lease of member %d on worker %s is over", i, m.Worker())}}
-		case !k.started && due(k, now):
-			actions = append(actions, Send{worker: m.Worker(), order: task.NewStart(task.NewID(j.Spec().ID(), i), j.Fence())})
-		case k.started && !now.Before(k.asked.Add(p.length/renewals)) && due(k, now):
-			actions = append(actions, Send{
-				worker: m.Worker(), order: task.NewRenew(task.NewID(j.Spec().ID(), i), j.Fence(), p.length),
-			})
+		if reason := lost(k, now); reason != "" {
+			return []Action{Stop{reason: fmt.Sprintf("member %d on worker %s: %s", i, m.Worker(), reason)}}
+		}
+		if o := p.order(j, i, complete, now); o != nil {
+			actions = append(actions, Send{worker: m.Worker(), order: o})
 		}
 	}
 	if succeeded == len(p.members) {
@@ -111,6 +96,42 @@
 	return actions
 }
 
+// lost returns why a member of a started gang counts as lost, or an empty string.
+func lost(m *memberProgress, now time.Time) string {
+	switch {
+	case m.reported.Final():
+		return "ended: " + string(m.reported)
+	case m.refusal != "":
+		return "refused to start: " + m.refusal
+	case !m.denied.IsZero() && !now.Before(m.denied.Add(reportWithin)):
+		return "its renewal was refused"
+	case m.confirmed.Over(now):
+		return "its lease is over"
+	default:
+		return ""
+	}
+}
+
+// order returns the order that a member of a started gang is due, nil when there is none.
+func (p Progress) order(j job.Job, i int, complete bool, now time.Time) task.Order {
+	m, id := &p.members[i], task.NewID(j.Spec().ID(), i)
+	switch {
+	case !due(m, now):
+		return nil
+	case m.anchor == 0:
+		return task.NewRenew(id, p.fence, p.mark+1, 0, p.length)
+	case !complete:
+		return nil
+	case !m.started:
+		return task.NewStart(id, p.fence)
+	case now.Before(m.asked.Add(p.length / renewals)):
+		return nil
+	default:
+		passed := min(now.Sub(m.anchorAt), p.length/renewals)
+		return task.NewRenew(id, p.fence, p.mark+1, m.anchor, p.length+passed-passed*sinceMarginPercent/100)
+	}
+}
+
 func stopping(j job.Job, p Progress, now time.Time) (actions []Action) {
 	over := 0
 	for i, m := range j.Members() {
@@ -124,37 +145,50 @@
 		}
 	}
 	if over == len(p.members) {
-		return []Action{ending(j, p)}
+		return []Action{ending(j, p, now)}
 	}
 	return actions
 }
 
 // ending decides what becomes of a job whose members are all over.
-func ending(j job.Job, p Progress) Action {
+func ending(j job.Job, p Progress, now time.Time) Action {
+	failed, succeeded := 0, 0
+	for i := range p.members {
+		switch p.members[i].reported {
+		case task.Failed:
+			failed++
+		case task.Succeeded:
+			succeeded++
+		case task.Reserved, task.Running, task.Stopped, task.Expired:
+		}
+	}
 	switch {
+	case succeeded == len(p.members):
+		return End{result: job.Succeeded, reason: "all members succeeded"}
 	case j.Reason() == job.CancelReason:
 		return End{result: job.Cancelled, reason: job.CancelReason}
 	case j.Attempts() == 0:
-		return Requeue{reason: j.Reason()}
-	case failedItself(p):
+		return Requeue{reason: j.Reason(), notBefore: now.Add(pause(j.Setbacks()))}
+	case failed > 0:
 		return End{result: job.Failed, reason: j.Reason()}
 	case !j.Spec().Idempotent():
 		return End{result: job.MayHaveRun, reason: j.Reason()}
 	case j.Attempts() >= maxAttempts:
 		return End{result: job.Failed, reason: fmt.Sprintf("%d attempts: %s", j.Attempts(), j.Reason())}
 	default:
-		return Requeue{reason: j.Reason()}
+		return Requeue{reason: j.Reason(), notBefore: now.Add(pause(j.Setbacks()))}
 	}
 }
 
-// failedItself reports whether a member ended by its own failure.
-func failedItself(p Progress) bool {
-	for i := range p.members {
-		if p.members[i].reported == task.Failed {
-			return true
+// pause returns how long a job waits after the given number of reservations in a row that were not started.
+func pause(setbacks int) time.Duration {
+	d := firstPause
+	for range setbacks {
+		if d = 2 * d; d >= longestPause {
+			return longestPause
 		}
 	}
-	return false
+	return d
 }
 
 // due reports whether no order is under way to the member.
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -37,14 +37,16 @@
 
 // Job is a spec and its progress; it is immutable.
 type Job struct {
-	spec     Spec
-	state    State
-	result   Result
-	reason   string
-	fence    lease.Fence
-	attempts int
-	members  []Member
-	endedAt  time.Time
+	spec      Spec
+	state     State
+	result    Result
+	reason    string
+	fence     lease.Fence
+	attempts  int
+	setbacks  int
+	members   []Member
+	notBefore time.Time
+	endedAt   time.Time
 }
 
 // New returns a queued job.
@@ -68,6 +70,12 @@
 // Attempts returns how many times the job was started.
 func (j Job) Attempts() int { return j.attempts }
 
+// Setbacks returns the number of reservations in a row that were not started.
+func (j Job) Setbacks() int { return j.setbacks }
+
+// NotBefore returns when a queued job may be placed, the zero time for at once.
+func (j Job) NotBefore() time.Time { return j.notBefore }
+
 // Members returns where the members are placed, which the caller must not modify.
 func (j Job) Members() []Member { return j.members }
 
@@ -79,6 +87,7 @@
 // Reserve returns the job placed on members under a new fence.
 func (j Job) Reserve(fence lease.Fence, members []Member) Job {
 	j.state, j.fence, j.members, j.reason = Reserved, fence, slices.Clone(members), "reserving all members"
+	j.setbacks++
 	return j
 }
 
@@ -86,6 +95,7 @@
 func (j Job) Start() Job {
 	j.state, j.reason = Started, "all members reserved"
 	j.attempts++
+	j.setbacks = 0
 	return j
 }
 
@@ -95,9 +105,10 @@
 	return j
 }
 
-// Requeue returns the job as queued without members; its fence is kept so that the next one voids it.
-func (j Job) Requeue(reason string) Job {
-	j.state, j.members, j.reason = Queued, nil, reason
+// Requeue returns the job as queued without members until the given time at least; its fence is kept
+// so that the next one voids it.
+func (j Job) Requeue(reason string, notBefore time.Time) Job {
+	j.state, j.members, j.reason, j.notBefore = Queued, nil, reason, notBefore
 	return j
 }
 
@@ -118,12 +129,14 @@
 
 // Progress is the changing part of a job, as a snapshot keeps it.
 type Progress struct {
-	state    State
-	result   Result
-	reason   string
-	fence    lease.Fence
-	attempts int
-	endedAt  time.Time
+	state     State
+	result    Result
+	reason    string
+	fence     lease.Fence
+	attempts  int
+	setbacks  int
+	notBefore time.Time
+	endedAt   time.Time
 }
 
 // NewProgress returns the changing part of a job.
@@ -131,10 +144,17 @@
 	return Progress{state: state, result: result, reason: reason, fence: fence, attempts: attempts, endedAt: endedAt}
 }
 
+// WithSetbacks returns the progress with the reservations that were not started and the end of the pause after them.
+func (p Progress) WithSetbacks(setbacks int, notBefore time.Time) Progress {
+	p.setbacks, p.notBefore = setbacks, notBefore
+	return p
+}
+
 // Restore returns the job that a snapshot kept.
 func Restore(spec Spec, p Progress, members []Member) Job {
 	return Job{
 		spec: spec, state: p.state, result: p.result, reason: p.reason,
-		fence: p.fence, attempts: p.attempts, members: members, endedAt: p.endedAt,
+		fence: p.fence, attempts: p.attempts, setbacks: p.setbacks, members: members,
+		notBefore: p.notBefore, endedAt: p.endedAt,
 	}
 }
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -40,3 +40,11 @@
 func (g Granted) OverAt() time.Time {
 	return g.answeredAt.Add(g.length + g.length*driftMarginPercent/100)
 }
+
+// Later returns the one of two grants that ends later.
+func (g Granted) Later(o Granted) Granted {
+	if o.OverAt().After(g.OverAt()) {
+		return o
+	}
+	return g
+}
--- a/internal/registry/accessors.go
+++ b/internal/registry/accessors.go
@@ -93,10 +93,13 @@
 func (s StopGang) Reason() string { return s.reason }
 
 // NewRequeueJob returns the command.
-func NewRequeueJob(id string, fence lease.Fence, reason string) RequeueJob {
-	return RequeueJob{id: id, fence: fence, reason: reason}
+func NewRequeueJob(id string, fence lease.Fence, reason string, notBefore time.Time) RequeueJob {
+	return RequeueJob{id: id, fence: fence, reason: reason, notBefore: notBefore}
 }
 
+// NotBefore returns when the job may be placed again.
+func (r RequeueJob) NotBefore() time.Time { return r.notBefore }
+
 // ID returns the identity of the job.
 func (r RequeueJob) ID() string { return r.id }
 
--- a/internal/registry/apply.go
+++ b/internal/registry/apply.go
@@ -70,7 +70,7 @@
 		return s, Denied{reason: fmt.Sprintf("job %q exists", c.spec.ID())}
 	}
 	s.sequence++
-	s.jobs = s.jobs.With(c.spec.ID(), job.New(c.spec))
+	s = s.withJob(job.New(c.spec))
 	return s, Accepted{revision: s.config.Revision(), jobID: c.spec.ID()}
 }
 
@@ -89,7 +89,7 @@
 	case job.Done:
 		return s, Denied{reason: fmt.Sprintf("job %q has ended: %s", c.id, j.Result())}
 	}
-	s.jobs = s.jobs.With(c.id, j)
+	s = s.withJob(j)
 	return s, Accepted{revision: s.config.Revision(), jobID: c.id}
 }
 
@@ -108,7 +108,7 @@
 		return s, Denied{reason: fmt.Sprintf("job %q is not queued", c.id)}
 	}
 	s.fence = s.fence.Next()
-	s.jobs = s.jobs.With(c.id, j.Reserve(s.fence, c.members))
+	s = s.withJob(j.Reserve(s.fence, c.members))
 	return s, Accepted{revision: s.config.Revision(), jobID: c.id, fence: s.fence}
 }
 
@@ -120,7 +120,7 @@
 	}
 	next, r := f(j)
 	if a, ok := r.(Accepted); ok {
-		s.jobs = s.jobs.With(id, next)
+		s = s.withJob(next)
 		return s, Accepted{revision: s.config.Revision(), jobID: id, fence: a.fence}
 	}
 	return s, r
@@ -151,7 +151,7 @@
 	if j.Attempts() > 0 && !j.Spec().Idempotent() {
 		return j, Denied{reason: "the job may have run and is not idempotent"}
 	}
-	return j.Requeue(c.reason), Accepted{}
+	return j.Requeue(c.reason, c.notBefore), Accepted{}
 }
 
 func endJob(j job.Job, c EndJob) (job.Job, Result) {
--- a/internal/registry/command.go
+++ b/internal/registry/command.go
@@ -59,9 +59,10 @@
 
 // RequeueJob returns a placed job to the queue after all its members have ended.
 type RequeueJob struct {
-	id     string
-	fence  lease.Fence
-	reason string
+	id        string
+	fence     lease.Fence
+	reason    string
+	notBefore time.Time
 }
 
 // EndJob ends a job; the fence is 0 for a job that was never placed.
--- a/internal/registry/state.go
+++ b/internal/registry/state.go
@@ -9,23 +9,26 @@
 
 // State is everything that must survive; it is immutable, and Apply returns the next one.
 type State struct {
-	config   *workspace.Config
-	jobs     board.Table[job.Job]
-	claims   board.Table[Claim]
-	replies  board.Table[Reply]
-	drained  board.Table[bool]
-	fence    lease.Fence
-	sequence uint64
+	config *workspace.Config
+	jobs   board.Table[job.Job]
+	// unfinished holds the jobs that are not done, so that a day of finished jobs costs the controllers nothing.
+	unfinished board.Table[job.Job]
+	claims     board.Table[Claim]
+	replies    board.Table[Reply]
+	drained    board.Table[bool]
+	fence      lease.Fence
+	sequence   uint64
 }
 
 // NewState returns the state before the first command.
 func NewState() State {
 	return State{
-		config:  workspace.EmptyConfig(),
-		jobs:    board.NewTable[job.Job](),
-		claims:  board.NewTable[Claim](),
-		replies: board.NewTable[Reply](),
-		drained: board.NewTable[bool](),
+		config:     workspace.EmptyConfig(),
+		jobs:       board.NewTable[job.Job](),
+		unfinished: board.NewTable[job.Job](),
+		claims:     board.NewTable[Claim](),
+		replies:    board.NewTable[Reply](),
+		drained:    board.NewTable[bool](),
 	}
 }
 
@@ -36,7 +39,7 @@
 	s := NewState()
 	s.config, s.fence, s.sequence = config, fence, sequence
 	for _, j := range jobs {
-		s.jobs = s.jobs.With(j.Spec().ID(), j)
+		s = s.withJob(j)
 	}
 	for _, c := range claims {
 		s.claims = s.claims.With(claimKey(c.workspace, c.key), c)
@@ -56,6 +59,9 @@
 // Jobs returns the jobs by identity.
 func (s State) Jobs() board.Table[job.Job] { return s.jobs }
 
+// Unfinished returns the jobs that are queued or placed, by identity.
+func (s State) Unfinished() board.Table[job.Job] { return s.unfinished }
+
 // Claims returns the at-most-once records.
 func (s State) Claims() board.Table[Claim] { return s.claims }
 
@@ -70,3 +76,14 @@
 
 // Sequence returns the number of the latest claim or job.
 func (s State) Sequence() uint64 { return s.sequence }
+
+func (s State) withJob(j job.Job) State {
+	id := j.Spec().ID()
+	s.jobs = s.jobs.With(id, j)
+	if j.State() == job.Done {
+		s.unfinished = s.unfinished.Without(id)
+	} else {
+		s.unfinished = s.unfinished.With(id, j)
+	}
+	return s
+}
--- a/internal/standin/encoding.go
+++ b/internal/standin/encoding.go
@@ -1,6 +1,12 @@
 package standin
 
-import "rosemarywind.example/rosemarywind/internal/task"
+import (
+	"fmt"
+	"time"
+
+	"rosemarywind.example/rosemarywind/internal/lease"
+	"rosemarywind.example/rosemarywind/internal/task"
+)
 
 // taskForm is a task in the JSON of the worker's interface.
 type taskForm struct {
@@ -10,6 +16,8 @@
 	Accelerators int        `json:"accelerators,omitempty"`
 	LeaseMS      int64      `json:"lease_ms,omitempty"`
 	Payload      string     `json:"payload,omitempty"`
+	Mark         uint64     `json:"mark,omitempty"`
+	Since        uint64     `json:"since,omitempty"`
 	Percent      int        `json:"percent,omitempty"`
 	State        task.State `json:"state,omitempty"`
 }
@@ -36,3 +44,22 @@
 	Accelerators int   `json:"accelerators"`
 	Running      int   `json:"running"`
 }
+
+// order returns the order that a verb of the worker's interface and a task stand for.
+func (f taskForm) order(verb string) (o task.Order, err error) {
+	id, fence, length := task.NewID(f.Job, f.Index), lease.Fence(f.Fence), time.Duration(f.LeaseMS)*time.Millisecond
+	switch verb {
+	case "reserve":
+		return task.NewReserve(id, fence, task.Mark(f.Mark), f.Accelerators, length, f.Payload), nil
+	case "start":
+		return task.NewStart(id, fence), nil
+	case "renew":
+		return task.NewRenew(id, fence, task.Mark(f.Mark), task.Mark(f.Since), length), nil
+	case "stop", "checkpoint":
+		return task.NewStop(id, fence, verb == "checkpoint"), nil
+	case "throttle":
+		return task.NewThrottle(id, fence, f.Percent), nil
+	default:
+		return nil, fmt.Errorf("unknown order %q", verb)
+	}
+}
--- /dev/null
+++ b/internal/standin/host.go
@@ -0,0 +1,262 @@
+package standin
+
+import (
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"rosemarywind.example/rosemarywind/internal/lease"
+	"rosemarywind.example/rosemarywind/internal/task"
+)
+
+const (
+	// endedKept bounds the ended tasks that the worker still reports.
+	endedKept      = 256
+	defaultRunTime = 100 * time.Millisecond
+	farFuture      = time.Hour
+	// marksKept covers the renewals of one lease whose answers were lost.
+	marksKept = 8
+)
+
+// Host decides what a worker does with its tasks; every method takes the worker's own time.
+// One goroutine at a time may use it.
+type Host struct {
+	accelerators int
+	records      map[task.ID]record
+	ended        []task.ID
+	// floor is the largest fence of a task that was forgotten; a late reservation at or below it is refused.
+	floor lease.Fence
+}
+
+// record is one task.
+type record struct {
+	id           task.ID
+	fence        lease.Fence
+	accelerators int
+	payload      string
+	state        task.State
+	lease        lease.Held
+	endsAt       time.Time
+	percent      int
+	marks        []marked
+}
+
+// marked is when the worker took the order with a mark.
+type marked struct {
+	mark task.Mark
+	at   time.Time
+}
+
+// NewHost returns a worker without tasks.
+func NewHost(accelerators int) *Host {
+	return &Host{accelerators: accelerators, records: map[task.ID]record{}}
+}
+
+// CarryOut carries out one order and returns why it was refused, or an empty string.
+func (h *Host) CarryOut(o task.Order, now time.Time) (refusal string) {
+	h.Advance(now)
+	switch t := o.(type) {
+	case task.Reserve:
+		return h.reserve(t, now)
+	case task.Start:
+		return h.start(t, now)
+	case task.Renew:
+		return h.renew(t, now)
+	case task.Stop:
+		return h.stop(t)
+	case task.Throttle:
+		return h.edit(t.ID(), t.Fence(), func(r *record) { r.percent = t.Percent() })
+	}
+	return "unknown order"
+}
+
+// Advance ends the leases and tasks that are due, and reports whether one ended.
+func (h *Host) Advance(now time.Time) (changed bool) {
+	for k, r := range h.records {
+		switch {
+		case r.state.Final():
+			continue
+		case !r.lease.Valid(now):
+			r.state = task.Expired
+		case r.state == task.Running && !now.Before(r.endsAt):
+			r.state = task.Succeeded
+			if strings.HasPrefix(r.payload, "fail") {
+				r.state = task.Failed
+			}
+		default:
+			continue
+		}
+		h.records[k] = r
+		h.end(k)
+		changed = true
+	}
+	return changed
+}
+
+// Next returns how long until a lease or a task is due.
+func (h *Host) Next(now time.Time) time.Duration {
+	soonest := now.Add(farFuture)
+	for _, r := range h.records {
+		if r.state.Final() {
+			continue
+		}
+		if r.lease.Ends().Before(soonest) {
+			soonest = r.lease.Ends()
+		}
+		if r.state == task.Running && r.endsAt.Before(soonest) {
+			soonest = r.endsAt
+		}
+	}
+	return max(0, soonest.Sub(now))
+}
+
+// Reports returns the state of each task that the worker remembers, sorted by member.
+func (h *Host) Reports() []task.Report {
+	list := make([]task.Report, 0, len(h.records))
+	for _, r := range h.list() {
+		list = append(list, task.NewReport(r.id, r.fence, r.state))
+	}
+	return list
+}
+
+// Held returns the number of accelerators that reserved and running tasks hold.
+func (h *Host) Held() (n int) {
+	for _, r := range h.records {
+		if !r.state.Final() {
+			n += r.accelerators
+		}
+	}
+	return n
+}
+
+func (h *Host) list() []record {
+	list := make([]record, 0, len(h.records))
+	for _, r := range h.records {
+		list = append(list, r)
+	}
+	slices.SortFunc(list, func(a, b record) int { return strings.Compare(a.id.String(), b.id.String()) })
+	return list
+}
+
+func (h *Host) reserve(o task.Reserve, now time.Time) (refusal string) {
+	r, known := h.records[o.ID()]
+	switch {
+	case known && r.fence.Voids(o.Fence()):
+		return "the fence is void"
+	case known && r.fence == o.Fence() && r.state.Final():
+		return "the task has ended: " + string(r.state)
+	case known && r.fence == o.Fence():
+		r.take(o.Mark(), now)
+		h.records[o.ID()] = r
+		return ""
+	case known && !r.state.Final():
+		return "an older reservation is in force"
+	case !o.Fence().Voids(h.floor):
+		return "the fence is too old"
+	case h.Held()+o.Accelerators() > h.accelerators:
+		return "not enough free accelerators"
+	}
+	r = record{
+		id: o.ID(), fence: o.Fence(), accelerators: o.Accelerators(), payload: o.Payload(), state: task.Reserved,
+		lease: lease.NewHeld(now, o.Length()),
+	}
+	r.take(o.Mark(), now)
+	h.records[o.ID()] = r
+	return ""
+}
+
+func (h *Host) start(o task.Start, now time.Time) (refusal string) {
+	if r, known := h.records[o.ID()]; known && r.fence == o.Fence() && r.state == task.Succeeded {
+		return ""
+	}
+	return h.edit(o.ID(), o.Fence(), func(r *record) {
+		if r.state == task.Reserved {
+			r.state, r.endsAt = task.Running, now.Add(runTime(r.payload))
+		}
+	})
+}
+
+// renew counts the length from the order that the leader knows was taken, so that a late renewal extends nothing.
+func (h *Host) renew(o task.Renew, now time.Time) (refusal string) {
+	return h.edit(o.ID(), o.Fence(), func(r *record) {
+		for _, m := range r.marks {
+			next := lease.NewHeld(m.at, o.Length())
+			if m.mark == o.Since() && next.Ends().After(r.lease.Ends()) {
+				r.lease = next
+			}
+		}
+		r.take(o.Mark(), now)
+	})
+}
+
+// stop also remembers a task that was never reserved, so that a late reservation is refused.
+func (h *Host) stop(o task.Stop) (refusal string) {
+	r, known := h.records[o.ID()]
+	switch {
+	case known && r.fence.Voids(o.Fence()):
+		return ""
+	case known && r.fence == o.Fence() && r.state.Final():
+		return ""
+	case !known || r.fence != o.Fence():
+		r = record{id: o.ID(), fence: o.Fence()}
+	}
+	r.state = task.Stopped
+	h.records[o.ID()] = r
+	h.end(o.ID())
+	return ""
+}
+
+// edit changes a task that holds accelerators under the given fence.
+func (h *Host) edit(id task.ID, fence lease.Fence, f func(*record)) (refusal string) {
+	r, known := h.records[id]
+	switch {
+	case known && r.fence.Voids(fence):
+		return "the fence is void"
+	case !known || r.fence != fence:
+		return "the task is not reserved"
+	case r.state.Final():
+		return "the task has ended: " + string(r.state)
+	}
+	f(&r)
+	h.records[id] = r
+	return ""
+}
+
+// end forgets the oldest ended tasks.
+func (h *Host) end(id task.ID) {
+	h.ended = append(h.ended, id)
+	if len(h.ended) <= endedKept {
+		return
+	}
+	oldest := h.ended[0]
+	h.ended = h.ended[1:]
+	if r, ok := h.records[oldest]; ok && r.state.Final() && !slices.Contains(h.ended, oldest) {
+		h.floor = max(h.floor, r.fence)
+		delete(h.records, oldest)
+	}
+}
+
+// take remembers when an order was taken; marks only grow, so a late copy of an older order is ignored.
+func (r *record) take(m task.Mark, now time.Time) {
+	if n := len(r.marks); n > 0 && m <= r.marks[n-1].mark {
+		return
+	}
+	r.marks = append(slices.Clone(r.marks), marked{mark: m, at: now})
+	r.marks = r.marks[max(0, len(r.marks)-marksKept):]
+}
+
+// runTime reads payloads such as "sleep 200ms" and "fail 10ms".
+func runTime(payload string) time.Duration {
+	_, text, ok := strings.Cut(payload, " ")
+	if !ok {
+		return defaultRunTime
+	}
+	if d, err := time.ParseDuration(text); err == nil {
+		return d
+	}
+	if n, err := strconv.Atoi(text); err == nil {
+		return time.Duration(n) * time.Second
+	}
+	return defaultRunTime
+}
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -217,7 +217,12 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	c := call{verb: h.URL.Path[len("/tasks/"):], form: f, reply: make(chan string, 1)}
+	o, err := f.order(h.URL.Path[len("/tasks/"):])
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	c := call{order: o, reply: make(chan string, 1)}
 	select {
 	case s.worker.calls <- c:
 	case <-h.Context().Done():
--- a/internal/task/order.go
+++ b/internal/task/order.go
@@ -25,6 +25,9 @@
 // String returns the job and the index joined by a dot.
 func (i ID) String() string { return i.job + "." + strconv.Itoa(i.index) }
 
+// Mark numbers the orders of one reservation; a worker remembers when it took an order with a mark.
+type Mark uint64
+
 // Order is what the leader tells an agent to do with a member.
 //
 //sumtype:decl
@@ -36,6 +39,7 @@
 type Reserve struct {
 	id           ID
 	fence        lease.Fence
+	mark         Mark
 	accelerators int
 	length       time.Duration
 	payload      string
@@ -47,10 +51,13 @@
 	fence lease.Fence
 }
 
-// Renew extends the lease of a member.
+// Renew extends the lease of a member to a length that counts from the moment at which the worker
+// took the order marked since, so that a renewal that arrives late extends nothing.
 type Renew struct {
 	id     ID
 	fence  lease.Fence
+	mark   Mark
+	since  Mark
 	length time.Duration
 }
 
@@ -75,16 +82,19 @@
 func (Throttle) order() {}
 
 // NewReserve returns the order to hold accelerators for a lease of the given length.
-func NewReserve(id ID, fence lease.Fence, accelerators int, length time.Duration, payload string) Reserve {
-	return Reserve{id: id, fence: fence, accelerators: accelerators, length: length, payload: payload}
+func NewReserve(
+	id ID, fence lease.Fence, mark Mark, accelerators int, length time.Duration, payload string,
+) Reserve {
+	return Reserve{id: id, fence: fence, mark: mark, accelerators: accelerators, length: length, payload: payload}
 }
 
 // NewStart returns the order to run a reserved member.
 func NewStart(id ID, fence lease.Fence) Start { return Start{id: id, fence: fence} }
 
-// NewRenew returns the order to extend a lease to the given length from now.
-func NewRenew(id ID, fence lease.Fence, length time.Duration) Renew {
-	return Renew{id: id, fence: fence, length: length}
+// NewRenew returns the order to extend a lease to the given length from the order marked since;
+// with since 0 the worker only remembers the mark.
+func NewRenew(id ID, fence lease.Fence, mark, since Mark, length time.Duration) Renew {
+	return Renew{id: id, fence: fence, mark: mark, since: since, length: length}
 }
 
 // NewStop returns the order to end a member.
@@ -103,6 +113,9 @@
 // Fence returns the fencing number of the reservation.
 func (r Reserve) Fence() lease.Fence { return r.fence }
 
+// Mark returns the number of the order.
+func (r Reserve) Mark() Mark { return r.mark }
+
 // Accelerators returns the number of accelerators to hold.
 func (r Reserve) Accelerators() int { return r.accelerators }
 
@@ -124,6 +137,12 @@
 // Fence returns the fencing number of the reservation.
 func (r Renew) Fence() lease.Fence { return r.fence }
 
+// Mark returns the number of the order.
+func (r Renew) Mark() Mark { return r.mark }
+
+// Since returns the mark of the order that the length counts from.
+func (r Renew) Since() Mark { return r.since }
+
 // Length returns the new length of the lease.
 func (r Renew) Length() time.Duration { return r.length }
 
--- a/internal/wire/command.go
+++ b/internal/wire/command.go
@@ -94,7 +94,7 @@
 	case registry.StopGang:
 		return commandForm{Kind: commandStop, ID: t.ID(), Fence: uint64(t.Fence()), Reason: t.Reason()}
 	case registry.RequeueJob:
-		return commandForm{Kind: commandRequeue, ID: t.ID(), Fence: uint64(t.Fence()), Reason: t.Reason()}
+		return commandForm{Kind: commandRequeue, ID: t.ID(), Fence: uint64(t.Fence()), Reason: t.Reason(), Until: toNanos(t.NotBefore())}
 	case registry.EndJob:
 		return commandForm{
 			Kind: commandEnd, ID: t.ID(), Fence: uint64(t.Fence()), Result: t.Result(), Reason: t.Reason(),
@@ -135,7 +135,7 @@
 	case commandStop:
 		return registry.NewStopGang(f.ID, fence, f.Reason), nil
 	case commandRequeue:
-		return registry.NewRequeueJob(f.ID, fence, f.Reason), nil
+		return registry.NewRequeueJob(f.ID, fence, f.Reason, fromNanos(f.Until)), nil
 	case commandEnd:
 		return registry.NewEndJob(f.ID, fence, f.Result, f.Reason, at), nil
 	case commandClaim:
--- a/internal/wire/job.go
+++ b/internal/wire/job.go
@@ -34,6 +34,8 @@
 	Attempts int          `cbor:"6,keyasint,omitempty"`
 	Members  []memberForm `cbor:"7,keyasint,omitempty"`
 	EndedAt  int64        `cbor:"8,keyasint,omitempty"`
+	Setbacks int          `cbor:"9,keyasint,omitempty"`
+	Paused   int64        `cbor:"10,keyasint,omitempty"`
 }
 
 func fromSpec(s job.Spec) specForm {
@@ -74,7 +76,7 @@
 	return jobForm{
 		Spec: fromSpec(j.Spec()), State: j.State(), Result: j.Result(), Reason: j.Reason(),
 		Fence: uint64(j.Fence()), Attempts: j.Attempts(), Members: fromMembers(j.Members()),
-		EndedAt: toNanos(j.EndTime()),
+		EndedAt: toNanos(j.EndTime()), Setbacks: j.Setbacks(), Paused: toNanos(j.NotBefore()),
 	}
 }
 
@@ -83,6 +85,7 @@
 	if err != nil {
 		return job.Job{}, err
 	}
-	p := job.NewProgress(f.State, f.Result, f.Reason, lease.Fence(f.Fence), f.Attempts, fromNanos(f.EndedAt))
+	p := job.NewProgress(f.State, f.Result, f.Reason, lease.Fence(f.Fence), f.Attempts, fromNanos(f.EndedAt)).
+		WithSetbacks(f.Setbacks, fromNanos(f.Paused))
 	return job.Restore(spec, p, toMembers(f.Members)), nil
 }
--- a/internal/wire/order.go
+++ b/internal/wire/order.go
@@ -19,6 +19,8 @@
 	Payload      string `cbor:"7,keyasint,omitempty"`
 	Checkpoint   bool   `cbor:"8,keyasint,omitempty"`
 	Percent      int    `cbor:"9,keyasint,omitempty"`
+	Mark         uint64 `cbor:"10,keyasint,omitempty"`
+	Since        uint64 `cbor:"11,keyasint,omitempty"`
 }
 
 type replyForm struct {
@@ -91,14 +93,14 @@
 	case task.Reserve:
 		return orderForm{
 			Kind: orderReserve, Job: t.ID().Job(), Index: t.ID().Index(), Fence: uint64(t.Fence()),
-			Accelerators: t.Accelerators(), Length: int64(t.Length()), Payload: t.Payload(),
+			Accelerators: t.Accelerators(), Length: int64(t.Length()), Payload: t.Payload(), Mark: uint64(t.Mark()),
 		}
 	case task.Start:
 		return orderForm{Kind: orderStart, Job: t.ID().Job(), Index: t.ID().Index(), Fence: uint64(t.Fence())}
 	case task.Renew:
 		return orderForm{
 			Kind: orderRenew, Job: t.ID().Job(), Index: t.ID().Index(), Fence: uint64(t.Fence()),
-			Length: int64(t.Length()),
+			Length: int64(t.Length()), Mark: uint64(t.Mark()), Since: uint64(t.Since()),
 		}
 	case task.Stop:
 		return orderForm{
@@ -118,11 +120,11 @@
 	id, fence := task.NewID(f.Job, f.Index), lease.Fence(f.Fence)
 	switch f.Kind {
 	case orderReserve:
-		return task.NewReserve(id, fence, f.Accelerators, time.Duration(f.Length), f.Payload), nil
+		return task.NewReserve(id, fence, task.Mark(f.Mark), f.Accelerators, time.Duration(f.Length), f.Payload), nil
 	case orderStart:
 		return task.NewStart(id, fence), nil
 	case orderRenew:
-		return task.NewRenew(id, fence, time.Duration(f.Length)), nil
+		return task.NewRenew(id, fence, task.Mark(f.Mark), task.Mark(f.Since), time.Duration(f.Length)), nil
 	case orderStop:
 		return task.NewStop(id, fence, f.Checkpoint), nil
 	case orderThrottle:
