--- a/internal/plan/world_test.go
+++ b/internal/plan/world_test.go
@@ -110,7 +110,7 @@
 func (w *world) settle() {
 	for _, id := range w.ids(job.Stopping) {
 		if s := w.jobs[id].Spec(); s.Idempotent() || s.Checkpointable() {
-			w.jobs[id] = w.jobs[id].Requeue("reclaimed")
+			w.jobs[id] = w.jobs[id].Requeue("reclaimed", w.now)
 		} else {
 			delete(w.jobs, id)
 		}
