Give each caller a known outcome at a transfer, and bear slow disks

Cause: a transfer stepped down once its target had the log, before the commit was known, so that callers of a planned stop were told that the outcome is unknown. A candidate whose disk needs longer than the pause between two rounds began anew before its own vote was synced, and could never win. Entries with little data could pass the codec's limit on array elements in one message. Change: a transfer waits until all that was proposed is committed, and what is committed is applied before the step-down is reported; a candidate waits for its own vote; the size of a message counts 32 bytes besides the data of each entry; only probes and joins may name no receiver. Ruled out: keeping callers waiting over a change of leader, because the new leader may replace the entry without the old one hearing of it. Seen red in a trial without the wait: TestThreeMembers, 'the outcome of the change is unknown: leadership was lost before the commit'. The candidate's wait on a slow disk has no test of its own. Conclusion: a planned stop leaves no caller in doubt.

--- a/internal/ledger/driver/deliver.go
+++ b/internal/ledger/driver/deliver.go
@@ -53,6 +53,9 @@
 }
 
 func (n *Node[R]) send(from ledger.MemberID, e ledger.Send, address string) {
+	if address == "" {
+		return
+	}
 	m, err := encode(delivery{to: e.To(), from: from, address: n.options.address, message: e.Message()})
 	if err == nil {
 		n.options.transport.Send(e.To(), address, m)
--- a/internal/ledger/driver/encoding.go
+++ b/internal/ledger/driver/encoding.go
@@ -92,7 +92,9 @@
 		return d, err
 	}
 	d = delivery{to: ledger.MemberID(e.To), from: ledger.MemberID(e.From), address: e.Address}
-	d.message, err = message(e)
+	if d.message, err = message(e); err == nil && d.to == "" && e.Kind != kindProbe && e.Kind != kindJoin {
+		err = fmt.Errorf("message of kind %q names no receiver", e.Kind)
+	}
 	return d, err
 }
 
--- a/internal/ledger/election.go
+++ b/internal/ledger/election.go
@@ -2,11 +2,14 @@
 
 import "time"
 
-// Bounds of the pause after an election that nobody won. The lower one leaves
-// time for a round trip between availability zones and a disk sync.
+// Bounds of the pause after a round of pre-votes or votes that nobody won. A pre-vote
+// costs a round trip between availability zones; a vote costs two disk syncs besides,
+// which may take 100 ms each on a disk under load.
 const (
-	retryMin = 150 * time.Millisecond
-	retryMax = 400 * time.Millisecond
+	preVoteRetryMin = 150 * time.Millisecond
+	preVoteRetryMax = 300 * time.Millisecond
+	voteRetryMin    = 300 * time.Millisecond
+	voteRetryMax    = 600 * time.Millisecond
 )
 
 // campaign asks the voters whether this member could win, without raising a term.
@@ -15,9 +18,14 @@
 		c.askToJoin()
 		return
 	}
+	if c.role == Candidate && c.writes.persisted < c.writes.sequence {
+		// The own vote is not yet on the disk; a new round would start from the same place.
+		c.wakeAt = c.now.Add(c.between(voteRetryMin, voteRetryMax))
+		return
+	}
 	c.role, c.leader = PreCandidate, ""
 	c.granted = map[MemberID]bool{c.self: true}
-	c.wakeAt = c.now.Add(c.between(retryMin, retryMax))
+	c.wakeAt = c.now.Add(c.between(preVoteRetryMin, preVoteRetryMax))
 	if c.won() {
 		c.stand(false)
 		return
@@ -32,7 +40,7 @@
 	c.vote = c.self
 	c.markHard()
 	c.granted = map[MemberID]bool{}
-	c.wakeAt = c.now.Add(c.between(retryMin, retryMax))
+	c.wakeAt = c.now.Add(c.between(voteRetryMin, voteRetryMax))
 	m := Vote{term: c.term, lastIndex: c.log.lastIndex(), lastTerm: c.log.lastTerm(), transfer: transfer}
 	for _, e := range c.membership.members {
 		if e.voter && e.id != c.self {
@@ -116,6 +124,8 @@
 // follow makes this member a follower of leader in term; the leader may be unknown.
 func (c *Core) follow(term uint64, leader MemberID) {
 	if c.role == Leader {
+		// What is committed has a known outcome.
+		c.hand()
 		c.emit(StepDown{term: c.term})
 		c.refuseWaiting()
 		c.heard = c.heardUntilNow()
--- a/internal/ledger/lead.go
+++ b/internal/ledger/lead.go
@@ -104,11 +104,15 @@
 	c.send(id, Install{term: c.term, snapshot: s, round: c.nextRound(), stamp: c.now.Sub(c.epoch)})
 }
 
+// entryOverhead is what an entry costs in a message besides its data, rounded up; it
+// also bounds the number of entries below the codec's limit of 131,072 elements.
+const entryOverhead = 32
+
 // limit cuts a list of entries to what one message may carry, but to no less than one entry.
 func limit(entries []Entry) []Entry {
 	size := 0
 	for i, e := range entries {
-		if size += len(e.data); size > maxAppendBytes && i > 0 {
+		if size += len(e.data) + entryOverhead; size > maxAppendBytes && i > 0 {
 			return slices.Clip(entries[:i])
 		}
 	}
--- a/internal/ledger/transfer.go
+++ b/internal/ledger/transfer.go
@@ -34,14 +34,15 @@
 	return best
 }
 
-// finishTransfer steps down in favour of the target. The lease is given up before the
+// finishTransfer steps down in favour of the target once all that was proposed is
+// committed, so that no caller is left with an unknown outcome. The lease is given up before the
 // target is told, because its voters pass over their promise to this leader.
 func (c *Core) finishTransfer() {
 	t := c.transfer
 	if t == nil {
 		return
 	}
-	if p := c.peers[t.target]; p == nil || p.match < c.log.lastIndex() {
+	if p := c.peers[t.target]; p == nil || p.match < c.log.lastIndex() || c.commit < c.log.lastIndex() {
 		return
 	}
 	t.told = true
