Keep a renamed generation durable, and elect a leader on slow disks

Cause: a process that ended between the rename of a new log and the sync of the folder left a name that a later power loss takes back, with all that was synced into the file since. Elections with a sync of 700 ms never ended, because a candidate began anew before the voters' syncs were done. Ruled out: requests for votes before the own vote is synced, because a candidate that crashes may come back with a shorter log and count votes that were given for the longer one. Conclusion: a repeated power loss keeps what was synced; slow disks delay an election and do not prevent it.

--- a/internal/ledger/core.go
+++ b/internal/ledger/core.go
@@ -38,6 +38,7 @@
 	heard   lease.Granted
 	wakeAt  time.Time
 	granted map[MemberID]bool
+	lost    int // votes since a leader was known
 
 	log          log
 	commit       uint64
--- a/internal/ledger/driver/request.go
+++ b/internal/ledger/driver/request.go
@@ -39,7 +39,8 @@
 
 func (c call[R]) fail(err error) { c.done <- answer[R]{err: err} }
 
-// Propose returns the application's result once the data is committed and applied. A
+// Propose returns the application's result once the data is committed and applied; the
+// caller must not modify the data afterwards. A
 // NotLeaderError, ErrStopped or the context's own error says that it will not be
 // committed; an UnknownOutcomeError says that it may be.
 func (n *Node[R]) Propose(ctx context.Context, data []byte) (result R, err error) {
--- a/internal/ledger/effect.go
+++ b/internal/ledger/effect.go
@@ -69,6 +69,7 @@
 	UnknownMember  Refusal = "no such member"
 	MemberExists   Refusal = "the member exists"
 	LastVoter      Refusal = "the last voter cannot be removed"
+	TooManyVoters  Refusal = "the ledger has seven voters"
 	LeaderRemoving Refusal = "the leader must transfer leadership before it is removed"
 )
 
--- a/internal/ledger/election.go
+++ b/internal/ledger/election.go
@@ -3,13 +3,14 @@
 import "time"
 
 // Bounds of the pause after a round of pre-votes or votes that nobody won. A pre-vote
-// costs a round trip between availability zones; a vote costs two disk syncs besides,
-// which may take 100 ms each on a disk under load.
+// costs a round trip between availability zones; a vote costs a disk sync besides. The
+// pause after a vote doubles with each one that is lost, because a disk may be slower.
 const (
 	preVoteRetryMin = 150 * time.Millisecond
 	preVoteRetryMax = 300 * time.Millisecond
 	voteRetryMin    = 300 * time.Millisecond
 	voteRetryMax    = 600 * time.Millisecond
+	maxDoublings    = 3
 )
 
 // campaign asks the voters whether this member could win, without raising a term.
@@ -20,7 +21,7 @@
 	}
 	if c.role == Candidate && c.writes.persisted < c.writes.sequence {
 		// The own vote is not yet on the disk; a new round would start from the same place.
-		c.wakeAt = c.now.Add(c.between(voteRetryMin, voteRetryMax))
+		c.awaitVotes()
 		return
 	}
 	c.role, c.leader = PreCandidate, ""
@@ -40,7 +41,8 @@
 	c.vote = c.self
 	c.markHard()
 	c.granted = map[MemberID]bool{}
-	c.wakeAt = c.now.Add(c.between(voteRetryMin, voteRetryMax))
+	c.lost++
+	c.awaitVotes()
 	m := Vote{term: c.term, lastIndex: c.log.lastIndex(), lastTerm: c.log.lastTerm(), transfer: transfer}
 	for _, e := range c.membership.members {
 		if e.voter && e.id != c.self {
@@ -49,6 +51,11 @@
 	}
 }
 
+// awaitVotes allows the voters time to answer, counted from the present.
+func (c *Core) awaitVotes() {
+	c.wakeAt = c.now.Add(c.between(voteRetryMin, voteRetryMax) << min(c.lost-1, maxDoublings))
+}
+
 func (c *Core) sendVoters(m Message) {
 	for _, e := range c.membership.members {
 		if e.voter && e.id != c.self {
@@ -143,6 +150,7 @@
 func (c *Core) becomeLeader() {
 	c.role, c.leader = Leader, c.self
 	c.leaderSince = c.now
+	c.lost = 0
 	c.noOp = c.log.lastIndex() + 1
 	c.wakeAt = c.now.Add(c.timing.heartbeat)
 	c.peers = map[MemberID]*progress{}
--- a/internal/ledger/follow.go
+++ b/internal/ledger/follow.go
@@ -12,6 +12,7 @@
 		c.follow(term, from)
 	}
 	c.hear()
+	c.lost = 0
 	return true
 }
 
--- a/internal/ledger/join.go
+++ b/internal/ledger/join.go
@@ -68,6 +68,8 @@
 			delete(c.joining, id)
 		case replaces:
 			c.changeTo(0, c.membership.without(old))
+		case c.membership.Voters() >= maxVoters:
+			delete(c.joining, id)
 		default:
 			c.changeTo(0, c.membership.with(NewMember(id, address, true)))
 		}
--- a/internal/ledger/membership.go
+++ b/internal/ledger/membership.go
@@ -29,6 +29,9 @@
 // Voter reports whether the member counts in majorities.
 func (m Member) Voter() bool { return m.voter }
 
+// maxVoters is the number of hosts that may be set aside for control.
+const maxVoters = 7
+
 // Membership is an immutable list of members, sorted by id.
 type Membership struct {
 	members []Member
--- a/internal/ledger/propose.go
+++ b/internal/ledger/propose.go
@@ -51,6 +51,8 @@
 		return MemberExists
 	case in.kind != AddNonVoter && !known:
 		return UnknownMember
+	case in.kind == Promote && !c.membership.isVoter(in.member.id) && c.membership.Voters() >= maxVoters:
+		return TooManyVoters
 	case in.kind == Promote:
 		return ""
 	case c.changePending():
@@ -78,7 +80,7 @@
 
 // promoteCaughtUp makes a waiting member a voter when it has all that is committed on its disk.
 func (c *Core) promoteCaughtUp() {
-	if len(c.promotions) == 0 || c.changePending() || c.transfer != nil {
+	if len(c.promotions) == 0 || c.changePending() || c.transfer != nil || c.membership.Voters() >= maxVoters {
 		return
 	}
 	for _, e := range c.membership.members {
--- a/internal/ledger/storage/catchup_test.go
+++ b/internal/ledger/storage/catchup_test.go
@@ -56,3 +56,21 @@
 	assert.Equal(t, leaders(c)[0].lines, h.lines)
 	assert.GreaterOrEqual(t, len(h.lines), 500)
 }
+
+// Guards against elections that no candidate can finish because its own vote is not yet on the disk.
+func TestSlowDisk(t *testing.T) {
+	c := newCluster(t, 3, 1)
+	c.calm(time.Second)
+	for range 20 {
+		for range 70 {
+			for range len(c.packets) {
+				c.deliver(0, false)
+			}
+			c.pass(10 * time.Millisecond)
+		}
+		for _, h := range c.hosts {
+			c.save(h, len(h.writes))
+		}
+	}
+	assert.NotEmpty(t, leaders(c))
+}
--- a/internal/ledger/storage/disk_test.go
+++ b/internal/ledger/storage/disk_test.go
@@ -81,12 +81,16 @@
 	return nil
 }
 
-// crash loses names and bytes that were not synced; of the bytes any part may be left, with holes.
+// crash ends the process, or the host: a host loses names and bytes that were not
+// synced, and of the bytes any part may be left, with holes.
 func (d *fakeDisk) crash(random *rand.Rand) {
+	d.failAt = 0
+	if random.IntN(3) == 0 {
+		return
+	}
 	if random.IntN(2) == 0 {
 		d.names = maps.Clone(d.durable)
 	}
-	d.failAt = 0
 	for _, n := range slices.Sorted(maps.Keys(d.names)) {
 		f := d.names[n]
 		left := slices.Clone(f.synced)
--- a/internal/ledger/storage/folder.go
+++ b/internal/ledger/storage/folder.go
@@ -27,6 +27,10 @@
 	if err = os.MkdirAll(path, 0o700); err != nil {
 		return nil, err
 	}
+	// The folder's own name is durable once its parent is synced.
+	if err = syncFolder(filepath.Dir(path)); err != nil {
+		return nil, err
+	}
 	lock, err := os.OpenFile(filepath.Join(path, lockName), os.O_CREATE|os.O_RDWR, 0o600)
 	if err != nil {
 		return nil, err
@@ -82,8 +86,10 @@
 func (f *Folder) Remove(name string) error { return os.Remove(filepath.Join(f.path, name)) }
 
 // SyncFolder implements Disk.
-func (f *Folder) SyncFolder() (err error) {
-	d, err := os.Open(f.path)
+func (f *Folder) SyncFolder() error { return syncFolder(f.path) }
+
+func syncFolder(path string) (err error) {
+	d, err := os.Open(path)
 	if err != nil {
 		return err
 	}
--- a/internal/ledger/storage/recover.go
+++ b/internal/ledger/storage/recover.go
@@ -29,6 +29,10 @@
 			s.generation = max(s.generation, generation)
 		}
 	}
+	// A process may have ended between a rename and the sync of the folder.
+	if err = disk.SyncFolder(); err != nil {
+		return nil, saved, err
+	}
 	if err = s.clean(names); err != nil {
 		return nil, saved, err
 	}
--- a/internal/ledger/storage/store_test.go
+++ b/internal/ledger/storage/store_test.go
@@ -80,6 +80,19 @@
 			requireInterrupted(t, d, s, seed)
 		}
 	})
+	t.Run("power lost after a process that ended amid a snapshot loses nothing", func(t *testing.T) {
+		for seed := range uint64(200) {
+			d := newFakeDisk()
+			s := requireFounded(t, d)
+			d.failAt = d.syncs + 1 + int(seed%5)
+			_ = s.Save([]ledger.Persist{ledger.NewPersist(ledger.NewHardState("a", 2, "b"), founding(0), nil)})
+			d.failAt = 0
+			s, _ = requireOpen(t, d)
+			require.NoError(t, s.Save([]ledger.Persist{write(3, entry(1, 3))}))
+			d.crash(rand.New(rand.NewPCG(seed, 0)))
+			assertSaved(t, d, 3, 1, entry(1, 3))
+		}
+	})
 }
 
 // Guards against two processes that write to one data folder.
--- a/internal/ledger/writes.go
+++ b/internal/ledger/writes.go
@@ -93,6 +93,7 @@
 		w.pending = w.pending[1:]
 	}
 	if c.role == Candidate && c.vote == c.self && w.persisted >= w.sequence {
+		c.awaitVotes()
 		c.count(c.self)
 	}
 }
