Add the bench of policies in virtual time and its baselines

Cause: choices of policy need figures; none could be measured. The bench showed that the last job of a queue met the same faulty worker for ever under every policy; a job now keeps off a worker it failed on, for a time that doubles.

--- a/internal/plan/faulty.go
+++ b/internal/plan/faulty.go
@@ -31,6 +31,45 @@
 	}
 }
 
+// findFailures finds the workers that each job failed to start on a short time ago. A job keeps off them,
+// because the last job of a queue would otherwise meet the same faulty worker for ever, and one job marks no worker.
+func (p *pass) findFailures() {
+	type attemptAt struct{ job, worker string }
+	counts, last := map[attemptAt]int{}, map[attemptAt]time.Time{}
+	for _, s := range p.view.starts {
+		if !s.ok {
+			key := attemptAt{s.job, s.worker}
+			counts[key]++
+			last[key] = s.at
+		}
+	}
+	p.failedOn = map[string][]int32{}
+	for key, n := range counts {
+		site, ok := p.planner.top.byName[key.worker]
+		pause := min(p.planner.pause<<min(n, 16), p.planner.longestPause)
+		if ok && p.now.Before(last[key].Add(pause)) {
+			p.failedOn[key.job] = append(p.failedOn[key.job], site)
+		}
+	}
+	for _, sites := range p.failedOn {
+		slices.Sort(sites)
+	}
+}
+
+// avoid empties the sites that the job failed on; refresh brings them back.
+func (p *pass) avoid(free *pool, id string) []int32 {
+	for _, site := range p.failedOn[id] {
+		free.set(site, 0)
+	}
+	return p.failedOn[id]
+}
+
+func (p *pass) refresh(sites []int32) {
+	for _, site := range sites {
+		p.state.refresh(site)
+	}
+}
+
 // pauseOf returns the end of the worker's latest pause. Failures during a pause belong to tasks
 // that were sent before it, so they do not lengthen it.
 func (p *Planner) pauseOf(starts []Start, blamed map[string]bool) (until time.Time, reason string) {
--- a/internal/plan/pass.go
+++ b/internal/plan/pass.go
@@ -20,6 +20,7 @@
 	running   map[int32][]*victim
 	chosen    map[string]bool
 	oldest    string
+	failedOn  map[string][]int32
 	decisions []Decision
 	blocked   map[attempt]string
 	reasons   map[workspace.Shape]string
@@ -43,6 +44,7 @@
 		blocked: map[attempt]string{}, reasons: map[workspace.Shape]string{},
 	}
 	s.findFaulty()
+	s.findFailures()
 	s.state = newState(p.top, s.view, p.backfilled, now)
 	s.settleCells()
 	s.restoreHolds()
@@ -122,7 +124,7 @@
 	}
 	key := attempt{q.owner, spec.Shape(), fragile(spec), spec.Urgency() == job.Urgent}
 	old, holds := p.lift(spec.ID())
-	if reason, ok := p.blocked[key]; ok && !holds {
+	if reason, ok := p.blocked[key]; ok && !holds && len(p.failedOn[spec.ID()]) == 0 {
 		p.decide(Wait{spec.ID(), reason})
 		return
 	}
@@ -157,8 +159,13 @@
 		p.decide(Wait{spec.ID(), p.shortage(spec.Shape()) + "; a place is now held for it"})
 		return
 	}
-	p.blocked[key] = p.shortage(spec.Shape())
-	p.decide(Wait{spec.ID(), p.blocked[key]})
+	reason := p.shortage(spec.Shape())
+	if avoided := len(p.failedOn[spec.ID()]); avoided > 0 {
+		reason += fmt.Sprintf(", and it failed to start on %d workers a short time ago", avoided)
+	} else {
+		p.blocked[key] = reason
+	}
+	p.decide(Wait{spec.ID(), reason})
 }
 
 func (p *pass) place(q waiting, sites []int32, how string) {
@@ -186,6 +193,8 @@
 func (p *pass) findWithOwn(free *pool, q waiting) []int32 {
 	p.state.showOwn(free, q.owner)
 	defer p.state.hideOwn(q.owner)
+	avoided := p.avoid(free, q.job.Spec().ID())
+	defer p.refresh(avoided)
 	return free.find(q.job.Spec().Shape())
 }
 
--- a/internal/plan/plan_test.go
+++ b/internal/plan/plan_test.go
@@ -150,3 +150,17 @@
 		requireWait(t, plan.New().Decide(plan.NewView(workers, []job.Job{busy, gang}, nil), start), "gang")
 	})
 }
+
+// Guards against a job that meets the same faulty worker again at once, when no other job marks the worker.
+func TestFailedJob(t *testing.T) {
+	j := jobOf(t, "a", "x", shapeOf(t, 1, 8, workspace.Anywhere))
+	v := plan.NewView(workersOf(2, 1), []job.Job{j}, nil, plan.WithStarts(plan.NewStart("w0", "a", start, false)))
+	t.Run("keeps off the worker", func(t *testing.T) {
+		assert.Equal(t, "w1", requirePlace(t, plan.New().Decide(v, start), "a").Members()[0].Worker())
+	})
+	t.Run("waits when there is no other", func(t *testing.T) {
+		v := plan.NewView(workersOf(1, 1), []job.Job{j}, nil, plan.WithStarts(plan.NewStart("w0", "a", start, false)))
+		requireWait(t, plan.New().Decide(v, start), "a")
+		requirePlace(t, plan.New().Decide(v, start.Add(2*time.Minute)), "a")
+	})
+}
--- a/internal/plan/planner.go
+++ b/internal/plan/planner.go
@@ -79,5 +79,14 @@
 // Decide returns the decisions for all queued jobs and faulty workers.
 // Place decisions assume that Reclaim decisions of the same call are not yet carried out.
 func (p *Planner) Decide(v View, now time.Time) []Decision {
-	return p.begin(v, now).run()
+	switch s := p.begin(v, now); p.policy {
+	case FirstFit:
+		return s.runBaseline(false)
+	case StrictPriority:
+		return s.runBaseline(true)
+	case Reserving:
+		return s.run()
+	default:
+		return s.run()
+	}
 }
--- /dev/null
+++ b/internal/planbench/chart.go
@@ -0,0 +1,41 @@
+package planbench
+
+import (
+	"fmt"
+	"html"
+	"io"
+	"strings"
+)
+
+// WriteChart writes a bar chart of urgent p99 completion times and fragmentation as SVG.
+func WriteChart(w io.Writer, results []*Result) error {
+	const left, width, line = 230, 300, 14
+	var b strings.Builder
+	height := (len(results) + 3) * line
+	fmt.Fprintf(&b, `<svg xmlns="http://www.w3.org/2000/svg" width="%d" height="%d" font-family="sans-serif" font-size="10">`+"\n",
+		left+2*width+160, height)
+	longest := 1.0
+	for _, r := range results {
+		longest = max(longest, r.Percentile(Urgent, 0.99).Seconds())
+	}
+	text(&b, left, line, "urgent p99 completion")
+	text(&b, left+width+80, line, "fragmentation")
+	for i, r := range results {
+		y := (i + 2) * line
+		text(&b, 4, y+10, r.scenario+", "+string(r.policy))
+		bar(&b, left, y, int(r.Percentile(Urgent, 0.99).Seconds()/longest*width), "#4477aa", short(r.Percentile(Urgent, 0.99)))
+		bar(&b, left+width+80, y, int(r.Fragmentation()*width), "#cc6677", fmt.Sprintf("%.2f", r.Fragmentation()))
+	}
+	b.WriteString("</svg>\n")
+	_, err := io.WriteString(w, b.String())
+	return err
+}
+
+func text(b *strings.Builder, x, y int, s string) {
+	fmt.Fprintf(b, `<text x="%d" y="%d">%s</text>`+"\n", x, y, html.EscapeString(s))
+}
+
+func bar(b *strings.Builder, x, y, width int, colour, label string) {
+	fmt.Fprintf(b, `<rect x="%d" y="%d" width="%d" height="11" fill="%s"/>`+"\n", x, y, width, colour)
+	text(b, x+width+4, y+10, label)
+}
