Keep whole workers free, with one reservation

Cause: fragmentation was worse than first-fit's; a small job broke an idle worker of its own cell although a worker in use had room. Change: a small job goes to a worker in use first, within cells and common accelerators, and on lent ones too when it can be checkpointed; one reservation in place of two.

--- a/internal/plan/drain.go
+++ b/internal/plan/drain.go
@@ -112,7 +112,7 @@
 	for n := size; n <= room; n += size {
 		for free < n && len(running) > 0 {
 			if !p.chosen[running[0].job.Spec().ID()] {
-				free += running[0].on[site]
+				free += running[0].on(site)
 				at = p.remaining(running[0].job)
 			}
 			running = running[1:]
@@ -181,10 +181,10 @@
 				break
 			}
 			if slices.Contains(victims, v) {
-				lacks -= v.on[site]
+				lacks -= v.on(site)
 			} else if p.planner.backfilled[id] && !p.chosen[id] {
 				victims = append(victims, v)
-				lacks -= v.on[site]
+				lacks -= v.on(site)
 			}
 		}
 		if lacks > 0 {
--- a/internal/plan/pass.go
+++ b/internal/plan/pass.go
@@ -17,7 +17,7 @@
 	now       time.Time
 	state     *state
 	idle      *pool
-	running   map[int32][]*victim
+	running   [][]*victim
 	chosen    map[string]bool
 	oldest    string
 	failedOn  map[string][]int32
@@ -99,7 +99,12 @@
 		p.place(q, sites, "placed on the accelerators that were reclaimed for it")
 		return true
 	}
-	if sites, how := p.searchSafe(q); sites != nil {
+	if sites := p.findWithOwn(p.state.safe, q, (*pool).findBroken); sites != nil {
+		p.place(q, sites, "placed on a worker that is in use already")
+		return true
+	}
+	small := reach(q.job.Spec().Shape()) == 0 && q.job.Spec().Shape().Total() < p.planner.top.largest
+	if sites, how := p.searchSafe(q); sites != nil && !small {
 		p.place(q, sites, how)
 		return true
 	}
@@ -177,25 +182,32 @@
 
 // search looks for free accelerators, those that no owner can reclaim first.
 func (p *pass) search(q waiting) (sites []int32, how string) {
+	free := p.state.safe
+	if q.job.Spec().Checkpointable() {
+		free = p.state.loan
+	}
+	if sites = p.findWithOwn(free, q, (*pool).findBroken); sites != nil {
+		return sites, "placed on a worker that is in use already"
+	}
 	if sites, how = p.searchSafe(q); sites != nil {
 		return sites, how
 	}
-	if sites = p.findWithOwn(p.lendable(q), q); sites != nil {
+	if sites = p.findWithOwn(p.lendable(q), q, (*pool).find); sites != nil {
 		return sites, "placed on accelerators borrowed from idle guarantees"
 	}
 	return nil, ""
 }
 
 func (p *pass) searchSafe(q waiting) (sites []int32, how string) {
-	return p.findWithOwn(p.state.safe, q), "placed on the workspace's own and common accelerators"
+	return p.findWithOwn(p.state.safe, q, (*pool).find), "placed on the workspace's own and common accelerators"
 }
 
-func (p *pass) findWithOwn(free *pool, q waiting) []int32 {
+func (p *pass) findWithOwn(free *pool, q waiting, find func(*pool, workspace.Shape) []int32) []int32 {
 	p.state.showOwn(free, q.owner)
 	defer p.state.hideOwn(q.owner)
 	avoided := p.avoid(free, q.job.Spec().ID())
 	defer p.refresh(avoided)
-	return free.find(q.job.Spec().Shape())
+	return find(free, q.job.Spec().Shape())
 }
 
 // fragile reports whether a reclaim would lose the job, because it can neither be checkpointed nor run again.
--- a/internal/plan/planner.go
+++ b/internal/plan/planner.go
@@ -13,7 +13,7 @@
 	defaultLongestPause = time.Hour
 	// defaultFailures is the number of different jobs that must fail on a worker in a row.
 	defaultFailures     = 3
-	defaultReservations = 2
+	defaultReservations = 1
 )
 
 // Planner decides from views; it keeps only caches, so that a new one decides as well from the same view.
--- a/internal/plan/pool.go
+++ b/internal/plan/pool.go
@@ -91,7 +91,7 @@
 func (p *pool) find(s workspace.Shape) []int32 {
 	switch {
 	case s.Adjacency() == workspace.SameWorker || s.Members() == 1:
-		site, ok := p.bestSite(s.Total())
+		site, ok := p.bestSite(s.Total(), len(p.fleet))
 		if !ok {
 			return nil
 		}
@@ -115,9 +115,21 @@
 	}
 }
 
-// bestSite returns the site with the fewest free accelerators that suffice, in the rack with the fewest free ones.
-func (p *pool) bestSite(size int) (site int32, ok bool) {
-	for f := size; f < len(p.fleet); f++ {
+// findBroken returns a site for a small shape on a worker that is in use already, so that whole workers stay free.
+func (p *pool) findBroken(s workspace.Shape) []int32 {
+	if reach(s) > 0 || s.Total() >= p.top.largest {
+		return nil
+	}
+	site, ok := p.bestSite(s.Total(), p.top.largest)
+	if !ok {
+		return nil
+	}
+	return slices.Repeat([]int32{site}, s.Members())
+}
+
+// bestSite returns the site with the fewest free accelerators that suffice and fewer than the bound, in the rack with the fewest free ones.
+func (p *pool) bestSite(size, below int) (site int32, ok bool) {
+	for f := size; f < below; f++ {
 		if p.fleet[f] == 0 {
 			continue
 		}
--- a/internal/plan/reclaim.go
+++ b/internal/plan/reclaim.go
@@ -201,8 +201,8 @@
 // leave counts a victim's accelerators as about to become free, so that no second owner chooses it.
 func (p *pass) leave(v *victim) {
 	p.chosen[v.job.Spec().ID()] = true
-	for site, n := range v.on {
-		u := &p.state.sites[site]
+	for _, c := range v.parts {
+		u, n := &p.state.sites[c.site], c.accelerators
 		u.releasing += n
 		h := u.share(v.owner)
 		h.leaving += n
--- a/internal/plan/victim.go
+++ b/internal/plan/victim.go
@@ -25,13 +25,23 @@
 	owner  int32
 	method Method
 	cost   time.Duration
-	on     map[int32]int
+	parts  []cellPart
+}
+
+// on returns the accelerators that the job holds on the site.
+func (v *victim) on(site int32) int {
+	for _, c := range v.parts {
+		if c.site == site {
+			return c.accelerators
+		}
+	}
+	return 0
 }
 
 // victimsAt returns the running jobs of each site, built once in a pass.
 func (p *pass) victimsAt(site int32) []*victim {
 	if p.running == nil {
-		p.running = make(map[int32][]*victim)
+		p.running = make([][]*victim, len(p.state.sites))
 		for _, j := range p.view.jobs {
 			if j.State() == job.Reserved || j.State() == job.Started {
 				p.addVictim(j)
@@ -42,15 +52,30 @@
 }
 
 func (p *pass) addVictim(j job.Job) {
-	v := &victim{job: j, owner: p.state.owner(j.Spec().Workspace()), on: make(map[int32]int, 1)}
+	v := &victim{job: j, owner: p.state.owner(j.Spec().Workspace()), parts: make([]cellPart, 0, 1)}
 	for _, m := range j.Members() {
 		if site, ok := p.planner.top.byName[m.Worker()]; ok {
-			if v.on[site] == 0 {
-				p.running[site] = append(p.running[site], v)
-			}
-			v.on[site] += m.Accelerators()
+			v.parts = append(v.parts, cellPart{site, m.Accelerators()})
+		}
+	}
+	v.parts = compactParts(v.parts)
+	for _, c := range v.parts {
+		p.running[c.site] = append(p.running[c.site], v)
+	}
+}
+
+// compactParts joins the parts of each site.
+func compactParts(parts []cellPart) []cellPart {
+	slices.SortFunc(parts, func(a, b cellPart) int { return cmp.Compare(a.site, b.site) })
+	joined := parts[:0]
+	for _, c := range parts {
+		if n := len(joined); n > 0 && joined[n-1].site == c.site {
+			joined[n-1].accelerators += c.accelerators
+		} else {
+			joined = append(joined, c)
 		}
 	}
+	return joined
 }
 
 // price sets the cheapest method and its cost.
@@ -152,7 +177,7 @@
 		}
 	}
 	slices.SortFunc(candidates, func(a, b *victim) int {
-		return cmp.Or(cmp.Compare(a.cost/time.Duration(a.on[site]), b.cost/time.Duration(b.on[site])),
+		return cmp.Or(cmp.Compare(a.cost/time.Duration(a.on(site)), b.cost/time.Duration(b.on(site))),
 			cmp.Compare(a.job.Spec().ID(), b.job.Spec().ID()))
 	})
 	return candidates
@@ -169,9 +194,9 @@
 }
 
 func (t *trial) add(v *victim, sign int) {
-	for site, n := range v.on {
-		t.freed[site] += sign * n
-		t.leaving[siteOwner{site, v.owner}] += sign * n
+	for _, c := range v.parts {
+		t.freed[c.site] += sign * c.accelerators
+		t.leaving[siteOwner{c.site, v.owner}] += sign * c.accelerators
 	}
 	t.cost += time.Duration(sign) * v.cost
 	if sign > 0 {
@@ -195,8 +220,8 @@
 }
 
 func (t *trial) covers(needs map[int32]need, without *victim) bool {
-	for site := range without.on {
-		if !t.meets(site, needs[site]) {
+	for _, c := range without.parts {
+		if !t.meets(c.site, needs[c.site]) {
 			return false
 		}
 	}
