--- a/internal/plan/pass.go
+++ b/internal/plan/pass.go
@@ -17,9 +17,10 @@
 	now       time.Time
 	state     *state
 	idle      *pool
-	running   map[int32][]*victim
+	running   [][]*victim
 	chosen    map[string]bool
 	oldest    string
+	failedOn  map[string][]int32
 	decisions []Decision
 	blocked   map[attempt]string
 	reasons   map[workspace.Shape]string
@@ -43,6 +44,7 @@
 		blocked: map[attempt]string{}, reasons: map[workspace.Shape]string{},
 	}
 	s.findFaulty()
+	s.findFailures()
 	s.state = newState(p.top, s.view, p.backfilled, now)
 	s.settleCells()
 	s.restoreHolds()
@@ -97,7 +99,12 @@
 		p.place(q, sites, "placed on the accelerators that were reclaimed for it")
 		return true
 	}
-	if sites, how := p.searchSafe(q); sites != nil {
+	if sites := p.findWithOwn(p.state.safe, q, (*pool).findBroken); sites != nil {
+		p.place(q, sites, "placed on a worker that is in use already")
+		return true
+	}
+	small := reach(q.job.Spec().Shape()) == 0 && q.job.Spec().Shape().Total() < p.planner.top.largest
+	if sites, how := p.searchSafe(q); sites != nil && !small {
 		p.place(q, sites, how)
 		return true
 	}
@@ -122,7 +129,7 @@
 	}
 	key := attempt{q.owner, spec.Shape(), fragile(spec), spec.Urgency() == job.Urgent}
 	old, holds := p.lift(spec.ID())
-	if reason, ok := p.blocked[key]; ok && !holds {
+	if reason, ok := p.blocked[key]; ok && !holds && len(p.failedOn[spec.ID()]) == 0 {
 		p.decide(Wait{spec.ID(), reason})
 		return
 	}
@@ -157,8 +164,13 @@
 		p.decide(Wait{spec.ID(), p.shortage(spec.Shape()) + "; a place is now held for it"})
 		return
 	}
-	p.blocked[key] = p.shortage(spec.Shape())
-	p.decide(Wait{spec.ID(), p.blocked[key]})
+	reason := p.shortage(spec.Shape())
+	if avoided := len(p.failedOn[spec.ID()]); avoided > 0 {
+		reason += fmt.Sprintf(", and it failed to start on %d workers a short time ago", avoided)
+	} else {
+		p.blocked[key] = reason
+	}
+	p.decide(Wait{spec.ID(), reason})
 }
 
 func (p *pass) place(q waiting, sites []int32, how string) {
@@ -170,23 +182,32 @@
 
 // search looks for free accelerators, those that no owner can reclaim first.
 func (p *pass) search(q waiting) (sites []int32, how string) {
+	free := p.state.safe
+	if q.job.Spec().Checkpointable() {
+		free = p.state.loan
+	}
+	if sites = p.findWithOwn(free, q, (*pool).findBroken); sites != nil {
+		return sites, "placed on a worker that is in use already"
+	}
 	if sites, how = p.searchSafe(q); sites != nil {
 		return sites, how
 	}
-	if sites = p.findWithOwn(p.lendable(q), q); sites != nil {
+	if sites = p.findWithOwn(p.lendable(q), q, (*pool).find); sites != nil {
 		return sites, "placed on accelerators borrowed from idle guarantees"
 	}
 	return nil, ""
 }
 
 func (p *pass) searchSafe(q waiting) (sites []int32, how string) {
-	return p.findWithOwn(p.state.safe, q), "placed on the workspace's own and common accelerators"
+	return p.findWithOwn(p.state.safe, q, (*pool).find), "placed on the workspace's own and common accelerators"
 }
 
-func (p *pass) findWithOwn(free *pool, q waiting) []int32 {
+func (p *pass) findWithOwn(free *pool, q waiting, find func(*pool, workspace.Shape) []int32) []int32 {
 	p.state.showOwn(free, q.owner)
 	defer p.state.hideOwn(q.owner)
-	return free.find(q.job.Spec().Shape())
+	avoided := p.avoid(free, q.job.Spec().ID())
+	defer p.refresh(avoided)
+	return find(free, q.job.Spec().Shape())
 }
 
 // fragile reports whether a reclaim would lose the job, because it can neither be checkpointed nor run again.
--- a/internal/plan/planner.go
+++ b/internal/plan/planner.go
@@ -13,7 +13,7 @@
 	defaultLongestPause = time.Hour
 	// defaultFailures is the number of different jobs that must fail on a worker in a row.
 	defaultFailures     = 3
-	defaultReservations = 2
+	defaultReservations = 1
 )
 
 // Planner decides from views; it keeps only caches, so that a new one decides as well from the same view.
@@ -79,5 +79,14 @@
 // Decide returns the decisions for all queued jobs and faulty workers.
 // Place decisions assume that Reclaim decisions of the same call are not yet carried out.
 func (p *Planner) Decide(v View, now time.Time) []Decision {
-	return p.begin(v, now).run()
+	switch s := p.begin(v, now); p.policy {
+	case FirstFit:
+		return s.runBaseline(false)
+	case StrictPriority:
+		return s.runBaseline(true)
+	case Reserving:
+		return s.run()
+	default:
+		return s.run()
+	}
 }
