Keep gangs over a change of leader, and make idle passes cheap

Causes found in review: - After a change of leader the first worker that announced itself made all gangs with another member stop ("a member's worker does not answer"). - A process that led, followed and led again kept the roster and its age from the first time, so that its planner could reject jobs as impossible for the fleet and silence was judged on old announcements. - A watcher that reached a new leader got an almost empty fleet as a full list and dropped the endpoints that it knew. - Each announcement walked the whole fleet twice, and each change of load or tasks woke all watchers, the planner and the gang driver. - Each pass of planner and driver walked all jobs, those that ended in the last 24 h too, and each reply to an order caused a pass. - Each order had its own stream; a worker that did not answer held as many goroutines as it had orders. - Place decisions were committed one after the other. - Entries could propose any command, and gave the time by which their records are dropped; orders and announcements were taken from any role. - A shape whose total overflows to 0 was taken as small by the planner. - Requests of two operators or workspaces with one request id got each other's answers. - A failed job blamed the workers of all of its members.

Change: the roster belongs to a term and is published in batches of 10 ms; tasks and loads have sections of their own; absence counts as silence 5 s after the first announcement to a leader; watchers get a full list then. Planner and driver work on the unfinished jobs and only if something changed. Orders are batched by worker, stops on a line of their own. Roles are checked on announcements, orders and proposals, and the leader sets the time of records. Shapes and submitted jobs have upper bounds. A guarantee that a partial fleet cannot hold is answered 503 instead of 400.

Red with the change removed: absent workers always silent, no new roster for a new term, no release of adopted reservations, stops in the common line, no upper bound of shapes. Not covered by a test of their own: the roles of proposals and orders, the time set by the leader.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -14,6 +14,7 @@
 
 	"rosemarywind.example/rosemarywind/internal/clock"
 	"rosemarywind.example/rosemarywind/internal/fleet"
+	"rosemarywind.example/rosemarywind/internal/keys"
 	"rosemarywind.example/rosemarywind/internal/link"
 	"rosemarywind.example/rosemarywind/internal/wire"
 )
@@ -112,6 +113,11 @@
 	case wire.KindForward:
 		a.forward(ctx, s, o.Trace())
 	case wire.KindOrders:
+		if peer, err := keys.PeerIdentity(s.TLS()); err != nil || peer.Role() != controlRole {
+			a.logger.Error("orders refused: the certificate is not a control host's", "peer", s.RemoteAddr().String(),
+				"certificate", peer.String(), "error", err)
+			return
+		}
 		a.orders(ctx, s)
 	case wire.KindAnnounce, wire.KindWatch, wire.KindPropose, wire.KindLedger:
 		a.logger.Warn("stream refused", "peer", s.RemoteAddr().String(), "kind", string(o.Kind()))
@@ -120,6 +126,9 @@
 	}
 }
 
+// controlRole is the role in the certificates of control hosts.
+const controlRole = "control"
+
 // self returns the endpoint as this process sees it.
 func (a *Agent) self() fleet.Endpoint {
 	return fleet.NewEndpoint(a.worker, a.advertise, a.slots, a.connections, a.incarnation).WithState(a.board.State())
--- a/internal/control/api.go
+++ b/internal/control/api.go
@@ -110,10 +110,10 @@
 }
 
 func (a *api) endpoints(w http.ResponseWriter, _ *http.Request, _ principal) {
-	roster := a.control.board.roster.Load()
+	roster, inFlight := a.control.board.roster.Load(), a.control.board.inFlight.Load()
 	list := []endpointForm{}
 	for _, e := range roster.snapshot.All() {
-		n, _ := roster.inFlight.Get(e.Name())
+		n, _ := inFlight.Get(e.Name())
 		list = append(list, endpointForm{
 			Name: e.Name(), AvailabilityZone: string(e.Worker().AvailabilityZone()), Rack: string(e.Worker().Rack()),
 			State: string(e.State()), Slots: e.Slots(), InFlight: n, Accelerators: e.Worker().Accelerators(),
--- a/internal/control/declarations.go
+++ b/internal/control/declarations.go
@@ -12,6 +12,7 @@
 	"rosemarywind.example/rosemarywind/internal/plan"
 	"rosemarywind.example/rosemarywind/internal/registry"
 	"rosemarywind.example/rosemarywind/internal/workspace"
+	"rosemarywind.example/rosemarywind/pkg/outcome"
 )
 
 func (a *api) config(w http.ResponseWriter, _ *http.Request, p principal) {
@@ -33,7 +34,7 @@
 		return
 	}
 	if err = a.checkGuarantees(next); err != nil {
-		badRequest(w, err)
+		a.refuseGuarantees(w, err)
 		return
 	}
 	current := a.control.board.state.Load().Config()
@@ -102,3 +103,16 @@
 	}
 	return plan.CheckGuarantees(workers, c.Workspaces())
 }
+
+// refuseGuarantees asks the operator to try again while a new leader does not know the whole fleet.
+func (a *api) refuseGuarantees(w http.ResponseWriter, err error) {
+	term := a.control.node.Status().Load().Term()
+	if a.control.board.roster.Load().settled(term, time.Now()) {
+		badRequest(w, err)
+		return
+	}
+	writeError(w, http.StatusServiceUnavailable, errorForm{
+		Outcome: outcome.NotRun, Reason: outcome.ControlAway,
+		Message: "the workers are still announcing themselves to a new leader: " + err.Error(),
+	})
+}
--- a/internal/control/gangs.go
+++ b/internal/control/gangs.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"rosemarywind.example/rosemarywind/internal/board"
 	"rosemarywind.example/rosemarywind/internal/gang"
 	"rosemarywind.example/rosemarywind/internal/job"
 	"rosemarywind.example/rosemarywind/internal/lease"
@@ -13,45 +14,51 @@
 )
 
 const (
-	// startsKept bounds the outcomes of starts that the planner judges workers by.
-	startsKept = 256
+	// startsKept bounds the outcomes of starts that the planner judges workers by; it holds those of four large gangs.
+	startsKept = 2048
 	idleCheck  = time.Minute
 	// followerCheck is how soon a new leader takes up the gangs when nothing else wakes it.
 	followerCheck = time.Second
 )
 
-// reply is what became of one order.
-type reply struct {
-	job    string
-	fence  lease.Fence
-	index  int
-	worker string
-	order  task.Order
-	reply  task.Reply
-}
-
 // settled is the end of one commit for a job.
 type settled struct {
 	job string
 }
 
+// followed is what the driver knows of one job that holds accelerators.
+type followed struct {
+	progress gang.Progress
+	state    job.State
+	dirty    bool
+	busy     bool
+	next     time.Time
+}
+
 // gangs is the controller that drives every job that holds accelerators; its goroutine owns the progress.
+// A pass steps the jobs that something happened to and those that are due.
 type gangs struct {
-	control  *Control
-	progress map[string]gang.Progress
-	busy     map[string]bool
-	replies  chan reply
-	commits  chan settled
+	control *Control
+	jobs    map[string]*followed
+	outbox  *outbox
+	commits chan settled
+	term    uint64
+	adopted lease.Fence
+	// What the latest pass saw; an unchanged value needs no walk.
+	unfinished board.Table[job.Job]
+	reports    board.Table[[]task.Report]
+	roster     *Roster
+	settled    bool
 }
 
 func newDriver(c *Control) *gangs {
 	return &gangs{
-		control: c, progress: map[string]gang.Progress{}, busy: map[string]bool{},
-		replies: make(chan reply), commits: make(chan settled),
+		control: c, jobs: map[string]*followed{}, outbox: newOutbox(c.order), commits: make(chan settled),
+		reports: board.NewTable[[]task.Report](),
 	}
 }
 
-// run steps all placed jobs after each change while this process leads.
+// run steps placed jobs after each change while this process leads.
 func (g *gangs) run(ctx context.Context) error {
 	timer := time.NewTimer(idleCheck)
 	defer timer.Stop()
@@ -59,11 +66,12 @@
 	for {
 		_, stateChanged := b.state.Watch()
 		_, rosterChanged := b.roster.Watch()
+		_, reportsChanged := b.reports.Watch()
 		next := followerCheck
-		if g.control.leading() == nil {
-			next = g.pass(ctx, time.Now())
-		} else {
-			clear(g.progress)
+		// The time is taken before the check, so that a lease that an order grants counts from a moment
+		// at which this process led even if it is frozen in between.
+		if now, status := time.Now(), g.control.node.Status().Load(); status.Ready(now) {
+			next = g.pass(ctx, status.Term(), now)
 		}
 		timer.Reset(next)
 		select {
@@ -71,87 +79,68 @@
 			return nil
 		case <-stateChanged:
 		case <-rosterChanged:
+		case <-reportsChanged:
 		case <-timer.C:
-		case r := <-g.replies:
-			g.take(r, time.Now())
+		case r := <-g.outbox.replies:
+			g.take(ctx, r, time.Now())
 		case s := <-g.commits:
-			delete(g.busy, s.job)
+			if f, ok := g.jobs[s.job]; ok {
+				f.busy, f.dirty = false, true
+			}
 		}
 	}
 }
 
-// pass steps every placed job and returns how long until the next step is due.
-func (g *gangs) pass(ctx context.Context, now time.Time) time.Duration {
+// pass steps the jobs that need it and returns how long until the next step is due.
+func (g *gangs) pass(ctx context.Context, term uint64, now time.Time) time.Duration {
+	g.follow(term, now)
 	next := now.Add(idleCheck)
 	jobs := g.control.board.state.Load().Jobs()
-	for id := range g.progress {
-		if j, ok := jobs.Get(id); !ok || !j.Placed() {
-			delete(g.progress, id)
-		}
-	}
-	for id, j := range jobs.All() {
-		if !j.Placed() {
-			continue
-		}
-		p := g.observe(j, now)
-		if !g.busy[id] {
-			for _, a := range gang.Step(j, p, now) {
-				p = g.carryOut(ctx, j, p, a, now)
+	for id, f := range g.jobs {
+		if (f.dirty || !now.Before(f.next)) && !f.busy {
+			if j, ok := jobs.Get(id); ok {
+				g.step(ctx, j, f, now)
 			}
 		}
-		g.progress[id] = p
-		if due := gang.Next(j, p, now); due.Before(next) {
-			next = due
+		if f.next.Before(next) {
+			next = f.next
 		}
 	}
+	g.outbox.flush(ctx)
 	return max(time.Millisecond, next.Sub(now))
 }
 
-// observe brings the progress of a job up to date with the roster.
-func (g *gangs) observe(j job.Job, now time.Time) gang.Progress {
-	p, ok := g.progress[j.Spec().ID()]
-	if !ok || p.Fence() != j.Fence() {
-		p = gang.NewProgress(j, g.control.taskLease, g.control.node.Status().Load().Term(), now)
+func (g *gangs) step(ctx context.Context, j job.Job, f *followed, now time.Time) {
+	f.dirty, f.state = false, j.State()
+	for _, a := range gang.Step(j, f.progress, now) {
+		g.carryOut(ctx, j, f, a, now)
 	}
-	roster := g.control.board.roster.Load()
-	for i, m := range j.Members() {
-		_, live := roster.snapshot.Find(m.Worker())
-		p = p.WithSilence(i, !live)
-		reports, _ := roster.tasks.Get(m.Worker())
-		for _, r := range reports {
-			if r.ID().Job() == j.Spec().ID() && r.ID().Index() == i {
-				p = p.WithReport(r)
-			}
-		}
-	}
-	return p
+	f.next = gang.Next(j, f.progress, now)
 }
 
-func (g *gangs) carryOut(ctx context.Context, j job.Job, p gang.Progress, a gang.Action, now time.Time) gang.Progress {
+func (g *gangs) carryOut(ctx context.Context, j job.Job, f *followed, a gang.Action, now time.Time) {
 	id, fence := j.Spec().ID(), j.Fence()
 	switch t := a.(type) {
 	case gang.Send:
-		index := indexOf(t.Order())
-		p = p.WithSent(index, t.Order(), now)
-		go g.send(ctx, reply{job: id, fence: fence, index: index, worker: t.Worker(), order: t.Order()})
+		f.progress = f.progress.WithSent(idOf(t.Order()).Index(), t.Order(), now)
+		g.outbox.add(t.Worker(), fence, t.Order())
 	case gang.Start:
-		g.commit(ctx, id, registry.NewStartGang(id, fence))
+		g.commit(ctx, f, id, registry.NewStartGang(id, fence))
 	case gang.Stop:
 		g.control.logger.Info("stopping job", "job", id, "reason", t.Reason())
-		g.commit(ctx, id, registry.NewStopGang(id, fence, t.Reason()))
+		g.commit(ctx, f, id, registry.NewStopGang(id, fence, t.Reason()))
 	case gang.Requeue:
-		g.commit(ctx, id, registry.NewRequeueJob(id, fence, t.Reason(), t.NotBefore()))
+		g.commit(ctx, f, id, registry.NewRequeueJob(id, fence, t.Reason(), t.NotBefore()))
 	case gang.End:
 		g.control.logger.Info("job ended", "job", id, "result", string(t.Result()), "reason", t.Reason())
-		g.record(j, t.Result(), now)
-		g.commit(ctx, id, registry.NewEndJob(id, fence, t.Result(), t.Reason(), now))
+		g.record(j, f.progress, now)
+		g.commit(ctx, f, id, registry.NewEndJob(id, fence, t.Result(), t.Reason(), now))
 	}
-	return p
 }
 
 // commit proposes a command for a job, which is not stepped until the answer is there.
-func (g *gangs) commit(ctx context.Context, id string, c registry.Command) {
-	g.busy[id] = true
+func (g *gangs) commit(ctx context.Context, f *followed, id string, c registry.Command) {
+	f.busy = true
 	go func() {
 		bounded, cancel := context.WithTimeout(ctx, proposeTimeout)
 		defer cancel()
@@ -169,33 +158,43 @@
 	}()
 }
 
-// send gives one order to an agent and hands the answer to the controller.
-func (g *gangs) send(ctx context.Context, r reply) {
-	r.reply = g.control.order(ctx, r.worker, r.order)
-	select {
-	case g.replies <- r:
-	case <-ctx.Done():
+// take brings the progress of the jobs of one batch up to date.
+func (g *gangs) take(ctx context.Context, b batch, now time.Time) {
+	for i, o := range b.orders {
+		id := idOf(o.order)
+		f, ok := g.jobs[id.Job()]
+		if !ok || f.progress.Fence() != o.fence {
+			continue
+		}
+		f.progress, f.dirty = f.progress.WithReply(id.Index(), o.order, b.replies[i], now), true
+		g.judge(b.worker, o.order, b.replies[i], now)
 	}
+	g.outbox.done(ctx, b)
 }
 
-func (g *gangs) take(r reply, now time.Time) {
-	p, ok := g.progress[r.job]
-	if !ok || p.Fence() != r.fence {
+// judge remembers whether a worker took the reservation or the start of a task.
+func (g *gangs) judge(worker string, o task.Order, r task.Reply, now time.Time) {
+	accepted := r.Answer() == task.Accepted
+	if r.Answer() == task.Unanswered {
 		return
 	}
-	g.progress[r.job] = p.WithReply(r.index, r.order, r.reply, now)
-	if _, ok := r.order.(task.Start); ok && r.reply.Answer() != task.Unanswered {
-		g.remember(plan.NewStart(r.worker, r.job, now, r.reply.Answer() == task.Accepted))
+	switch t := o.(type) {
+	case task.Reserve:
+		if !accepted {
+			g.remember(plan.NewStart(worker, t.ID().Job(), now, false))
+		}
+	case task.Start:
+		g.remember(plan.NewStart(worker, t.ID().Job(), now, accepted))
+	case task.Renew, task.Stop, task.Throttle:
 	}
 }
 
-// record remembers a failure of the job on its workers, so that the planner can tell bad workers from bad jobs.
-func (g *gangs) record(j job.Job, result job.Result, now time.Time) {
-	if result != job.Failed {
-		return
-	}
-	for _, m := range j.Members() {
-		g.remember(plan.NewStart(m.Worker(), j.Spec().ID(), now, false))
+// record remembers the workers whose members failed, so that the planner can tell bad workers from bad jobs.
+func (g *gangs) record(j job.Job, p gang.Progress, now time.Time) {
+	for i, m := range j.Members() {
+		if p.Failed(i) {
+			g.remember(plan.NewStart(m.Worker(), j.Spec().ID(), now, false))
+		}
 	}
 }
 
@@ -209,18 +208,18 @@
 	g.control.board.starts.Publish(kept)
 }
 
-func indexOf(o task.Order) int {
+func idOf(o task.Order) task.ID {
 	switch t := o.(type) {
 	case task.Reserve:
-		return t.ID().Index()
+		return t.ID()
 	case task.Start:
-		return t.ID().Index()
+		return t.ID()
 	case task.Renew:
-		return t.ID().Index()
+		return t.ID()
 	case task.Stop:
-		return t.ID().Index()
+		return t.ID()
 	case task.Throttle:
-		return t.ID().Index()
+		return t.ID()
 	}
-	return 0
+	return task.ID{}
 }
--- /dev/null
+++ b/internal/control/gangs_test.go
@@ -0,0 +1,121 @@
+package control
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"rosemarywind.example/rosemarywind/internal/gang"
+	"rosemarywind.example/rosemarywind/internal/job"
+	"rosemarywind.example/rosemarywind/internal/registry"
+	"rosemarywind.example/rosemarywind/internal/task"
+	"rosemarywind.example/rosemarywind/internal/workspace"
+)
+
+func TestOutbox(t *testing.T) {
+	t.Run("a worker that does not answer delays no other worker and not its own stops", func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		o := newOutbox(func(ctx context.Context, b batch) []task.Reply {
+			if b.worker == "slow" && !b.stops {
+				<-ctx.Done()
+			}
+			return make([]task.Reply, len(b.orders))
+		})
+		o.add("slow", 1, task.NewStart(task.NewID("a", 0), 1))
+		o.flush(ctx)
+		o.add("slow", 1, task.NewStart(task.NewID("b", 0), 1))
+		o.add("slow", 1, task.NewStop(task.NewID("a", 0), 1, false))
+		for i := range 40 {
+			o.add("quick", 1, task.NewStop(task.NewID("c", i), 1, false))
+		}
+		o.flush(ctx)
+		assertBatches(ctx, t, o, map[line]int{{"slow", true}: 1, {"quick", true}: 40})
+		assert.Len(t, o.waiting[line{"slow", false}], 1, "the next batch waits for the one under way")
+	})
+	t.Run("an order that is sent again while it waits goes out once", func(t *testing.T) {
+		o := newOutbox(func(_ context.Context, b batch) []task.Reply { return make([]task.Reply, len(b.orders)) })
+		for range 3 {
+			o.add("w", 1, task.NewStart(task.NewID("a", 0), 1))
+		}
+		o.flush(t.Context())
+		assertBatches(t.Context(), t, o, map[line]int{{"w", false}: 1})
+	})
+}
+
+// assertBatches takes as many batches as wanted and compares the number of orders on each line.
+func assertBatches(ctx context.Context, t *testing.T, o *outbox, want map[line]int) {
+	t.Helper()
+	got := map[line]int{}
+	for range want {
+		b := <-o.replies
+		got[b.line] += len(b.orders)
+		o.done(ctx, b)
+	}
+	assert.Equal(t, want, got)
+}
+
+func newTestDriver(t *testing.T) *gangs {
+	t.Helper()
+	c := &Control{options: defaults(), board: newBoard()}
+	c.keeper = newKeeper(c.board, announceLength, c.logger)
+	shape, err := workspace.NewShape(1, 1, workspace.Anywhere)
+	require.NoError(t, err)
+	config, err := workspace.NewConfig([]workspace.Workspace{
+		workspace.New("team", "team", shape, workspace.NewLimits(1, 1)),
+	}, nil, nil)
+	require.NoError(t, err)
+	requireApplied(t, c.board, registry.NewApplyConfig("", 0, config, start))
+	return newDriver(c)
+}
+
+func requireApplied(t *testing.T, b *Board, c registry.Command) registry.Accepted {
+	t.Helper()
+	next, r := registry.Apply(b.state.Load(), c)
+	require.IsType(t, registry.Accepted{}, r)
+	b.state.Publish(next)
+	return r.(registry.Accepted)
+}
+
+// requirePlaced submits a job and reserves one accelerator on each worker.
+func requirePlaced(t *testing.T, b *Board, id string, workers ...string) job.Job {
+	t.Helper()
+	shape, err := workspace.NewShape(len(workers), 1, workspace.Anywhere)
+	require.NoError(t, err)
+	spec, err := job.NewSpec(id, "team", shape, start)
+	require.NoError(t, err)
+	requireApplied(t, b, registry.NewSubmitJob("", spec, start))
+	var members []job.Member
+	for i, w := range workers {
+		members = append(members, job.NewMember(i, w, 1))
+	}
+	requireApplied(t, b, registry.NewReserveGang(id, members))
+	j, _ := b.state.Load().Jobs().Get(id)
+	return j
+}
+
+func requireStarted(t *testing.T, b *Board, id string, workers ...string) job.Job {
+	t.Helper()
+	j := requirePlaced(t, b, id, workers...)
+	requireApplied(t, b, registry.NewStartGang(id, j.Fence()))
+	j, _ = b.state.Load().Jobs().Get(id)
+	return j
+}
+
+func assertStops(t *testing.T, g *gangs, j job.Job, reason string, now time.Time) {
+	t.Helper()
+	actions := gang.Step(j, g.jobs[j.Spec().ID()].progress, now)
+	require.Len(t, actions, 1)
+	require.IsType(t, gang.Stop{}, actions[0])
+	assert.Contains(t, actions[0].(gang.Stop).Reason(), reason)
+}
+
+func assertGoesOn(t *testing.T, g *gangs, j job.Job, now time.Time) {
+	t.Helper()
+	for _, a := range gang.Step(j, g.jobs[j.Spec().ID()].progress, now) {
+		assert.IsType(t, gang.Send{}, a)
+	}
+}
--- a/internal/control/jobs.go
+++ b/internal/control/jobs.go
@@ -13,6 +13,12 @@
 	"rosemarywind.example/rosemarywind/pkg/outcome"
 )
 
+const (
+	maxPayloadBytes   = 64 << 10
+	maxRequestIDBytes = 200
+	maxRunTime        = 10 * 365 * 24 * time.Hour
+)
+
 func (a *api) submit(w http.ResponseWriter, h *http.Request, p principal) {
 	var f submitForm
 	decoder := json.NewDecoder(h.Body)
@@ -31,6 +37,10 @@
 	if requestID == "" {
 		requestID = rand.Text()
 	}
+	if len(requestID) > maxRequestIDBytes {
+		badRequest(w, fmt.Errorf("%s is longer than %d bytes", requestIDHeader, maxRequestIDBytes))
+		return
+	}
 	spec, err := f.spec("j-"+requestID, time.Now())
 	if err != nil {
 		badRequest(w, err)
@@ -55,8 +65,11 @@
 	if err != nil {
 		return job.Spec{}, err
 	}
-	if f.RunTimeSeconds < 0 {
-		return job.Spec{}, fmt.Errorf("run_time_s must not be negative")
+	if f.RunTimeSeconds < 0 || f.RunTimeSeconds > maxRunTime.Seconds() {
+		return job.Spec{}, fmt.Errorf("run_time_s must be from 0 to %.0f", maxRunTime.Seconds())
+	}
+	if len(f.Payload) > maxPayloadBytes {
+		return job.Spec{}, fmt.Errorf("payload is longer than %d bytes", maxPayloadBytes)
 	}
 	return job.NewSpec(id, f.Workspace, shape, now,
 		job.WithUrgency(urgency), job.WithIdempotent(f.Idempotent), job.WithCheckpointable(f.Checkpointable),
--- a/internal/control/orders.go
+++ b/internal/control/orders.go
@@ -11,42 +11,45 @@
 // orderTimeout is longer than an agent waits for its worker.
 const orderTimeout = 4 * time.Second
 
-// order gives one order to the agent of a worker.
-func (c *Control) order(ctx context.Context, worker string, o task.Order) task.Reply {
+// order gives a batch of orders to the agent of a worker.
+func (c *Control) order(ctx context.Context, b batch) (replies []task.Reply) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	r, err := c.exchange(ctx, worker, o)
-	if err != nil {
-		c.logger.Warn("order not answered", "worker", worker, "error", err)
-		return task.NewReply(task.Unanswered, err.Error())
+	message := "the worker is not in the roster"
+	if e, ok := c.board.roster.Load().snapshot.Find(b.worker); ok {
+		replies, err := c.exchange(ctx, e.Address(), b)
+		if err == nil {
+			return replies
+		}
+		message = err.Error()
+	}
+	c.logger.Warn("orders not answered", "worker", b.worker, "orders", len(b.orders), "error", message)
+	for range b.orders {
+		replies = append(replies, task.NewReply(task.Unanswered, message))
 	}
-	return r
+	return replies
 }
 
-func (c *Control) exchange(ctx context.Context, worker string, o task.Order) (r task.Reply, err error) {
-	e, ok := c.board.roster.Load().snapshot.Find(worker)
-	if !ok {
-		return task.NewReply(task.Unanswered, "the worker is not in the roster"), nil
-	}
-	s, err := c.agents.Open(ctx, e.Address())
+func (c *Control) exchange(ctx context.Context, address string, b batch) (replies []task.Reply, err error) {
+	s, err := c.agents.Open(ctx, address)
 	if err != nil {
-		return task.Reply{}, err
+		return nil, err
 	}
 	stop := s.Watch(ctx)
 	defer stop()
 	defer s.Cancel()
 	if err = wire.WriteOpening(s, wire.NewOpening(wire.KindOrders, "")); err != nil {
-		return task.Reply{}, err
+		return nil, err
 	}
-	if err = wire.WriteOrders(s, []task.Order{o}); err != nil {
-		return task.Reply{}, err
+	orders := make([]task.Order, len(b.orders))
+	for i, o := range b.orders {
+		orders[i] = o.order
 	}
-	if err = s.CloseWrite(); err != nil {
-		return task.Reply{}, err
+	if err = wire.WriteOrders(s, orders); err != nil {
+		return nil, err
 	}
-	replies, err := wire.ReadReplies(s, 1)
-	if err != nil {
-		return task.Reply{}, err
+	if err = s.CloseWrite(); err != nil {
+		return nil, err
 	}
-	return replies[0], nil
+	return wire.ReadReplies(s, len(orders))
 }
--- a/internal/control/roster.go
+++ b/internal/control/roster.go
@@ -5,23 +5,21 @@
 
 	"rosemarywind.example/rosemarywind/internal/board"
 	"rosemarywind.example/rosemarywind/internal/fleet"
-	"rosemarywind.example/rosemarywind/internal/task"
 )
 
-// Roster is the fleet as the leader knows it from announcements; it is immutable.
+// rosterSettles is how long a new leader waits for announcements before it takes an absent worker for a lost one.
+const rosterSettles = 5 * time.Second
+
+// Roster is the fleet as the leader of one term knows it from announcements; it is immutable.
 type Roster struct {
 	snapshot *fleet.Snapshot
 	lost     board.Table[fleet.Worker]
-	tasks    board.Table[[]task.Report]
-	inFlight board.Table[int]
+	term     uint64
 	since    time.Time
 }
 
 func newRoster() *Roster {
-	return &Roster{
-		snapshot: fleet.NewSnapshot(0, nil), lost: board.NewTable[fleet.Worker](),
-		tasks: board.NewTable[[]task.Report](), inFlight: board.NewTable[int](),
-	}
+	return &Roster{snapshot: fleet.NewSnapshot(0, nil), lost: board.NewTable[fleet.Worker]()}
 }
 
 // Snapshot returns the endpoints whose announcements count.
@@ -30,11 +28,22 @@
 // Lost returns the workers whose announcements lapsed a short while ago.
 func (r *Roster) Lost() board.Table[fleet.Worker] { return r.lost }
 
-// Tasks returns the latest report of each live worker.
-func (r *Roster) Tasks() board.Table[[]task.Report] { return r.tasks }
-
-// InFlight returns the latest number of requests in flight at each live endpoint.
-func (r *Roster) InFlight() board.Table[int] { return r.inFlight }
-
 // Since returns when this leader began to collect announcements.
 func (r *Roster) Since() time.Time { return r.since }
+
+// settled reports whether a live worker must have announced itself to the leader of the term by now.
+func (r *Roster) settled(term uint64, now time.Time) bool {
+	return r.term == term && !r.since.IsZero() && !now.Before(r.since.Add(rosterSettles))
+}
+
+// silent reports whether a worker counts as unreachable.
+func (r *Roster) silent(worker string, term uint64, now time.Time) bool {
+	if r.term != term {
+		return false
+	}
+	if _, live := r.snapshot.Find(worker); live {
+		return false
+	}
+	_, lost := r.lost.Get(worker)
+	return lost || r.settled(term, now)
+}
--- a/internal/control/scheduler.go
+++ b/internal/control/scheduler.go
@@ -2,13 +2,17 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"rosemarywind.example/rosemarywind/internal/board"
 	"rosemarywind.example/rosemarywind/internal/fleet"
 	"rosemarywind.example/rosemarywind/internal/job"
 	"rosemarywind.example/rosemarywind/internal/plan"
 	"rosemarywind.example/rosemarywind/internal/registry"
+	"rosemarywind.example/rosemarywind/internal/workspace"
 )
 
 const (
@@ -16,8 +20,8 @@
 	replanEvery = time.Second
 	// replanPause gathers the changes of a burst into one pass; urgent work starts within 6.5 s.
 	replanPause = 50 * time.Millisecond
-	// rosterSettles is how long a new leader waits for announcements before it calls a job impossible.
-	rosterSettles = 5 * time.Second
+	// commitThreads bounds the decisions of one pass that are committed at once; the ledger writes them in groups.
+	commitThreads = 64
 )
 
 // scheduler is the controller that turns the planner's decisions into commands.
@@ -25,6 +29,18 @@
 	control  *Control
 	planner  *plan.Planner
 	setAside map[string]time.Time
+	seen     seen
+	queued   bool
+	passedAt time.Time
+}
+
+// seen is what a pass decides on; an equal value and an empty queue need no pass.
+type seen struct {
+	unfinished board.Table[job.Job]
+	config     *workspace.Config
+	drained    board.Table[bool]
+	roster     *Roster
+	starts     uint64
 }
 
 func newScheduler(c *Control) *scheduler {
@@ -39,8 +55,9 @@
 	for {
 		_, stateChanged := b.state.Watch()
 		_, rosterChanged := b.roster.Watch()
-		if s.control.leading() == nil {
-			s.pass(ctx, time.Now())
+		_, startsChanged := b.starts.Watch()
+		if now := time.Now(); s.control.leading() == nil && s.due(now) {
+			s.pass(ctx, now)
 		}
 		timer.Reset(replanEvery)
 		select {
@@ -48,6 +65,7 @@
 			return nil
 		case <-stateChanged:
 		case <-rosterChanged:
+		case <-startsChanged:
 		case <-timer.C:
 		}
 		timer.Reset(replanPause)
@@ -59,39 +77,55 @@
 	}
 }
 
+// due reports whether the planner may decide differently than at the latest pass.
+func (s *scheduler) due(now time.Time) bool {
+	b := s.control.board
+	state := b.state.Load()
+	latest := seen{
+		unfinished: state.Unfinished(), config: state.Config(), drained: state.Drained(),
+		roster: b.roster.Load(), starts: b.starts.Version(),
+	}
+	if latest == s.seen && (!s.queued || now.Before(s.passedAt.Add(replanEvery))) {
+		return false
+	}
+	s.seen, s.passedAt = latest, now
+	return true
+}
+
 // pass decides once and carries the decisions out.
 func (s *scheduler) pass(ctx context.Context, now time.Time) {
-	view := s.view(now)
-	explains := board.NewTable[string]()
+	view, explains := s.view(now)
+	var g errgroup.Group
+	g.SetLimit(commitThreads)
+	commit := func(c registry.Command) {
+		g.Go(func() error {
+			s.commit(ctx, c)
+			return nil
+		})
+	}
 	for _, d := range s.planner.Decide(view, now) {
 		switch t := d.(type) {
 		case plan.Place:
 			explains = explains.With(t.Job(), t.Explanation())
-			s.commit(ctx, registry.NewReserveGang(t.Job(), t.Members()))
+			commit(registry.NewReserveGang(t.Job(), t.Members()))
 		case plan.Reject:
 			explains = explains.With(t.Job(), t.Explanation())
-			s.commit(ctx, registry.NewEndJob(t.Job(), 0, job.Rejected, t.Reason(), now))
+			commit(registry.NewEndJob(t.Job(), 0, job.Rejected, t.Reason(), now))
 		case plan.Wait:
 			explains = explains.With(t.Job(), t.Explanation())
 		case plan.Reclaim:
-			s.reclaim(ctx, t)
+			if j, ok := s.seen.unfinished.Get(t.Job()); ok && j.Placed() && j.State() != job.Stopping {
+				commit(registry.NewStopGang(t.Job(), j.Fence(), t.Explanation()))
+			}
 		case plan.SetAside:
 			s.setAside[t.Worker()] = t.Until()
 			s.control.logger.Warn("worker set aside", "worker", t.Worker(), "until", t.Until(), "reason", t.Reason())
 		}
 	}
+	_ = g.Wait() // commit logs its errors
 	s.control.board.explains.Publish(explains)
 }
 
-// reclaim stops the gang that the planner chose, with a checkpoint where the job allows one.
-func (s *scheduler) reclaim(ctx context.Context, r plan.Reclaim) {
-	j, ok := s.control.board.state.Load().Jobs().Get(r.Job())
-	if !ok || !j.Placed() || j.State() == job.Stopping {
-		return
-	}
-	s.commit(ctx, registry.NewStopGang(r.Job(), j.Fence(), r.Explanation()))
-}
-
 func (s *scheduler) commit(ctx context.Context, c registry.Command) {
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
@@ -100,10 +134,10 @@
 	}
 }
 
-// view gathers what the planner decides on.
-func (s *scheduler) view(now time.Time) plan.View {
+// view gathers what the planner decides on; jobs that pause after a reservation that failed are left out and explained.
+func (s *scheduler) view(now time.Time) (v plan.View, explains board.Table[string]) {
 	b := s.control.board
-	state, roster := b.state.Load(), b.roster.Load()
+	state, roster, term := b.state.Load(), s.seen.roster, s.control.node.Status().Load().Term()
 	var workers []fleet.Worker
 	var drained, unreachable []string
 	for _, e := range roster.snapshot.All() {
@@ -116,11 +150,15 @@
 		workers = append(workers, w)
 		unreachable = append(unreachable, name)
 	}
+	explains, s.queued = board.NewTable[string](), false
 	var jobs []job.Job
-	for _, j := range state.Jobs().All() {
-		if j.State() != job.Done {
-			jobs = append(jobs, j)
+	for id, j := range s.seen.unfinished.All() {
+		s.queued = s.queued || j.State() == job.Queued
+		if j.State() == job.Queued && now.Before(j.NotBefore()) {
+			explains = explains.With(id, fmt.Sprintf("pauses %s after: %s", j.NotBefore().Sub(now).Round(time.Millisecond), j.Reason()))
+			continue
 		}
+		jobs = append(jobs, j)
 	}
 	opts := []plan.ViewOption{
 		plan.WithDrained(drained...), plan.WithUnreachable(unreachable...), plan.WithStarts(b.starts.Load()...),
@@ -128,10 +166,12 @@
 	for name, until := range s.setAside {
 		if now.Before(until) {
 			opts = append(opts, plan.WithSetAside(name, until))
+		} else {
+			delete(s.setAside, name)
 		}
 	}
-	if roster.since.IsZero() || now.Before(roster.since.Add(rosterSettles)) {
+	if !roster.settled(term, now) {
 		opts = append(opts, plan.WithPartialFleet())
 	}
-	return plan.NewView(workers, jobs, state.Config().Workspaces(), opts...)
+	return plan.NewView(workers, jobs, state.Config().Workspaces(), opts...), explains
 }
--- a/internal/control/streams.go
+++ b/internal/control/streams.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"rosemarywind.example/rosemarywind/internal/fleet"
 	"rosemarywind.example/rosemarywind/internal/keys"
 	"rosemarywind.example/rosemarywind/internal/ledger/driver"
 	"rosemarywind.example/rosemarywind/internal/link"
+	"rosemarywind.example/rosemarywind/internal/registry"
 	"rosemarywind.example/rosemarywind/internal/wire"
 )
 
@@ -17,6 +19,9 @@
 	streamSilence  = 3 * time.Second
 	proposeTimeout = 5 * time.Second
 	writeTimeout   = 3 * time.Second
+	// agentRole and entryRole are the roles in the certificates of agents and entries.
+	agentRole = "agent"
+	entryRole = "entry"
 )
 
 // announcements takes what one agent says until it falls silent.
@@ -29,8 +34,9 @@
 		return
 	}
 	peer, err := keys.PeerIdentity(s.TLS())
-	if err != nil {
-		c.logger.Warn("announcement refused", "peer", s.RemoteAddr().String(), "error", err)
+	if err != nil || peer.Role() != agentRole {
+		c.logger.Error("announcement refused: the certificate is not an agent's", "peer", s.RemoteAddr().String(),
+			"certificate", peer.String(), "error", err)
 		return
 	}
 	for {
@@ -44,7 +50,7 @@
 			c.logger.Error("announcement under another name", "peer", peer.String(), "worker", name)
 			return
 		}
-		if c.leading() != nil || !c.keeper.announce(ctx, a) {
+		if c.leading() != nil || !c.keeper.announce(ctx, a, c.node.Status().Load().Term()) {
 			return
 		}
 		drained, _ := c.board.state.Load().Drained().Get(a.Endpoint().Name())
@@ -55,7 +61,8 @@
 	}
 }
 
-// watch sends the fleet and the configuration to one watcher: all of it first, then each change.
+// watch sends the fleet and the configuration to one watcher: what is known, then each change. What the
+// watcher knows beyond that is replaced once all agents had time to announce themselves to a new leader.
 func (c *Control) watch(ctx context.Context, s *link.Stream) {
 	if refusal := c.leading(); refusal != nil {
 		_ = wire.WriteStatus(s, refusal)
@@ -66,7 +73,7 @@
 	}
 	timer := time.NewTimer(heartbeat)
 	defer timer.Stop()
-	var sent *fleet.Snapshot
+	sent, full := fleet.NewSnapshot(0, nil), false
 	var revision uint64
 	for {
 		roster, rosterChanged := c.board.roster.Watch()
@@ -74,11 +81,9 @@
 		if c.leading() != nil {
 			return
 		}
-		var u fleet.Update
-		if sent == nil {
-			u = fleet.NewUpdate(true, roster.snapshot.Revision(), roster.snapshot.All(), nil)
-		} else {
-			u = fleet.Diff(sent, roster.snapshot)
+		u := fleet.Diff(sent, roster.snapshot)
+		if !full && roster.settled(c.node.Status().Load().Term(), time.Now()) {
+			u, full = fleet.NewUpdate(true, roster.snapshot.Revision(), roster.snapshot.All(), nil), true
 		}
 		if config := state.Config(); config.Revision() > revision {
 			u, revision = u.WithConfig(config), config.Revision()
@@ -120,6 +125,9 @@
 func (c *Control) proposal(ctx context.Context, s *link.Stream) {
 	_ = s.SetDeadline(time.Now().Add(proposeTimeout))
 	command, err := wire.ReadCommand(s)
+	if err == nil {
+		command, err = c.admit(s, command, time.Now())
+	}
 	if err != nil {
 		c.logger.Warn("proposal refused", "peer", s.RemoteAddr().String(), "error", err)
 		_ = wire.WriteStatus(s, wire.NewStatusError(wire.Invalid, "", err.Error()))
@@ -137,6 +145,27 @@
 	}
 }
 
+// admit returns the command as it goes into the ledger. An entry may claim and settle keys only, and the
+// time of a record is the leader's, since records are dropped by it.
+func (c *Control) admit(s *link.Stream, command registry.Command, now time.Time) (admitted registry.Command, err error) {
+	peer, err := keys.PeerIdentity(s.TLS())
+	if err != nil {
+		return nil, err
+	}
+	if peer.Role() != entryRole {
+		return nil, fmt.Errorf("%s may not propose", peer)
+	}
+	switch t := command.(type) {
+	case registry.ClaimKey:
+		return registry.NewClaimKey(t.Workspace(), t.Key(), t.Fingerprint(), t.Until(), now), nil
+	case registry.SettleKey:
+		return registry.NewSettleKey(t.Workspace(), t.Key(), t.Number(), t.Ending(), now), nil
+	case registry.ApplyConfig, registry.SubmitJob, registry.CancelJob, registry.ReserveGang, registry.StartGang,
+		registry.StopGang, registry.RequeueJob, registry.EndJob, registry.DrainEndpoint, registry.Expire:
+	}
+	return nil, fmt.Errorf("%s may not propose %T", peer, command)
+}
+
 func statusOf(err error) *wire.StatusError {
 	var notLeader *driver.NotLeaderError
 	if errors.As(err, &notLeader) {
--- a/internal/registry/apply.go
+++ b/internal/registry/apply.go
@@ -12,13 +12,13 @@
 func Apply(s State, c Command) (next State, r Result) {
 	switch c := c.(type) {
 	case ApplyConfig:
-		return once(s, c.requestID, c.at, func() (State, Result) { return applyConfig(s, c) })
+		return once(s, "apply", c.requestID, c.at, func() (State, Result) { return applyConfig(s, c) })
 	case SubmitJob:
-		return once(s, c.requestID, c.at, func() (State, Result) { return submit(s, c) })
+		return once(s, "submit/"+c.spec.Workspace(), c.requestID, c.at, func() (State, Result) { return submit(s, c) })
 	case CancelJob:
-		return once(s, c.requestID, c.at, func() (State, Result) { return cancel(s, c) })
+		return once(s, "cancel/"+c.workspace, c.requestID, c.at, func() (State, Result) { return cancel(s, c) })
 	case DrainEndpoint:
-		return once(s, c.requestID, c.at, func() (State, Result) { return drain(s, c) })
+		return once(s, "drain", c.requestID, c.at, func() (State, Result) { return drain(s, c) })
 	case ReserveGang:
 		return reserve(s, c)
 	case StartGang:
@@ -40,11 +40,13 @@
 	}
 }
 
-// once gives a resend the first answer without a second effect.
-func once(s State, requestID string, at time.Time, f func() (State, Result)) (next State, r Result) {
+// once gives a resend the first answer without a second effect. Requests of other kinds and of other
+// workspaces are told apart, so that nobody gets an answer that was meant for somebody else.
+func once(s State, scope, requestID string, at time.Time, f func() (State, Result)) (next State, r Result) {
 	if requestID == "" {
 		return f()
 	}
+	requestID = scope + "\x00" + requestID
 	if old, ok := s.replies.Get(requestID); ok {
 		return s, old.result
 	}
@@ -81,7 +83,11 @@
 	}
 	switch j.State() {
 	case job.Queued:
-		j = j.Finish(job.Cancelled, "cancelled before it started").EndedAt(c.at)
+		reason := "cancelled before it started"
+		if j.Attempts() > 0 {
+			reason = "cancelled while it waited to run again"
+		}
+		j = j.Finish(job.Cancelled, reason).EndedAt(c.at)
 	case job.Reserved, job.Started:
 		j = j.Stop(job.CancelReason)
 	case job.Stopping:
--- a/internal/workspace/shape.go
+++ b/internal/workspace/shape.go
@@ -20,7 +20,10 @@
 	adjacency    Adjacency
 }
 
-// NewShape returns a shape; it fails when a count is below 1 or the adjacency is unknown.
+// maxCount keeps the total of a shape far from an overflow, which would make an impossible shape look small.
+const maxCount = 1 << 20
+
+// NewShape returns a shape; it fails when a count is below 1 or above 1,048,576, or the adjacency is unknown.
 func NewShape(members, accelerators int, adjacency Adjacency) (s Shape, err error) {
 	defer func() {
 		if err != nil {
@@ -33,6 +36,9 @@
 	if accelerators < 1 {
 		return Shape{}, fmt.Errorf("accelerators per member must be at least 1")
 	}
+	if members > maxCount || accelerators > maxCount {
+		return Shape{}, fmt.Errorf("members and accelerators must be at most %d", maxCount)
+	}
 	switch adjacency {
 	case SameWorker, SameRack, SameZone, Anywhere:
 		return Shape{members: members, accelerators: accelerators, adjacency: adjacency}, nil
