--- /dev/null
+++ b/internal/entry/revision_test.go
@@ -0,0 +1,35 @@
+package entry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/stretchr/testify/assert"
+
+	"rosemarywind.example/rosemarywind/internal/fleet"
+	"rosemarywind.example/rosemarywind/internal/workspace"
+)
+
+// TestWatcherRevisions guards P8: updates of several leaders may arrive in any order, and a configuration
+// in force must not revert.
+func TestWatcherRevisions(t *testing.T) {
+	t.Run("a late older revision is ignored", func(t *testing.T) { assertNeverLower(t, 1, 3, 2, 1) })
+	t.Run("a repeated revision is ignored", func(t *testing.T) { assertNeverLower(t, 2, 2, 2) })
+	t.Run("a leader without a configuration changes nothing", func(t *testing.T) { assertNeverLower(t, 4, 0) })
+	t.Run("each step of a history counts", func(t *testing.T) { assertNeverLower(t, 1, 2, 3, 4) })
+}
+
+// assertNeverLower feeds configurations of the given revisions to a watcher.
+func assertNeverLower(t *testing.T, revisions ...uint64) {
+	t.Helper()
+	b := newBoard()
+	w := newWatcher(b, nil, []string{"a:1"}, hclog.NewNullLogger())
+	highest := uint64(0)
+	for i, r := range revisions {
+		u := fleet.NewUpdate(i%2 == 0, uint64(i), nil, nil).WithConfig(workspace.EmptyConfig().WithRevision(r))
+		w.take(u, "a:1", time.Unix(int64(i), 0))
+		highest = max(highest, r)
+		assert.Equal(t, highest, b.policy.Load().Config().Revision())
+	}
+}
