Give no new work to a worker that does not answer orders

Cause: an agent may be alive beside a worker that is not. A gang placed there held the accelerators of its other members for 20 s, was queued again and was placed on the same worker, since three different jobs must fail there before the planner sets it aside. An owner whose guaranteed cell included such a worker never started.

A reservation is given up after 5 s instead of 20 s, so that urgent work can go elsewhere.

--- a/internal/control/board.go
+++ b/internal/control/board.go
@@ -15,6 +15,7 @@
 	reports  *board.Section[board.Table[[]task.Report]] // written by the roster keeper
 	inFlight *board.Section[board.Table[int]]           // written by the roster keeper
 	starts   *board.Section[[]plan.Start]               // written by the gang driver
+	mutes    *board.Section[board.Table[mute]]          // written by the gang driver
 	explains *board.Section[board.Table[string]]        // written by the scheduler
 }
 
@@ -25,6 +26,7 @@
 		reports:  board.NewSection(board.NewTable[[]task.Report]()),
 		inFlight: board.NewSection(board.NewTable[int]()),
 		starts:   board.NewSection[[]plan.Start](nil),
+		mutes:    board.NewSection(board.NewTable[mute]()),
 		explains: board.NewSection(board.NewTable[string]()),
 	}
 }
--- a/internal/control/gangs.go
+++ b/internal/control/gangs.go
@@ -169,6 +169,7 @@
 		f.progress, f.dirty = f.progress.WithReply(id.Index(), o.order, b.replies[i], now), true
 		g.judge(b.worker, o.order, b.replies[i], now)
 	}
+	g.listen(b, now)
 	g.outbox.done(ctx, b)
 }
 
--- a/internal/control/gangs_test.go
+++ b/internal/control/gangs_test.go
@@ -46,6 +46,27 @@
 	})
 }
 
+func TestMute(t *testing.T) {
+	t.Run("a worker that does not answer orders gets no new work until it does", func(t *testing.T) {
+		g := newTestDriver(t)
+		lost, taken := []task.Reply{task.NewReply(task.Unanswered, "")}, []task.Reply{task.NewReply(task.Refused, "")}
+		g.listen(batch{line: line{worker: "w1"}, replies: lost}, start)
+		assertMute(t, g, "w1", start.Add(firstMute))
+		g.listen(batch{line: line{worker: "w1"}, replies: lost}, start.Add(time.Second))
+		assertMute(t, g, "w1", start.Add(firstMute))
+		g.listen(batch{line: line{worker: "w1"}, replies: lost}, start.Add(firstMute))
+		assertMute(t, g, "w1", start.Add(3*firstMute))
+		g.listen(batch{line: line{worker: "w1"}, replies: taken}, start.Add(firstMute))
+		assertMute(t, g, "w1", time.Time{})
+	})
+}
+
+func assertMute(t *testing.T, g *gangs, worker string, until time.Time) {
+	t.Helper()
+	m, _ := g.control.board.mutes.Load().Get(worker)
+	assert.Equal(t, until, m.until)
+}
+
 // assertBatches takes as many batches as wanted and compares the number of orders on each line.
 func assertBatches(ctx context.Context, t *testing.T, o *outbox, want map[line]int) {
 	t.Helper()
--- a/internal/control/scheduler.go
+++ b/internal/control/scheduler.go
@@ -41,6 +41,7 @@
 	drained    board.Table[bool]
 	roster     *Roster
 	starts     uint64
+	mutes      uint64
 }
 
 func newScheduler(c *Control) *scheduler {
@@ -83,7 +84,8 @@
 	state := b.state.Load()
 	latest := seen{
 		unfinished: state.Unfinished(), config: state.Config(), drained: state.Drained(),
-		roster: b.roster.Load(), starts: b.starts.Version(),
+		roster: b.roster.Load(),
+		starts: b.starts.Version(), mutes: b.mutes.Version(),
 	}
 	if latest == s.seen && (!s.queued || now.Before(s.passedAt.Add(replanEvery))) {
 		return false
@@ -170,6 +172,11 @@
 			delete(s.setAside, name)
 		}
 	}
+	for name, m := range b.mutes.Load().All() {
+		if now.Before(m.until) && s.setAside[name].Before(m.until) {
+			opts = append(opts, plan.WithSetAside(name, m.until))
+		}
+	}
 	if !roster.settled(term, now) {
 		opts = append(opts, plan.WithPartialFleet())
 	}
--- a/internal/gang/step.go
+++ b/internal/gang/step.go
@@ -10,8 +10,10 @@
 
 const (
 	// resendAfter is longer than an agent takes to answer an order.
-	resendAfter    = 4 * time.Second
-	maxReserveTime = 20 * time.Second
+	resendAfter = 4 * time.Second
+	// maxReserveTime leaves time to send a reservation twice; urgent work that waits for a worker that does not
+	// answer is placed elsewhere afterwards.
+	maxReserveTime = 5 * time.Second
 	// reportWithin is how long after a refused renewal the report of the member's end may take to arrive.
 	reportWithin = 3 * time.Second
 	// renewals is the number of tries to renew within one lease.
