--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -53,6 +53,9 @@
 // Board returns what the controllers publish.
 func (c *Control) Board() *Board { return c.board }
 
+// Address returns the address of the QUIC port.
+func (c *Control) Address() string { return c.server.Address().String() }
+
 // Run serves until ctx ends, then hands on the leadership and finishes exchanges within the grace.
 func (c *Control) Run(ctx context.Context) (err error) {
 	defer func() {
