--- a/internal/control/jobs.go
+++ b/internal/control/jobs.go
@@ -14,6 +14,12 @@
 	"rosemarywind.example/rosemarywind/pkg/outcome"
 )
 
+const (
+	maxPayloadBytes   = 64 << 10
+	maxRequestIDBytes = 200
+	maxRunTime        = 10 * 365 * 24 * time.Hour
+)
+
 func (a *api) submit(w http.ResponseWriter, h *http.Request, p principal) {
 	var f client.SubmitBody
 	decoder := json.NewDecoder(h.Body)
@@ -32,6 +38,10 @@
 	if requestID == "" {
 		requestID = rand.Text()
 	}
+	if len(requestID) > maxRequestIDBytes {
+		badRequest(w, fmt.Errorf("%s is longer than %d bytes", client.RequestIDHeader, maxRequestIDBytes))
+		return
+	}
 	spec, err := specOf(f, "j-"+requestID, time.Now())
 	if err != nil {
 		badRequest(w, err)
@@ -56,8 +66,11 @@
 	if err != nil {
 		return job.Spec{}, err
 	}
-	if f.RunTimeS < 0 {
-		return job.Spec{}, fmt.Errorf("run_time_s must not be negative")
+	if f.RunTimeS < 0 || f.RunTimeS > maxRunTime.Seconds() {
+		return job.Spec{}, fmt.Errorf("run_time_s must be from 0 to %.0f", maxRunTime.Seconds())
+	}
+	if len(f.Payload) > maxPayloadBytes {
+		return job.Spec{}, fmt.Errorf("payload is longer than %d bytes", maxPayloadBytes)
 	}
 	return job.NewSpec(id, f.Workspace, shape, now,
 		job.WithUrgency(urgency), job.WithIdempotent(f.Idempotent), job.WithCheckpointable(f.Checkpointable),
--- a/internal/plan/scale_test.go
+++ b/internal/plan/scale_test.go
@@ -128,7 +128,7 @@
 	jobs := append([]job.Job{}, f.jobs...)
 	for i, j := range jobs {
 		if lost[j.Members()[0].Worker()] {
-			jobs[i] = j.Requeue("lost")
+			jobs[i] = j.Requeue("lost", time.Time{})
 		}
 	}
 	require.NotEqual(b, f.jobs, jobs)
--- a/internal/planbench/run.go
+++ b/internal/planbench/run.go
@@ -124,7 +124,7 @@
 		case t.job.State() == job.Stopping:
 			r.stopped(t)
 		case r.fails(t):
-			t.job = t.job.Requeue("start failed")
+			t.job = t.job.Requeue("start failed", time.Time{})
 		default:
 			t.doneAt, t.gone = r.now, true
 			r.result.done(t)
@@ -164,7 +164,7 @@
 		t.gone = true
 		return
 	}
-	t.job = t.job.Requeue("reclaimed")
+	t.job = t.job.Requeue("reclaimed", time.Time{})
 }
 
 func (r *run) decide() {
