--- a/internal/wire/config.go
+++ b/internal/wire/config.go
@@ -41,6 +41,14 @@
 	return workspace.NewShape(f.Members, f.Accelerators, f.Adjacency)
 }
 
+// guarantee returns the guaranteed shape, which is the zero shape for a workspace without one.
+func (f workspaceForm) guarantee() (workspace.Shape, error) {
+	if f.Guarantee == (shapeForm{}) {
+		return workspace.Shape{}, nil
+	}
+	return f.Guarantee.shape()
+}
+
 func fromConfig(c *workspace.Config) configForm {
 	m := configForm{Revision: c.Revision(), Defaults: c.Defaults()}
 	for _, w := range c.Workspaces() {
@@ -60,7 +68,7 @@
 func (f configForm) config() (c *workspace.Config, err error) {
 	workspaces := make([]workspace.Workspace, len(f.Workspaces))
 	for i, w := range f.Workspaces {
-		s, err := w.Guarantee.shape()
+		s, err := w.guarantee()
 		if err != nil {
 			return nil, err
 		}
