Register health checks and metrics of the roles

Cause: /health had no check and /metrics no figure of a role, and failures of key reloads and trace exports were logged under undocumented messages and not counted.

Change: the roles take WithMetrics; cmd/rosemarywind registers the checks (leader, endpoints, endpoint, announcing), the expiry of the certificate, and telemetry.ReportError for both failures. Counters of a request are made at the start, so that a request takes no lock for them.

Ruled out: gauges that controllers update at each change; the boards hold the values already, and they are read only when a collector asks.

--- a/cmd/rosemarywind/control_test.go
+++ b/cmd/rosemarywind/control_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"regexp"
 	"slices"
 	"strings"
@@ -151,6 +152,28 @@
 	})
 }
 
+// documented URL expects each metric of a process on the operations page, by its name or with its last part as REASON or STATE.
+func (s *script) documented(args []string) error {
+	if err := s.get(args); err != nil {
+		return err
+	}
+	page, err := os.ReadFile("../../docs/operations.md")
+	if err != nil {
+		return err
+	}
+	var metrics map[string]any
+	if err := json.Unmarshal([]byte(s.stdout), &metrics); err != nil {
+		return err
+	}
+	for name := range metrics {
+		group := name[:strings.LastIndex(name, ".")+1]
+		if !regexp.MustCompile("`(" + regexp.QuoteMeta(name) + "|" + regexp.QuoteMeta(group) + "(REASON|STATE))`").Match(page) {
+			return fmt.Errorf("docs/operations.md does not say what to do about %s", name)
+		}
+	}
+	return nil
+}
+
 // get URL keeps what a URL answers.
 func (s *script) get(args []string) error {
 	answer, err := s.journal.client.Get(args[0])
--- a/cmd/rosemarywind/roles.go
+++ b/cmd/rosemarywind/roles.go
@@ -72,8 +72,9 @@
 		entry.WithReadTimeouts(s.HeaderTimeout(), s.BodyTimeout()), entry.WithQueueWait(s.QueueWait()),
 		entry.WithDeadlines(s.DeadlineDefault(), s.DeadlineMax()),
 		entry.WithRetries(s.RetrySharePercent(), s.RetryAttempts(), s.RetryBasePause()),
-		entry.WithGrace(s.StopGrace()),
+		entry.WithGrace(s.StopGrace()), entry.WithMetrics(p.registry),
 	)
+	watchEntry(p.health, e.Board())
 	return p.run(ctx, e.Run)
 }
 
@@ -97,8 +98,9 @@
 		agent.WithServer(server, s.Advertise().String()), agent.WithControl(texts(s.ControlAddresses())),
 		agent.WithWorker(worker, s.WorkerURL()), agent.WithEndpoint(s.EndpointURL(), s.Slots(), s.Connections()),
 		agent.WithProbe(s.ProbeInterval(), s.ProbeTimeout()), agent.WithBodyLimit(int(s.BodyBytes())),
-		agent.WithGrace(s.StopGrace()),
+		agent.WithGrace(s.StopGrace()), agent.WithMetrics(p.registry),
 	)
+	watchAgent(p.health, a.Board(), time.Now)
 	return p.run(ctx, a.Run)
 }
 
@@ -135,7 +137,7 @@
 		control.WithLogger(p.logger), control.WithTLS(p.keys.Client("agent"), p.keys.Client("control")),
 		control.WithServer(server), control.WithListener(l), control.WithLeases(s.AnnounceLease(), s.TaskLease()),
 		control.WithOperatorDigests(s.OperatorTokenDigests()), control.WithGrace(s.StopGrace()),
-		control.WithMonitor(p.monitor()),
+		control.WithMonitor(p.monitor()), control.WithMetrics(p.registry),
 		control.WithLedger(
 			driver.WithMember(ledger.MemberID(s.Name()), s.Listen().String()), driver.WithInitialMembers(members),
 			driver.WithStorage(store, saved), driver.WithRandom(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
@@ -144,6 +146,7 @@
 	if err != nil {
 		return err
 	}
+	watchControl(p.health, c.Status)
 	p.listen = netip.AddrPort{}
 	return p.run(ctx, c.Run)
 }
@@ -179,23 +182,26 @@
 	}
 	p.tracing, err = telemetry.NewTracing(ctx, origin, telemetry.WithFile(s.Telemetry().TraceFile()),
 		telemetry.WithOTLP(s.Telemetry().TraceOTLP()),
-		telemetry.WithOnError(func(err error) { p.logger.Warn("spans not exported", "error", err) }))
+		telemetry.WithOnError(telemetry.ReportError(p.logger, p.registry.Counter(telemetry.TraceFailuresMetric), telemetry.TraceFailureMessage)))
 	if err != nil {
 		return nil, err
 	}
-	if p.keys, err = material(role, s, p.logger); err != nil {
+	if p.keys, err = material(role, s, p); err != nil {
 		return nil, err
 	}
+	p.registry.GaugeFunc(telemetry.KeyExpiryMetric, func() int64 {
+		return int64(time.Until(p.keys.ExpiresAt()).Seconds())
+	})
 	return p, nil
 }
 
 // material reads the key files of the settings.
-func material(role string, s settings.Common, l hclog.Logger) (r *keys.Reloader, err error) {
+func material(role string, s settings.Common, p *process) (r *keys.Reloader, err error) {
 	if !s.Keys().Present() {
 		return nil, fmt.Errorf("keys.certificate, keys.key and keys.authority are required; make a set with rosemarywind keys")
 	}
 	r, err = keys.NewReloader(s.Keys().Certificate(), s.Keys().Key(), s.Keys().Authority(),
-		keys.WithOnError(func(err error) { l.Error("new key files cannot be used", "error", err) }))
+		keys.WithOnError(telemetry.ReportError(p.logger, p.registry.Counter(telemetry.KeyFailuresMetric), telemetry.KeyFailureMessage)))
 	if err != nil {
 		return nil, err
 	}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -41,6 +41,7 @@
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 	a.platform = newPlatform(a.workerURL)
+	a.register(a.registry)
 	return a
 }
 
--- a/internal/agent/announcer.go
+++ b/internal/agent/announcer.go
@@ -93,6 +93,7 @@
 			return err
 		}
 		n.take(receipt)
+		n.agent.board.receipt.Publish(time.Now())
 		if err = changed.wait(ctx); err != nil {
 			return err
 		}
--- a/internal/agent/board.go
+++ b/internal/agent/board.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync/atomic"
+	"time"
 
 	"rosemarywind.example/rosemarywind/internal/board"
 	"rosemarywind.example/rosemarywind/internal/fleet"
@@ -13,6 +14,7 @@
 type Board struct {
 	probed   *board.Section[fleet.EndpointState] // written by the prober
 	drained  *board.Section[bool]                // written by the announcer
+	receipt  *board.Section[time.Time]           // when the leader last took an announcement; written by the announcer
 	stopping *board.Section[bool]                // written by Run
 	tasks    *board.Section[[]task.Report]       // written by the reporter
 	inFlight atomic.Int64
@@ -23,6 +25,7 @@
 	return &Board{
 		probed:   board.NewSection(fleet.Silent),
 		drained:  board.NewSection(false),
+		receipt:  board.NewSection(time.Time{}),
 		stopping: board.NewSection(false),
 		tasks:    board.NewSection[[]task.Report](nil),
 		idle:     make(chan struct{}, 1),
@@ -40,6 +43,9 @@
 // InFlight returns the number of requests in flight at the endpoint.
 func (b *Board) InFlight() int64 { return b.inFlight.Load() }
 
+// AnnouncedAt returns when the leader last took an announcement, the zero time before the first one.
+func (b *Board) AnnouncedAt() time.Time { return b.receipt.Load() }
+
 // Tasks returns the section of the worker's tasks.
 func (b *Board) Tasks() *board.Section[[]task.Report] { return b.tasks }
 
--- a/internal/agent/options.go
+++ b/internal/agent/options.go
@@ -10,6 +10,7 @@
 
 	"rosemarywind.example/rosemarywind/internal/fleet"
 	"rosemarywind.example/rosemarywind/internal/link"
+	"rosemarywind.example/rosemarywind/internal/telemetry"
 )
 
 // Option sets a part of an Agent.
@@ -18,6 +19,7 @@
 type options struct {
 	tracer        trace.Tracer
 	logger        hclog.Logger
+	registry      *telemetry.Registry
 	tls           *tls.Config
 	server        *link.Server
 	control       []string
@@ -35,8 +37,9 @@
 
 func defaults() options {
 	return options{
-		tracer: noop.NewTracerProvider().Tracer(""),
-		logger: hclog.NewNullLogger(), slots: 8, connections: 64, probeInterval: 500 * time.Millisecond,
+		tracer:   noop.NewTracerProvider().Tracer(""),
+		registry: telemetry.NewRegistry(),
+		logger:   hclog.NewNullLogger(), slots: 8, connections: 64, probeInterval: 500 * time.Millisecond,
 		probeTimeout: time.Second, bodyLimit: 4 << 20, grace: 30 * time.Second,
 	}
 }
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -47,6 +47,7 @@
 		return nil, err
 	}
 	c.node = node
+	c.register(c.registry)
 	return c, nil
 }
 
--- /dev/null
+++ b/internal/control/metrics.go
@@ -0,0 +1,53 @@
+package control
+
+import (
+	"time"
+
+	"rosemarywind.example/rosemarywind/internal/job"
+	"rosemarywind.example/rosemarywind/internal/ledger/driver"
+	"rosemarywind.example/rosemarywind/internal/telemetry"
+)
+
+// The names of the control host's metrics; a state is added to the one that ends with a dot.
+const (
+	LeadsMetric     = "control.leads"
+	TermMetric      = "control.term"
+	CommitMetric    = "control.commit"
+	AppliedMetric   = "control.applied"
+	RevisionMetric  = "control.revision"
+	EndpointsMetric = "control.endpoints"
+	JobsMetric      = "control.jobs."
+)
+
+// WithMetrics sets the registry of the control host's metrics.
+func WithMetrics(r *telemetry.Registry) Option { return func(o *options) { o.registry = r } }
+
+// Status returns what the ledger tells of itself.
+func (c *Control) Status() driver.Status { return c.node.Status().Load() }
+
+// register adds gauges that are computed when they are read; a follower has no endpoints.
+func (c *Control) register(r *telemetry.Registry) {
+	r.GaugeFunc(LeadsMetric, func() (leads int64) {
+		if c.Status().Ready(time.Now()) {
+			leads = 1
+		}
+		return leads
+	})
+	r.GaugeFunc(TermMetric, func() int64 { return int64(c.Status().Term()) })
+	r.GaugeFunc(CommitMetric, func() int64 { return int64(c.Status().Commit()) })
+	r.GaugeFunc(AppliedMetric, func() int64 { return int64(c.Status().Applied()) })
+	r.GaugeFunc(RevisionMetric, func() int64 { return int64(c.board.state.Load().Config().Revision()) })
+	r.GaugeFunc(EndpointsMetric, func() int64 { return int64(len(c.board.roster.Load().snapshot.All())) })
+	for _, state := range []job.State{job.Queued, job.Reserved, job.Started, job.Stopping, job.Done} {
+		r.GaugeFunc(JobsMetric+string(state), func() int64 { return c.jobsIn(state) })
+	}
+}
+
+func (c *Control) jobsIn(state job.State) (n int64) {
+	for _, j := range c.board.state.Load().Jobs().All() {
+		if j.State() == state {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/control/options.go
+++ b/internal/control/options.go
@@ -11,6 +11,7 @@
 	"rosemarywind.example/rosemarywind/internal/ledger/driver"
 	"rosemarywind.example/rosemarywind/internal/link"
 	"rosemarywind.example/rosemarywind/internal/plan"
+	"rosemarywind.example/rosemarywind/internal/telemetry"
 )
 
 // Option sets a part of a Control.
@@ -18,6 +19,7 @@
 
 type options struct {
 	logger        hclog.Logger
+	registry      *telemetry.Registry
 	agentTLS      *tls.Config
 	peerTLS       *tls.Config
 	server        *link.Server
@@ -34,7 +36,7 @@
 func defaults() options {
 	return options{
 		logger: hclog.NewNullLogger(), announceLease: 3 * time.Second, taskLease: 2 * time.Minute,
-		grace: 30 * time.Second, monitor: http.NotFoundHandler(),
+		grace: 30 * time.Second, monitor: http.NotFoundHandler(), registry: telemetry.NewRegistry(),
 	}
 }
 
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -36,6 +36,7 @@
 		if !clock.Pause(ctx, jitter(e.retryPause, n)) {
 			return result
 		}
+		e.metrics.retries.Inc(1)
 		next, ok := route.Choose(e.board.fleet.Load(), globalRandom{}, excluded)
 		if !ok {
 			return result
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -24,6 +24,7 @@
 	queue    *dispatcher
 	buffered atomic.Int64
 	ids      *identities
+	metrics  *metrics
 	stopping atomic.Bool
 }
 
@@ -39,6 +40,7 @@
 	e.budget = route.NewBudget(e.retryShare)
 	e.queue = newDispatcher(e.board)
 	e.ids = newIdentities()
+	e.metrics = newMetrics(e.registry, e.queue.waiting.Load)
 	return e
 }
 
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -17,7 +17,9 @@
 func (e *Entry) ServeHTTP(w http.ResponseWriter, h *http.Request) {
 	ctx, span := e.tracer.Start(telemetry.ExtractHeader(h.Context(), h.Header), "request")
 	defer span.End()
+	begun := time.Now()
 	result := e.handle(ctx, w, h)
+	e.metrics.record(result, time.Since(begun))
 	reply(w, result)
 }
 
--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -8,6 +8,8 @@
 	"github.com/hashicorp/go-hclog"
 	"go.opentelemetry.io/otel/trace"
 	"go.opentelemetry.io/otel/trace/noop"
+
+	"rosemarywind.example/rosemarywind/internal/telemetry"
 )
 
 // Option sets a part of an Entry.
@@ -16,6 +18,7 @@
 type options struct {
 	tracer        trace.Tracer
 	logger        hclog.Logger
+	registry      *telemetry.Registry
 	agentTLS      *tls.Config
 	controlTLS    *tls.Config
 	control       []string
@@ -36,8 +39,9 @@
 
 func defaults() options {
 	return options{
-		tracer: noop.NewTracerProvider().Tracer(""),
-		logger: hclog.NewNullLogger(), bodyLimit: 4 << 20, bufferedLimit: 64 << 20, headerLimit: 64 << 10,
+		tracer:   noop.NewTracerProvider().Tracer(""),
+		registry: telemetry.NewRegistry(),
+		logger:   hclog.NewNullLogger(), bodyLimit: 4 << 20, bufferedLimit: 64 << 20, headerLimit: 64 << 10,
 		headerTimeout: 5 * time.Second, bodyTimeout: 30 * time.Second, queueWait: 2 * time.Second,
 		deadline: 30 * time.Second, maxDeadline: 10 * time.Minute, retryShare: 10, retryAttempts: 3,
 		retryPause: 25 * time.Millisecond, grace: 30 * time.Second,
