Require key files of entries, agents and control hosts

Cause: the settings allowed these roles without keys on loopback addresses, and the process then ended with exit code 1, because there is no mode without keys. A certificate of another process ended it with 1 as well.

Change: keys.certificate, keys.key and keys.authority are required, and files that are missing, broken, of another authority or of another identity end a process with exit code 2 before it opens a port. The check of loopback addresses stays for the stand-in, which has no keys.

Tests: the test that an entry without keys may not listen on an open address is replaced by nine that no role of the three may miss any of its key files, and by the same test for the stand-in.

--- a/cmd/rosemarywind/roles.go
+++ b/cmd/rosemarywind/roles.go
@@ -169,10 +169,11 @@
 	listen   netip.AddrPort
 }
 
+// newProcess sets up what the settings name, before a port is opened; what it refuses is bad settings.
 func newProcess(ctx context.Context, role string, s settings.Common) (p *process, err error) {
 	defer func() {
 		if err != nil {
-			err = fmt.Errorf("start %s: %w", role, err)
+			err = operator.BadSettings(fmt.Errorf("start %s: %w", role, err))
 		}
 	}()
 	origin := telemetry.NewOrigin(role, s.Name(), s.AvailabilityZone())
@@ -197,16 +198,13 @@
 
 // material reads the key files of the settings.
 func material(role string, s settings.Common, p *process) (r *keys.Reloader, err error) {
-	if !s.Keys().Present() {
-		return nil, fmt.Errorf("keys.certificate, keys.key and keys.authority are required; make a set with rosemarywind keys")
-	}
 	r, err = keys.NewReloader(s.Keys().Certificate(), s.Keys().Key(), s.Keys().Authority(),
 		keys.WithOnError(telemetry.ReportError(p.logger, p.registry.Counter(telemetry.KeyFailuresMetric), telemetry.KeyFailureMessage)))
 	if err != nil {
 		return nil, err
 	}
 	if id := r.Identity(); id.Role() != role || id.Name() != s.Name() {
-		return nil, fmt.Errorf("the certificate is for %s, not for %s/%s", id, role, s.Name())
+		return nil, fmt.Errorf("keys.certificate: %s is for %s, not for %s/%s", s.Keys().Certificate(), id, role, s.Name())
 	}
 	return r, nil
 }
--- a/internal/settings/common.go
+++ b/internal/settings/common.go
@@ -52,14 +52,11 @@
 	return KeyFiles{certificate: certificateKey.of(v), key: privateKey.of(v), authority: authorityKey.of(v)}
 }
 
-// Present reports whether all three files are named.
-func (k KeyFiles) Present() bool { return k.certificate != "" && k.key != "" && k.authority != "" }
-
-// Certificate returns the path of the certificate, or "".
+// Certificate returns the path of the certificate.
 func (k KeyFiles) Certificate() string { return k.certificate }
 
-// Key returns the path of the private key, or "".
+// Key returns the path of the private key.
 func (k KeyFiles) Key() string { return k.key }
 
-// Authority returns the path of the certificate authority, or "".
+// Authority returns the path of the certificate authority.
 func (k KeyFiles) Authority() string { return k.authority }
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -29,9 +29,9 @@
 
 // The key files of the processes that speak QUIC.
 var (
-	certificateKey = path("keys.certificate", "PEM file of the certificate; may be empty when every address to listen on is a loopback address").withDefault("")
-	privateKey     = path("keys.key", "PEM file of the private key; may be empty like keys.certificate").withDefault("")
-	authorityKey   = path("keys.authority", "PEM file of the certificate authority; may be empty like keys.certificate").withDefault("")
+	certificateKey = path("keys.certificate", "PEM file of the certificate, whose identity is the role and the name").needed("/etc/rosemarywind/ROLE-ROLE1.pem")
+	privateKey     = path("keys.key", "PEM file of the private key").needed("/etc/rosemarywind/ROLE-ROLE1.key")
+	authorityKey   = path("keys.authority", "PEM file of the certificate authority").needed("/etc/rosemarywind/authority.pem")
 
 	keyFileKeys = []declared{certificateKey.declared, privateKey.declared, authorityKey.declared}
 )
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"testing"
 	"time"
@@ -41,7 +42,9 @@
 		assert.Equal(t, 25*time.Millisecond, e.RetryBasePause())
 		assert.Equal(t, []netip.AddrPort{netip.MustParseAddrPort("127.0.0.1:9601")}, e.ControlAddresses())
 		assert.Equal(t, "info", e.Telemetry().LogLevel())
-		assert.False(t, e.Keys().Present())
+		assert.Equal(t, "c", e.Keys().Certificate())
+		assert.Equal(t, "k", e.Keys().Key())
+		assert.Equal(t, "a", e.Keys().Authority())
 	})
 	t.Run("agent advertises its listen address", func(t *testing.T) {
 		a, err := settings.LoadAgent(write(t, settings.Example(settings.RoleAgent)))
@@ -71,19 +74,19 @@
 // Guards against a bad value that is taken, or is refused without its line, its key or what is allowed.
 func TestRefusals(t *testing.T) {
 	t.Run("unknown key", func(t *testing.T) {
-		assertRefused(t, settings.RoleEntry, entryText+"[limits]\nbody = 3\n", 7, "limits.body", "unknown key", "limits.body_bytes")
+		assertRefused(t, settings.RoleEntry, entryText+"[limits]\nbody = 3\n", 8, "limits.body", "unknown key", "limits.body_bytes")
 	})
 	t.Run("table that is a value", func(t *testing.T) {
 		assertRefused(t, settings.RoleEntry, "limits = 3\n"+entryText, 1, "limits", "must be a table")
 	})
 	t.Run("wrong type", func(t *testing.T) {
-		assertRefused(t, settings.RoleEntry, entryText+"retry.attempts = \"3\"", 6, "retry.attempts", "must be an integer", "from 1 to 10")
+		assertRefused(t, settings.RoleEntry, entryText+"retry.attempts = \"3\"", 7, "retry.attempts", "must be an integer", "from 1 to 10")
 	})
 	t.Run("out of range", func(t *testing.T) {
-		assertRefused(t, settings.RoleEntry, entryText+"stop.grace = \"11m\"", 6, "stop.grace", "from 0s to 10m")
+		assertRefused(t, settings.RoleEntry, entryText+"stop.grace = \"11m\"", 7, "stop.grace", "from 0s to 10m")
 	})
 	t.Run("duration without a unit", func(t *testing.T) {
-		assertRefused(t, settings.RoleEntry, entryText+"stop.grace = \"11\"", 6, "stop.grace", "not a duration")
+		assertRefused(t, settings.RoleEntry, entryText+"stop.grace = \"11\"", 7, "stop.grace", "not a duration")
 	})
 	t.Run("not a number", func(t *testing.T) {
 		text := strings.Replace(settings.Example(settings.RoleControl), "fragmentation_weight = 1.0", "fragmentation_weight = nan", 1)
@@ -130,23 +133,27 @@
 
 // Guards against values that are allowed alone but contradict each other or leave an address open.
 func TestTogether(t *testing.T) {
-	t.Run("open address without keys", func(t *testing.T) {
-		text := strings.Replace(entryText, "127.0.0.1:8080", "0.0.0.0:8080", 1)
-		assertRefused(t, settings.RoleEntry, text, 3, "listen", "not a loopback address")
-	})
+	for _, role := range []settings.Role{settings.RoleEntry, settings.RoleAgent, settings.RoleControl} {
+		for _, name := range []string{"certificate", "key", "authority"} {
+			t.Run(string(role)+" without keys."+name, func(t *testing.T) {
+				text := regexp.MustCompile(`(?m)^`+name+` = .*$`).ReplaceAllString(settings.Example(role), "")
+				assertRefused(t, role, text, lineOf(text, "[keys]"), "keys."+name, "required")
+			})
+		}
+	}
 	t.Run("open address with keys", func(t *testing.T) {
 		text := strings.Replace(entryText, "127.0.0.1:8080", "0.0.0.0:8080", 1)
-		text += "[keys]\ncertificate = \"c\"\nkey = \"k\"\nauthority = \"a\"\n"
 		require.NoError(t, settings.Check(settings.RoleEntry, write(t, text)))
 	})
-	t.Run("some keys missing", func(t *testing.T) {
-		assertRefused(t, settings.RoleEntry, entryText+"keys.key = \"k\"\nkeys.authority = \"a\"", 6, "keys.certificate", "required")
+	t.Run("open address without keys", func(t *testing.T) {
+		text := strings.Replace(settings.Example(settings.RoleStandin), "127.0.0.1:8080", "0.0.0.0:8080", 1)
+		assertRefused(t, settings.RoleStandin, text, lineOf(text, "listen = "), "listen", "not a loopback address")
 	})
 	t.Run("default deadline above the longest", func(t *testing.T) {
-		assertRefused(t, settings.RoleEntry, entryText+"deadline.max = \"1s\"", 6, "deadline.default", "deadline.max")
+		assertRefused(t, settings.RoleEntry, entryText+"deadline.max = \"1s\"", 7, "deadline.default", "deadline.max")
 	})
 	t.Run("buffer below one body", func(t *testing.T) {
-		assertRefused(t, settings.RoleEntry, entryText+"limits.buffered_bytes = 1", 6, "limits.buffered_bytes", "limits.body_bytes")
+		assertRefused(t, settings.RoleEntry, entryText+"limits.buffered_bytes = 1", 7, "limits.buffered_bytes", "limits.body_bytes")
 	})
 	t.Run("own name missing from the members", func(t *testing.T) {
 		text := strings.Replace(settings.Example(settings.RoleControl), `name = "control1"`, `name = "c9"`, 1)
@@ -154,9 +161,6 @@
 	})
 	t.Run("unspecified listen address without advertise", func(t *testing.T) {
 		text := strings.Replace(settings.Example(settings.RoleAgent), `listen = "127.0.0.1:9600"`, `listen = "[::]:9600"`, 1)
-		for _, k := range []string{"certificate", "key", "authority"} {
-			text = strings.Replace(text, k+` = ""`, k+` = "f"`, 1)
-		}
 		assertRefused(t, settings.RoleAgent, text, 0, "advertise", "required")
 	})
 }
@@ -166,6 +170,7 @@
 listen = "127.0.0.1:8080"
 operators.listen = "127.0.0.1:0"
 control.addresses = ["127.0.0.1:9601"]
+keys = {certificate = "c", key = "k", authority = "a"}
 `
 
 func assertRefused(t *testing.T, role settings.Role, text string, line int, key string, parts ...string) {
--- a/internal/settings/together.go
+++ b/internal/settings/together.go
@@ -10,20 +10,17 @@
 func checkTogether(d *document.Document, role Role, v values) {
 	switch role {
 	case RoleEntry:
-		checkKeys(d, v, httpListenKey, metricsKey)
 		checkEntry(d, v)
 	case RoleAgent:
-		checkKeys(d, v, quicListenKey, metricsKey)
 		if quicListenKey.of(v).Addr().IsUnspecified() && !advertiseKey.of(v).IsValid() {
 			d.Refuse(advertiseKey.name, "required when listen is an unspecified address; allowed: %s", document.Allowed(advertiseKey.kind))
 		}
 	case RoleControl:
-		checkKeys(d, v, controlListenKey, metricsKey)
 		if _, ok := membersKey.of(v)[nameKey.of(v)]; !ok {
 			d.Refuse(membersKey.name, "lacks this host's own name %q", nameKey.of(v))
 		}
 	case RoleStandin:
-		checkKeys(d, v, httpListenKey, metricsKey)
+		checkLoopback(d, v, httpListenKey, metricsKey)
 	case RoleOperator:
 	}
 }
@@ -37,23 +34,11 @@
 	}
 }
 
-// checkKeys refuses a part of the key files, and none of them on an address that other hosts reach.
-func checkKeys(d *document.Document, v values, listens ...key[netip.AddrPort]) {
-	k := newKeyFiles(v)
-	if k.Present() {
-		return
-	}
-	if k.certificate != "" || k.key != "" || k.authority != "" {
-		for _, f := range []key[string]{certificateKey, privateKey, authorityKey} {
-			if f.of(v) == "" {
-				d.Refuse(f.name, "required when another of keys.certificate, keys.key, keys.authority is set")
-			}
-		}
-		return
-	}
+// checkLoopback refuses addresses that other hosts reach, for a role that has no key files.
+func checkLoopback(d *document.Document, v values, listens ...key[netip.AddrPort]) {
 	for _, l := range listens {
 		if a := l.of(v); a.IsValid() && !a.Addr().IsLoopback() {
-			d.Refuse(l.name, "%s is not a loopback address and no keys are set; allowed: a loopback address, or keys.certificate, keys.key and keys.authority", a)
+			d.Refuse(l.name, "%s is not a loopback address, and this role has no keys; allowed: a loopback address", a)
 		}
 	}
 }
