Add a tour of separate processes and guard its templates

Cause: the README showed the demo in one process only.

The script templates checks what tour/make writes with settings check; stop-follower stops a control host that does not lead.

--- a/cmd/rosemarywind/script_test.go
+++ b/cmd/rosemarywind/script_test.go
@@ -43,8 +43,12 @@
 	// An address of its own for each script, and for each run of the tests, keeps ports from clashing.
 	pid := os.Getpid()
 	ip := fmt.Sprintf("127.%d.%d.%d", 1+pid/250%250, 1+pid%250, number)
+	tour, err := filepath.Abs("../../tour")
+	if err != nil {
+		t.Fatal(err)
+	}
 	s := &script{
-		t: t, text: string(data), folder: t.TempDir(), bin: bin, ip: ip, vars: map[string]string{"ip": ip}, tokens: map[string]string{},
+		t: t, text: string(data), folder: t.TempDir(), bin: bin, ip: ip, vars: map[string]string{"ip": ip, "tour": tour}, tokens: map[string]string{},
 		processes: map[string]*child{}, forwards: map[string]*forwarder{},
 	}
 	s.journal = newJournal(s)
@@ -165,7 +169,8 @@
 	c := exec.Command(path, args[1:]...)
 	c.Dir = s.folder
 	// The race detector waits for a second at the exit of a process unless it is told not to.
-	c.Env = append(os.Environ(), "ROSEMARYWIND_SETTINGS="+filepath.Join(s.folder, "op.toml"), "GORACE=atexit_sleep_ms=0")
+	c.Env = append(os.Environ(), "ROSEMARYWIND_SETTINGS="+filepath.Join(s.folder, "op.toml"), "GORACE=atexit_sleep_ms=0",
+		"PATH="+s.bin+":"+os.Getenv("PATH"))
 	return c
 }
 
