--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -41,6 +41,7 @@
 		if !clock.Pause(ctx, jitter(e.retryPause, n)) {
 			return overall(result, mayHaveRun)
 		}
+		e.metrics.retries.Inc(1)
 		next, ok := route.Choose(e.board.fleet.Load(), globalRandom{}, excluded)
 		if !ok {
 			return overall(result, mayHaveRun)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -26,6 +26,7 @@
 	buffered atomic.Int64
 	ids      *identities
 	leaving  atomic.Bool
+	metrics  *metrics
 	stopping atomic.Bool
 }
 
@@ -41,6 +42,7 @@
 	e.budget = route.NewBudget(e.retryShare)
 	e.queue = newDispatcher(e.board)
 	e.ids = newIdentities()
+	e.metrics = newMetrics(e.registry, e.queue.waiting.Load)
 	return e
 }
 
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -27,6 +27,7 @@
 	result := e.handle(ctx, h, b, control, begun)
 	e.note(h, result)
 	now := time.Now()
+	e.metrics.record(result, now.Sub(begun))
 	if !b.ended {
 		_ = control.SetReadDeadline(now.Add(drainTime))
 		w.Header().Set("Connection", "close")
--- a/internal/wire/config.go
+++ b/internal/wire/config.go
@@ -41,6 +41,14 @@
 	return workspace.NewShape(f.Members, f.Accelerators, f.Adjacency)
 }
 
+// guarantee returns the guaranteed shape, which is the zero shape for a workspace without one.
+func (f workspaceForm) guarantee() (workspace.Shape, error) {
+	if f.Guarantee == (shapeForm{}) {
+		return workspace.Shape{}, nil
+	}
+	return f.Guarantee.shape()
+}
+
 func fromConfig(c *workspace.Config) configForm {
 	m := configForm{Revision: c.Revision(), Defaults: c.Defaults()}
 	for _, w := range c.Workspaces() {
@@ -58,7 +66,7 @@
 }
 
 func (f workspaceForm) workspace() (w workspace.Workspace, err error) {
-	s, err := f.Guarantee.shape()
+	s, err := f.guarantee()
 	if err != nil {
 		return workspace.Workspace{}, err
 	}
