--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -122,6 +122,10 @@
 		a.forward(ctx, s, o.Trace())
 	case err == nil && o.Kind() == wire.KindOrders && peer.Role() == controlRole:
 		a.orders(ctx, s)
+	case o.Kind() == wire.KindOrders:
+		a.logger.Error("orders refused: the certificate is not a control host's", "peer", s.RemoteAddr().String(),
+			"certificate", peer.String(), "error", err)
+		s.Refuse()
 	default:
 		a.logger.Warn("stream refused", "peer", s.RemoteAddr().String(), "identity", peer.String(),
 			"kind", string(o.Kind()), "error", err)
