Tell when a control host counts in majorities

Cause: a host that lost its disk joins again as a member without a vote. An operator could not see when it votes, and the script disk-emptied stopped another host before that, which no ledger of three survives without a majority.

The script checks as before that the acknowledged configuration and key stay. A failed until prints the exit code without a formatting error.

--- a/cmd/rosemarywind/control_test.go
+++ b/cmd/rosemarywind/control_test.go
@@ -152,6 +152,17 @@
 	})
 }
 
+// metric CONTROL PATTERN waits until the metrics of a control host match.
+func (s *script) metric(args []string) error {
+	return eventually(func() error {
+		err := s.get([]string{"http://" + s.address(operatorPort+int(args[0][1]-'0')) + "/metrics"})
+		if err == nil {
+			err = match(false, s.stdout, args[1])
+		}
+		return err
+	})
+}
+
 // documented URL expects each metric of a process on the operations page, by its name or with its last part as REASON or STATE.
 func (s *script) documented(args []string) error {
 	if err := s.get(args); err != nil {
--- a/cmd/rosemarywind/script_test.go
+++ b/cmd/rosemarywind/script_test.go
@@ -213,8 +213,11 @@
 func (s *script) until(args []string) error {
 	return eventually(func() error {
 		code, err := s.call(args[1:])
-		if err != nil || code != 0 {
-			return fmt.Errorf("exit code %d: %w", code, err)
+		if err == nil && code != 0 {
+			err = fmt.Errorf("exit code %d", code)
+		}
+		if err != nil {
+			return err
 		}
 		return match(false, s.stdout, args[0])
 	})
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -11,6 +11,7 @@
 // The names of the control host's metrics; a state is added to the one that ends with a dot.
 const (
 	LeadsMetric     = "control.leads"
+	VoterMetric     = "control.voter"
 	TermMetric      = "control.term"
 	CommitMetric    = "control.commit"
 	AppliedMetric   = "control.applied"
@@ -33,6 +34,13 @@
 		}
 		return leads
 	})
+	r.GaugeFunc(VoterMetric, func() (votes int64) {
+		s := c.Status()
+		if m, ok := s.Membership().Find(s.Self()); ok && m.Voter() {
+			votes = 1
+		}
+		return votes
+	})
 	r.GaugeFunc(TermMetric, func() int64 { return int64(c.Status().Term()) })
 	r.GaugeFunc(CommitMetric, func() int64 { return int64(c.Status().Commit()) })
 	r.GaugeFunc(AppliedMetric, func() int64 { return int64(c.Status().Applied()) })
