Let the members of a gang watch each other through the first one's agent

Cause: behind a partition of control a member ran on after another one was lost, until its task lease ended (2 to 10 minutes).

Change: the agent of the first member is a hub that hears every member each second over QUIC and answers whether the gang is whole. An agent stops its member when the hub says that it is not, or has not answered for 3 s. Reservations carry the address of the hub, and the worker keeps it with the task, so that an agent that restarts goes on watching.

Gangs of 2 to 32 members only: rack hubs for larger ones are not written, and nothing limits how many gangs share one hub.

--- a/cmd/rosemarywind/roles.go
+++ b/cmd/rosemarywind/roles.go
@@ -93,6 +93,7 @@
 		fleet.Rack(s.Rack())).WithResources(s.Cores(), s.MemoryMB(), s.Accelerators())
 	a := agent.New(
 		agent.WithLogger(p.logger), agent.WithTracer(p.tracing.Tracer()), agent.WithTLS(p.keys.Client("control")),
+		agent.WithPeerTLS(p.keys.Client("agent")),
 		agent.WithServer(server, s.Advertise().String()), agent.WithControl(texts(s.ControlAddresses())),
 		agent.WithWorker(worker, s.WorkerURL()), agent.WithEndpoint(s.EndpointURL(), s.Slots(), s.Connections()),
 		agent.WithProbe(s.ProbeInterval(), s.ProbeTimeout()), agent.WithBodyLimit(int(s.BodyBytes())),
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -27,6 +27,8 @@
 	incarnation uint64
 	endpoint    *http.Client
 	platform    *platform
+	peers       *link.Pool
+	hub         *hub
 }
 
 // New returns an agent that Run starts.
@@ -42,6 +44,8 @@
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 	a.platform = newPlatform(a.workerURL)
+	a.peers = link.NewPool(a.peerTLS)
+	a.hub = newHub()
 	return a
 }
 
@@ -59,6 +63,7 @@
 		}
 	}()
 	defer a.pool.Close()
+	defer a.peers.Close()
 	// The port and the controllers outlive ctx, since requests in flight need them during the grace.
 	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
@@ -66,6 +71,8 @@
 	g.Go(func() error { return newProber(a).run(inner) })
 	g.Go(func() error { return newReporter(a).run(inner) })
 	g.Go(func() error { return newAnnouncer(a).run(inner) })
+	g.Go(func() error { return a.hub.run(inner) })
+	g.Go(func() error { return newPinger(a).run(inner) })
 	g.Go(func() error {
 		defer cancel()
 		return a.server.Serve(inner, a.serve)
@@ -119,6 +126,8 @@
 			return
 		}
 		a.orders(ctx, s)
+	case wire.KindPing:
+		a.pings(ctx, s)
 	case wire.KindAnnounce, wire.KindWatch, wire.KindPropose, wire.KindLedger:
 		a.logger.Warn("stream refused", "peer", s.RemoteAddr().String(), "kind", string(o.Kind()))
 	default:
--- a/internal/agent/board.go
+++ b/internal/agent/board.go
@@ -15,6 +15,7 @@
 	drained  *board.Section[bool]                // written by the announcer
 	stopping *board.Section[bool]                // written by Run
 	tasks    *board.Section[[]task.Report]       // written by the reporter
+	watched  *board.Section[[]task.Watched]      // written by the reporter
 	inFlight atomic.Int64
 	idle     chan struct{} // receives a notice when a stopping process has nothing in flight
 }
@@ -25,6 +26,7 @@
 		drained:  board.NewSection(false),
 		stopping: board.NewSection(false),
 		tasks:    board.NewSection[[]task.Report](nil),
+		watched:  board.NewSection[[]task.Watched](nil),
 		idle:     make(chan struct{}, 1),
 	}
 }
--- a/internal/agent/encoding.go
+++ b/internal/agent/encoding.go
@@ -15,6 +15,8 @@
 	Payload      string     `json:"payload,omitempty"`
 	Mark         uint64     `json:"mark,omitempty"`
 	Since        uint64     `json:"since,omitempty"`
+	Hub          string     `json:"hub,omitempty"`
+	Members      int        `json:"members,omitempty"`
 	Percent      int        `json:"percent,omitempty"`
 	State        task.State `json:"state,omitempty"`
 }
--- a/internal/agent/options.go
+++ b/internal/agent/options.go
@@ -19,6 +19,7 @@
 	tracer        trace.Tracer
 	logger        hclog.Logger
 	tls           *tls.Config
+	peerTLS       *tls.Config
 	server        *link.Server
 	control       []string
 	worker        fleet.Worker
@@ -50,6 +51,9 @@
 // WithTLS sets the configuration with which control hosts are dialed.
 func WithTLS(c *tls.Config) Option { return func(o *options) { o.tls = c } }
 
+// WithPeerTLS sets the configuration with which other agents are dialed; without one gangs are not watched.
+func WithPeerTLS(c *tls.Config) Option { return func(o *options) { o.peerTLS = c } }
+
 // WithServer sets the QUIC port and the address under which others reach it.
 func WithServer(s *link.Server, advertise string) Option {
 	return func(o *options) { o.server, o.advertise = s, advertise }
--- a/internal/agent/platform.go
+++ b/internal/agent/platform.go
@@ -39,7 +39,7 @@
 	case task.Reserve:
 		verb, f = "reserve", form(t.ID(), uint64(t.Fence()))
 		f.Accelerators, f.LeaseMS, f.Payload = t.Accelerators(), t.Length().Milliseconds(), t.Payload()
-		f.Mark = uint64(t.Mark())
+		f.Mark, f.Hub, f.Members = uint64(t.Mark()), t.Watch().Hub(), t.Watch().Members()
 	case task.Start:
 		verb, f = "start", form(t.ID(), uint64(t.Fence()))
 	case task.Renew:
@@ -93,7 +93,7 @@
 }
 
 // tasks returns the worker's tasks as soon as their version differs from since.
-func (p *platform) tasks(ctx context.Context, since uint64) (version uint64, reports []task.Report, err error) {
+func (p *platform) tasks(ctx context.Context, since uint64) (version uint64, tasks []task.Watched, err error) {
 	defer func() {
 		if err != nil {
 			err = fmt.Errorf("list tasks: %w", err)
@@ -115,9 +115,9 @@
 	if err = json.NewDecoder(io.LimitReader(answer.Body, maxPlatformBytes)).Decode(&f); err != nil {
 		return 0, nil, err
 	}
-	reports = make([]task.Report, len(f.Tasks))
+	tasks = make([]task.Watched, len(f.Tasks))
 	for i, t := range f.Tasks {
-		reports[i] = t.report()
+		tasks[i] = task.NewWatched(t.report(), task.NewWatch(t.Hub, t.Members))
 	}
-	return f.Version, reports, nil
+	return f.Version, tasks, nil
 }
--- a/internal/agent/reporter.go
+++ b/internal/agent/reporter.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"rosemarywind.example/rosemarywind/internal/clock"
+	"rosemarywind.example/rosemarywind/internal/task"
 )
 
 const reporterPause = 500 * time.Millisecond
@@ -20,7 +21,7 @@
 func (r *reporter) run(ctx context.Context) error {
 	var version uint64
 	for ctx.Err() == nil {
-		next, reports, err := r.agent.platform.tasks(ctx, version)
+		next, tasks, err := r.agent.platform.tasks(ctx, version)
 		if err != nil {
 			version = 0
 			r.agent.logger.Warn("worker does not answer", "error", err)
@@ -31,7 +32,16 @@
 		}
 		if next != version {
 			version = next
+			reports := make([]task.Report, len(tasks))
+			var watched []task.Watched
+			for i, t := range tasks {
+				reports[i] = t.Report()
+				if t.Watch().Hub() != "" {
+					watched = append(watched, t)
+				}
+			}
 			r.agent.board.tasks.Publish(reports)
+			r.agent.board.watched.Publish(watched)
 		}
 	}
 	return nil
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -130,7 +130,7 @@
 		c.watch(ctx, s)
 	case wire.KindPropose:
 		c.proposal(ctx, s)
-	case wire.KindForward, wire.KindOrders:
+	case wire.KindForward, wire.KindOrders, wire.KindPing:
 		c.logger.Warn("stream refused", "peer", s.RemoteAddr().String(), "kind", string(o.Kind()))
 	default:
 		c.logger.Warn("stream refused", "peer", s.RemoteAddr().String(), "kind", string(o.Kind()))
--- a/internal/control/gangs.go
+++ b/internal/control/gangs.go
@@ -17,6 +17,7 @@
 	// startsKept bounds the outcomes of starts that the planner judges workers by; it holds those of four large gangs.
 	startsKept = 2048
 	idleCheck  = time.Minute
+	maxWatched = 32
 	// followerCheck is how soon a new leader takes up the gangs when nothing else wakes it.
 	followerCheck = time.Second
 )
@@ -123,7 +124,7 @@
 	switch t := a.(type) {
 	case gang.Send:
 		f.progress = f.progress.WithSent(idOf(t.Order()).Index(), t.Order(), now)
-		g.outbox.add(t.Worker(), fence, t.Order())
+		g.outbox.add(t.Worker(), fence, g.watched(j, t.Order()))
 	case gang.Start:
 		g.commit(ctx, f, id, registry.NewStartGang(id, fence))
 	case gang.Stop:
@@ -138,6 +139,19 @@
 	}
 }
 
+// watched adds to a reservation where the members of its gang watch each other: through the agent of the
+// first one. Larger gangs are not watched, so that a hub hears at most 31 others a second for each gang.
+func (g *gangs) watched(j job.Job, o task.Order) task.Order {
+	r, ok := o.(task.Reserve)
+	if n := len(j.Members()); !ok || n < 2 || n > maxWatched {
+		return o
+	}
+	if hub, live := g.roster.snapshot.Find(j.Members()[0].Worker()); live {
+		return r.WithWatch(task.NewWatch(hub.Address(), len(j.Members())))
+	}
+	return o
+}
+
 // commit proposes a command for a job, which is not stepped until the answer is there.
 func (g *gangs) commit(ctx context.Context, f *followed, id string, c registry.Command) {
 	f.busy = true
--- a/internal/standin/encoding.go
+++ b/internal/standin/encoding.go
@@ -18,6 +18,8 @@
 	Payload      string     `json:"payload,omitempty"`
 	Mark         uint64     `json:"mark,omitempty"`
 	Since        uint64     `json:"since,omitempty"`
+	Hub          string     `json:"hub,omitempty"`
+	Members      int        `json:"members,omitempty"`
 	Percent      int        `json:"percent,omitempty"`
 	State        task.State `json:"state,omitempty"`
 }
@@ -50,7 +52,8 @@
 	id, fence, length := task.NewID(f.Job, f.Index), lease.Fence(f.Fence), time.Duration(f.LeaseMS)*time.Millisecond
 	switch verb {
 	case "reserve":
-		return task.NewReserve(id, fence, task.Mark(f.Mark), f.Accelerators, length, f.Payload), nil
+		return task.NewReserve(id, fence, task.Mark(f.Mark), f.Accelerators, length, f.Payload).
+			WithWatch(task.NewWatch(f.Hub, f.Members)), nil
 	case "start":
 		return task.NewStart(id, fence), nil
 	case "renew":
--- a/internal/standin/host.go
+++ b/internal/standin/host.go
@@ -40,6 +40,7 @@
 	endsAt       time.Time
 	percent      int
 	marks        []marked
+	watch        task.Watch
 }
 
 // marked is when the worker took the order with a mark.
@@ -159,7 +160,7 @@
 	}
 	r = record{
 		id: o.ID(), fence: o.Fence(), accelerators: o.Accelerators(), payload: o.Payload(), state: task.Reserved,
-		lease: lease.NewHeld(now, o.Length()),
+		lease: lease.NewHeld(now, o.Length()), watch: o.Watch(),
 	}
 	r.take(o.Mark(), now)
 	h.records[o.ID()] = r
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -195,6 +195,7 @@
 	for _, r := range v.tasks {
 		f.Tasks = append(f.Tasks, taskForm{
 			Job: r.id.Job(), Index: r.id.Index(), Fence: uint64(r.fence), Accelerators: r.accelerators, State: r.state,
+			Hub: r.watch.Hub(), Members: r.watch.Members(),
 		})
 	}
 	_ = json.NewEncoder(w).Encode(f)
--- a/internal/task/order.go
+++ b/internal/task/order.go
@@ -43,6 +43,7 @@
 	accelerators int
 	length       time.Duration
 	payload      string
+	watch        Watch
 }
 
 // Start runs a reserved member.
@@ -88,6 +89,12 @@
 	return Reserve{id: id, fence: fence, mark: mark, accelerators: accelerators, length: length, payload: payload}
 }
 
+// WithWatch returns the order together with where the members of the gang watch each other.
+func (r Reserve) WithWatch(w Watch) Reserve {
+	r.watch = w
+	return r
+}
+
 // NewStart returns the order to run a reserved member.
 func NewStart(id ID, fence lease.Fence) Start { return Start{id: id, fence: fence} }
 
@@ -125,6 +132,9 @@
 // Payload returns what the task is told to do.
 func (r Reserve) Payload() string { return r.payload }
 
+// Watch returns where the members of the gang watch each other.
+func (r Reserve) Watch() Watch { return r.watch }
+
 // ID returns the member.
 func (s Start) ID() ID { return s.id }
 
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -30,6 +30,7 @@
 	KindPropose  Kind = "propose"
 	KindOrders   Kind = "orders"
 	KindLedger   Kind = "ledger"
+	KindPing     Kind = "ping"
 )
 
 type openingForm struct {
--- a/internal/wire/order.go
+++ b/internal/wire/order.go
@@ -21,6 +21,8 @@
 	Percent      int    `cbor:"9,keyasint,omitempty"`
 	Mark         uint64 `cbor:"10,keyasint,omitempty"`
 	Since        uint64 `cbor:"11,keyasint,omitempty"`
+	Hub          string `cbor:"12,keyasint,omitempty"`
+	Members      int    `cbor:"13,keyasint,omitempty"`
 }
 
 type replyForm struct {
@@ -94,6 +96,7 @@
 		return orderForm{
 			Kind: orderReserve, Job: t.ID().Job(), Index: t.ID().Index(), Fence: uint64(t.Fence()),
 			Accelerators: t.Accelerators(), Length: int64(t.Length()), Payload: t.Payload(), Mark: uint64(t.Mark()),
+			Hub: t.Watch().Hub(), Members: t.Watch().Members(),
 		}
 	case task.Start:
 		return orderForm{Kind: orderStart, Job: t.ID().Job(), Index: t.ID().Index(), Fence: uint64(t.Fence())}
@@ -120,7 +123,8 @@
 	id, fence := task.NewID(f.Job, f.Index), lease.Fence(f.Fence)
 	switch f.Kind {
 	case orderReserve:
-		return task.NewReserve(id, fence, task.Mark(f.Mark), f.Accelerators, time.Duration(f.Length), f.Payload), nil
+		return task.NewReserve(id, fence, task.Mark(f.Mark), f.Accelerators, time.Duration(f.Length), f.Payload).
+			WithWatch(task.NewWatch(f.Hub, f.Members)), nil
 	case orderStart:
 		return task.NewStart(id, fence), nil
 	case orderRenew:
--- a/internal/wire/order_test.go
+++ b/internal/wire/order_test.go
@@ -16,6 +16,9 @@
 func TestOrders(t *testing.T) {
 	id := task.NewID("j", 3)
 	t.Run("reserve", func(t *testing.T) { assertCarried(t, task.NewReserve(id, 7, 8, 4, time.Minute, "sleep 1s")) })
+	t.Run("reserve for a watched gang", func(t *testing.T) {
+		assertCarried(t, task.NewReserve(id, 7, 8, 4, time.Minute, "").WithWatch(task.NewWatch("10.0.0.1:7400", 3)))
+	})
 	t.Run("start", func(t *testing.T) { assertCarried(t, task.NewStart(id, 7)) })
 	t.Run("renew", func(t *testing.T) { assertCarried(t, task.NewRenew(id, 7, 9, 8, time.Minute)) })
 	t.Run("stop", func(t *testing.T) { assertCarried(t, task.NewStop(id, 7, true)) })
@@ -29,6 +32,22 @@
 	})
 }
 
+// TestPing guards the budget of 5 KB/s of an agent that hears 31 pings a second.
+func TestPing(t *testing.T) {
+	var b bytes.Buffer
+	want := task.NewPing(task.NewReport(task.NewID("j-ABCDEFGHIJKLMNOPQRSTUVWXYZ", 31), 1<<40, task.Succeeded), 32)
+	require.NoError(t, wire.WritePing(&b, want))
+	t.Logf("a ping has %d bytes", b.Len())
+	assert.LessOrEqual(t, b.Len(), 80)
+	got, err := wire.ReadPing(&b)
+	require.NoError(t, err)
+	assert.Equal(t, want, got)
+	require.NoError(t, wire.WriteVerdict(&b, task.Broken))
+	v, err := wire.ReadVerdict(&b)
+	require.NoError(t, err)
+	assert.Equal(t, task.Broken, v)
+}
+
 func assertCarried(t *testing.T, orders ...task.Order) {
 	t.Helper()
 	var b bytes.Buffer
--- /dev/null
+++ b/internal/wire/ping.go
@@ -0,0 +1,41 @@
+package wire
+
+import (
+	"io"
+
+	"rosemarywind.example/rosemarywind/internal/task"
+)
+
+type pingForm struct {
+	Report  reportForm `cbor:"1,keyasint"`
+	Members int        `cbor:"2,keyasint"`
+}
+
+// WritePing writes the state of a member for the hub of its gang.
+func WritePing(w io.Writer, p task.Ping) error {
+	return writeFrame(w, pingForm{Report: fromReport(p.Report()), Members: p.Members()})
+}
+
+// ReadPing reads the state of a member.
+func ReadPing(r io.Reader) (p task.Ping, err error) {
+	defer annotate("read ping", &err)
+	var f pingForm
+	if err = readFrame(r, &f, maxPingBytes); err != nil {
+		return task.Ping{}, err
+	}
+	return task.NewPing(f.Report.report(), f.Members), nil
+}
+
+// WriteVerdict writes the hub's answer to a ping.
+func WriteVerdict(w io.Writer, v task.Verdict) error { return writeFrame(w, v) }
+
+// ReadVerdict reads the hub's answer to a ping.
+func ReadVerdict(r io.Reader) (v task.Verdict, err error) {
+	defer annotate("read verdict", &err)
+	if err = readFrame(r, &v, maxPingBytes); err != nil {
+		return "", unexpected(err)
+	}
+	return v, nil
+}
+
+const maxPingBytes = 4 << 10
--- /dev/null
+++ b/operator_test.go
@@ -0,0 +1,62 @@
+package rosemarywind
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// requireCalled sends an operator's request to the first control host and returns the answer.
+func requireCalled(t *testing.T, s *System, path, body string) (answer map[string]any) {
+	t.Helper()
+	h, err := http.NewRequestWithContext(t.Context(), http.MethodPost, s.ControlURLs()[0]+path, bytes.NewBufferString(body))
+	require.NoError(t, err)
+	h.Header.Set("Authorization", "Bearer "+s.OperatorToken())
+	r, err := http.DefaultClient.Do(h)
+	require.NoError(t, err)
+	defer func() { _ = r.Body.Close() }()
+	data, err := io.ReadAll(r.Body)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, r.StatusCode, string(data))
+	require.NoError(t, json.Unmarshal(data, &answer))
+	return answer
+}
+
+// requireDeclared declares workspaces with a guarantee of two members of eight accelerators in one rack each.
+func requireDeclared(t *testing.T, s *System, workspaces ...string) {
+	t.Helper()
+	var text strings.Builder
+	for _, w := range workspaces {
+		_, _ = fmt.Fprintf(&text, `[[workspace]]
+name = %q
+tenant = %q
+guarantee = { members = 2, accelerators = 8, adjacency = "rack" }
+limits = { in_flight = 1, queued = 1 }
+`, w, w)
+	}
+	requireCalled(t, s, "/v1/apply", text.String())
+}
+
+// requireSubmitted submits a job of 60 s with members of eight accelerators each; two of them must be in one rack.
+func requireSubmitted(t *testing.T, s *System, in string, members int, idempotent, checkpointable bool) (id string) {
+	t.Helper()
+	adjacency, urgency := "any", "patient"
+	if members == 2 {
+		adjacency, urgency = "rack", "urgent"
+	}
+	body, err := json.Marshal(map[string]any{
+		"workspace": in, "urgency": urgency, "payload": "sleep 60s", "idempotent": idempotent,
+		"checkpointable": checkpointable,
+		"shape":          map[string]any{"members": members, "accelerators": 8, "adjacency": adjacency},
+	})
+	require.NoError(t, err)
+	id, _ = requireCalled(t, s, "/v1/jobs", string(body))["id"].(string)
+	require.NotEmpty(t, id)
+	return id
+}
--- a/roles.go
+++ b/roles.go
@@ -102,6 +102,7 @@
 		fleet.Rack(fmt.Sprintf("rack%d", rack+1))).WithResources(workerCores, workerMemoryMB, s.accelerators)
 	a := agent.New(
 		agent.WithLogger(s.logger.Named(name)), agent.WithTLS(material.Client("control")),
+		agent.WithPeerTLS(material.Client("agent")),
 		agent.WithServer(server, server.Address().String()), agent.WithControl(controls),
 		agent.WithWorker(worker, url), agent.WithEndpoint(url, s.slots, workerConnections),
 	)
--- /dev/null
+++ b/watch_test.go
@@ -0,0 +1,116 @@
+package rosemarywind
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
+
+	"rosemarywind.example/rosemarywind/internal/agent"
+	"rosemarywind.example/rosemarywind/internal/job"
+	"rosemarywind.example/rosemarywind/internal/task"
+)
+
+// lossBound is how soon the loss of a member must stop the others without control.
+const lossBound = 6 * time.Second
+
+// TestMembersWatchEachOther guards against a gang that runs on with a part of its members behind a partition
+// of control; the task lease of 30 s would stop it much later.
+func TestMembersWatchEachOther(t *testing.T) {
+	t.Run("a lost member stops the others", func(t *testing.T) { assertLossStops(t, 2, 0, 1) })
+	t.Run("a lost hub stops the others", func(t *testing.T) { assertLossStops(t, 0, 1, 2) })
+}
+
+// assertLossStops runs a gang of three workers, takes control away, and then the worker lost.
+func assertLossStops(t *testing.T, lost int, others ...int) {
+	t.Helper()
+	s, stops := requireSplit(t)
+	order := make([]int, 3) // the system's worker of each member
+	for i, m := range requireGang(t, s).Members() {
+		_, _ = fmt.Sscanf(m.Worker(), "w%d", &order[i])
+		order[i]--
+		requireTask(t, s.agents[order[i]], task.Running, startLimit)
+	}
+	stops[0]()
+	select {
+	case <-time.After(lossBound):
+	case <-t.Context().Done():
+	}
+	for _, i := range others {
+		assert.Equal(t, task.Running, s.agents[order[i]].Board().Tasks().Load()[0].State(), "the gang is whole")
+	}
+	stops[1+order[lost]]()
+	began := time.Now()
+	for _, i := range others {
+		requireTask(t, s.agents[order[i]], task.Stopped, lossBound)
+	}
+	t.Logf("stopped after %s, bound %s", time.Since(began).Round(time.Millisecond), lossBound)
+	assert.LessOrEqual(t, time.Since(began), lossBound)
+}
+
+const startLimit = 20 * time.Second
+
+// requireSplit runs a system whose control host and three workers can be stopped one by one.
+func requireSplit(t *testing.T) (s *System, stops []context.CancelFunc) {
+	t.Helper()
+	s, err := New(time.Now(), WithFolder(t.TempDir()), WithHosts(1, 0, 3))
+	require.NoError(t, err)
+	var g errgroup.Group
+	// The first one runs control, the others a stand-in and its agent each.
+	for _, runs := range [][]func(context.Context) error{s.runs[:1], s.runs[1:3], s.runs[3:5], s.runs[5:7]} {
+		ctx, cancel := context.WithCancel(context.Background())
+		stops = append(stops, cancel)
+		for _, f := range runs {
+			g.Go(func() error { return f(ctx) })
+		}
+	}
+	t.Cleanup(func() {
+		for _, f := range stops {
+			f()
+		}
+		assert.NoError(t, g.Wait())
+	})
+	for s.controls[0].Board().Roster().Load().Snapshot().Len() < 3 {
+		_, changed := s.controls[0].Board().Roster().Watch()
+		if s.controls[0].Board().Roster().Load().Snapshot().Len() < 3 {
+			requireChange(t, changed)
+		}
+	}
+	return s, stops
+}
+
+// requireGang has control run a job with a member on each worker.
+func requireGang(t *testing.T, s *System) job.Job {
+	t.Helper()
+	requireDeclared(t, s, "team")
+	id := requireSubmitted(t, s, "team", 3, true, false)
+	for {
+		state, changed := s.controls[0].Board().State().Watch()
+		if j, _ := state.Jobs().Get(id); j.State() == job.Started {
+			return j
+		}
+		requireChange(t, changed)
+	}
+}
+
+// requireTask waits until the only task of an agent's worker is in a state.
+func requireTask(t *testing.T, a *agent.Agent, want task.State, bound time.Duration) {
+	t.Helper()
+	limit := time.NewTimer(bound)
+	defer limit.Stop()
+	for {
+		list, changed := a.Board().Tasks().Watch()
+		if len(list) == 1 && list[0].State() == want {
+			return
+		}
+		select {
+		case <-changed:
+		case <-limit.C:
+			require.Fail(t, "not in time", "want %s, have %v", want, list)
+		}
+	}
+}
