--- a/internal/standin/host.go
+++ b/internal/standin/host.go
@@ -27,6 +27,7 @@
 	ended        []task.ID
 	// floor is the largest fence of a task that was forgotten; a late reservation at or below it is refused.
 	floor lease.Fence
+	saved int
 }
 
 // record is one task.
@@ -121,6 +122,9 @@
 	return list
 }
 
+// Saved returns the number of running tasks that were checkpointed before they were stopped.
+func (h *Host) Saved() int { return h.saved }
+
 // Held returns the number of accelerators that reserved and running tasks hold.
 func (h *Host) Held() (n int) {
 	for _, r := range h.records {
@@ -202,6 +206,9 @@
 	case !known || r.fence != o.Fence():
 		r = record{id: o.ID(), fence: o.Fence()}
 	}
+	if o.Checkpoint() && r.state == task.Running {
+		h.saved++
+	}
 	r.state = task.Stopped
 	h.records[o.ID()] = r
 	h.end(o.ID())
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -85,6 +85,9 @@
 	return 0
 }
 
+// Checkpoints returns the number of running tasks that were checkpointed before they were stopped.
+func (s *Standin) Checkpoints() int { return s.worker.published.Load().saved }
+
 // Behave sets the fault in force.
 func (s *Standin) Behave(b Behaviour) { s.behaviour.Publish(b) }
 
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -12,6 +12,7 @@
 type view struct {
 	version uint64
 	tasks   []record
+	saved   int
 }
 
 // worker runs a Host in real time; its own goroutine is the only writer.
@@ -54,5 +55,5 @@
 }
 
 func (w *worker) publish() {
-	w.published.Publish(view{version: w.published.Load().version + 1, tasks: w.host.list()})
+	w.published.Publish(view{version: w.published.Load().version + 1, tasks: w.host.list(), saved: w.host.Saved()})
 }
