--- a/internal/control/bench_test.go
+++ b/internal/control/bench_test.go
@@ -40,7 +40,7 @@
 		n := 0
 		for b.Loop() {
 			n++
-			requireState(b, g.control.board, registry.NewSubmitJob("", specOf(b, fmt.Sprintf("s%d", n%50), 1), start))
+			requireState(b, g.control.board, registry.NewSubmitJob("", benchSpec(b, fmt.Sprintf("s%d", n%50), 1), start))
 			g.pass(b.Context(), 1, now)
 		}
 	})
@@ -73,7 +73,7 @@
 	c.keeper.act(start.Add(gatherTime))
 	for i := range benchJobs {
 		id := fmt.Sprintf("j%d", i)
-		requireState(b, c.board, registry.NewSubmitJob("", specOf(b, id, benchMembers), start))
+		requireState(b, c.board, registry.NewSubmitJob("", benchSpec(b, id, benchMembers), start))
 		var members []job.Member
 		for k := range benchMembers {
 			members = append(members, job.NewMember(k, fmt.Sprintf("w%d", (i*benchMembers+k)%benchWorkers), 1))
@@ -84,7 +84,7 @@
 	}
 	for i := range 8100 {
 		id := fmt.Sprintf("d%d", i)
-		requireState(b, c.board, registry.NewSubmitJob("", specOf(b, id, 1), start))
+		requireState(b, c.board, registry.NewSubmitJob("", benchSpec(b, id, 1), start))
 		requireState(b, c.board, registry.NewEndJob(id, 0, job.Rejected, "no room", start))
 	}
 	g := newDriver(c)
@@ -96,7 +96,7 @@
 	return g
 }
 
-func specOf(tb testing.TB, id string, members int) job.Spec {
+func benchSpec(tb testing.TB, id string, members int) job.Spec {
 	tb.Helper()
 	shape, err := workspace.NewShape(members, 1, workspace.Anywhere)
 	require.NoError(tb, err)
