--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -26,6 +26,8 @@
 	incarnation uint64
 	endpoint    *http.Client
 	platform    *platform
+	peers       *link.Pool
+	hub         *hub
 }
 
 // New returns an agent that Run starts.
@@ -41,6 +43,8 @@
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 	a.platform = newPlatform(a.workerURL)
+	a.peers = link.NewPool(a.peerTLS)
+	a.hub = newHub()
 	a.register(a.registry)
 	return a
 }
@@ -59,6 +63,7 @@
 		}
 	}()
 	defer a.pool.Close()
+	defer a.peers.Close()
 	// The port and the controllers outlive ctx, since requests in flight need them during the grace.
 	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
@@ -66,6 +71,8 @@
 	g.Go(func() error { return newProber(a).run(inner) })
 	g.Go(func() error { return newReporter(a).run(inner) })
 	g.Go(func() error { return newAnnouncer(a).run(inner) })
+	g.Go(func() error { return a.hub.run(inner) })
+	g.Go(func() error { return newPinger(a).run(inner) })
 	g.Go(func() error {
 		defer cancel()
 		return a.server.Serve(inner, a.serve)
@@ -126,6 +133,8 @@
 		a.logger.Error("orders refused: the certificate is not a control host's", "peer", s.RemoteAddr().String(),
 			"certificate", peer.String(), "error", err)
 		s.Refuse()
+	case o.Kind() == wire.KindPing:
+		a.pings(ctx, s)
 	default:
 		a.logger.Warn("stream refused", "peer", s.RemoteAddr().String(), "identity", peer.String(),
 			"kind", string(o.Kind()), "error", err)
@@ -136,6 +145,7 @@
 // The roles whose streams an agent takes up.
 const (
 	entryRole   = "entry"
+	agentRole   = "agent"
 	controlRole = "control"
 )
 
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -85,6 +85,9 @@
 	return 0
 }
 
+// Checkpoints returns the number of running tasks that were checkpointed before they were stopped.
+func (s *Standin) Checkpoints() int { return s.worker.published.Load().saved }
+
 // Behave sets the fault in force.
 func (s *Standin) Behave(b Behaviour) { s.behaviour.Publish(b) }
 
@@ -195,6 +198,7 @@
 	for _, r := range v.tasks {
 		f.Tasks = append(f.Tasks, taskForm{
 			Job: r.id.Job(), Index: r.id.Index(), Fence: uint64(r.fence), Accelerators: r.accelerators, State: r.state,
+			Hub: r.watch.Hub(), Members: r.watch.Members(),
 		})
 	}
 	_ = json.NewEncoder(w).Encode(f)
