Measure fragmentation for the largest queued shape as well

Cause: the share for the largest shape of the list counts free accelerators as fragmented even when no job of that shape waits, and a policy that places gangs earlier has fewer whole racks left. Change: a second figure for the largest queued shape, 0 while nothing is queued; table and chart move to the command; whether a job fits without borrowing is computed once per workspace and shape.

--- a/internal/planbench/chart.go
+++ b/cmd/planbench/chart.go
@@ -1,14 +1,16 @@
-package planbench
+package main
 
 import (
 	"fmt"
 	"html"
 	"io"
 	"strings"
+
+	"rosemarywind.example/rosemarywind/internal/planbench"
 )
 
-// WriteChart writes a bar chart of urgent p99 completion times and fragmentation as SVG.
-func WriteChart(w io.Writer, results []*Result) error {
+// writeChart writes a bar chart of urgent p99 completion times and fragmentation as SVG.
+func writeChart(w io.Writer, results []*planbench.Result) error {
 	const left, width, line = 230, 300, 14
 	var b strings.Builder
 	height := (len(results) + 3) * line
@@ -16,14 +18,14 @@
 		left+2*width+160, height)
 	longest := 1.0
 	for _, r := range results {
-		longest = max(longest, r.Percentile(Urgent, 0.99).Seconds())
+		longest = max(longest, r.Percentile(planbench.Urgent, 0.99).Seconds())
 	}
 	text(&b, left, line, "urgent p99 completion")
 	text(&b, left+width+80, line, "fragmentation")
 	for i, r := range results {
 		y := (i + 2) * line
-		text(&b, 4, y+10, r.scenario+", "+string(r.policy))
-		bar(&b, left, y, int(r.Percentile(Urgent, 0.99).Seconds()/longest*width), "#4477aa", short(r.Percentile(Urgent, 0.99)))
+		text(&b, 4, y+10, r.Scenario()+", "+string(r.Policy()))
+		bar(&b, left, y, int(r.Percentile(planbench.Urgent, 0.99).Seconds()/longest*width), "#4477aa", short(r.Percentile(planbench.Urgent, 0.99)))
 		bar(&b, left+width+80, y, int(r.Fragmentation()*width), "#cc6677", fmt.Sprintf("%.2f", r.Fragmentation()))
 	}
 	b.WriteString("</svg>\n")
--- /dev/null
+++ b/cmd/planbench/chart_test.go
@@ -0,0 +1,22 @@
+package main
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"rosemarywind.example/rosemarywind/internal/plan"
+	"rosemarywind.example/rosemarywind/internal/planbench"
+)
+
+// Guards against a chart that no viewer opens.
+func TestChart(t *testing.T) {
+	scenarios, err := planbench.Scenarios(1)
+	require.NoError(t, err)
+	var b strings.Builder
+	require.NoError(t, writeChart(&b, []*planbench.Result{planbench.Run(scenarios[8], plan.Reserving)}))
+	assert.True(t, strings.HasPrefix(b.String(), "<svg ") && strings.HasSuffix(b.String(), "</svg>\n"))
+	assert.Contains(t, b.String(), "four reclaims, reserving")
+}
--- a/cmd/planbench/main.go
+++ b/cmd/planbench/main.go
@@ -43,7 +43,7 @@
 			results = append(results, planbench.Run(s, p))
 		}
 	}
-	if err := planbench.WriteTable(os.Stdout, results); err != nil {
+	if err := writeTable(os.Stdout, results); err != nil {
 		return err
 	}
 	path := c.String("chart")
@@ -54,7 +54,7 @@
 	if err != nil {
 		return err
 	}
-	if err := planbench.WriteChart(f, results); err != nil {
+	if err := writeChart(f, results); err != nil {
 		_ = f.Close()
 		return err
 	}
--- a/internal/plan/pass.go
+++ b/internal/plan/pass.go
@@ -23,6 +23,7 @@
 	failedOn  map[string][]int32
 	decisions []Decision
 	blocked   map[attempt]string
+	fitting   map[attempt]bool
 	reasons   map[workspace.Shape]string
 }
 
@@ -41,6 +42,7 @@
 	s := &pass{
 		planner: p, view: v, now: now,
 		chosen:  map[string]bool{},
+		fitting: map[attempt]bool{},
 		blocked: map[attempt]string{}, reasons: map[workspace.Shape]string{},
 	}
 	s.findFaulty()
@@ -223,7 +225,13 @@
 }
 
 // fitsSafely reports whether the job fits without borrowing on a fleet that is otherwise idle.
-func (p *pass) fitsSafely(q waiting) bool {
+func (p *pass) fitsSafely(q waiting) (fits bool) {
+	key := attempt{owner: q.owner, shape: q.job.Spec().Shape()}
+	fits, ok := p.fitting[key]
+	if ok {
+		return fits
+	}
+	defer func() { p.fitting[key] = fits }()
 	idle := p.planner.top.idle(func(int32) bool { return false })
 	for i := range p.state.sites {
 		u := &p.state.sites[i]
--- a/internal/planbench/planbench_test.go
+++ b/internal/planbench/planbench_test.go
@@ -1,7 +1,6 @@
 package planbench_test
 
 import (
-	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -24,21 +23,7 @@
 	}
 }
 
-func assertSame(t *testing.T, results ...*planbench.Result) {
+func assertSame(t *testing.T, one, two *planbench.Result) {
 	t.Helper()
-	var tables [2]strings.Builder
-	for i, r := range results {
-		require.NoError(t, planbench.WriteTable(&tables[i], []*planbench.Result{r}))
-	}
-	assert.Equal(t, tables[0].String(), tables[1].String())
-}
-
-// Guards against a chart that no viewer opens.
-func TestChart(t *testing.T) {
-	scenarios, err := planbench.Scenarios(1)
-	require.NoError(t, err)
-	var b strings.Builder
-	require.NoError(t, planbench.WriteChart(&b, []*planbench.Result{planbench.Run(scenarios[8], plan.Reserving)}))
-	assert.True(t, strings.HasPrefix(b.String(), "<svg ") && strings.HasSuffix(b.String(), "</svg>\n"))
-	assert.Contains(t, b.String(), "four reclaims, reserving")
+	assert.Equal(t, one, two)
 }
--- a/internal/planbench/result.go
+++ b/internal/planbench/result.go
@@ -1,12 +1,10 @@
 package planbench
 
 import (
-	"fmt"
-	"io"
 	"slices"
-	"text/tabwriter"
 	"time"
 
+	"rosemarywind.example/rosemarywind/internal/fleet"
 	"rosemarywind.example/rosemarywind/internal/job"
 	"rosemarywind.example/rosemarywind/internal/plan"
 	"rosemarywind.example/rosemarywind/internal/workspace"
@@ -24,19 +22,21 @@
 
 // Result is what was measured in one run.
 type Result struct {
-	scenario   string
-	policy     plan.Policy
-	wanted     workspace.Shape
-	times      map[Class][]time.Duration
-	unusable   float64
-	observed   float64
-	lost       float64
-	useful     float64
-	gangWait   time.Duration
-	gangAhead  time.Duration
-	violations int
-	ended      int
-	rejected   int
+	scenario string
+	policy   plan.Policy
+	wanted   workspace.Shape
+	times    map[Class][]time.Duration
+	unusable float64
+	observed float64
+	// unusableQueued is the sum for the largest queued shape, nothing while none is queued.
+	unusableQueued float64
+	lost           float64
+	useful         float64
+	gangWait       time.Duration
+	gangAhead      time.Duration
+	violations     int
+	ended          int
+	rejected       int
 }
 
 func newResult(s Scenario, policy plan.Policy) *Result {
@@ -68,39 +68,56 @@
 	}
 }
 
-// elapse adds a span to the average share of free accelerators that the largest wanted shape cannot use.
-// Spans in which fewer are free than the shape has are left out: no packing could make them usable.
+// elapse adds a span to the averages of fragmentation, until the end of the day.
 func (r *Result) elapse(x *run, span time.Duration) {
+	if x.now > day {
+		return
+	}
 	free := map[string]int{}
 	for _, w := range x.scenario.workers {
 		if !slices.Contains(x.down, w.Name()) {
 			free[w.Name()] = w.Accelerators()
 		}
 	}
+	var queued workspace.Shape
 	for _, t := range x.live {
+		if s := t.spec.Shape(); t.job.State() == job.Queued && s.Total() > queued.Total() && s.Accelerators() <= perWorker {
+			queued = s
+		}
 		for _, m := range t.job.Members() {
 			if free[m.Worker()] > 0 {
 				free[m.Worker()] -= m.Accelerators()
 			}
 		}
 	}
+	if share, ok := unusable(x.scenario.workers, free, r.wanted); ok {
+		r.unusable += span.Seconds() * share
+		r.observed += span.Seconds()
+	}
+	if share, ok := unusable(x.scenario.workers, free, queued); ok && queued.Total() > 0 {
+		r.unusableQueued += span.Seconds() * share
+	}
+}
+
+// unusable returns the share of free accelerators that copies of the shape cannot take; ok is false
+// when fewer are free than the shape has, because no packing could make them usable.
+func unusable(workers []fleet.Worker, free map[string]int, s workspace.Shape) (share float64, ok bool) {
 	total, slots := 0, map[string]int{}
-	for _, w := range x.scenario.workers {
+	for _, w := range workers {
 		total += free[w.Name()]
 		domain := map[workspace.Adjacency]string{
 			workspace.SameWorker: w.Name(), workspace.SameRack: string(w.Rack()), workspace.SameZone: string(w.AvailabilityZone()),
-		}[r.wanted.Adjacency()]
-		slots[domain] += free[w.Name()] / r.wanted.Accelerators()
+		}[s.Adjacency()]
+		slots[domain] += free[w.Name()] / max(1, s.Accelerators())
 	}
-	if total < r.wanted.Total() || x.now > day {
-		return
+	if total == 0 || total < s.Total() {
+		return 0, false
 	}
 	usable := 0
 	for _, n := range slots {
-		usable += n / r.wanted.Members() * r.wanted.Total()
+		usable += n / max(1, s.Members()) * s.Total()
 	}
-	r.unusable += span.Seconds() * (1 - float64(usable)/float64(total))
-	r.observed += span.Seconds()
+	return 1 - float64(usable)/float64(total), true
 }
 
 func (r *Result) finish(x *run) {
@@ -138,35 +155,33 @@
 	return r.unusable / r.observed
 }
 
+// QueuedFragmentation returns the share of free accelerators that the largest queued shape cannot use,
+// averaged over the day; it is 0 while nothing is queued.
+func (r *Result) QueuedFragmentation() float64 { return r.unusableQueued / day.Seconds() }
+
 // Throughput returns the accelerator-hours of the jobs that were complete at the end of the day.
 func (r *Result) Throughput() float64 { return r.useful / time.Hour.Seconds() }
 
-// Violations returns how often a job within its workspace's idle guarantee waited longer than a reclaim takes.
-func (r *Result) Violations() int { return r.violations }
+// Scenario returns the name of the scenario.
+func (r *Result) Scenario() string { return r.scenario }
 
-// WriteTable writes one line for each result.
-func WriteTable(w io.Writer, results []*Result) error {
-	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	_, _ = fmt.Fprintln(t, "scenario\tpolicy\turgent p50/p95/p99\tpatient p50/p95/p99\tgang p50/p95/p99\tfragm.\tgang wait\tof run ahead\tlost acc-s\tended\trejected\tacc-h\tviolations")
-	for _, r := range results {
-		ahead := 0.0
-		if r.gangAhead > 0 {
-			ahead = r.gangWait.Seconds() / r.gangAhead.Seconds()
-		}
-		_, _ = fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%.3f\t%s\t%.2f\t%.0f\t%d\t%d\t%.0f\t%d\n", r.scenario, r.policy,
-			r.line(Urgent), r.line(Patient), r.line(Gang), r.Fragmentation(), short(r.gangWait), ahead,
-			r.lost, r.ended, r.rejected, r.Throughput(), r.violations)
-	}
-	return t.Flush()
-}
+// Policy returns the policy that was measured.
+func (r *Result) Policy() plan.Policy { return r.policy }
 
-func (r *Result) line(c Class) string {
-	return short(r.Percentile(c, 0.5)) + "/" + short(r.Percentile(c, 0.95)) + "/" + short(r.Percentile(c, 0.99))
-}
+// GangWait returns the longest wait of a job of the largest wanted shape.
+func (r *Result) GangWait() time.Duration { return r.gangWait }
 
-func short(d time.Duration) string {
-	if d < 10*time.Minute {
-		return fmt.Sprintf("%.0fs", d.Seconds())
-	}
-	return fmt.Sprintf("%.0fm", d.Minutes())
-}
+// GangWaitShare returns that wait over the longest run time ahead of the job.
+func (r *Result) GangWaitShare() float64 { return r.gangWait.Seconds() / max(1, r.gangAhead.Seconds()) }
+
+// Lost returns the accelerator-seconds of work that stops lost.
+func (r *Result) Lost() float64 { return r.lost }
+
+// Ended returns the number of jobs that a stop ended for good.
+func (r *Result) Ended() int { return r.ended }
+
+// Rejected returns the number of jobs that could never run.
+func (r *Result) Rejected() int { return r.rejected }
+
+// Violations returns how often a job within its workspace's idle guarantee waited longer than a reclaim takes.
+func (r *Result) Violations() int { return r.violations }
