--- a/internal/planbench/planbench_test.go
+++ b/cmd/planbench/arrivals_test.go
@@ -1,4 +1,4 @@
-package planbench_test
+package main
 
 import (
 	"testing"
@@ -12,9 +12,9 @@
 
 // Guards against a policy change that breaks guarantees, and against figures that differ between equal runs.
 func TestScenarios(t *testing.T) {
-	scenarios, err := planbench.Scenarios(1)
+	all, err := scenarios(1)
 	require.NoError(t, err)
-	for _, s := range scenarios {
+	for _, s := range all {
 		t.Run(s.Name(), func(t *testing.T) {
 			one := planbench.Run(s, plan.Reserving)
 			assert.Zero(t, one.Violations())
--- a/cmd/planbench/chart_test.go
+++ b/cmd/planbench/chart_test.go
@@ -13,10 +13,10 @@
 
 // Guards against a chart that no viewer opens.
 func TestChart(t *testing.T) {
-	scenarios, err := planbench.Scenarios(1)
+	all, err := scenarios(1)
 	require.NoError(t, err)
 	var b strings.Builder
-	require.NoError(t, writeChart(&b, []*planbench.Result{planbench.Run(scenarios[8], plan.Reserving)}))
+	require.NoError(t, writeChart(&b, []*planbench.Result{planbench.Run(all[8], plan.Reserving)}))
 	assert.True(t, strings.HasPrefix(b.String(), "<svg ") && strings.HasSuffix(b.String(), "</svg>\n"))
 	assert.Contains(t, b.String(), "four reclaims, reserving")
 }
--- a/cmd/planbench/main.go
+++ b/cmd/planbench/main.go
@@ -30,12 +30,12 @@
 }
 
 func compare(_ context.Context, c *cli.Command) error {
-	scenarios, err := planbench.Scenarios(c.Uint64("seed"))
+	all, err := scenarios(c.Uint64("seed"))
 	if err != nil {
 		return err
 	}
 	var results []*planbench.Result
-	for _, s := range scenarios {
+	for _, s := range all {
 		if only := c.String("scenario"); only != "" && only != s.Name() {
 			continue
 		}
--- a/internal/planbench/result.go
+++ b/internal/planbench/result.go
@@ -25,6 +25,7 @@
 	scenario string
 	policy   plan.Policy
 	wanted   workspace.Shape
+	largest  int
 	times    map[Class][]time.Duration
 	unusable float64
 	observed float64
@@ -41,8 +42,11 @@
 
 func newResult(s Scenario, policy plan.Policy) *Result {
 	r := &Result{scenario: s.name, policy: policy, times: map[Class][]time.Duration{}}
+	for _, w := range s.workers {
+		r.largest = max(r.largest, w.Accelerators())
+	}
 	for _, a := range s.arrivals {
-		if x := a.spec.Shape(); x.Total() > r.wanted.Total() && x.Accelerators() <= perWorker {
+		if x := a.spec.Shape(); x.Total() > r.wanted.Total() && x.Accelerators() <= r.largest {
 			r.wanted = x
 		}
 	}
@@ -63,14 +67,14 @@
 func (r *Result) done(t *task) {
 	c := classOf(t.spec)
 	r.times[c] = append(r.times[c], t.doneAt-t.at)
-	if t.doneAt <= day {
+	if t.doneAt <= Day {
 		r.useful += t.runs.Seconds() * float64(t.spec.Shape().Total())
 	}
 }
 
 // elapse adds a span to the averages of fragmentation, until the end of the day.
 func (r *Result) elapse(x *run, span time.Duration) {
-	if x.now > day {
+	if x.now > Day {
 		return
 	}
 	free := map[string]int{}
@@ -81,7 +85,7 @@
 	}
 	var queued workspace.Shape
 	for _, t := range x.live {
-		if s := t.spec.Shape(); t.job.State() == job.Queued && s.Total() > queued.Total() && s.Accelerators() <= perWorker {
+		if s := t.spec.Shape(); t.job.State() == job.Queued && s.Total() > queued.Total() && s.Accelerators() <= r.largest {
 			queued = s
 		}
 		for _, m := range t.job.Members() {
@@ -157,7 +161,7 @@
 
 // QueuedFragmentation returns the share of free accelerators that the largest queued shape cannot use,
 // averaged over the day; it is 0 while nothing is queued.
-func (r *Result) QueuedFragmentation() float64 { return r.unusableQueued / day.Seconds() }
+func (r *Result) QueuedFragmentation() float64 { return r.unusableQueued / Day.Seconds() }
 
 // Throughput returns the accelerator-hours of the jobs that were complete at the end of the day.
 func (r *Result) Throughput() float64 { return r.useful / time.Hour.Seconds() }
--- a/internal/planbench/run.go
+++ b/internal/planbench/run.go
@@ -27,7 +27,7 @@
 
 // task is one arrival and what has become of it.
 type task struct {
-	arrival
+	Arrival
 	job        job.Job
 	began      time.Duration
 	left       time.Duration
@@ -60,7 +60,7 @@
 		tasks: map[string]*task{}, aside: map[string]time.Time{}, result: newResult(s, policy),
 	}
 	arrivals := slices.Clone(s.arrivals)
-	slices.SortStableFunc(arrivals, func(a, b arrival) int { return cmp.Compare(a.at, b.at) })
+	slices.SortStableFunc(arrivals, func(a, b Arrival) int { return cmp.Compare(a.at, b.at) })
 	for len(arrivals) > 0 || len(r.live) > 0 {
 		next := r.next(arrivals)
 		r.result.elapse(r, next-r.now)
@@ -77,7 +77,7 @@
 }
 
 // next returns the time of the next change, rounded up to the planner's period of a second.
-func (r *run) next(arrivals []arrival) time.Duration {
+func (r *run) next(arrivals []Arrival) time.Duration {
 	next := r.now + time.Minute
 	if len(arrivals) > 0 {
 		next = min(next, arrivals[0].at)
@@ -90,8 +90,8 @@
 	return max(next, r.now+time.Second).Truncate(time.Second)
 }
 
-func (r *run) arrive(a arrival) {
-	t := &task{arrival: a, job: job.New(a.spec), left: a.runs, guaranteed: true}
+func (r *run) arrive(a Arrival) {
+	t := &task{Arrival: a, job: job.New(a.spec), left: a.runs, guaranteed: true}
 	for _, o := range r.live {
 		if o.spec.Workspace() == a.spec.Workspace() {
 			t.guaranteed = false
@@ -173,13 +173,13 @@
 	for _, t := range r.live {
 		jobs = append(jobs, t.job)
 		if t.job.Placed() {
-			opts = append(opts, plan.WithProgress(plan.NewProgress(t.spec.ID(), epoch.Add(t.began)).WithCheckpoint(time.Time{}, checkpointTime)))
+			opts = append(opts, plan.WithProgress(plan.NewProgress(t.spec.ID(), Epoch.Add(t.began)).WithCheckpoint(time.Time{}, checkpointTime)))
 		}
 	}
 	for _, w := range slices.Sorted(maps.Keys(r.aside)) {
 		opts = append(opts, plan.WithSetAside(w, r.aside[w]))
 	}
-	for _, d := range r.planner.Decide(plan.NewView(r.scenario.workers, jobs, r.scenario.spaces, opts...), epoch.Add(r.now)) {
+	for _, d := range r.planner.Decide(plan.NewView(r.scenario.workers, jobs, r.scenario.spaces, opts...), Epoch.Add(r.now)) {
 		switch d := d.(type) {
 		case plan.Place:
 			r.place(r.tasks[d.Job()], d.Members())
@@ -213,7 +213,7 @@
 		return
 	}
 	for _, m := range members {
-		r.starts = append(r.starts, plan.NewStart(m.Worker(), t.spec.ID(), epoch.Add(r.now), m.Worker() != r.scenario.broken))
+		r.starts = append(r.starts, plan.NewStart(m.Worker(), t.spec.ID(), Epoch.Add(r.now), m.Worker() != r.scenario.broken))
 	}
 	r.starts = r.starts[max(0, len(r.starts)-startsKept):]
 }
