--- a/cmd/planbench/main.go
+++ b/cmd/planbench/main.go
@@ -30,12 +30,12 @@
 }
 
 func compare(_ context.Context, c *cli.Command) error {
-	scenarios, err := planbench.Scenarios(c.Uint64("seed"))
+	all, err := scenarios(c.Uint64("seed"))
 	if err != nil {
 		return err
 	}
 	var results []*planbench.Result
-	for _, s := range scenarios {
+	for _, s := range all {
 		if only := c.String("scenario"); only != "" && only != s.Name() {
 			continue
 		}
@@ -43,7 +43,7 @@
 			results = append(results, planbench.Run(s, p))
 		}
 	}
-	if err := planbench.WriteTable(os.Stdout, results); err != nil {
+	if err := writeTable(os.Stdout, results); err != nil {
 		return err
 	}
 	path := c.String("chart")
@@ -54,7 +54,7 @@
 	if err != nil {
 		return err
 	}
-	if err := planbench.WriteChart(f, results); err != nil {
+	if err := writeChart(f, results); err != nil {
 		_ = f.Close()
 		return err
 	}
