--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -84,10 +84,12 @@
 	}
 	stop := s.Watch(ctx)
 	defer stop()
-	defer s.Cancel()
 	_ = s.SetDeadline(r.Deadline())
 	result, inFlight, err := e.exchange(ctx, s, r, target)
-	if err != nil {
+	if err == nil {
+		s.Finish()
+	} else {
+		s.Cancel()
 		e.logger.Warn("exchange failed", "request", r.ID(), "endpoint", target.Name(), "error", err)
 		if link.NotServed(err) {
 			return request.NewRefused(outcome.Incompatible, "the agent did not take up the request", retryLater)
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -97,6 +97,10 @@
 			assert.Error(t, <-failed)
 		}
 		assert.Less(t, time.Since(begun), 3*time.Second)
+		begun = time.Now()
+		_, err := w.pool.Open(context.Background(), "127.0.0.1:9")
+		assert.Error(t, err)
+		assert.Less(t, time.Since(begun), time.Second, "a later caller waits for a dial that is likely to fail")
 	})
 	t.Run("a caller that gives up", func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
--- a/internal/link/pool.go
+++ b/internal/link/pool.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"fmt"
 	"maps"
 	"sync"
@@ -24,8 +25,12 @@
 type slot struct {
 	current atomic.Pointer[quic.Conn]
 	dials   singleflight.Group
+	failed  atomic.Bool // the latest dial failed
 }
 
+// errUnreachable is returned while an address that did not answer is dialed again, so that not every caller waits.
+var errUnreachable = errors.New("the latest dial failed and the next one is under way")
+
 // NewPool returns an empty pool that dials with the given TLS configuration.
 func NewPool(tlsConfig *tls.Config) *Pool {
 	p := &Pool{tls: tlsConfig}
@@ -41,15 +46,22 @@
 		}
 	}()
 	at := p.slot(address)
-	c, err := p.connect(ctx, at, address)
-	if err != nil {
-		return nil, err
-	}
-	stream, err := c.OpenStreamSync(ctx)
-	if err != nil {
-		return nil, err
+	// A connection can end between its choice and the opening of the stream, so a second one is tried.
+	for range 2 {
+		var c *quic.Conn
+		if c, err = p.connect(ctx, at, address); err != nil {
+			return nil, err
+		}
+		var stream *quic.Stream
+		if stream, err = c.OpenStreamSync(ctx); err == nil {
+			return &Stream{stream: stream, connection: c}, nil
+		}
+		if ctx.Err() != nil {
+			return nil, err
+		}
+		at.current.CompareAndSwap(c, nil)
 	}
-	return &Stream{stream: stream, connection: c}, nil
+	return nil, err
 }
 
 // Forget closes the connection to address, so that the next stream uses a new one from a new local port.
@@ -74,6 +86,9 @@
 		return c, nil
 	}
 	dialed := at.dials.DoChan("", func() (any, error) { return p.dial(context.WithoutCancel(ctx), at, address) })
+	if at.failed.Load() {
+		return nil, errUnreachable
+	}
 	select {
 	case d := <-dialed:
 		if d.Err != nil {
@@ -92,7 +107,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
 	defer cancel()
-	if c, err = quic.DialAddr(ctx, address, p.tls, config()); err != nil {
+	c, err = quic.DialAddr(ctx, address, p.tls, config())
+	at.failed.Store(err != nil)
+	if err != nil {
 		return nil, err
 	}
 	at.current.Store(c)
--- a/internal/link/stream.go
+++ b/internal/link/stream.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"errors"
+	"io"
 	"net"
 	"time"
 
@@ -25,6 +26,14 @@
 // CloseWrite ends this side in order.
 func (s *Stream) CloseWrite() error { return s.stream.Close() }
 
+// Finish ends both sides in order after the peer's last message was read.
+func (s *Stream) Finish() {
+	_ = s.stream.Close()
+	if _, err := s.stream.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
+		s.stream.CancelRead(codeDone)
+	}
+}
+
 // Cancel gives up both sides; the peer's context ends.
 func (s *Stream) Cancel() {
 	s.stream.CancelRead(codeCancel)
