--- a/cmd/rosemarywind/main.go
+++ b/cmd/rosemarywind/main.go
@@ -24,7 +24,7 @@
 		Name:  "rosemarywind",
 		Usage: "scheduler for multi-accelerator jobs under workspace guarantees",
 		Commands: []*cli.Command{
-			entryCommand(), agentCommand(), controlCommand(), demoCommand(),
+			entryCommand(), agentCommand(), controlCommand(), demoCommand(), loadCommand(),
 		},
 	}
 	if err := app.Run(ctx, os.Args); err != nil {
--- a/internal/route/choose_test.go
+++ b/internal/route/choose_test.go
@@ -4,9 +4,11 @@
 	"fmt"
 	"math/rand/v2"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 
+	"rosemarywind.example/rosemarywind/internal/board"
 	"rosemarywind.example/rosemarywind/internal/fleet"
 	"rosemarywind.example/rosemarywind/internal/route"
 )
@@ -47,6 +49,39 @@
 	}
 }
 
+// BenchmarkChooseWhileRepublished chooses while a writer publishes a snapshot with one changed endpoint each millisecond.
+func BenchmarkChooseWhileRepublished(b *testing.B) {
+	for _, n := range []int{11, 7200} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			section := board.NewSection(snapshot(n))
+			done, ended := make(chan struct{}), make(chan struct{})
+			go func() {
+				defer close(ended)
+				t := time.NewTicker(time.Millisecond)
+				defer t.Stop()
+				for {
+					select {
+					case <-t.C:
+						s := section.Load()
+						section.Publish(s.With(s.Revision()+1, []fleet.Endpoint{endpoint(0)}, nil))
+					case <-done:
+						return
+					}
+				}
+			}()
+			b.ReportAllocs()
+			b.RunParallel(func(p *testing.PB) {
+				random := rand.New(rand.NewPCG(1, 2))
+				for p.Next() {
+					route.Choose(section.Load(), random, nil)
+				}
+			})
+			close(done)
+			<-ended
+		})
+	}
+}
+
 func assertNone(t *testing.T, s *fleet.Snapshot, random route.Random, excluded ...string) {
 	t.Helper()
 	_, ok := route.Choose(s, random, excluded)
