--- a/cmd/rosemarywind/main.go
+++ b/cmd/rosemarywind/main.go
@@ -18,7 +18,7 @@
 		Name:  "rosemarywind",
 		Usage: "scheduler for multi-accelerator jobs under workspace guarantees",
 		Commands: append([]*cli.Command{
-			entryCommand(), agentCommand(), controlCommand(), demoCommand(),
+			entryCommand(), agentCommand(), controlCommand(), demoCommand(), loadCommand(),
 		}, operator.Commands()...),
 	}
 	app.ErrWriter = os.Stderr
--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -19,6 +19,8 @@
 	// settleTimeout covers a change of leader, which takes up to 2 s.
 	settleTimeout = 5 * time.Second
 	settlePause   = 250 * time.Millisecond
+	// settleTry keeps one try at a leader that has died from taking up all the time.
+	settleTry = time.Second
 	// keptAnswerBytes bounds the answer that the ledger keeps for resends.
 	keptAnswerBytes = 4 << 10
 )
@@ -90,7 +92,7 @@
 	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
 	defer cancel()
 	for {
-		_, err := e.propose(ctx, registry.NewSettleKey(r.Workspace(), r.Key(), number, ending, time.Now()))
+		err := e.settleOnce(ctx, registry.NewSettleKey(r.Workspace(), r.Key(), number, ending, time.Now()))
 		if err == nil {
 			return
 		}
@@ -101,6 +103,13 @@
 	}
 }
 
+func (e *Entry) settleOnce(ctx context.Context, c registry.SettleKey) error {
+	ctx, cancel := context.WithTimeout(ctx, settleTry)
+	defer cancel()
+	_, err := e.propose(ctx, c)
+	return err
+}
+
 // propose sends a command to the leader and returns the state machine's answer.
 func (e *Entry) propose(ctx context.Context, c registry.Command) (result registry.Result, err error) {
 	defer func() {
--- a/internal/entry/metrics.go
+++ b/internal/entry/metrics.go
@@ -28,7 +28,7 @@
 	outcome.NoEndpoint, outcome.NoSlot, outcome.Leaving, outcome.EndpointSilent, outcome.DeadlineExceeded,
 	outcome.Cancelled, outcome.KeyInProgress, outcome.KeyReused, outcome.KeyUnknown, outcome.AnswerExpired,
 	outcome.ControlAway, outcome.ConnectionLost, outcome.AnswerTruncated, outcome.Stopping, outcome.StaleIncarnation,
-	otherReason,
+	outcome.Incompatible, otherReason,
 }
 
 // metrics counts what callers were told; its maps are not changed after New.
--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -65,7 +65,12 @@
 
 func (s *Server) connection(ctx context.Context, c *quic.Conn, handler Handler) {
 	stop := context.AfterFunc(ctx, func() { _ = c.CloseWithError(s.closingCode(), "stopped") })
-	defer stop()
+	defer func() {
+		// AcceptStream may return before the function above has begun, and then nothing else closes the connection.
+		if stop() && ctx.Err() != nil {
+			_ = c.CloseWithError(s.closingCode(), "stopped")
+		}
+	}()
 	for {
 		stream, err := c.AcceptStream(ctx)
 		if err != nil {
