Drop claims when cells move, count late usage, add weights

Cause: TestAnyOrder: a worker came back, the cells moved, and a claim made under the old cells let workspace s0 take accelerators of s1's new cell, so that s1 got its guaranteed shape one decision too late. The view's usage reports had no effect, and the weights had no option. Change: claims end when a cell is assigned anew; a report of at most 10 s of age keeps accelerators back that no placed job accounts for; WithWeights lets small patient jobs beyond their guarantee spare idle workers. Ruled out: a default for the weights.

--- a/internal/plan/guarantee.go
+++ b/internal/plan/guarantee.go
@@ -1,6 +1,8 @@
 package plan
 
 import (
+	"maps"
+
 	"rosemarywind.example/rosemarywind/internal/workspace"
 )
 
@@ -30,6 +32,8 @@
 		}
 	}
 	if len(missing) > 0 {
+		// A claim made under other cells may lie in what is now another workspace's cell.
+		maps.DeleteFunc(p.planner.holds, func(_ string, h hold) bool { return h.claim })
 		added, failed := assignCells(free, missing)
 		if failed != "" {
 			free = top.idle(func(i int32) bool { return p.state.sites[i].usable })
--- a/internal/plan/pass.go
+++ b/internal/plan/pass.go
@@ -135,6 +135,14 @@
 		p.decide(Wait{spec.ID(), reason})
 		return
 	}
+	if !q.guaranteed && !holds && p.sparing(q) {
+		if sites := p.findBroken(q); sites != nil {
+			p.place(q, sites, "placed on a worker that is in use already")
+			return
+		}
+		p.decide(Wait{spec.ID(), fmt.Sprintf("waits up to %s for a worker that is in use already, to keep whole workers free", p.planner.sparing)})
+		return
+	}
 	if sites, how := p.search(q); sites != nil {
 		if holds {
 			clear(p.blocked)
@@ -184,11 +192,7 @@
 
 // search looks for free accelerators, those that no owner can reclaim first.
 func (p *pass) search(q waiting) (sites []int32, how string) {
-	free := p.state.safe
-	if q.job.Spec().Checkpointable() {
-		free = p.state.loan
-	}
-	if sites = p.findWithOwn(free, q, (*pool).findBroken); sites != nil {
+	if sites = p.findBroken(q); sites != nil {
 		return sites, "placed on a worker that is in use already"
 	}
 	if sites, how = p.searchSafe(q); sites != nil {
@@ -200,6 +204,23 @@
 	return nil, ""
 }
 
+// findBroken looks for room on a worker that is in use already, on lent accelerators only for
+// a job that can be checkpointed.
+func (p *pass) findBroken(q waiting) []int32 {
+	free := p.state.safe
+	if q.job.Spec().Checkpointable() {
+		free = p.state.loan
+	}
+	return p.findWithOwn(free, q, (*pool).findBroken)
+}
+
+// sparing reports whether a small patient job still waits rather than break a whole idle worker.
+func (p *pass) sparing(q waiting) bool {
+	s := q.job.Spec()
+	return s.Urgency() == job.Patient && p.now.Sub(s.SubmittedAt()) < p.planner.sparing &&
+		reach(s.Shape()) == 0 && s.Shape().Total() < p.planner.top.largest
+}
+
 func (p *pass) searchSafe(q waiting) (sites []int32, how string) {
 	return p.findWithOwn(p.state.safe, q, (*pool).find), "placed on the workspace's own and common accelerators"
 }
--- a/internal/plan/plan_test.go
+++ b/internal/plan/plan_test.go
@@ -164,3 +164,25 @@
 		requirePlace(t, plan.New().Decide(v, start.Add(2*time.Minute)), "a")
 	})
 }
+
+// Guards against accelerators that are given away while a worker still reports them in use.
+func TestLateUsage(t *testing.T) {
+	j := jobOf(t, "a", "x", shapeOf(t, 1, 4, workspace.Anywhere))
+	view := func(at time.Time) plan.View {
+		return plan.NewView(workersOf(1, 1), []job.Job{j}, nil, plan.WithUsage(plan.NewUsage("w0", at, 5)))
+	}
+	t.Run("a fresh report holds accelerators back", func(t *testing.T) {
+		requireWait(t, plan.New().Decide(view(start.Add(-time.Second)), start), "a")
+	})
+	t.Run("an old report does not", func(t *testing.T) {
+		requirePlace(t, plan.New().Decide(view(start.Add(-time.Minute)), start), "a")
+	})
+}
+
+// Guards against a weight on fragmentation that has no effect or keeps a job waiting for ever.
+func TestWeights(t *testing.T) {
+	p := plan.New(plan.WithWeights(1, 5))
+	v := plan.NewView(workersOf(3, 1), []job.Job{jobOf(t, "a", "x", shapeOf(t, 1, 1, workspace.Anywhere))}, nil)
+	t.Run("a small job spares an idle worker", func(t *testing.T) { requireWait(t, p.Decide(v, start.Add(4*time.Minute)), "a") })
+	t.Run("but not for ever", func(t *testing.T) { requirePlace(t, p.Decide(v, start.Add(5*time.Minute)), "a") })
+}
--- a/internal/plan/planner.go
+++ b/internal/plan/planner.go
@@ -26,6 +26,7 @@
 	failures     int
 
 	reservations int
+	sparing      time.Duration
 
 	top        *topology
 	cells      map[string]cell
@@ -60,6 +61,17 @@
 // WithReservations sets how many blocked jobs hold accelerators at once.
 func WithReservations(n int) Option { return func(p *Planner) { p.reservations = n } }
 
+// WithWeights weighs completion time against fragmentation: a small patient job waits one minute times
+// fragmentation over completion before it breaks a whole idle worker. The default is not to wait.
+func WithWeights(completion, fragmentation float64) Option {
+	return func(p *Planner) {
+		p.sparing = 0
+		if completion > 0 && fragmentation > 0 {
+			p.sparing = time.Duration(fragmentation / completion * float64(time.Minute))
+		}
+	}
+}
+
 // WithPolicy chooses the policy; the default is Reserving.
 func WithPolicy(policy Policy) Option { return func(p *Planner) { p.policy = policy } }
 
--- a/internal/plan/state.go
+++ b/internal/plan/state.go
@@ -64,9 +64,26 @@
 			s.use(j, backfilled[j.Spec().ID()])
 		}
 	}
+	s.holdBack(v, now)
 	return s
 }
 
+// reportAge is how long a report counts; workers report each second, so an older one says nothing about now.
+const reportAge = 10 * time.Second
+
+// holdBack takes accelerators off that a worker reports in use by tasks that no placed job accounts for,
+// as after a change of leader or a stop that has not taken effect yet.
+func (s *state) holdBack(v View, now time.Time) {
+	for name, r := range v.usage {
+		site, ok := s.top.byName[name]
+		if !ok || now.Sub(r.at) > reportAge {
+			continue
+		}
+		u, capacity := &s.sites[site], s.top.sites[site].capacity
+		u.free = min(u.free, max(0, capacity-r.inUse))
+	}
+}
+
 // owner returns the number of a workspace, also of one that the configuration no longer has.
 func (s *state) owner(name string) int32 {
 	o, ok := s.owners[name]
