--- a/identity_test.go
+++ b/identity_test.go
@@ -57,7 +57,7 @@
 		_ = wire.WriteOrders(stream, []task.Order{task.NewReserve(task.NewID("j", 0), 1, 1, 8, time.Hour, "")})
 		_, err := wire.ReadReplies(stream, 1)
 		require.Error(t, err)
-		assertLogged(t, log, "orders refused")
+		assertLogged(t, log, "entry/e77")
 	})
 }
 
