Test that a running gang outlives its leader

Red when the new leader renews nothing (the gang runs again under a second fence). It stays green when absent workers count as silent at once, since all agents announce themselves within milliseconds here; TestAdoption covers that.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -100,12 +100,17 @@
 // apiTimeout bounds how long an operator's client may take to send a request.
 const apiTimeout = 10 * time.Second
 
+// transferTimeout bounds the wait for another member, which may be stopping too.
+const transferTimeout = 3 * time.Second
+
 func (c *Control) stop(ctx context.Context, api *http.Server) {
 	c.logger.Info("stopping", "grace", c.grace.String())
 	ctx, cancel := context.WithTimeout(ctx, c.grace)
 	defer cancel()
 	_ = api.Shutdown(ctx)
 	if c.node.Status().Load().Ready(time.Now()) {
+		ctx, cancel := context.WithTimeout(ctx, transferTimeout)
+		defer cancel()
 		if err := c.node.Transfer(ctx); err != nil {
 			c.logger.Warn("leadership not handed on", "error", err)
 		}
--- a/operator_test.go
+++ b/operator_test.go
@@ -12,20 +12,31 @@
 	"github.com/stretchr/testify/require"
 )
 
-// requireCalled sends an operator's request to the first control host and returns the answer.
+// requireCalled sends an operator's request to the control host that leads and returns the answer.
 func requireCalled(t *testing.T, s *System, path, body string) (answer map[string]any) {
 	t.Helper()
-	h, err := http.NewRequestWithContext(t.Context(), http.MethodPost, s.ControlURLs()[0]+path, bytes.NewBufferString(body))
+	status, data := 0, []byte(nil)
+	for _, url := range s.ControlURLs() {
+		if status, data = requirePosted(t, s, url+path, body); status != http.StatusMisdirectedRequest {
+			break
+		}
+	}
+	require.Equal(t, http.StatusOK, status, string(data))
+	require.NoError(t, json.Unmarshal(data, &answer))
+	return answer
+}
+
+func requirePosted(t *testing.T, s *System, url, body string) (status int, data []byte) {
+	t.Helper()
+	h, err := http.NewRequestWithContext(t.Context(), http.MethodPost, url, bytes.NewBufferString(body))
 	require.NoError(t, err)
 	h.Header.Set("Authorization", "Bearer "+s.OperatorToken())
 	r, err := http.DefaultClient.Do(h)
 	require.NoError(t, err)
 	defer func() { _ = r.Body.Close() }()
-	data, err := io.ReadAll(r.Body)
+	data, err = io.ReadAll(r.Body)
 	require.NoError(t, err)
-	require.Equal(t, http.StatusOK, r.StatusCode, string(data))
-	require.NoError(t, json.Unmarshal(data, &answer))
-	return answer
+	return r.StatusCode, data
 }
 
 // requireDeclared declares workspaces with a guarantee of two members of eight accelerators in one rack each.
--- a/watch_test.go
+++ b/watch_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -11,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"rosemarywind.example/rosemarywind/internal/agent"
+	"rosemarywind.example/rosemarywind/internal/control"
 	"rosemarywind.example/rosemarywind/internal/job"
 	"rosemarywind.example/rosemarywind/internal/task"
 )
@@ -25,10 +27,31 @@
 	t.Run("a lost hub stops the others", func(t *testing.T) { assertLossStops(t, 0, 1, 2) })
 }
 
+// TestGangOutlivesLeader guards against a change of leader that stops running gangs, or after which
+// nobody renews their leases.
+func TestGangOutlivesLeader(t *testing.T) {
+	s, stops := requireSplit(t, 3, WithTaskLease(6*time.Second))
+	before := requireGang(t, s)
+	leader := slices.Index(s.controls, requireLeader(t, s, s.controls))
+	stops[leader]()
+	others := slices.Delete(slices.Clone(s.controls), leader, leader+1)
+	next := requireLeader(t, s, others)
+	select {
+	case <-time.After(2 * 6 * time.Second):
+	case <-t.Context().Done():
+	}
+	j, _ := next.Board().State().Load().Jobs().Get(before.Spec().ID())
+	assert.Equal(t, job.Started, j.State(), j.Reason())
+	assert.Equal(t, before.Fence(), j.Fence())
+	for _, a := range s.agents {
+		requireTask(t, a, task.Running, time.Second)
+	}
+}
+
 // assertLossStops runs a gang of three workers, takes control away, and then the worker lost.
 func assertLossStops(t *testing.T, lost int, others ...int) {
 	t.Helper()
-	s, stops := requireSplit(t)
+	s, stops := requireSplit(t, 1)
 	order := make([]int, 3) // the system's worker of each member
 	for i, m := range requireGang(t, s).Members() {
 		_, _ = fmt.Sscanf(m.Worker(), "w%d", &order[i])
@@ -54,14 +77,20 @@
 
 const startLimit = 20 * time.Second
 
-// requireSplit runs a system whose control host and three workers can be stopped one by one.
-func requireSplit(t *testing.T) (s *System, stops []context.CancelFunc) {
+// requireSplit runs a system whose control hosts and three workers can be stopped one by one, in this order.
+func requireSplit(t *testing.T, controls int, opts ...Option) (s *System, stops []context.CancelFunc) {
 	t.Helper()
-	s, err := New(time.Now(), WithFolder(t.TempDir()), WithHosts(1, 0, 3))
+	s, err := New(time.Now(), append(opts, WithFolder(t.TempDir()), WithHosts(controls, 0, 3))...)
 	require.NoError(t, err)
+	var parts [][]func(context.Context) error
+	for i := range controls {
+		parts = append(parts, s.runs[i:i+1])
+	}
+	for i := controls; i < len(s.runs); i += 2 { // a stand-in and its agent
+		parts = append(parts, s.runs[i:i+2])
+	}
 	var g errgroup.Group
-	// The first one runs control, the others a stand-in and its agent each.
-	for _, runs := range [][]func(context.Context) error{s.runs[:1], s.runs[1:3], s.runs[3:5], s.runs[5:7]} {
+	for _, runs := range parts {
 		ctx, cancel := context.WithCancel(context.Background())
 		stops = append(stops, cancel)
 		for _, f := range runs {
@@ -74,15 +103,40 @@
 		}
 		assert.NoError(t, g.Wait())
 	})
-	for s.controls[0].Board().Roster().Load().Snapshot().Len() < 3 {
-		_, changed := s.controls[0].Board().Roster().Watch()
-		if s.controls[0].Board().Roster().Load().Snapshot().Len() < 3 {
-			requireChange(t, changed)
-		}
-	}
+	requireLeader(t, s, s.controls)
 	return s, stops
 }
 
+// requireLeader returns the control host that all workers announce themselves to.
+func requireLeader(t *testing.T, s *System, among []*control.Control) *control.Control {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), startLimit)
+	defer cancel()
+	found := make(chan *control.Control, len(among))
+	for _, c := range among {
+		go func() {
+			for ctx.Err() == nil {
+				r, changed := c.Board().Roster().Watch()
+				if r.Snapshot().Len() == len(s.agents) {
+					found <- c
+					return
+				}
+				select {
+				case <-changed:
+				case <-ctx.Done():
+				}
+			}
+		}()
+	}
+	select {
+	case c := <-found:
+		return c
+	case <-ctx.Done():
+		require.Fail(t, "no control host knows all workers")
+		return nil
+	}
+}
+
 // requireGang has control run a job with a member on each worker.
 func requireGang(t *testing.T, s *System) job.Job {
 	t.Helper()
