Record the length of a gang's leases, and put declared defaults in force

Cause: a leader counted task leases with the length in its own settings; after a change of leader or of settings it could count a shorter lease than the workers hold and give their accelerators away too early. Declared defaults and exceptions for leases and retries were parsed but no role took them up. Ruled out: a length in each renewal's answer, which a new leader has not seen. Change: the reservation's record in the ledger holds the length; it comes from the shortest exception of the gang's workers, the workspace, the fleet's default or the settings. Announcement leases follow the worker, retry budgets the workspace. Conclusion: two leaders with different settings count the same lease.

--- a/cmd/rosemarywind/roles.go
+++ b/cmd/rosemarywind/roles.go
@@ -25,6 +25,7 @@
 	"rosemarywind.example/rosemarywind/internal/ledger/storage"
 	"rosemarywind.example/rosemarywind/internal/link"
 	"rosemarywind.example/rosemarywind/internal/operator"
+	"rosemarywind.example/rosemarywind/internal/plan"
 	"rosemarywind.example/rosemarywind/internal/settings"
 	"rosemarywind.example/rosemarywind/internal/telemetry"
 )
@@ -136,6 +137,7 @@
 	}
 	c, err := control.New(
 		control.WithLogger(p.logger), control.WithTLS(p.keys.Client("agent"), p.keys.Client("control")),
+		control.WithPlanner(plan.WithWeights(s.CompletionWeight(), s.FragmentationWeight())),
 		control.WithServer(server), control.WithListener(l), control.WithLeases(s.AnnounceLease(), s.TaskLease()),
 		control.WithOperatorDigests(s.OperatorTokenDigests()), control.WithGrace(s.StopGrace()),
 		control.WithMonitor(p.monitor()), control.WithMetrics(p.registry),
--- a/internal/control/bench_test.go
+++ b/internal/control/bench_test.go
@@ -78,7 +78,7 @@
 		for k := range benchMembers {
 			members = append(members, job.NewMember(k, fmt.Sprintf("w%d", (i*benchMembers+k)%benchWorkers), 1))
 		}
-		requireState(b, c.board, registry.NewReserveGang(id, members))
+		requireState(b, c.board, registry.NewReserveGang(id, members, time.Minute))
 		j, _ := c.board.state.Load().Jobs().Get(id)
 		requireState(b, c.board, registry.NewStartGang(id, j.Fence()))
 	}
--- a/internal/control/follow.go
+++ b/internal/control/follow.go
@@ -56,7 +56,7 @@
 
 // adopt returns what is known of a job that this process has not followed under its fence.
 func (g *gangs) adopt(j job.Job, roster *Roster, now time.Time) *followed {
-	f := &followed{progress: gang.NewProgress(j, g.control.taskLease, g.term, now), state: j.State(), dirty: true}
+	f := &followed{progress: gang.NewProgress(j, g.term, now), state: j.State(), dirty: true}
 	if j.Fence() <= g.adopted {
 		f.progress = f.progress.Adopted()
 	}
--- a/internal/control/gangs_test.go
+++ b/internal/control/gangs_test.go
@@ -113,7 +113,7 @@
 	for i, w := range workers {
 		members = append(members, job.NewMember(i, w, 1))
 	}
-	requireApplied(t, b, registry.NewReserveGang(id, members))
+	requireApplied(t, b, registry.NewReserveGang(id, members, time.Minute))
 	j, _ := b.state.Load().Jobs().Get(id)
 	return j
 }
--- a/internal/control/keeper.go
+++ b/internal/control/keeper.go
@@ -8,6 +8,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"rosemarywind.example/rosemarywind/internal/board"
+	"rosemarywind.example/rosemarywind/internal/declaration"
 	"rosemarywind.example/rosemarywind/internal/fleet"
 	"rosemarywind.example/rosemarywind/internal/lease"
 )
@@ -109,7 +110,7 @@
 			return false
 		}
 	}
-	p := presence{announcement: a, lease: lease.NewGranted(now, k.length)}
+	p := presence{announcement: a, lease: lease.NewGranted(now, k.lengthOf(e.Name()))}
 	k.present[e.Name()] = p
 	if over := p.lease.OverAt(); k.sweepAt.IsZero() || over.Before(k.sweepAt) {
 		k.sweepAt = over
@@ -276,3 +277,8 @@
 	}
 	return max(0, due.Sub(now))
 }
+
+// lengthOf returns how long an announcement of a worker counts.
+func (k *keeper) lengthOf(worker string) time.Duration {
+	return declaration.AnnounceLeaseOf(k.board.state.Load().Config(), worker, k.length)
+}
--- a/internal/control/scheduler.go
+++ b/internal/control/scheduler.go
@@ -8,6 +8,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"rosemarywind.example/rosemarywind/internal/board"
+	"rosemarywind.example/rosemarywind/internal/declaration"
 	"rosemarywind.example/rosemarywind/internal/fleet"
 	"rosemarywind.example/rosemarywind/internal/job"
 	"rosemarywind.example/rosemarywind/internal/plan"
@@ -109,7 +110,7 @@
 		switch t := d.(type) {
 		case plan.Place:
 			explains = explains.With(t.Job(), t.Explanation())
-			commit(registry.NewReserveGang(t.Job(), t.Members()))
+			commit(registry.NewReserveGang(t.Job(), t.Members(), s.lease(t)))
 		case plan.Reject:
 			explains = explains.With(t.Job(), t.Explanation())
 			commit(registry.NewEndJob(t.Job(), 0, job.Rejected, t.Reason(), now))
@@ -182,3 +183,17 @@
 	}
 	return plan.NewView(workers, jobs, state.Config().Workspaces(), opts...), explains
 }
+
+// lease returns the length of the task leases of a placement, as the configuration declares it.
+func (s *scheduler) lease(p plan.Place) time.Duration {
+	state := s.control.board.state.Load()
+	j, ok := state.Jobs().Get(p.Job())
+	if !ok {
+		return s.control.taskLease
+	}
+	var workers []string
+	for _, m := range p.Members() {
+		workers = append(workers, m.Worker())
+	}
+	return declaration.TaskLeaseOf(state.Config(), j.Spec().Workspace(), workers, s.control.taskLease)
+}
--- a/internal/control/streams.go
+++ b/internal/control/streams.go
@@ -57,7 +57,7 @@
 		}
 		drained, _ := c.board.state.Load().Drained().Get(a.Endpoint().Name())
 		_ = s.SetDeadline(time.Now().Add(writeTimeout))
-		if wire.WriteReceipt(s, fleet.NewReceipt(c.announceLease, drained)) != nil {
+		if wire.WriteReceipt(s, fleet.NewReceipt(c.keeper.lengthOf(a.Endpoint().Name()), drained)) != nil {
 			return
 		}
 	}
--- a/internal/declaration/value.go
+++ b/internal/declaration/value.go
@@ -27,13 +27,26 @@
 		return nil
 	}
 	if text, ok := c.Value(target, string(key)); ok {
-		if v, err := document.Convert(d.kind, rawOf(d, text)); err == nil {
+		if v := convert(key, text); v != nil {
 			return v
 		}
 	}
 	return d.fallback
 }
 
+// convert returns the value that a configuration holds as text, nil if the text does not fit the key.
+func convert(key Key, text string) any {
+	d, ok := find(key)
+	if !ok {
+		return nil
+	}
+	v, err := document.Convert(d.kind, rawOf(d, text))
+	if err != nil {
+		return nil
+	}
+	return v
+}
+
 // rawOf returns the TOML form of a value that a configuration holds as text.
 func rawOf(d declared, text string) any {
 	if _, ok := d.fallback.(int64); ok {
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -18,7 +18,7 @@
 
 // serve runs an admitted request: at most once if it is not idempotent, else with retries.
 func (e *Entry) serve(ctx context.Context, r request.Request, t *ticket) request.Result {
-	e.budget.Earn()
+	t.tenure.budget.Earn()
 	if r.Idempotent() || r.Key() == "" {
 		return e.attempts(ctx, r, t)
 	}
@@ -34,7 +34,7 @@
 		if _, lost := result.(request.Lost); lost {
 			mayHaveRun = true
 		}
-		if n >= e.retryAttempts || !retryable(r, result) || ctx.Err() != nil || !e.budget.Spend() {
+		if n >= e.retryAttempts || !retryable(r, result) || ctx.Err() != nil || !t.tenure.budget.Spend() {
 			return overall(result, mayHaveRun)
 		}
 		excluded = append(excluded, t.endpoint.Name())
--- a/internal/entry/board.go
+++ b/internal/entry/board.go
@@ -5,7 +5,9 @@
 
 	"rosemarywind.example/rosemarywind/internal/admission"
 	"rosemarywind.example/rosemarywind/internal/board"
+	"rosemarywind.example/rosemarywind/internal/declaration"
 	"rosemarywind.example/rosemarywind/internal/fleet"
+	"rosemarywind.example/rosemarywind/internal/route"
 	"rosemarywind.example/rosemarywind/internal/workspace"
 )
 
@@ -51,24 +53,30 @@
 	tenures map[string]*tenure
 }
 
-// tenure is one workspace and its gate, which outlives changes of the configuration.
+// tenure is one workspace with its gate and its budget for retries, which outlive changes of the configuration.
 type tenure struct {
 	workspace workspace.Workspace
 	gate      *admission.Gate
+	budget    *route.Budget
+	share     int
 }
 
 // Config returns the configuration in force.
 func (p *Policy) Config() *workspace.Config { return p.config }
 
-func (p *Policy) with(c *workspace.Config) *Policy {
+// with returns the policy under a new configuration; retryShare counts where none is declared.
+func (p *Policy) with(c *workspace.Config, retryShare int) *Policy {
 	next := &Policy{config: c, tenures: make(map[string]*tenure, len(c.Workspaces()))}
 	for _, w := range c.Workspaces() {
-		t := &tenure{workspace: w}
+		t := &tenure{workspace: w, share: declaration.RetryShareOf(c, w.Name(), retryShare)}
 		if old, ok := p.tenures[w.Name()]; ok {
-			t.gate = old.gate
+			t.gate, t.budget = old.gate, old.budget
 		} else {
 			t.gate = admission.NewGate()
 		}
+		if old, ok := p.tenures[w.Name()]; !ok || old.share != t.share {
+			t.budget = route.NewBudget(t.share)
+		}
 		next.tenures[w.Name()] = t
 	}
 	return next
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -12,7 +12,6 @@
 
 	"rosemarywind.example/rosemarywind/internal/clock"
 	"rosemarywind.example/rosemarywind/internal/link"
-	"rosemarywind.example/rosemarywind/internal/route"
 )
 
 // Entry is the role of an entry host.
@@ -21,7 +20,6 @@
 	board    *Board
 	agents   *link.Pool
 	leaders  *link.Pool
-	budget   *route.Budget
 	queue    *dispatcher
 	buffered atomic.Int64
 	ids      *identities
@@ -39,7 +37,6 @@
 	e.board = newBoard()
 	e.agents = link.NewPool(e.agentTLS)
 	e.leaders = link.NewPool(e.controlTLS)
-	e.budget = route.NewBudget(e.retryShare)
 	e.queue = newDispatcher(e.board)
 	e.ids = newIdentities()
 	e.metrics = newMetrics(e.registry, e.queue.waiting.Load)
@@ -62,7 +59,7 @@
 	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	var g errgroup.Group
-	w := newWatcher(e.board, e.leaders, e.control, e.logger)
+	w := newWatcher(e.board, e.leaders, e.control, e.retryShare, e.logger)
 	g.Go(func() error { return w.run(inner) })
 	g.Go(func() error { return e.queue.run(inner) })
 	server := e.server()
--- a/internal/entry/revision_test.go
+++ b/internal/entry/revision_test.go
@@ -25,7 +25,7 @@
 func assertNeverLower(t *testing.T, revisions ...uint64) {
 	t.Helper()
 	b := newBoard()
-	w := newWatcher(b, nil, []string{"a:1"}, hclog.NewNullLogger())
+	w := newWatcher(b, nil, []string{"a:1"}, 10, hclog.NewNullLogger())
 	highest := uint64(0)
 	for i, r := range revisions {
 		u := fleet.NewUpdate(i%2 == 0, uint64(i), nil, nil).WithConfig(
--- a/internal/entry/watcher.go
+++ b/internal/entry/watcher.go
@@ -33,13 +33,15 @@
 	logger   hclog.Logger
 	next     int
 	followed string
+	// retryShare counts for workspaces for which none is declared, in percent.
+	retryShare int
 	// unconfirmed are the endpoints that a new leader has not listed yet, which count until confirmBy.
 	unconfirmed map[string]bool
 	confirmBy   time.Time
 }
 
-func newWatcher(b *Board, p *link.Pool, control []string, l hclog.Logger) *watcher {
-	return &watcher{board: b, pool: p, control: control, logger: l}
+func newWatcher(b *Board, p *link.Pool, control []string, retryShare int, l hclog.Logger) *watcher {
+	return &watcher{board: b, pool: p, control: control, retryShare: retryShare, logger: l}
 }
 
 // run watches the leader, and looks for it among the control hosts after each loss.
@@ -134,7 +136,7 @@
 	if err != nil {
 		return fmt.Errorf("take configuration: %w", err)
 	}
-	w.board.policy.Publish(p.with(next))
+	w.board.policy.Publish(p.with(next, w.retryShare))
 	w.logger.Info("configuration in force", "revision", next.Revision())
 	return nil
 }
--- a/internal/gang/progress.go
+++ b/internal/gang/progress.go
@@ -43,7 +43,8 @@
 
 // NewProgress returns the progress of a reservation that the leader of a term takes up now; an earlier leader
 // may have renewed each lease until now, so each counts in full.
-func NewProgress(j job.Job, length time.Duration, term uint64, now time.Time) Progress {
+func NewProgress(j job.Job, term uint64, now time.Time) Progress {
+	length := j.Lease()
 	p := Progress{
 		fence: j.Fence(), began: now, length: length, mark: task.Mark(term << termBits),
 		members: make([]memberProgress, len(j.Members())),
--- a/internal/gang/world_test.go
+++ b/internal/gang/world_test.go
@@ -199,7 +199,7 @@
 		j, _ := w.state.Jobs().Get(id)
 		p, ok := w.progress[id]
 		if !ok || p.Fence() != j.Fence() {
-			if p = gang.NewProgress(j, leaseLength, w.term, w.now); j.Fence() <= w.adopted {
+			if p = gang.NewProgress(j, w.term, w.now); j.Fence() <= w.adopted {
 				p = p.Adopted()
 			}
 		}
@@ -267,7 +267,7 @@
 	slices.SortFunc(queued, func(a, b job.Job) int { return a.Spec().SubmittedAt().Compare(b.Spec().SubmittedAt()) })
 	for _, j := range queued {
 		if members := w.fit(j.Spec().Shape(), free); members != nil {
-			w.commit(registry.NewReserveGang(j.Spec().ID(), members))
+			w.commit(registry.NewReserveGang(j.Spec().ID(), members, leaseLength))
 			return
 		}
 	}
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -45,6 +45,7 @@
 	attempts  int
 	setbacks  int
 	members   []Member
+	lease     time.Duration
 	notBefore time.Time
 	endedAt   time.Time
 }
@@ -91,6 +92,16 @@
 	return j
 }
 
+// WithLease returns the job with the length of its task leases; every leader counts with the length that
+// the workers were given, whatever its own settings say.
+func (j Job) WithLease(length time.Duration) Job {
+	j.lease = length
+	return j
+}
+
+// Lease returns the length of the task leases of the latest reservation.
+func (j Job) Lease() time.Duration { return j.lease }
+
 // Start returns the job as started, with one more attempt.
 func (j Job) Start() Job {
 	j.state, j.reason = Started, "all members reserved"
--- a/internal/registry/accessors.go
+++ b/internal/registry/accessors.go
@@ -57,8 +57,8 @@
 func (c CancelJob) At() time.Time { return c.at }
 
 // NewReserveGang returns the command.
-func NewReserveGang(id string, members []job.Member) ReserveGang {
-	return ReserveGang{id: id, members: members}
+func NewReserveGang(id string, members []job.Member, length time.Duration) ReserveGang {
+	return ReserveGang{id: id, members: members, length: length}
 }
 
 // ID returns the identity of the job.
@@ -67,6 +67,9 @@
 // Members returns where the members are placed.
 func (r ReserveGang) Members() []job.Member { return r.members }
 
+// Length returns the length of the task leases.
+func (r ReserveGang) Length() time.Duration { return r.length }
+
 // NewStartGang returns the command.
 func NewStartGang(id string, fence lease.Fence) StartGang {
 	return StartGang{id: id, fence: fence}
--- a/internal/registry/apply.go
+++ b/internal/registry/apply.go
@@ -114,7 +114,7 @@
 		return s, Denied{reason: fmt.Sprintf("job %q is not queued", c.id)}
 	}
 	s.fence = s.fence.Next()
-	s = s.withJob(j.Reserve(s.fence, c.members))
+	s = s.withJob(j.Reserve(s.fence, c.members).WithLease(c.length))
 	return s, Accepted{revision: s.config.Revision(), jobID: c.id, fence: s.fence}
 }
 
--- a/internal/registry/command.go
+++ b/internal/registry/command.go
@@ -38,10 +38,11 @@
 	at        time.Time
 }
 
-// ReserveGang places a queued job.
+// ReserveGang places a queued job under task leases of the given length.
 type ReserveGang struct {
 	id      string
 	members []job.Member
+	length  time.Duration
 }
 
 // StartGang marks a reserved job as started.
--- a/internal/registry/fuzz_test.go
+++ b/internal/registry/fuzz_test.go
@@ -156,7 +156,7 @@
 	fence := before.Fence() - lease.Fence(rapid.IntRange(0, int(min(1, before.Fence()))).Draw(t, "behind"))
 	switch rapid.IntRange(0, 3).Draw(t, "step") {
 	case 0:
-		if a, ok := l.apply(registry.NewReserveGang(id, []job.Member{job.NewMember(0, "w1", 1)})).(registry.Accepted); ok {
+		if a, ok := l.apply(registry.NewReserveGang(id, []job.Member{job.NewMember(0, "w1", 1)}, time.Minute)).(registry.Accepted); ok {
 			require.False(t, l.fences[a.Fence()], "fence %d was given out twice", a.Fence())
 			l.fences[a.Fence()] = true
 		}
@@ -180,7 +180,7 @@
 		if queued[id].State() != job.Queued {
 			continue
 		}
-		a := l.require(registry.NewReserveGang(id, []job.Member{job.NewMember(0, "w1", 1)}))
+		a := l.require(registry.NewReserveGang(id, []job.Member{job.NewMember(0, "w1", 1)}, time.Minute))
 		require.False(l.t, l.fences[a.Fence()], "fence %d was given out twice", a.Fence())
 		l.fences[a.Fence()] = true
 		l.require(registry.NewStartGang(id, a.Fence()))
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -96,7 +96,7 @@
 	taskLeaseKey     = duration("task_lease", 5*time.Second, time.Hour, "time for which a task runs without a renewal").withDefault("2m")
 	tokenDigestsKey  = digests("operator_token_digests", "digests of the operators' tokens; without one operators are refused").withDefault([]any{})
 	completionKey    = number("planner.completion_weight", 0, 100, "weight of completion time in a placement").withDefault(1.0)
-	fragmentationKey = number("planner.fragmentation_weight", 0, 100, "weight of fragmentation in a placement").withDefault(1.0)
+	fragmentationKey = number("planner.fragmentation_weight", 0, 100, "weight of fragmentation; over the weight of completion it is the minutes that a small patient job waits before it breaks a whole idle worker, 0 for none").withDefault(0.0)
 
 	controlKeys = []declared{
 		dataKey.declared, controlListenKey.declared, announceLeaseKey.declared, taskLeaseKey.declared,
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -89,7 +89,7 @@
 		assertRefused(t, settings.RoleEntry, entryText+"stop.grace = \"11\"", 7, "stop.grace", "not a duration")
 	})
 	t.Run("not a number", func(t *testing.T) {
-		text := strings.Replace(settings.Example(settings.RoleControl), "fragmentation_weight = 1.0", "fragmentation_weight = nan", 1)
+		text := strings.Replace(settings.Example(settings.RoleControl), "fragmentation_weight = 0.0", "fragmentation_weight = nan", 1)
 		assertRefused(t, settings.RoleControl, text, lineOf(text, "fragmentation_weight = "), "planner.fragmentation_weight", "out of range")
 	})
 	t.Run("host name in place of an IP", func(t *testing.T) {
--- a/internal/wire/command.go
+++ b/internal/wire/command.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -49,6 +50,7 @@
 	Number      uint64       `cbor:"16,keyasint,omitempty"`
 	Ending      *endingForm  `cbor:"17,keyasint,omitempty"`
 	Drained     bool         `cbor:"18,keyasint,omitempty"`
+	Length      int64        `cbor:"19,keyasint,omitempty"`
 }
 
 type endingForm struct {
@@ -88,7 +90,9 @@
 			Kind: commandCancel, RequestID: t.RequestID(), ID: t.ID(), Workspace: t.Workspace(), At: toNanos(t.At()),
 		}
 	case registry.ReserveGang:
-		return commandForm{Kind: commandReserve, ID: t.ID(), Members: fromMembers(t.Members())}
+		return commandForm{
+			Kind: commandReserve, ID: t.ID(), Members: fromMembers(t.Members()), Length: int64(t.Length()),
+		}
 	case registry.StartGang:
 		return commandForm{Kind: commandStart, ID: t.ID(), Fence: uint64(t.Fence())}
 	case registry.StopGang:
@@ -129,7 +133,7 @@
 	case commandCancel:
 		return registry.NewCancelJob(f.RequestID, f.ID, f.Workspace, at), nil
 	case commandReserve:
-		return registry.NewReserveGang(f.ID, toMembers(f.Members)), nil
+		return registry.NewReserveGang(f.ID, toMembers(f.Members), time.Duration(f.Length)), nil
 	case commandStart:
 		return registry.NewStartGang(f.ID, fence), nil
 	case commandStop:
--- a/internal/wire/job.go
+++ b/internal/wire/job.go
@@ -36,6 +36,7 @@
 	EndedAt  int64        `cbor:"8,keyasint,omitempty"`
 	Setbacks int          `cbor:"9,keyasint,omitempty"`
 	Paused   int64        `cbor:"10,keyasint,omitempty"`
+	Lease    int64        `cbor:"11,keyasint,omitempty"`
 }
 
 func fromSpec(s job.Spec) specForm {
@@ -77,6 +78,7 @@
 		Spec: fromSpec(j.Spec()), State: j.State(), Result: j.Result(), Reason: j.Reason(),
 		Fence: uint64(j.Fence()), Attempts: j.Attempts(), Members: fromMembers(j.Members()),
 		EndedAt: toNanos(j.EndTime()), Setbacks: j.Setbacks(), Paused: toNanos(j.NotBefore()),
+		Lease: int64(j.Lease()),
 	}
 }
 
@@ -87,5 +89,5 @@
 	}
 	p := job.NewProgress(f.State, f.Result, f.Reason, lease.Fence(f.Fence), f.Attempts, fromNanos(f.EndedAt)).
 		WithSetbacks(f.Setbacks, fromNanos(f.Paused))
-	return job.Restore(spec, p, toMembers(f.Members)), nil
+	return job.Restore(spec, p, toMembers(f.Members)).WithLease(time.Duration(f.Lease)), nil
 }
--- a/internal/wire/state_bench_test.go
+++ b/internal/wire/state_bench_test.go
@@ -56,7 +56,7 @@
 		for k := range 5 {
 			members = append(members, job.NewMember(k, fmt.Sprintf("w%05d", (i+k)%7200), 1))
 		}
-		s, _ = registry.Apply(s, registry.NewReserveGang(id, members))
+		s, _ = registry.Apply(s, registry.NewReserveGang(id, members, time.Minute))
 		key := fmt.Sprintf("key-%032d", i)
 		s, _ = registry.Apply(s, registry.NewClaimKey("previews", key, "fingerprint", now, now))
 		s, _ = registry.Apply(s, registry.NewSettleKey("previews", key, s.Sequence(), registry.NewEnding(outcome.Ran, 200), now))
--- a/internal/workspace/config.go
+++ b/internal/workspace/config.go
@@ -108,13 +108,21 @@
 	return c.workspaces[i], true
 }
 
-// Value returns the exception's value for target and key, or the fleet's default.
-func (c *Config) Value(target, key string) (value string, ok bool) {
+// Exception returns the exception's value for target and key.
+func (c *Config) Exception(target, key string) (value string, ok bool) {
 	for _, e := range c.exceptions {
 		if e.target == target && e.key == key {
 			return e.value, true
 		}
 	}
+	return "", false
+}
+
+// Value returns the exception's value for target and key, or the fleet's default.
+func (c *Config) Value(target, key string) (value string, ok bool) {
+	if value, ok = c.Exception(target, key); ok {
+		return value, true
+	}
 	value, ok = c.defaults[key]
 	return value, ok
 }
