--- a/cmd/capacity/main.go
+++ b/cmd/capacity/main.go
@@ -37,6 +37,17 @@
 						c.Int("agents"), c.Int("watchers"), c.Int("pid"), c.Duration("length"))
 				},
 			},
+			{
+				Name: "configs", Usage: "apply changes and print when all watchers have them",
+				Flags: []cli.Flag{
+					folder, control, &cli.IntFlag{Name: "watchers", Value: 50}, &cli.IntFlag{Name: "changes", Value: 50},
+					&cli.StringFlag{Name: "url", Value: "http://127.0.0.1:18702"},
+				},
+				Action: func(ctx context.Context, c *cli.Command) error {
+					return capacity.MeasureConfigs(ctx, os.Stdout, c.String("folder"), c.String("control"),
+						c.String("url"), c.Int("watchers"), c.Int("changes"))
+				},
+			},
 		},
 	}
 	if err := app.Run(context.Background(), os.Args); err != nil {
--- a/internal/capacity/players.go
+++ b/internal/capacity/players.go
@@ -29,8 +29,8 @@
 // Players are fake agents and watchers, each with a connection of its own.
 type Players struct {
 	pools   []*link.Pool
-	updates atomic.Int64
-	configs atomic.Int64
+	notice  chan struct{}
+	arrived atomic.Int64
 	lastAt  atomic.Int64
 }
 
@@ -45,7 +45,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p = &Players{pools: make([]*link.Pool, agents+watchers)}
+	p = &Players{pools: make([]*link.Pool, agents+watchers), notice: make(chan struct{}, 1)}
 	var dials errgroup.Group
 	dials.SetLimit(dialsAtOnce)
 	for n := range agents + watchers {
@@ -87,7 +87,21 @@
 }
 
 // Configs returns how many configurations all watchers have received.
-func (p *Players) Configs() int64 { return p.configs.Load() }
+func (p *Players) Configs() int64 { return p.arrived.Load() }
+
+// awaitConfigs returns when all watchers together have received n configurations.
+func (p *Players) awaitConfigs(ctx context.Context, n int64) error {
+	for {
+		if p.arrived.Load() >= n {
+			return nil
+		}
+		select {
+		case <-p.notice:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
 
 // LastConfig returns when the latest configuration arrived at a watcher.
 func (p *Players) LastConfig() time.Time { return time.Unix(0, p.lastAt.Load()) }
@@ -131,10 +145,13 @@
 		if err != nil {
 			return ended(ctx, err)
 		}
-		p.updates.Add(1)
 		if _, ok := u.Config(); ok {
 			p.lastAt.Store(time.Now().UnixNano())
-			p.configs.Add(1)
+			p.arrived.Add(1)
+			select {
+			case p.notice <- struct{}{}:
+			default:
+			}
 		}
 	}
 }
