Carry the trace of a keyed request through the control host

Cause: the claim and the ending of a request had no span on the control host. Change: a proposal carries its trace context; the control role opens a span for each commit. Conclusion: each hop of a request has a span.

--- a/cmd/rosemarywind/roles.go
+++ b/cmd/rosemarywind/roles.go
@@ -136,7 +136,7 @@
 		members[ledger.MemberID(id)] = address.String()
 	}
 	c, err := control.New(
-		control.WithLogger(p.logger), control.WithTLS(p.keys.Client("agent"), p.keys.Client("control")),
+		control.WithLogger(p.logger), control.WithTracer(p.tracing.Tracer()), control.WithTLS(p.keys.Client("agent"), p.keys.Client("control")),
 		control.WithPlanner(plan.WithWeights(s.CompletionWeight(), s.FragmentationWeight())),
 		control.WithServer(server), control.WithListener(l), control.WithLeases(s.AnnounceLease(), s.TaskLease()),
 		control.WithOperatorDigests(s.OperatorTokenDigests()), control.WithGrace(s.StopGrace()),
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -135,7 +135,7 @@
 	case wire.KindWatch:
 		c.watch(ctx, s)
 	case wire.KindPropose:
-		c.proposal(ctx, s)
+		c.proposal(ctx, s, o.Trace())
 	case wire.KindForward, wire.KindOrders, wire.KindPing:
 		c.logger.Warn("stream refused", "peer", s.RemoteAddr().String(), "kind", string(o.Kind()))
 	default:
--- a/internal/control/options.go
+++ b/internal/control/options.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"go.opentelemetry.io/otel/trace"
+	"go.opentelemetry.io/otel/trace/noop"
 
 	"rosemarywind.example/rosemarywind/internal/ledger/driver"
 	"rosemarywind.example/rosemarywind/internal/link"
@@ -18,6 +20,7 @@
 type Option func(*options)
 
 type options struct {
+	tracer        trace.Tracer
 	logger        hclog.Logger
 	registry      *telemetry.Registry
 	agentTLS      *tls.Config
@@ -35,6 +38,7 @@
 
 func defaults() options {
 	return options{
+		tracer: noop.NewTracerProvider().Tracer(""),
 		logger: hclog.NewNullLogger(), announceLease: 3 * time.Second, taskLease: 2 * time.Minute,
 		grace: 30 * time.Second, monitor: http.NotFoundHandler(), registry: telemetry.NewRegistry(),
 	}
@@ -43,6 +47,9 @@
 // WithLogger sets the logger.
 func WithLogger(l hclog.Logger) Option { return func(o *options) { o.logger = l } }
 
+// WithTracer sets the tracer of the spans.
+func WithTracer(t trace.Tracer) Option { return func(o *options) { o.tracer = t } }
+
 // WithTLS sets the configurations with which agents and other control hosts are dialed.
 func WithTLS(agents, peers *tls.Config) Option {
 	return func(o *options) { o.agentTLS, o.peerTLS = agents, peers }
--- a/internal/control/streams.go
+++ b/internal/control/streams.go
@@ -11,6 +11,7 @@
 	"rosemarywind.example/rosemarywind/internal/ledger/driver"
 	"rosemarywind.example/rosemarywind/internal/link"
 	"rosemarywind.example/rosemarywind/internal/registry"
+	"rosemarywind.example/rosemarywind/internal/telemetry"
 	"rosemarywind.example/rosemarywind/internal/wire"
 	"rosemarywind.example/rosemarywind/internal/workspace"
 )
@@ -124,7 +125,9 @@
 }
 
 // proposal commits one command of an entry process.
-func (c *Control) proposal(ctx context.Context, s *link.Stream) {
+func (c *Control) proposal(ctx context.Context, s *link.Stream, traceContext string) {
+	ctx, span := c.tracer.Start(telemetry.Extract(ctx, traceContext), "commit")
+	defer span.End()
 	_ = s.SetDeadline(time.Now().Add(proposeTimeout))
 	command, err := wire.ReadCommand(s)
 	if err == nil {
--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -10,6 +10,7 @@
 	"rosemarywind.example/rosemarywind/internal/clock"
 	"rosemarywind.example/rosemarywind/internal/registry"
 	"rosemarywind.example/rosemarywind/internal/request"
+	"rosemarywind.example/rosemarywind/internal/telemetry"
 	"rosemarywind.example/rosemarywind/internal/wire"
 	"rosemarywind.example/rosemarywind/pkg/outcome"
 )
@@ -128,7 +129,7 @@
 	stop := s.Watch(ctx)
 	defer stop()
 	defer s.Cancel()
-	if err = wire.WriteOpening(s, wire.NewOpening(wire.KindPropose, "")); err != nil {
+	if err = wire.WriteOpening(s, wire.NewOpening(wire.KindPropose, telemetry.Inject(ctx))); err != nil {
 		return nil, err
 	}
 	if err = wire.WriteCommand(s, c); err != nil {
