Keep the load tool's latencies in a histogram of a library

Cause: every latency was kept, so a long run grew without bound, and a well-kept library was at hand. Change: hdrhistogram with three digits. Conclusion: percentiles within 0.1%, memory bounded.

--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -8,20 +8,33 @@
 	"sync"
 	"time"
 
+	"github.com/HdrHistogram/hdrhistogram-go"
+
 	"rosemarywind.example/rosemarywind/pkg/outcome"
 )
 
 // failed stands for requests whose connection failed.
 const failed outcome.Outcome = "failed"
 
-// Report is what became of the requests; every latency is kept, so percentiles are exact.
+// The histogram of latencies, in microseconds; three digits keep the error below 0.1%.
+const (
+	leastLatency = 1
+	mostLatency  = int64(10 * time.Minute / time.Microsecond)
+	digits       = 3
+)
+
+// Report is what became of the requests.
 type Report struct {
 	mutex     sync.Mutex
-	latencies []time.Duration
+	latencies *hdrhistogram.Histogram
 	outcomes  map[outcome.Outcome]int
 }
 
-func newReport() *Report { return &Report{outcomes: map[outcome.Outcome]int{}} }
+func newReport() *Report {
+	return &Report{
+		latencies: hdrhistogram.New(leastLatency, mostLatency, digits), outcomes: map[outcome.Outcome]int{},
+	}
+}
 
 func (r *Report) add(d time.Duration, o outcome.Outcome, err error) {
 	if err != nil {
@@ -29,7 +42,7 @@
 	}
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	r.latencies = append(r.latencies, d)
+	_ = r.latencies.RecordValue(min(max(d.Microseconds(), leastLatency), mostLatency))
 	r.outcomes[o]++
 }
 
@@ -37,12 +50,7 @@
 func (r *Report) Percentile(p float64) time.Duration {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if len(r.latencies) == 0 {
-		return 0
-	}
-	slices.Sort(r.latencies)
-	i := int(float64(len(r.latencies)) * p / 100)
-	return r.latencies[min(i, len(r.latencies)-1)]
+	return time.Duration(r.latencies.ValueAtPercentile(p)) * time.Microsecond
 }
 
 // Outcomes returns the numbers of requests by outcome; an answer without one counts under the empty outcome.
