Free the key of a claim whose outcome is unknown

Cause: when the leader was lost between a claim and its answer, the caller was truthfully told that the request was not run, but each resend heard for 24 h that it may have run, so that the work was lost. Ruled out: dispatching after a second claim, which could meet the first one committed late by another entry's view; a claim that ends by itself after its deadline, since the entry that holds it may be running it. Change: a claim carries the identity of its attempt; the same open attempt is told its number again and no other one is. A controller of the entry claims again under the same attempt and settles it as not run; it never dispatches. Green: TestRegistryFuzz with 1,000 checks, TestKeyed 6 times with -race. Conclusion: a refusal as not run leaves the key usable again.

--- a/internal/control/streams.go
+++ b/internal/control/streams.go
@@ -162,7 +162,7 @@
 	}
 	switch t := command.(type) {
 	case registry.ClaimKey:
-		return registry.NewClaimKey(t.Workspace(), t.Key(), t.Fingerprint(), t.Until(), now), nil
+		return registry.NewClaimKey(t.Workspace(), t.Key(), t.Fingerprint(), t.Until(), now).WithAttempt(t.Attempt()), nil
 	case registry.SettleKey:
 		return registry.NewSettleKey(t.Workspace(), t.Key(), t.Number(), t.Ending(), now), nil
 	case registry.ApplyConfig, registry.SubmitJob, registry.CancelJob, registry.ReserveGang, registry.StartGang,
--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
+	"errors"
 	"fmt"
 	"time"
 
@@ -26,6 +27,9 @@
 	keptAnswerBytes = 4 << 10
 )
 
+// errNoLeader says that a command was not sent.
+var errNoLeader = errors.New("the leader is not known")
+
 // claimed records the attempt in the ledger, runs it if the key is new, and records how it ended.
 func (e *Entry) claimed(ctx context.Context, r request.Request, t *ticket) request.Result {
 	number, result := e.claim(ctx, r)
@@ -47,10 +51,12 @@
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
 	now := time.Now()
-	c := registry.NewClaimKey(r.Workspace(), r.Key(), fingerprint(r), r.Deadline(), now)
-	got, err := e.propose(ctx, c)
+	got, err := e.propose(ctx, claimOf(r, now))
 	if err != nil {
 		e.logger.Warn("claim failed", "request", r.ID(), "error", err)
+		if !errors.Is(err, errNoLeader) {
+			e.releaser.add(r)
+		}
 		return 0, request.NewRefused(outcome.ControlAway, "the attempt could not be recorded", retryLater)
 	}
 	switch t := got.(type) {
@@ -120,7 +126,7 @@
 	}()
 	leader := e.board.control.Load().leader
 	if leader == "" {
-		return nil, fmt.Errorf("the leader is not known")
+		return nil, errNoLeader
 	}
 	s, err := e.leaders.Open(ctx, leader)
 	if err != nil {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -21,6 +21,7 @@
 	agents   *link.Pool
 	leaders  *link.Pool
 	queue    *dispatcher
+	releaser *releaser
 	buffered atomic.Int64
 	ids      *identities
 	leaving  atomic.Bool
@@ -38,6 +39,7 @@
 	e.agents = link.NewPool(e.agentTLS)
 	e.leaders = link.NewPool(e.controlTLS)
 	e.queue = newDispatcher(e.board)
+	e.releaser = newReleaser(e)
 	e.ids = newIdentities()
 	e.metrics = newMetrics(e.registry, e.queue.waiting.Load)
 	return e
@@ -62,6 +64,7 @@
 	w := newWatcher(e.board, e.leaders, e.control, e.retryShare, e.logger)
 	g.Go(func() error { return w.run(inner) })
 	g.Go(func() error { return e.queue.run(inner) })
+	g.Go(func() error { return e.releaser.run(inner) })
 	server := e.server()
 	g.Go(func() error {
 		if err := server.Serve(listener{e.listener}); !errors.Is(err, http.ErrServerClosed) {
--- a/internal/entry/keyed_test.go
+++ b/internal/entry/keyed_test.go
@@ -75,12 +75,32 @@
 		assertRan(t, requireCall(t, s, http.MethodPost, "/w/previews/held", "x", key, "held"), "x")
 	})
 	t.Run("a claim whose outcome is unknown", func(t *testing.T) {
-		s.ledger.setFault(func(registry.Command) fault { return unknownError })
+		var first string
+		s.ledger.setFault(func(c registry.Command) fault {
+			k, ok := c.(registry.ClaimKey)
+			if ok && first == "" {
+				first = k.Attempt()
+			}
+			if ok && k.Attempt() == first {
+				return unknownError
+			}
+			return sound
+		})
 		r := requireCall(t, s, http.MethodPost, "/w/previews/a", "x", key, "unknown")
 		assertRefused(t, r, http.StatusServiceUnavailable, outcome.ControlAway)
-		s.ledger.setFault(nil)
 		r = requireCall(t, s, http.MethodPost, "/w/previews/a", "x", key, "unknown")
 		assertLost(t, r, http.StatusConflict, outcome.KeyInProgress)
+		// The entry dispatched nothing under the first claim, so the key becomes free again.
+		released := make(chan registry.SettleKey, 1)
+		s.ledger.setFault(func(c registry.Command) fault {
+			if k, ok := c.(registry.SettleKey); ok && k.Ending().Outcome() == outcome.NotRun {
+				released <- k
+			}
+			return sound
+		})
+		requireReceive(t, released)
+		s.ledger.setFault(nil)
+		assertRan(t, requireCall(t, s, http.MethodPost, "/w/previews/a", "x", key, "unknown"), "x")
 	})
 	assertIdle(t, s)
 }
--- a/internal/registry/accessors.go
+++ b/internal/registry/accessors.go
@@ -132,6 +132,15 @@
 // At returns the leader's time of the proposal.
 func (e EndJob) At() time.Time { return e.at }
 
+// WithAttempt returns the command with the identity of the attempt; the same attempt is granted once and told its number again.
+func (c ClaimKey) WithAttempt(attempt string) ClaimKey {
+	c.attempt = attempt
+	return c
+}
+
+// Attempt returns the identity of the attempt.
+func (c ClaimKey) Attempt() string { return c.attempt }
+
 // NewClaimKey returns the command.
 func NewClaimKey(workspace string, key string, fingerprint string, until time.Time, at time.Time) ClaimKey {
 	return ClaimKey{workspace: workspace, key: key, fingerprint: fingerprint, until: until, at: at}
--- a/internal/registry/apply.go
+++ b/internal/registry/apply.go
@@ -171,12 +171,15 @@
 func claim(s State, c ClaimKey) (State, Result) {
 	k := claimKey(c.workspace, c.key)
 	old, ok := s.claims.Get(k)
+	if ok && old.repeats(c) {
+		return s, Claimed{number: old.number}
+	}
 	if ok && (old.fingerprint != c.fingerprint || old.ending.outcome != outcome.NotRun) {
 		return s, Known{claim: old}
 	}
 	s.sequence++
 	s.claims = s.claims.With(k, Claim{
-		workspace: c.workspace, key: c.key, fingerprint: c.fingerprint,
+		workspace: c.workspace, key: c.key, fingerprint: c.fingerprint, attempt: c.attempt,
 		number: s.sequence, until: c.until, at: c.at,
 	})
 	return s, Claimed{number: s.sequence}
--- a/internal/registry/command.go
+++ b/internal/registry/command.go
@@ -80,6 +80,7 @@
 	workspace   string
 	key         string
 	fingerprint string
+	attempt     string
 	until       time.Time
 	at          time.Time
 }
--- a/internal/registry/fuzz_test.go
+++ b/internal/registry/fuzz_test.go
@@ -24,6 +24,7 @@
 
 // attempt is what the oracle knows of a key.
 type attempt struct {
+	try         string
 	number      uint64
 	fingerprint string
 	ended       outcome.Outcome
@@ -203,13 +204,20 @@
 
 func (l *ledger) claim(t *rapid.T) {
 	key, print := requestID(t), rapid.SampledFrom([]string{"x", "x", "y"}).Draw(t, "fingerprint")
+	try := rapid.SampledFrom([]string{"", "one", "two"}).Draw(t, "attempt")
 	old, known := l.attempts[key]
-	switch r := l.apply(registry.NewClaimKey("a", key, print, l.now.Add(time.Minute), l.now)).(type) {
+	command := registry.NewClaimKey("a", key, print, l.now.Add(time.Minute), l.now).WithAttempt(try)
+	switch r := l.apply(command).(type) {
 	case registry.Claimed:
+		if known && old.ended == "" {
+			require.True(t, try != "" && try == old.try && print == old.fingerprint, "key %s was granted to another attempt", key)
+			require.Equal(t, old.number, r.Number())
+			return
+		}
 		require.True(t, !known || (old.ended == outcome.NotRun && old.fingerprint == print), "key %s was granted twice", key)
 		require.False(t, l.numbers[r.Number()], "number %d was given out twice", r.Number())
 		l.numbers[r.Number()] = true
-		l.attempts[key] = attempt{number: r.Number(), fingerprint: print, at: l.now}
+		l.attempts[key] = attempt{number: r.Number(), fingerprint: print, try: try, at: l.now}
 	case registry.Known:
 		require.True(t, known, "key %s is known without a claim", key)
 		require.Equal(t, old.number, r.Claim().Number())
--- a/internal/registry/record.go
+++ b/internal/registry/record.go
@@ -46,6 +46,7 @@
 	workspace   string
 	key         string
 	fingerprint string
+	attempt     string
 	number      uint64
 	until       time.Time
 	at          time.Time
@@ -57,6 +58,20 @@
 	return Claim{workspace: workspace, key: key, fingerprint: fingerprint, number: number, until: until, at: at}
 }
 
+// WithAttempt returns the record with the identity of the attempt.
+func (c Claim) WithAttempt(attempt string) Claim {
+	c.attempt = attempt
+	return c
+}
+
+// Attempt returns the identity of the attempt.
+func (c Claim) Attempt() string { return c.attempt }
+
+// repeats reports whether the command is the open attempt itself, whose first answer was lost.
+func (c Claim) repeats(k ClaimKey) bool {
+	return k.attempt != "" && c.attempt == k.attempt && c.fingerprint == k.fingerprint && c.ending.outcome == ""
+}
+
 // WithEnding returns the record of an attempt that ended at the given time.
 func (c Claim) WithEnding(e Ending, at time.Time) Claim {
 	c.ending, c.at = e, at
--- a/internal/wire/command.go
+++ b/internal/wire/command.go
@@ -51,6 +51,7 @@
 	Ending      *endingForm  `cbor:"17,keyasint,omitempty"`
 	Drained     bool         `cbor:"18,keyasint,omitempty"`
 	Length      int64        `cbor:"19,keyasint,omitempty"`
+	Attempt     string       `cbor:"20,keyasint,omitempty"`
 }
 
 type endingForm struct {
@@ -107,7 +108,7 @@
 	case registry.ClaimKey:
 		return commandForm{
 			Kind: commandClaim, Workspace: t.Workspace(), Key: t.Key(), Fingerprint: t.Fingerprint(),
-			Until: toNanos(t.Until()), At: toNanos(t.At()),
+			Until: toNanos(t.Until()), At: toNanos(t.At()), Attempt: t.Attempt(),
 		}
 	case registry.SettleKey:
 		e := fromEnding(t.Ending())
@@ -143,7 +144,7 @@
 	case commandEnd:
 		return registry.NewEndJob(f.ID, fence, f.Result, f.Reason, at), nil
 	case commandClaim:
-		return registry.NewClaimKey(f.Workspace, f.Key, f.Fingerprint, fromNanos(f.Until), at), nil
+		return registry.NewClaimKey(f.Workspace, f.Key, f.Fingerprint, fromNanos(f.Until), at).WithAttempt(f.Attempt), nil
 	case commandSettle:
 		if f.Ending == nil {
 			return nil, fmt.Errorf("command %q lacks its ending", f.Kind)
--- a/internal/wire/result.go
+++ b/internal/wire/result.go
@@ -27,6 +27,7 @@
 	Until       int64      `cbor:"5,keyasint"`
 	At          int64      `cbor:"6,keyasint"`
 	Ending      endingForm `cbor:"7,keyasint"`
+	Attempt     string     `cbor:"8,keyasint,omitempty"`
 }
 
 type resultForm struct {
@@ -107,11 +108,11 @@
 func fromClaim(c registry.Claim) claimForm {
 	return claimForm{
 		Workspace: c.Workspace(), Key: c.Key(), Fingerprint: c.Fingerprint(), Number: c.Number(),
-		Until: toNanos(c.Until()), At: toNanos(c.At()), Ending: fromEnding(c.Ending()),
+		Until: toNanos(c.Until()), At: toNanos(c.At()), Ending: fromEnding(c.Ending()), Attempt: c.Attempt(),
 	}
 }
 
 func (f claimForm) claim() registry.Claim {
 	c := registry.NewClaim(f.Workspace, f.Key, f.Fingerprint, f.Number, fromNanos(f.Until), fromNanos(f.At))
-	return c.WithEnding(f.Ending.ending(), fromNanos(f.At))
+	return c.WithAttempt(f.Attempt).WithEnding(f.Ending.ending(), fromNanos(f.At))
 }
