Search for the leader, and name the member of an order, in one place each

Cause: the watcher of an entry and the announcer of an agent each held the same search among the control hosts; the gang driver and the gang tests each held the same switch over all orders. Behaviour, log lines and assertions stay as they are. Conclusion: a change to the search is made once.

--- a/internal/agent/announcer.go
+++ b/internal/agent/announcer.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"time"
 
 	"rosemarywind.example/rosemarywind/internal/clock"
 	"rosemarywind.example/rosemarywind/internal/fleet"
+	"rosemarywind.example/rosemarywind/internal/leader"
 	"rosemarywind.example/rosemarywind/internal/wire"
 )
 
@@ -19,17 +19,18 @@
 
 // announcer is the controller that tells the leader of the endpoint and its tasks.
 type announcer struct {
-	agent    *Agent
-	next     int
-	followed string
+	agent  *Agent
+	search *leader.Search
 }
 
-func newAnnouncer(a *Agent) *announcer { return &announcer{agent: a} }
+func newAnnouncer(a *Agent) *announcer {
+	return &announcer{agent: a, search: leader.NewSearch(a.control)}
+}
 
 // run announces to the leader, and looks for it among the control hosts after each loss.
 func (n *announcer) run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		address := n.address()
+		address := n.search.Next()
 		n.recover(ctx, address, n.announce(ctx, address))
 	}
 	return nil
@@ -41,24 +42,9 @@
 		return
 	}
 	n.agent.logger.Warn("announcing ended", "control", address, "error", err)
-	var status *wire.StatusError
-	if errors.As(err, &status) && status.Leader() != "" && status.Leader() != address {
-		n.followed = status.Leader()
-		return
-	}
-	clock.Pause(ctx, redialPause)
-}
-
-// address returns the leader that a follower named, else the next control host.
-func (n *announcer) address() string {
-	if n.followed != "" {
-		a := n.followed
-		n.followed = ""
-		return a
+	if !n.search.Named(address, err) {
+		clock.Pause(ctx, redialPause)
 	}
-	a := n.agent.control[n.next%len(n.agent.control)]
-	n.next++
-	return a
 }
 
 func (n *announcer) announce(ctx context.Context, address string) (err error) {
--- a/internal/control/gangs.go
+++ b/internal/control/gangs.go
@@ -123,7 +123,7 @@
 	id, fence := j.Spec().ID(), j.Fence()
 	switch t := a.(type) {
 	case gang.Send:
-		f.progress = f.progress.WithSent(idOf(t.Order()).Index(), t.Order(), now)
+		f.progress = f.progress.WithSent(task.IDOf(t.Order()).Index(), t.Order(), now)
 		g.outbox.add(t.Worker(), fence, g.watched(j, t.Order()))
 	case gang.Start:
 		g.commit(ctx, f, id, registry.NewStartGang(id, fence))
@@ -175,7 +175,7 @@
 // take brings the progress of the jobs of one batch up to date.
 func (g *gangs) take(ctx context.Context, b batch, now time.Time) {
 	for i, o := range b.orders {
-		id := idOf(o.order)
+		id := task.IDOf(o.order)
 		f, ok := g.jobs[id.Job()]
 		if !ok || f.progress.Fence() != o.fence {
 			continue
@@ -222,19 +222,3 @@
 	}
 	g.control.board.starts.Publish(kept)
 }
-
-func idOf(o task.Order) task.ID {
-	switch t := o.(type) {
-	case task.Reserve:
-		return t.ID()
-	case task.Start:
-		return t.ID()
-	case task.Renew:
-		return t.ID()
-	case task.Stop:
-		return t.ID()
-	case task.Throttle:
-		return t.ID()
-	}
-	return task.ID{}
-}
--- a/internal/control/outbox.go
+++ b/internal/control/outbox.go
@@ -49,7 +49,7 @@
 	if o.waiting[l] == nil {
 		o.waiting[l] = map[task.ID]addressed{}
 	}
-	o.waiting[l][idOf(order)] = addressed{fence: fence, order: order}
+	o.waiting[l][task.IDOf(order)] = addressed{fence: fence, order: order}
 }
 
 // flush sends what waits on each line that has nothing under way.
--- a/internal/entry/watcher.go
+++ b/internal/entry/watcher.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"maps"
 	"slices"
@@ -12,6 +11,7 @@
 
 	"rosemarywind.example/rosemarywind/internal/clock"
 	"rosemarywind.example/rosemarywind/internal/fleet"
+	"rosemarywind.example/rosemarywind/internal/leader"
 	"rosemarywind.example/rosemarywind/internal/link"
 	"rosemarywind.example/rosemarywind/internal/wire"
 	"rosemarywind.example/rosemarywind/internal/workspace"
@@ -27,12 +27,10 @@
 
 // watcher is the controller that keeps the board up to date with the leader.
 type watcher struct {
-	board    *Board
-	pool     *link.Pool
-	control  []string
-	logger   hclog.Logger
-	next     int
-	followed string
+	board  *Board
+	pool   *link.Pool
+	search *leader.Search
+	logger hclog.Logger
 	// retryShare counts for workspaces for which none is declared, in percent.
 	retryShare int
 	// unconfirmed are the endpoints that a new leader has not listed yet, which count until confirmBy.
@@ -41,13 +39,13 @@
 }
 
 func newWatcher(b *Board, p *link.Pool, control []string, retryShare int, l hclog.Logger) *watcher {
-	return &watcher{board: b, pool: p, control: control, retryShare: retryShare, logger: l}
+	return &watcher{board: b, pool: p, search: leader.NewSearch(control), retryShare: retryShare, logger: l}
 }
 
 // run watches the leader, and looks for it among the control hosts after each loss.
 func (w *watcher) run(ctx context.Context) error {
 	for ctx.Err() == nil {
-		address := w.address()
+		address := w.search.Next()
 		err := w.watch(ctx, address)
 		w.board.control.Publish(Control{heardAt: w.board.control.Load().heardAt})
 		w.recover(ctx, address, err)
@@ -61,24 +59,9 @@
 		return
 	}
 	w.logger.Warn("watch ended", "control", address, "error", err)
-	var status *wire.StatusError
-	if errors.As(err, &status) && status.Leader() != "" && status.Leader() != address {
-		w.followed = status.Leader()
-		return
-	}
-	clock.Pause(ctx, watchPause)
-}
-
-// address returns the leader that a follower named, else the next control host.
-func (w *watcher) address() string {
-	if w.followed != "" {
-		a := w.followed
-		w.followed = ""
-		return a
+	if !w.search.Named(address, err) {
+		clock.Pause(ctx, watchPause)
 	}
-	a := w.control[w.next%len(w.control)]
-	w.next++
-	return a
 }
 
 func (w *watcher) watch(ctx context.Context, address string) (err error) {
--- a/internal/gang/world_test.go
+++ b/internal/gang/world_test.go
@@ -187,7 +187,7 @@
 		}
 		w.after(func() {
 			if p, ok := w.progress[id]; ok && w.leads && w.term == term && p.Fence() == fence && !m.cut {
-				w.progress[id] = p.WithReply(memberOf(s.Order()).Index(), s.Order(), task.NewReply(answer, refusal), w.now)
+				w.progress[id] = p.WithReply(task.IDOf(s.Order()).Index(), s.Order(), task.NewReply(answer, refusal), w.now)
 			}
 		})
 	}
@@ -234,7 +234,7 @@
 	switch t := a.(type) {
 	case gang.Send:
 		w.send(t, id, fence)
-		return p.WithSent(memberOf(t.Order()).Index(), t.Order(), w.now)
+		return p.WithSent(task.IDOf(t.Order()).Index(), t.Order(), w.now)
 	case gang.Start:
 		w.commit(registry.NewStartGang(id, fence))
 	case gang.Stop:
@@ -286,19 +286,3 @@
 	}
 	return members
 }
-
-func memberOf(o task.Order) task.ID {
-	switch t := o.(type) {
-	case task.Reserve:
-		return t.ID()
-	case task.Start:
-		return t.ID()
-	case task.Renew:
-		return t.ID()
-	case task.Stop:
-		return t.ID()
-	case task.Throttle:
-		return t.ID()
-	}
-	return task.ID{}
-}
--- /dev/null
+++ b/internal/leader/doc.go
@@ -0,0 +1,2 @@
+// Package leader looks for the leader among the control hosts.
+package leader
--- a/internal/task/order.go
+++ b/internal/task/order.go
@@ -173,3 +173,20 @@
 
 // Percent returns the share of full speed, from 1 to 100.
 func (t Throttle) Percent() int { return t.percent }
+
+// IDOf returns the member that an order is for.
+func IDOf(o Order) ID {
+	switch t := o.(type) {
+	case Reserve:
+		return t.id
+	case Start:
+		return t.id
+	case Renew:
+		return t.id
+	case Stop:
+		return t.id
+	case Throttle:
+		return t.id
+	}
+	return ID{}
+}
