Run the scenarios with the testscript module

Ruled out: starting the processes of the system with testscript's background commands: they cannot be signalled one by one, frozen, or started again under the same name. So the scripts' own commands stay, adapted to testscript.

Scripts are unchanged. The forwarder of the tests is gone: internal/impair has the same relay. silence now fails when no connection goes through the relay.

A script with a line that cannot match fails and prints the logs of its processes; a script in KNOWN-RED.txt is passed over.

Conclusion: the library replaces the parser and the runner.

--- a/cmd/rosemarywind/cluster_test.go
+++ b/cmd/rosemarywind/cluster_test.go
@@ -23,16 +23,6 @@
 
 func (s *script) address(port int) string { return fmt.Sprintf("%s:%d", s.ip, port) }
 
-// commands returns the commands that scripts have beside testscript's own.
-func (s *script) commands() map[string]func(args []string) error {
-	return map[string]func(args []string) error{
-		"cluster": s.cluster, "boot": s.boot, "start": s.start, "signal": s.signal, "ended": s.ended,
-		"logged": s.logged, "leader": s.leader, "follower": s.follower, "holds": s.holds, "together": s.together, "get": s.get, "worker": s.worker, "idle": s.idle, "documented": s.documented, "metric": s.metric, "ready": s.ready, "answers": s.answers, "fault": s.fault,
-		"send": s.journal.send, "got": s.journal.got, "hears": s.journal.hears, "unserved": s.journal.unserved, "runs": s.journal.runs, "runner": s.journal.runner,
-		"load": s.journal.load, "audit": s.journal.audit, "silence": s.silence,
-	}
-}
-
 // cluster CONTROLS ENTRIES WORKERS [LETTER:LINE...] writes keys, tokens and settings, with a line for all of a role.
 func (s *script) cluster(args []string) (err error) {
 	var n [3]int
--- a/cmd/rosemarywind/control_test.go
+++ b/cmd/rosemarywind/control_test.go
@@ -10,6 +10,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"rosemarywind.example/rosemarywind/internal/impair"
 )
 
 // leader VARIABLE [NAME...] waits for a leader other than the named hosts and keeps its name.
@@ -17,7 +19,7 @@
 	return eventually(func() error {
 		for _, name := range s.controls(args[1:]) {
 			if _, ok := s.revision(name); ok {
-				s.vars[args[0]] = name
+				s.ts.Setenv(args[0], name)
 				return nil
 			}
 		}
@@ -29,7 +31,7 @@
 func (s *script) follower(args []string) error {
 	for _, name := range s.controls(args[1:]) {
 		if _, ok := s.revision(name); !ok {
-			s.vars[args[0]] = name
+			s.ts.Setenv(args[0], name)
 			return nil
 		}
 	}
@@ -128,7 +130,7 @@
 	if found == nil {
 		return fmt.Errorf("the job has no workers")
 	}
-	s.vars[args[1]] = found[1]
+	s.ts.Setenv(args[1], found[1])
 	return nil
 }
 
@@ -206,3 +208,22 @@
 	}
 	return answer.Body.Close()
 }
+
+// silence WORKER sets a relay before an agent; a repeated call makes all open flows lose every datagram.
+func (s *script) silence(args []string) (err error) {
+	name := args[0]
+	if r, ok := s.relays[name]; ok {
+		if r.Flows() == 0 {
+			return fmt.Errorf("no connection to %s goes through the relay", name)
+		}
+		r.Silence()
+		return nil
+	}
+	r, err := impair.NewRelay(s.address(agentPort + int(name[1]-'0')))
+	if err != nil {
+		return err
+	}
+	s.relays[name] = r
+	line := fmt.Sprintf("name = %q\n", name)
+	return s.edit([]string{name + ".toml", line, line + fmt.Sprintf("advertise = %q\n", r.Address())})
+}
--- a/cmd/rosemarywind/journal_test.go
+++ b/cmd/rosemarywind/journal_test.go
@@ -203,7 +203,7 @@
 			err = fmt.Errorf("%s has not run", args[0])
 		}
 		if err == nil {
-			j.script.vars[args[1]] = at[1:]
+			j.script.ts.Setenv(args[1], at[1:])
 		}
 		return err
 	})
--- a/cmd/rosemarywind/scenario_test.go
+++ b/cmd/rosemarywind/scenario_test.go
@@ -2,70 +2,64 @@
 
 import (
 	"context"
-	"flag"
 	"os"
 	"os/signal"
 	"path/filepath"
+	"slices"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 
+	"github.com/rogpeppe/go-internal/testscript"
 	"github.com/stretchr/testify/require"
 
 	"rosemarywind.example/rosemarywind/internal/standin"
 )
 
 // scriptsAtOnce bounds the processes: one script runs up to a dozen of them.
-const scriptsAtOnce = "4"
+const scriptsAtOnce = 4
 
 // TestMain runs this binary as one of the commands when a script starts it under the command's name.
 func TestMain(m *testing.M) {
-	switch filepath.Base(os.Args[0]) {
-	case "rosemarywind":
-		main()
-	case "standin":
-		ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-		err := standin.Command().Run(ctx, os.Args)
-		stop()
-		if err != nil {
-			os.Exit(1)
-		}
-		os.Exit(0)
+	testscript.Main(m, map[string]func(){"rosemarywind": main, "standin": runStandin})
+}
+
+func runStandin() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	err := standin.Command().Run(ctx, os.Args)
+	stop()
+	if err != nil {
+		os.Exit(1)
 	}
-	flag.Parse()
-	_ = flag.Set("test.parallel", scriptsAtOnce)
-	os.Exit(m.Run())
 }
 
 // Each script of testdata names the promise that it guards in its first lines.
 func TestScenarios(t *testing.T) {
-	files, err := filepath.Glob("testdata/*.txtar")
+	all, err := filepath.Glob("testdata/*.txtar")
 	require.NoError(t, err)
-	require.NotEmpty(t, files)
-	bin := commands(t)
+	require.NotEmpty(t, all)
 	red := knownRed(t)
-	for i, f := range files {
-		name := strings.TrimSuffix(filepath.Base(f), ".txtar")
-		t.Run(name, func(t *testing.T) {
-			if red[name] {
-				t.Skip("listed in KNOWN-RED.txt")
-			}
-			t.Parallel()
-			newScript(t, f, bin, i+1).run()
-		})
-	}
-}
-
-// commands returns a folder in which this binary has the names of the commands.
-func commands(t *testing.T) (folder string) {
-	t.Helper()
-	self, err := os.Executable()
+	files := slices.DeleteFunc(all, func(f string) bool {
+		listed := red[strings.TrimSuffix(filepath.Base(f), ".txtar")]
+		if listed {
+			t.Logf("%s is listed in KNOWN-RED.txt", f)
+		}
+		return listed
+	})
+	tour, err := filepath.Abs("../../tour")
 	require.NoError(t, err)
-	folder = t.TempDir()
-	for _, name := range []string{"rosemarywind", "standin"} {
-		require.NoError(t, os.Symlink(self, filepath.Join(folder, name)))
-	}
-	return folder
+	slots, number := make(chan struct{}, scriptsAtOnce), atomic.Int64{}
+	testscript.Run(t, testscript.Params{
+		Files: files, Cmds: ofSystem(), RequireExplicitExec: true,
+		Setup: func(env *testscript.Env) error {
+			slots <- struct{}{}
+			env.T().(testing.TB).Cleanup(func() { <-slots })
+			env.Setenv("tour", tour)
+			setup(env, number.Add(1))
+			return nil
+		},
+	})
 }
 
 // knownRed returns the tests that KNOWN-RED.txt lists; ROSEMARYWIND_RED=run runs them all the same.
--- a/cmd/rosemarywind/script_test.go
+++ b/cmd/rosemarywind/script_test.go
@@ -4,62 +4,62 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"io"
 	"os"
 	"os/exec"
-	"path/filepath"
 	"regexp"
 	"strconv"
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"rosemarywind.example/rosemarywind/internal/impair"
 )
 
 // patience bounds each wait of a script.
 const patience = 20 * time.Second
 
-// script runs one file: a command on each line, in the syntax of testscript.
+// script is the state of one script beside testscript's own.
 type script struct {
-	t         *testing.T
-	text      string
+	t         testing.TB
+	ts        *testscript.TestScript
 	folder    string
-	bin       string
 	ip        string
-	vars      map[string]string
 	tokens    map[string]string // written by cluster only, read by the load
 	stdout    string
 	stderr    string
 	processes map[string]*child
 	started   []string
 	journal   *journal
-	forwards  map[string]*forwarder
+	relays    map[string]*impair.Relay
 }
 
-func newScript(t *testing.T, file, bin string, number int) *script {
-	t.Helper()
-	data, err := os.ReadFile(file)
-	if err != nil {
-		t.Fatal(err)
-	}
-	// An address of its own for each script, and for each run of the tests, keeps ports from clashing.
+// scriptKey finds a script among the values of its testscript.
+type scriptKey struct{}
+
+// setup prepares a script; an address of its own for each, and for each run of the tests, keeps ports from clashing.
+func setup(env *testscript.Env, number int64) {
+	t := env.T().(testing.TB)
 	pid := os.Getpid()
-	ip := fmt.Sprintf("127.%d.%d.%d", 1+pid/250%250, 1+pid%250, number)
-	tour, err := filepath.Abs("../../tour")
-	if err != nil {
-		t.Fatal(err)
-	}
 	s := &script{
-		t: t, text: string(data), folder: t.TempDir(), bin: bin, ip: ip, vars: map[string]string{"ip": ip, "tour": tour}, tokens: map[string]string{},
-		processes: map[string]*child{}, forwards: map[string]*forwarder{},
+		t: t, folder: env.WorkDir, ip: fmt.Sprintf("127.%d.%d.%d", 1+pid/250%250, 1+pid%250, number),
+		tokens: map[string]string{}, processes: map[string]*child{}, relays: map[string]*impair.Relay{},
 	}
 	s.journal = newJournal(s)
 	t.Cleanup(s.end)
-	return s
+	env.Values[scriptKey{}] = s
+	env.Setenv("ip", s.ip)
+	env.Setenv("ROSEMARYWIND_SETTINGS", s.path("op.toml"))
+	// The race detector waits for a second at the exit of a process unless it is told not to.
+	env.Setenv("GORACE", "atexit_sleep_ms=0")
 }
 
 // end stops what the script left running, and prints the ends of the logs after a failure.
 func (s *script) end() {
-	for _, f := range s.forwards {
-		f.close()
+	for _, r := range s.relays {
+		r.Close()
 	}
 	for _, name := range s.started {
 		p := s.processes[name]
@@ -74,83 +74,21 @@
 	}
 }
 
-func (s *script) run() {
-	number := 0
-	for line := range strings.Lines(s.text) {
-		number++
-		line = strings.TrimSpace(line)
-		if strings.HasPrefix(line, "-- ") && strings.HasSuffix(line, " --") {
-			return
-		}
-		words := s.words(line)
-		if len(words) == 0 {
-			continue
-		}
-		began := time.Now()
-		neg := words[0] == "!"
+// adapt makes a command of testscript from one that keeps its output in the script.
+func adapt(run func(s *script, args []string) error) func(*testscript.TestScript, bool, []string) {
+	return func(ts *testscript.TestScript, neg bool, args []string) {
 		if neg {
-			words = words[1:]
-		}
-		if err := s.do(neg, words[0], words[1:]); err != nil {
-			s.t.Fatalf("line %d, %s: %v\nstdout: %s\nstderr: %s", number, line, err, s.stdout, s.stderr)
-		}
-		s.t.Logf("%6.2f s  %s", time.Since(began).Seconds(), line)
-	}
-}
-
-var variable = regexp.MustCompile(`\$\w+`)
-
-// words splits a line at white space outside single quotes, and replaces variables outside of them.
-func (s *script) words(line string) (words []string) {
-	if strings.HasPrefix(line, "#") {
-		return nil
-	}
-	word, open := "", false
-	for i, part := range strings.Split(line, "'") {
-		if i%2 == 1 {
-			word, open = word+part, true
-			continue
+			ts.Fatalf("the command cannot be negated")
 		}
-		for k, w := range strings.Split(part, " ") {
-			if k > 0 && open {
-				words = append(words, word)
-				word, open = "", false
-			}
-			if w != "" {
-				word += variable.ReplaceAllStringFunc(w, func(v string) string { return s.vars[v[1:]] })
-				open = true
-			}
+		s := ts.Value(scriptKey{}).(*script)
+		s.ts, s.stdout, s.stderr = ts, "", ""
+		err := run(s, args)
+		if s.stdout+s.stderr != "" {
+			_, _ = io.WriteString(ts.Stdout(), s.stdout)
+			_, _ = io.WriteString(ts.Stderr(), s.stderr)
 		}
+		ts.Check(err)
 	}
-	if open {
-		words = append(words, word)
-	}
-	return words
-}
-
-func (s *script) do(neg bool, name string, args []string) error {
-	switch name {
-	case "exec":
-		return s.exec(neg, args)
-	case "exits":
-		return s.exits(args)
-	case "until":
-		return s.until(args)
-	case "stdout":
-		return match(neg, s.stdout, args[0])
-	case "stderr":
-		return match(neg, s.stderr, args[0])
-	case "empty":
-		return os.RemoveAll(filepath.Join(s.folder, args[0]))
-	case "edit":
-		return s.edit(args[0], args[1], args[2])
-	case "pause":
-		return s.pause(args[0])
-	}
-	if f, ok := s.commands()[name]; ok {
-		return f(args)
-	}
-	return fmt.Errorf("unknown command %q", name)
 }
 
 func match(neg bool, text, pattern string) error {
@@ -162,15 +100,9 @@
 
 // command returns a command of the system, or of the machine, in the script's folder.
 func (s *script) command(args []string) *exec.Cmd {
-	path := filepath.Join(s.bin, args[0])
-	if _, err := os.Lstat(path); err != nil {
-		path = args[0]
-	}
-	c := exec.Command(path, args[1:]...)
+	c := exec.Command(args[0], args[1:]...)
 	c.Dir = s.folder
-	// The race detector waits for a second at the exit of a process unless it is told not to.
-	c.Env = append(os.Environ(), "ROSEMARYWIND_SETTINGS="+filepath.Join(s.folder, "op.toml"), "GORACE=atexit_sleep_ms=0",
-		"PATH="+s.bin+":"+os.Getenv("PATH"))
+	c.Env = append(os.Environ(), "ROSEMARYWIND_SETTINGS="+s.path("op.toml"), "GORACE="+s.ts.Getenv("GORACE"))
 	return c
 }
 
@@ -188,14 +120,6 @@
 	return 0, err
 }
 
-func (s *script) exec(neg bool, args []string) error {
-	code, err := s.call(args)
-	if err == nil && (code != 0) != neg {
-		err = fmt.Errorf("exit code %d", code)
-	}
-	return err
-}
-
 // exits CODE COMMAND... expects an exit code.
 func (s *script) exits(args []string) error {
 	want, err := strconv.Atoi(args[0])
@@ -223,9 +147,13 @@
 	})
 }
 
+// empty FOLDER removes a folder with all that it holds.
+func (s *script) empty(args []string) error { return os.RemoveAll(s.path(args[0])) }
+
 // edit FILE OLD NEW replaces a text in a file.
-func (s *script) edit(file, from, to string) error {
-	path := filepath.Join(s.folder, file)
+func (s *script) edit(args []string) error {
+	file, from, to := args[0], args[1], args[2]
+	path := s.path(file)
 	data, err := os.ReadFile(path)
 	if err != nil {
 		return err
@@ -237,8 +165,8 @@
 }
 
 // pause lets a documented bound pass, such as the 3 s of P6.
-func (s *script) pause(text string) error {
-	d, err := time.ParseDuration(text)
+func (s *script) pause(args []string) error {
+	d, err := time.ParseDuration(args[0])
 	if err == nil {
 		<-time.After(d)
 	}
