Follow a control host to another address

Cause: the ledger knew members by their address. A control host that was replaced on another machine joined as one more voter beside the dead one, and a host that came back with its disk at another address was never reached again.

Change: a fresh id names its host, and an earlier disk of the same host is the one that a joining member replaces, wherever it joins from. A member whose address differs from the membership's tells its leader, which writes the new address into the membership; the vote is kept with the disk. Until then members answer where a message came from, so that a moved host can also take part in an election.

--- a/internal/ledger/driver/deliver.go
+++ b/internal/ledger/driver/deliver.go
@@ -4,8 +4,8 @@
 	"rosemarywind.example/rosemarywind/internal/ledger"
 )
 
-// maxStrangers bounds the senders outside the membership that are remembered; more than a few are a fault.
-const maxStrangers = 64
+// maxSenders bounds the addresses that are remembered; more than a few are a fault.
+const maxSenders = 64
 
 // delivery is a decoded message and where it came from.
 type delivery struct {
@@ -34,20 +34,19 @@
 	if d.to != "" && d.to != l.core.Self() {
 		return
 	}
-	if _, ok := l.core.Membership().Find(d.from); !ok {
-		if len(l.strangers) >= maxStrangers {
-			clear(l.strangers)
-		}
-		l.strangers[d.from] = d.address
+	if len(l.senders) >= maxSenders {
+		clear(l.senders)
 	}
+	l.senders[d.from] = d.address
 	l.step(ledger.NewReceive(d.from, d.message))
 }
 
-// send answers members that the membership does not know at the address that they wrote from.
+// send reaches a member where it wrote from: the membership does not know strangers, and names an earlier address of a
+// member that has moved.
 func (l *loop[R]) send(e ledger.Send) {
-	address := e.Address()
-	if address == "" {
-		address = l.strangers[e.To()]
+	address, heard := l.senders[e.To()]
+	if !heard {
+		address = e.Address()
 	}
 	l.node.send(l.core.Self(), e, address)
 }
--- a/internal/ledger/driver/found.go
+++ b/internal/ledger/driver/found.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"math"
 	"time"
 
@@ -20,7 +19,7 @@
 	if o.saved.Hard().Identity() != "" {
 		return o.saved, nil
 	}
-	fresh := ledger.MemberID(fmt.Sprintf("%s-%016x", o.id, o.random.Int64N(math.MaxInt64)))
+	fresh := ledger.FreshID(o.id, o.random.Int64N(math.MaxInt64))
 	f := ledger.NewFounding(o.id, fresh, o.initial)
 	ticker := time.NewTicker(askInterval)
 	defer ticker.Stop()
--- a/internal/ledger/driver/loop.go
+++ b/internal/ledger/driver/loop.go
@@ -23,8 +23,8 @@
 	begun   map[uint64]call[R] // by token, until accepted or refused
 	waiting map[uint64]call[R] // by index, until committed
 
-	// strangers holds the addresses of senders outside the membership.
-	strangers map[ledger.MemberID]string
+	// senders holds the addresses that other members wrote from.
+	senders map[ledger.MemberID]string
 
 	writes []ledger.Persist
 	tasks  []task
@@ -42,7 +42,7 @@
 		applied:   saved.Snapshot().Index(),
 		begun:     map[uint64]call[R]{},
 		waiting:   map[uint64]call[R]{},
-		strangers: map[ledger.MemberID]string{},
+		senders:   map[ledger.MemberID]string{},
 		toStorage: make(chan []ledger.Persist),
 		persisted: make(chan uint64),
 		toApplier: make(chan []task),
--- a/internal/ledger/follow.go
+++ b/internal/ledger/follow.go
@@ -13,6 +13,9 @@
 	}
 	c.hear()
 	c.lost = 0
+	if c.moved() {
+		c.send(from, Join{address: c.address})
+	}
 	return true
 }
 
--- a/internal/ledger/join.go
+++ b/internal/ledger/join.go
@@ -23,25 +23,32 @@
 	}
 }
 
-// onJoin notes a member that asks to become a voter. An address whose member still
-// answers is not given to another one.
+// moved reports whether the others look for this member at an address that it no longer has.
+func (c *Core) moved() bool {
+	e, known := c.membership.Find(c.self)
+	return known && e.address != c.address
+}
+
+// onJoin notes a member that asks to become a voter, or that has moved to another address. The place of a member that
+// still answers is not given to another one.
 func (c *Core) onJoin(from MemberID, m Join) {
-	if c.role != Leader || c.membership.isVoter(from) {
+	if c.role != Leader {
 		return
 	}
-	if e, ok := c.membership.Find(from); ok {
-		m.address = e.address
+	current, _ := c.membership.Find(from)
+	if current.voter && current.address == m.address {
+		return
 	}
-	if old, ok := c.predecessor(from, m.address); ok && (old == c.self || c.recent(c.peers[old])) {
+	if old, ok := c.predecessor(from, m.address); ok && !current.voter && c.answers(old) {
 		return
 	}
 	c.joining[from] = m.address
 }
 
-// predecessor returns another member with the same address.
+// predecessor returns another member of the same host, or at the same address: its disk is gone once it is silent.
 func (c *Core) predecessor(id MemberID, address string) (old MemberID, ok bool) {
 	for _, e := range c.membership.members {
-		if e.address == address && e.id != id {
+		if e.id != id && (e.address == address || e.id.host() == id.host()) {
 			return e.id, true
 		}
 	}
@@ -49,8 +56,12 @@
 }
 
 // admit takes joining members one step further: they become non-voters, catch up,
-// replace the member whose disk is gone, and only then become voters.
+// replace the member whose disk is gone, and only then become voters. A member that
+// has moved keeps its vote, since its disk is the same.
 func (c *Core) admit() {
+	if c.moved() {
+		c.joining[c.self] = c.address
+	}
 	for _, id := range c.joiners() {
 		if c.changePending() || c.transfer != nil {
 			return
@@ -61,10 +72,12 @@
 		switch {
 		case !known:
 			c.changeTo(0, c.membership.with(NewMember(id, address, false)))
+		case current.address != address:
+			c.changeTo(0, c.membership.with(NewMember(id, address, current.voter)))
 		case current.voter:
 			delete(c.joining, id)
 		case c.peers[id].match < c.commit:
-		case replaces && c.recent(c.peers[old]):
+		case replaces && c.answers(old):
 			delete(c.joining, id)
 		case replaces:
 			c.changeTo(0, c.membership.without(old))
@@ -79,7 +92,8 @@
 // joiners returns the joining members in a fixed order.
 func (c *Core) joiners() []MemberID { return slices.Sorted(maps.Keys(c.joining)) }
 
-// recent reports whether a member was heard within the last lease.
-func (c *Core) recent(p *progress) bool {
-	return p != nil && p.heardOnce && c.epoch.Add(p.heardAt+c.timing.lease).After(c.now)
+// answers reports whether a member is this one or was heard within the last lease.
+func (c *Core) answers(id MemberID) bool {
+	p := c.peers[id]
+	return id == c.self || p != nil && p.heardOnce && c.epoch.Add(p.heardAt+c.timing.lease).After(c.now)
 }
--- a/internal/ledger/membership.go
+++ b/internal/ledger/membership.go
@@ -5,9 +5,6 @@
 	"slices"
 )
 
-// MemberID names one disk of a control host; a host whose disk was emptied gets a new one.
-type MemberID string
-
 // Member is one replica of the ledger.
 type Member struct {
 	id      MemberID
--- a/internal/ledger/message.go
+++ b/internal/ledger/message.go
@@ -66,7 +66,7 @@
 // ProbeReply answers a Probe.
 type ProbeReply struct{ term uint64 }
 
-// Join asks the leader to make the sender a voter, in place of another member with its address.
+// Join asks the leader to make the sender a voter, in place of an earlier disk of its host, or to note that it has moved.
 type Join struct{ address string }
 
 func (PreVote) message()      {}
--- a/internal/ledger/storage/cluster_test.go
+++ b/internal/ledger/storage/cluster_test.go
@@ -19,14 +19,18 @@
 
 // packet is a message under way between two addresses.
 type packet struct {
-	send ledger.Send
-	from ledger.MemberID
-	host string
+	send   ledger.Send
+	from   ledger.MemberID
+	host   string
+	source string
+	to     string
 }
 
 // host is one control host: its disk outlives the core.
 type host struct {
-	address  string
+	address  string // also its name and its first address
+	present  string
+	heard    map[ledger.MemberID]string // where other members wrote from
 	disk     *fakeDisk
 	store    *storage.Store
 	founding *ledger.Founding
@@ -46,22 +50,21 @@
 	packets []packet
 	blocked map[[2]string]bool
 	fresh   int
+	moves   int
 	token   uint64
 	tokens  map[uint64]string
 	oracle  *oracle
-	// addresses are those that members wrote from.
-	addresses map[ledger.MemberID]string
 }
 
 func newCluster(check checker, size int, seed uint64) *cluster {
 	c := &cluster{
 		check: check, now: time.Unix(1_000_000, 0), random: rand.New(rand.NewPCG(seed, 1)),
 		blocked: map[[2]string]bool{}, tokens: map[uint64]string{},
-		addresses: map[ledger.MemberID]string{},
 	}
 	var members []ledger.Member
 	for i := range size {
 		h := &host{address: fmt.Sprintf("h%d", i+1), disk: newFakeDisk()}
+		h.present = h.address
 		c.hosts = append(c.hosts, h)
 		members = append(members, ledger.NewMember(ledger.MemberID(h.address), h.address, true))
 	}
@@ -88,14 +91,14 @@
 		return
 	}
 	c.checkError(err)
-	h.store = s
+	h.store, h.heard = s, map[ledger.MemberID]string{}
 	if saved.Hard().Identity() != "" {
 		c.begin(h, saved)
 		return
 	}
 	c.fresh++
-	fresh := ledger.MemberID(fmt.Sprintf("%s-%d", h.address, c.fresh))
-	h.founding = ledger.NewFounding(ledger.MemberID(h.address), fresh, c.oracle.founding)
+	fresh := ledger.FreshID(ledger.MemberID(h.address), int64(c.fresh))
+	h.founding = ledger.NewFounding(ledger.MemberID(h.address), fresh, c.settings())
 	c.decide(h)
 }
 
@@ -118,7 +121,7 @@
 
 func (c *cluster) begin(h *host, saved ledger.Saved) {
 	h.founding, h.writes, h.waiting = nil, nil, map[uint64]string{}
-	h.core = ledger.NewCore(saved, h.address, ledger.DefaultTiming(), c.now, c.random)
+	h.core = ledger.NewCore(saved, h.present, ledger.DefaultTiming(), c.now, c.random)
 	h.lines, h.applied = nil, saved.Snapshot().Index()
 	if h.applied > 0 {
 		c.restore(h, saved.Snapshot())
@@ -136,9 +139,29 @@
 	h.disk = newFakeDisk()
 }
 
+// move gives a host another address, which it has from its next start.
+func (c *cluster) move(h *host) {
+	h.core, h.founding = nil, nil
+	h.disk.crash(c.random)
+	c.moves++
+	h.present = fmt.Sprintf("%s.%d", h.address, c.moves)
+}
+
+// settings returns the initial members as an operator writes them today.
+func (c *cluster) settings() ledger.Membership {
+	var members []ledger.Member
+	for _, h := range c.hosts {
+		members = append(members, ledger.NewMember(ledger.MemberID(h.address), h.present, true))
+	}
+	return ledger.NewMembership(members...)
+}
+
 func (c *cluster) post(h *host, from ledger.MemberID, s ledger.Send) {
-	c.addresses[from] = h.address
-	c.packets = append(c.packets, packet{send: s, from: from, host: h.address})
+	to, heard := h.heard[s.To()]
+	if !heard {
+		to = s.Address()
+	}
+	c.packets = append(c.packets, packet{send: s, from: from, host: h.address, source: h.present, to: to})
 	if len(c.packets) > 400 {
 		c.packets = slices.Delete(c.packets, 0, 100)
 	}
@@ -150,14 +173,13 @@
 	if !keep {
 		c.packets = slices.Delete(c.packets, i, i+1)
 	}
-	address := p.send.Address()
-	if address == "" {
-		address = c.addresses[p.send.To()]
-	}
 	for _, h := range c.hosts {
-		if h.address != address || c.blocked[[2]string{p.host, address}] {
+		if h.present != p.to || c.blocked[[2]string{p.host, h.address}] {
 			continue
 		}
+		if h.heard != nil {
+			h.heard[p.from] = p.source
+		}
 		if h.core != nil && (p.send.To() == "" || p.send.To() == h.core.Self()) {
 			c.step(h, ledger.NewReceive(p.from, p.send.Message()))
 		}
@@ -169,10 +191,10 @@
 
 func (c *cluster) answer(h *host, p packet) {
 	if m, ok := p.send.Message().(ledger.ProbeReply); ok && p.send.To() == h.founding.Fresh() {
-		h.founding.Answer(p.host, m)
+		h.founding.Answer(p.source, m)
 		c.decide(h)
 	} else if _, ok := p.send.Message().(ledger.Probe); ok {
-		c.post(h, h.founding.Fresh(), ledger.NewSend(p.from, p.host, ledger.NewProbeReply(0)))
+		c.post(h, h.founding.Fresh(), ledger.NewSend(p.from, p.source, ledger.NewProbeReply(0)))
 	}
 }
 
--- a/internal/ledger/storage/fuzz_test.go
+++ b/internal/ledger/storage/fuzz_test.go
@@ -23,7 +23,7 @@
 
 // Guards against two leaders of a term, a committed entry that is lost or replaced,
 // and an acknowledged proposal that is lost or doubled, under crashes, torn writes,
-// emptied disks and a network that drops, delays, repeats, reorders and partitions.
+// emptied disks, hosts that move to another address and a network that drops, delays, repeats, reorders and partitions.
 func TestFaults(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		size := rapid.SampledFrom([]int{1, 3, 3, 5, 7}).Draw(t, "size")
@@ -49,6 +49,7 @@
 			"resume":   func(*rapid.T) { resume(c) },
 			"bad sync": func(t *rapid.T) { failSync(pick(t)) },
 			"empty":    func(t *rapid.T) { emptyRepaired(c, pick(t)) },
+			"move":     func(t *rapid.T) { moveRepaired(c, pick(t)) },
 			"block":    func(t *rapid.T) { c.blocked[[2]string{pick(t).address, pick(t).address}] = true },
 			"heal":     func(*rapid.T) { clear(c.blocked) },
 		})
@@ -202,14 +203,25 @@
 	}
 }
 
-// repaired reports whether the committed voters are the present disks.
+// moveRepaired gives a host another address, with its disk or with an emptied one.
+func moveRepaired(c *cluster, h *host) {
+	if !repaired(c) {
+		return
+	}
+	c.move(h)
+	if len(c.hosts) > 1 && c.moves%2 == 0 {
+		c.empty(h)
+	}
+}
+
+// repaired reports whether the committed voters are the present disks at their present addresses.
 func repaired(c *cluster) bool {
 	m := c.oracle.membership()
 	for _, h := range c.hosts {
 		if h.core == nil {
 			return false
 		}
-		if e, ok := m.Find(h.core.Self()); !ok || !e.Voter() {
+		if e, ok := m.Find(h.core.Self()); !ok || !e.Voter() || e.Address() != h.present {
 			return false
 		}
 	}
--- a/internal/ledger/transfer.go
+++ b/internal/ledger/transfer.go
@@ -27,7 +27,7 @@
 	var match uint64
 	for _, e := range c.membership.members {
 		p := c.peers[e.id]
-		if c.role == Leader && e.voter && c.recent(p) && (best == "" || p.match > match) {
+		if c.role == Leader && e.voter && p != nil && c.answers(e.id) && (best == "" || p.match > match) {
 			best, match = e.id, p.match
 		}
 	}
