--- a/internal/agent/dialer.go
+++ b/internal/agent/dialer.go
@@ -4,18 +4,19 @@
 	"net"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 const (
 	dialTimeout = time.Second
 	// A connection on which nothing is on its way is probed after 1 s of silence and given up after 2 unanswered
-	// probes: 3 s. Bytes on their way are covered by userTimeout, since TCP sends no such probes meanwhile.
+	// probes: 3 s. Bytes on their way are covered by userTimeout, since TCP sends no such probes meanwhile; the kernel
+	// gives up 0.25 s after it.
 	keepAliveIdle     = time.Second
 	keepAliveInterval = time.Second
 	keepAliveCount    = 2
-	userTimeout       = 3 * time.Second
-	// tcpUserTimeout is TCP_USER_TIMEOUT of Linux, in milliseconds, which package syscall does not name.
-	tcpUserTimeout = 0x12
+	userTimeout       = 2500 * time.Millisecond
 )
 
 // dialer returns a dialer whose connections end when the peer's host does not acknowledge for 3 s.
@@ -27,7 +28,7 @@
 		},
 		Control: func(_, _ string, c syscall.RawConn) (err error) {
 			if e := c.Control(func(fd uintptr) {
-				err = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(userTimeout.Milliseconds()))
+				err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
 			}); e != nil {
 				return e
 			}
--- a/internal/agent/harness_test.go
+++ b/internal/agent/harness_test.go
@@ -212,7 +212,7 @@
 }
 
 // endpoint serves handler, and answers probes on its own.
-func endpoint(t *testing.T, handler http.HandlerFunc) (url string) {
+func endpoint(t *testing.T, handler http.HandlerFunc, opts ...func(*http.Server)) (url string) {
 	t.Helper()
 	l, err := net.Listen("tcp", loopback)
 	require.NoError(t, err)
@@ -221,6 +221,9 @@
 	mux.HandleFunc("/tasks", func(_ http.ResponseWriter, h *http.Request) { <-h.Context().Done() })
 	mux.HandleFunc("/", handler)
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: patience}
+	for _, o := range opts {
+		o(server)
+	}
 	go func() { _ = server.Serve(l) }()
 	t.Cleanup(func() { _ = server.Close() })
 	return "http://" + l.Addr().String()
