Keep the difference of a configuration in the log, not the whole

Cause: a change of configuration was recorded as the whole configuration.

Change: ApplyConfig holds the difference, as watchers get it. A change whose base is not in force is recorded by its base alone: it is refused, or it is a resend that gets its first answer. Config.With keeps the list sorted in place of sorting and copying it twice. The fuzz test of the registry compares the configuration in force with the one that was declared.

--- a/identity_test.go
+++ b/identity_test.go
@@ -42,7 +42,7 @@
 		assertProposalRefused(t, s, "agent", claim)
 	})
 	t.Run("a configuration by an entry", func(t *testing.T) {
-		assertProposalRefused(t, s, "entry", registry.NewApplyConfig("", 0, workspace.EmptyConfig(), time.Now()))
+		assertProposalRefused(t, s, "entry", registry.NewApplyConfig("", workspace.Between(workspace.EmptyConfig(), workspace.EmptyConfig()), time.Now()))
 		assert.Zero(t, s.controls[0].Board().State().Load().Config().Revision())
 	})
 	t.Run("an entry whose clock is a week behind does not shorten the life of a record", func(t *testing.T) {
--- a/internal/control/bench_test.go
+++ b/internal/control/bench_test.go
@@ -65,7 +65,7 @@
 		workspace.New("team", "team", shape, workspace.NewLimits(1, 1)),
 	}, nil, nil)
 	require.NoError(b, err)
-	requireState(b, c.board, registry.NewApplyConfig("", 0, config, start))
+	requireState(b, c.board, registry.NewApplyConfig("", workspace.Between(workspace.EmptyConfig(), config), start))
 	for i := range benchWorkers {
 		name := fmt.Sprintf("w%d", i)
 		c.keeper.take(announced(name, "a:1", 1, 0), 1, start)
--- a/internal/control/declarations.go
+++ b/internal/control/declarations.go
@@ -53,7 +53,7 @@
 		writeJSON(w, http.StatusOK, f)
 		return
 	}
-	c := registry.NewApplyConfig(h.Header.Get(client.RequestIDHeader), base, next, time.Now())
+	c := registry.NewApplyConfig(h.Header.Get(client.RequestIDHeader), change(current, next, base), time.Now())
 	r, ok := a.propose(w, h, c)
 	if !ok {
 		return
@@ -65,6 +65,15 @@
 	writeJSON(w, http.StatusOK, f)
 }
 
+// change returns what the ledger gets. A change from a base that is not in force says nothing beside the base: it is
+// refused there, unless it is a resend, which gets its first answer.
+func change(current, next *workspace.Config, base uint64) workspace.Delta {
+	if base != current.Revision() {
+		return workspace.NewDelta(base, base+1, nil, nil)
+	}
+	return workspace.Between(current, next)
+}
+
 func readDeclaration(h *http.Request) (c *workspace.Config, err error) {
 	data, err := io.ReadAll(h.Body)
 	if err != nil {
--- a/internal/control/gangs_test.go
+++ b/internal/control/gangs_test.go
@@ -89,7 +89,7 @@
 		workspace.New("team", "team", shape, workspace.NewLimits(1, 1)),
 	}, nil, nil)
 	require.NoError(t, err)
-	requireApplied(t, c.board, registry.NewApplyConfig("", 0, config, start))
+	requireApplied(t, c.board, registry.NewApplyConfig("", workspace.Between(workspace.EmptyConfig(), config), start))
 	return newDriver(c)
 }
 
--- a/internal/gang/world_test.go
+++ b/internal/gang/world_test.go
@@ -79,7 +79,7 @@
 	config, _ := workspace.NewConfig([]workspace.Workspace{
 		workspace.New("team", "team", shape, workspace.NewLimits(1, 1)),
 	}, nil, nil)
-	w.commit(registry.NewApplyConfig("", 0, config, w.now))
+	w.commit(registry.NewApplyConfig("", workspace.Between(workspace.EmptyConfig(), config), w.now))
 	w.elect()
 	return w
 }
--- a/internal/registry/accessors.go
+++ b/internal/registry/accessors.go
@@ -9,18 +9,15 @@
 )
 
 // NewApplyConfig returns the command.
-func NewApplyConfig(requestID string, base uint64, config *workspace.Config, at time.Time) ApplyConfig {
-	return ApplyConfig{requestID: requestID, base: base, config: config, at: at}
+func NewApplyConfig(requestID string, delta workspace.Delta, at time.Time) ApplyConfig {
+	return ApplyConfig{requestID: requestID, delta: delta, at: at}
 }
 
 // RequestID returns the identity that a resend repeats.
 func (a ApplyConfig) RequestID() string { return a.requestID }
 
-// Base returns the revision that the operator saw.
-func (a ApplyConfig) Base() uint64 { return a.base }
-
-// Config returns the declared configuration.
-func (a ApplyConfig) Config() *workspace.Config { return a.config }
+// Delta returns the change; it starts from the revision that the operator saw.
+func (a ApplyConfig) Delta() workspace.Delta { return a.delta }
 
 // At returns the leader's time of the proposal.
 func (a ApplyConfig) At() time.Time { return a.at }
--- a/internal/registry/apply.go
+++ b/internal/registry/apply.go
@@ -57,10 +57,14 @@
 
 func applyConfig(s State, c ApplyConfig) (State, Result) {
 	now := s.config.Revision()
-	if c.base != now {
+	if c.delta.Base() != now {
 		return s, Conflict{revision: now}
 	}
-	s.config = c.config.WithRevision(now + 1)
+	next, err := s.config.With(c.delta)
+	if err != nil {
+		return s, Denied{reason: err.Error()}
+	}
+	s.config = next.WithRevision(now + 1)
 	return s, Accepted{revision: now + 1}
 }
 
--- a/internal/registry/command.go
+++ b/internal/registry/command.go
@@ -15,11 +15,11 @@
 	command()
 }
 
-// ApplyConfig replaces the configuration if its base revision is the current one.
+// ApplyConfig changes the configuration if the change starts from the current revision. It holds what differs, because
+// the whole configuration of 120 workspaces takes 13 KB in the log.
 type ApplyConfig struct {
 	requestID string
-	base      uint64
-	config    *workspace.Config
+	delta     workspace.Delta
 	at        time.Time
 }
 
--- a/internal/registry/fuzz_test.go
+++ b/internal/registry/fuzz_test.go
@@ -57,7 +57,7 @@
 			t: t, now: time.Unix(1_767_600_000, 0), state: registry.NewState(), answers: map[string]answer{},
 			attempts: map[string]attempt{}, numbers: map[uint64]bool{}, fences: map[lease.Fence]bool{},
 		}
-		l.require(registry.NewApplyConfig("", 0, configOf(t, "a", "b"), l.now))
+		l.require(registry.NewApplyConfig("", workspace.Between(workspace.EmptyConfig(), configOf(t, "a", "b")), l.now))
 		l.revision = 1
 		t.Repeat(map[string]func(*rapid.T){
 			"configure": l.configure,
@@ -117,13 +117,16 @@
 
 func (l *ledger) configure(t *rapid.T) {
 	id, base := requestID(t), uint64(max(0, int(l.revision)-rapid.IntRange(0, 2).Draw(t, "behind")))
-	r, first := l.once("apply", id, registry.NewApplyConfig(id, base, configOf(t, "a", "b", requestID(t)), l.now))
+	next := configOf(t, "a", "b", requestID(t))
+	delta := workspace.Between(l.state.Config().WithRevision(base), next)
+	r, first := l.once("apply", id, registry.NewApplyConfig(id, delta, l.now))
 	if !first {
 		return
 	}
 	if base == l.revision {
 		l.revision++
 		require.Equal(t, registry.NewAccepted(l.revision, "", 0), r)
+		assertSame(t, *next.WithRevision(l.revision), *l.state.Config())
 	} else {
 		require.Equal(t, registry.NewConflict(l.revision), r, "the loser is told the revision in force")
 	}
@@ -310,9 +313,6 @@
 }
 
 func text(v any) string {
-	if c, ok := v.(registry.ApplyConfig); ok {
-		return fmt.Sprintf("%s %d %v %+v", c.RequestID(), c.Base(), c.At(), *c.Config())
-	}
 	return fmt.Sprintf("%T %+v", v, v)
 }
 
--- a/internal/wire/command.go
+++ b/internal/wire/command.go
@@ -36,8 +36,6 @@
 	RequestID   string       `cbor:"2,keyasint,omitempty"`
 	ID          string       `cbor:"3,keyasint,omitempty"`
 	At          int64        `cbor:"4,keyasint,omitempty"`
-	Base        uint64       `cbor:"5,keyasint,omitempty"`
-	Config      *configForm  `cbor:"6,keyasint,omitempty"`
 	Spec        *specForm    `cbor:"7,keyasint,omitempty"`
 	Members     []memberForm `cbor:"8,keyasint,omitempty"`
 	Fence       uint64       `cbor:"9,keyasint,omitempty"`
@@ -52,6 +50,7 @@
 	Drained     bool         `cbor:"18,keyasint,omitempty"`
 	Length      int64        `cbor:"19,keyasint,omitempty"`
 	Attempt     string       `cbor:"20,keyasint,omitempty"`
+	Delta       *deltaForm   `cbor:"21,keyasint,omitempty"`
 }
 
 type endingForm struct {
@@ -81,8 +80,8 @@
 func fromCommand(c registry.Command) commandForm {
 	switch t := c.(type) {
 	case registry.ApplyConfig:
-		m := fromConfig(t.Config())
-		return commandForm{Kind: commandApply, RequestID: t.RequestID(), Base: t.Base(), Config: &m, At: toNanos(t.At())}
+		m := fromDelta(t.Delta())
+		return commandForm{Kind: commandApply, RequestID: t.RequestID(), Delta: &m, At: toNanos(t.At())}
 	case registry.SubmitJob:
 		m := fromSpec(t.Spec())
 		return commandForm{Kind: commandSubmit, RequestID: t.RequestID(), Spec: &m, At: toNanos(t.At())}
@@ -163,12 +162,12 @@
 func (f commandForm) declared() (c registry.Command, err error) {
 	at := fromNanos(f.At)
 	switch {
-	case f.Kind == commandApply && f.Config != nil:
-		config, err := f.Config.config()
+	case f.Kind == commandApply && f.Delta != nil:
+		delta, err := f.Delta.delta()
 		if err != nil {
 			return nil, err
 		}
-		return registry.NewApplyConfig(f.RequestID, f.Base, config, at), nil
+		return registry.NewApplyConfig(f.RequestID, delta, at), nil
 	case f.Kind == commandSubmit && f.Spec != nil:
 		spec, err := f.Spec.spec()
 		if err != nil {
--- a/internal/wire/state_bench_test.go
+++ b/internal/wire/state_bench_test.go
@@ -46,7 +46,7 @@
 		workspace.New("previews", "mill", shape, workspace.NewLimits(10, 10)),
 	}, nil, nil)
 	require.NoError(b, err)
-	s, _ := registry.Apply(registry.NewState(), registry.NewApplyConfig("a", 0, config, now))
+	s, _ := registry.Apply(registry.NewState(), registry.NewApplyConfig("a", workspace.Between(workspace.EmptyConfig(), config), now))
 	for i := range n {
 		id := fmt.Sprintf("j-%032d", i)
 		spec, err := job.NewSpec(id, "previews", shape, now, job.WithPayload("pattern"))
--- a/internal/workspace/config.go
+++ b/internal/workspace/config.go
@@ -49,16 +49,25 @@
 
 // NewConfig returns a configuration with sorted workspaces and exceptions; it fails on duplicates.
 func NewConfig(workspaces []Workspace, defaults map[string]string, exceptions []Exception) (c *Config, err error) {
+	workspaces = slices.Clone(workspaces)
+	slices.SortFunc(workspaces, func(a, b Workspace) int { return strings.Compare(a.name, b.name) })
+	return newConfig(workspaces, defaults, sortedExceptions(exceptions))
+}
+
+func sortedExceptions(list []Exception) []Exception {
+	list = slices.Clone(list)
+	slices.SortFunc(list, func(a, b Exception) int { return strings.Compare(a.target+"."+a.key, b.target+"."+b.key) })
+	return list
+}
+
+// newConfig keeps the sorted lists that it is given.
+func newConfig(workspaces []Workspace, defaults map[string]string, exceptions []Exception) (c *Config, err error) {
 	defer func() {
 		if err != nil {
 			err = fmt.Errorf("configuration: %w", err)
 		}
 	}()
-	c = &Config{workspaces: slices.Clone(workspaces), defaults: defaults, exceptions: slices.Clone(exceptions)}
-	slices.SortFunc(c.workspaces, func(a, b Workspace) int { return strings.Compare(a.name, b.name) })
-	slices.SortFunc(c.exceptions, func(a, b Exception) int {
-		return strings.Compare(a.target+"."+a.key, b.target+"."+b.key)
-	})
+	c = &Config{workspaces: workspaces, defaults: defaults, exceptions: exceptions}
 	for i, w := range c.workspaces {
 		if w.name == "" {
 			return nil, fmt.Errorf("workspace %d has no name", i+1)
@@ -99,15 +108,18 @@
 
 // Workspace returns the workspace of the given name.
 func (c *Config) Workspace(name string) (w Workspace, ok bool) {
-	i, ok := slices.BinarySearchFunc(c.workspaces, name, func(w Workspace, n string) int {
-		return strings.Compare(w.name, n)
-	})
+	i, ok := position(c.workspaces, name)
 	if !ok {
 		return Workspace{}, false
 	}
 	return c.workspaces[i], true
 }
 
+// position returns where a sorted list has a workspace of the given name, or would have it.
+func position(sorted []Workspace, name string) (i int, ok bool) {
+	return slices.BinarySearchFunc(sorted, name, func(w Workspace, n string) int { return strings.Compare(w.name, n) })
+}
+
 // Exception returns the exception's value for target and key.
 func (c *Config) Exception(target, key string) (value string, ok bool) {
 	for _, e := range c.exceptions {
--- a/internal/workspace/delta.go
+++ b/internal/workspace/delta.go
@@ -70,15 +70,24 @@
 	if d.base != c.revision {
 		return nil, fmt.Errorf("configuration is at revision %d, the change starts from %d", c.revision, d.base)
 	}
-	workspaces := slices.DeleteFunc(slices.Clone(c.workspaces), func(w Workspace) bool {
-		return slices.Contains(d.removed, w.name) ||
-			slices.ContainsFunc(d.changed, func(n Workspace) bool { return n.name == w.name })
-	})
+	workspaces := slices.Clone(c.workspaces)
+	for _, name := range d.removed {
+		if i, ok := position(workspaces, name); ok {
+			workspaces = slices.Delete(workspaces, i, i+1)
+		}
+	}
+	for _, w := range d.changed {
+		if i, ok := position(workspaces, w.name); ok {
+			workspaces[i] = w
+		} else {
+			workspaces = slices.Insert(workspaces, i, w)
+		}
+	}
 	defaults, exceptions := c.defaults, c.exceptions
 	if d.rest {
-		defaults, exceptions = d.defaults, d.exceptions
+		defaults, exceptions = d.defaults, sortedExceptions(d.exceptions)
 	}
-	if next, err = NewConfig(append(workspaces, d.changed...), defaults, exceptions); err != nil {
+	if next, err = newConfig(workspaces, defaults, exceptions); err != nil {
 		return nil, err
 	}
 	return next.WithRevision(d.revision), nil
