--- a/guarantee_test.go
+++ b/guarantee_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"testing"
 	"time"
 
@@ -27,8 +28,8 @@
 func TestGuarantee(t *testing.T) {
 	t.Run("an owner reclaims, and a borrower that may run again waits for its turn", func(t *testing.T) {
 		s := requireSystem(t, "owner", "borrower")
-		id := s.requireBorrower(true, true)
-		own := s.submit("owner", 2, true, false)
+		id := s.requireBorrower("idempotent", "checkpointable")
+		own := s.submit("owner", 2, "idempotent")
 		s.assertStartsWithin(own, urgentStart)
 		j := s.await(id, startUp, func(j job.Job) bool { return !j.Placed() })
 		assert.Equal(t, 6, s.checkpoints(), "each member of the borrower is checkpointed")
@@ -37,24 +38,33 @@
 	})
 	t.Run("a borrower that must not run twice is reported as one that may have run", func(t *testing.T) {
 		s := requireSystem(t, "owner", "borrower")
-		id := s.requireBorrower(false, true)
-		own := s.submit("owner", 2, true, false)
+		id := s.requireBorrower("checkpointable")
+		own := s.submit("owner", 2, "idempotent")
 		s.assertStartsWithin(own, urgentStart)
 		j := s.await(id, startUp, func(j job.Job) bool { return j.State() == job.Done })
 		assert.Equal(t, job.MayHaveRun, j.Result(), j.Reason())
 	})
+	t.Run("a borrower that a stop would lose is throttled and goes on afterwards", func(t *testing.T) {
+		s := requireSystem(t, "owner", "borrower")
+		id := s.requireBorrower("throttleable")
+		own := s.submit("owner", 2, "idempotent")
+		s.assertStartsWithin(own, urgentStart)
+		s.assertSpeed(id, job.Throttled, 2)
+		requireSent(t, s.System, http.MethodDelete, "/v1/jobs/"+own, "")
+		s.assertSpeed(id, job.Resumed, 6)
+	})
 	t.Run("two owners reclaim at once", func(t *testing.T) {
 		s := requireSystem(t, "owner", "second", "borrower")
-		s.requireBorrower(true, false)
-		first, second := s.submit("owner", 2, true, false), s.submit("second", 2, true, false)
+		s.requireBorrower("idempotent")
+		first, second := s.submit("owner", 2, "idempotent"), s.submit("second", 2, "idempotent")
 		s.assertStartsWithin(first, urgentStart)
 		s.assertStartsWithin(second, urgentStart)
 	})
 	t.Run("a borrower on a worker that does not answer is over with its lease", func(t *testing.T) {
 		s := requireSystem(t, "owner", "borrower")
-		s.requireBorrower(true, false)
+		s.requireBorrower("idempotent")
 		s.standins[3].Behave(standin.NewBehaviour(standin.Freeze, 0))
-		own := s.submit("owner", 2, true, false)
+		own := s.submit("owner", 2, "idempotent")
 		s.assertStartsWithin(own, leaseStart)
 	})
 }
@@ -86,16 +96,33 @@
 }
 
 // requireBorrower returns a running job of the last workspace that holds every accelerator.
-func (s running) requireBorrower(idempotent, checkpointable bool) (id string) {
+func (s running) requireBorrower(traits ...string) (id string) {
 	s.t.Helper()
-	id = s.submit("borrower", 6, idempotent, checkpointable)
+	id = s.submit("borrower", 6, traits...)
 	s.await(id, startUp, func(j job.Job) bool { return j.State() == job.Started })
 	return id
 }
 
-func (s running) submit(workspace string, members int, idempotent, checkpointable bool) (id string) {
+func (s running) submit(workspace string, members int, traits ...string) (id string) {
+	s.t.Helper()
+	return requireSubmitted(s.t, s.System, workspace, members, traits...)
+}
+
+// assertSpeed waits until the borrower has the speed while the given number of workers hold accelerators for tasks,
+// and checks that its first run goes on.
+func (s running) assertSpeed(id string, want job.Speed, workers int) {
 	s.t.Helper()
-	return requireSubmitted(s.t, s.System, workspace, members, idempotent, checkpointable)
+	j := s.await(id, startUp, func(j job.Job) bool { return j.Speed() == want })
+	assert.Equal(s.t, job.Started, j.State(), j.Reason())
+	assert.Equal(s.t, 1, j.Attempts())
+	assert.Eventually(s.t, func() bool { return s.held() == 8*workers }, startUp, 10*time.Millisecond)
+}
+
+func (s running) held() (n int) {
+	for _, w := range s.standins {
+		n += w.Accelerators()
+	}
+	return n
 }
 
 func (s running) checkpoints() (n int) {
--- a/internal/agent/platform.go
+++ b/internal/agent/platform.go
@@ -52,7 +52,7 @@
 		}
 	case task.Throttle:
 		verb, f = "throttle", form(t.ID(), uint64(t.Fence()))
-		f.Percent = t.Percent()
+		f.Percent, f.Mark = t.Percent(), uint64(t.Mark())
 	}
 	return p.post(ctx, verb, f)
 }
--- a/internal/control/follow.go
+++ b/internal/control/follow.go
@@ -48,7 +48,7 @@
 		f, ok := g.jobs[id]
 		if !ok || f.progress.Fence() != j.Fence() {
 			g.jobs[id] = g.adopt(j, roster, now)
-		} else if f.state != j.State() {
+		} else if f.state != j.State() || f.speed != j.Speed() {
 			f.dirty = true
 		}
 	}
@@ -56,7 +56,7 @@
 
 // adopt returns what is known of a job that this process has not followed under its fence.
 func (g *gangs) adopt(j job.Job, roster *Roster, now time.Time) *followed {
-	f := &followed{progress: gang.NewProgress(j, g.term, now), state: j.State(), dirty: true}
+	f := &followed{progress: gang.NewProgress(j, g.term, now), state: j.State(), speed: j.Speed(), dirty: true}
 	if j.Fence() <= g.adopted {
 		f.progress = f.progress.Adopted()
 	}
--- a/internal/control/gangs.go
+++ b/internal/control/gangs.go
@@ -31,6 +31,7 @@
 type followed struct {
 	progress gang.Progress
 	state    job.State
+	speed    job.Speed
 	dirty    bool
 	busy     bool
 	next     time.Time
@@ -112,7 +113,7 @@
 }
 
 func (g *gangs) step(ctx context.Context, j job.Job, f *followed, now time.Time) {
-	f.dirty, f.state = false, j.State()
+	f.dirty, f.state, f.speed = false, j.State(), j.Speed()
 	for _, a := range gang.Step(j, f.progress, now) {
 		g.carryOut(ctx, j, f, a, now)
 	}
@@ -130,6 +131,8 @@
 	case gang.Stop:
 		g.control.logger.Info("stopping job", "job", id, "reason", t.Reason())
 		g.commit(ctx, f, id, registry.NewStopGang(id, fence, t.Reason()))
+	case gang.Release:
+		g.commit(ctx, f, id, registry.NewThrottleGang(id, fence, job.Throttled, "holds no accelerators: "+j.Reason()))
 	case gang.Requeue:
 		g.commit(ctx, f, id, registry.NewRequeueJob(id, fence, t.Reason(), t.NotBefore()))
 	case gang.End:
--- a/internal/control/jobs.go
+++ b/internal/control/jobs.go
@@ -74,6 +74,7 @@
 	}
 	return job.NewSpec(id, f.Workspace, shape, now,
 		job.WithUrgency(urgency), job.WithIdempotent(f.Idempotent), job.WithCheckpointable(f.Checkpointable),
+		job.WithThrottleable(f.Throttleable),
 		job.WithRunTime(time.Duration(f.RunTimeS*float64(time.Second))), job.WithPayload(f.Payload))
 }
 
--- a/internal/control/scheduler.go
+++ b/internal/control/scheduler.go
@@ -117,8 +117,12 @@
 		case plan.Wait:
 			explains = explains.With(t.Job(), t.Explanation())
 		case plan.Reclaim:
-			if j, ok := s.seen.unfinished.Get(t.Job()); ok && j.Placed() && j.State() != job.Stopping {
-				commit(registry.NewStopGang(t.Job(), j.Fence(), t.Explanation()))
+			if j, ok := s.seen.unfinished.Get(t.Job()); ok && j.Holds() && !j.Leaving() {
+				commit(reclaim(j, t))
+			}
+		case plan.Resume:
+			if j, ok := s.seen.unfinished.Get(t.Job()); ok && j.Speed() == job.Throttled {
+				commit(registry.NewThrottleGang(t.Job(), j.Fence(), job.Resumed, t.Explanation()))
 			}
 		case plan.SetAside:
 			s.setAside[t.Worker()] = t.Until()
@@ -129,6 +133,14 @@
 	s.control.board.explains.Publish(explains)
 }
 
+// reclaim returns the command that takes a job's accelerators back; the workers checkpoint a stopped job if they can.
+func reclaim(j job.Job, r plan.Reclaim) registry.Command {
+	if r.Method() == plan.Throttle {
+		return registry.NewThrottleGang(r.Job(), j.Fence(), job.Slowing, r.Explanation())
+	}
+	return registry.NewStopGang(r.Job(), j.Fence(), r.Explanation())
+}
+
 func (s *scheduler) commit(ctx context.Context, c registry.Command) {
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
--- a/internal/control/streams.go
+++ b/internal/control/streams.go
@@ -166,7 +166,7 @@
 	case registry.SettleKey:
 		return registry.NewSettleKey(t.Workspace(), t.Key(), t.Number(), t.Ending(), now), nil
 	case registry.ApplyConfig, registry.SubmitJob, registry.CancelJob, registry.ReserveGang, registry.StartGang,
-		registry.StopGang, registry.RequeueJob, registry.EndJob, registry.DrainEndpoint, registry.Expire:
+		registry.StopGang, registry.ThrottleGang, registry.RequeueJob, registry.EndJob, registry.DrainEndpoint, registry.Expire:
 	}
 	return nil, fmt.Errorf("%s may not propose %T", peer, command)
 }
--- a/internal/gang/action.go
+++ b/internal/gang/action.go
@@ -28,6 +28,9 @@
 	reason string
 }
 
+// Release commits that all members are throttled, so that their accelerators may be given away.
+type Release struct{}
+
 // Requeue commits that the job waits again, all members being over.
 type Requeue struct {
 	reason    string
@@ -43,6 +46,7 @@
 func (Send) action()    {}
 func (Start) action()   {}
 func (Stop) action()    {}
+func (Release) action() {}
 func (Requeue) action() {}
 func (End) action()     {}
 
--- a/internal/gang/fuzz_test.go
+++ b/internal/gang/fuzz_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -21,22 +23,25 @@
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(t)
 		t.Repeat(map[string]func(*rapid.T){
-			"pass":    func(t *rapid.T) { w.advance(tick * time.Duration(rapid.IntRange(1, 60).Draw(t, "ticks"))) },
-			"wait":    func(*rapid.T) { w.advance(leaseLength / 2) },
-			"outlast": func(*rapid.T) { w.advance(leaseLength * 11 / 10) },
-			"submit":  w.submit,
-			"place":   func(*rapid.T) { w.place() },
-			"cancel":  w.cancel,
-			"reclaim": w.reclaim,
-			"strand":  w.strand,
-			"freeze":  func(t *rapid.T) { w.pick(t).frozen = true },
-			"thaw":    func(t *rapid.T) { w.pick(t).frozen = false },
-			"cut":     func(t *rapid.T) { w.pick(t).cut = true },
-			"heal":    func(t *rapid.T) { w.pick(t).cut = false },
-			"restart": func(t *rapid.T) { w.restart(w.pick(t)) },
-			"depose":  func(*rapid.T) { w.leads = false },
-			"elect":   func(*rapid.T) { w.elect() },
-			"replace": func(*rapid.T) { w.leads = false; w.advance(5 * time.Second); w.elect() },
+			"pass":     func(t *rapid.T) { w.advance(tick * time.Duration(rapid.IntRange(1, 60).Draw(t, "ticks"))) },
+			"wait":     func(*rapid.T) { w.advance(leaseLength / 2) },
+			"outlast":  func(*rapid.T) { w.advance(leaseLength * 11 / 10) },
+			"submit":   w.submit,
+			"place":    func(*rapid.T) { w.place() },
+			"cancel":   w.cancel,
+			"reclaim":  w.reclaim,
+			"throttle": w.throttle,
+			"resume":   w.resume,
+			"swing":    w.swing,
+			"strand":   w.strand,
+			"freeze":   func(t *rapid.T) { w.pick(t).frozen = true },
+			"thaw":     func(t *rapid.T) { w.pick(t).frozen = false },
+			"cut":      func(t *rapid.T) { w.pick(t).cut = true },
+			"heal":     func(t *rapid.T) { w.pick(t).cut = false },
+			"restart":  func(t *rapid.T) { w.restart(w.pick(t)) },
+			"depose":   func(*rapid.T) { w.leads = false },
+			"elect":    func(*rapid.T) { w.elect() },
+			"replace":  func(*rapid.T) { w.leads = false; w.advance(5 * time.Second); w.elect() },
 			"": func(*rapid.T) {
 				if w.leads {
 					w.place()
@@ -56,11 +61,15 @@
 	shape, err := workspace.NewShape(rapid.IntRange(1, 3).Draw(t, "members"), rapid.IntRange(1, capacity).Draw(t, "accelerators"),
 		workspace.Anywhere)
 	require.NoError(t, err)
-	w.jobs++
 	payload := rapid.SampledFrom([]string{"sleep 1s", "sleep 12s", "sleep 50s", "fail 9s"}).Draw(t, "payload")
+	w.add(payload, rapid.Bool().Draw(t, "idempotent"), shape)
+}
+
+func (w *world) add(payload string, idempotent bool, shape workspace.Shape) {
+	w.jobs++
 	spec, err := job.NewSpec(fmt.Sprintf("j%d", w.jobs), "team", shape, w.now,
-		job.WithIdempotent(rapid.Bool().Draw(t, "idempotent")), job.WithPayload(payload))
-	require.NoError(t, err)
+		job.WithIdempotent(idempotent), job.WithPayload(payload))
+	require.NoError(w.t, err)
 	w.commit(registry.NewSubmitJob("", spec, w.now))
 	w.place()
 }
@@ -77,6 +86,45 @@
 	}
 }
 
+// throttle has the first started gang give its accelerators up for a while.
+func (w *world) throttle(*rapid.T) {
+	for _, id := range w.placed() {
+		j, _ := w.state.Jobs().Get(id)
+		if j.State() == job.Started && job.Slowing.Follows(j.Speed()) {
+			w.commit(registry.NewThrottleGang(id, j.Fence(), job.Slowing, "reclaimed"))
+			return
+		}
+	}
+}
+
+// resume gives the throttled gangs whose accelerators are free their accelerators back.
+func (w *world) resume(*rapid.T) {
+	for _, id := range w.placed() {
+		j, _ := w.state.Jobs().Get(id)
+		free := w.free()
+		for _, m := range j.Members() {
+			free[m.Worker()] -= m.Accelerators()
+		}
+		if j.State() == job.Started && j.Speed() == job.Throttled && slices.Min(slices.Collect(maps.Values(free))) >= 0 {
+			w.commit(registry.NewThrottleGang(id, j.Fence(), job.Resumed, "free again"))
+		}
+	}
+}
+
+// swing throttles and resumes a gang again and again, so that late and doubled orders meet newer ones.
+func (w *world) swing(t *rapid.T) {
+	shape, err := workspace.NewShape(rapid.IntRange(1, 3).Draw(t, "members"), 1, workspace.Anywhere)
+	require.NoError(t, err)
+	w.add("sleep 50s", true, shape)
+	w.advance(2 * time.Second)
+	for range rapid.IntRange(1, 6).Draw(t, "times") {
+		w.throttle(t)
+		w.advance(tick * time.Duration(rapid.IntRange(5, 40).Draw(t, "throttled")))
+		w.resume(t)
+		w.advance(tick * time.Duration(rapid.IntRange(5, 40).Draw(t, "resumed")))
+	}
+}
+
 // strand reclaims a gang whose workers cannot be reached, so that only the ends of their leases free them.
 func (w *world) strand(*rapid.T) {
 	ids := w.placed()
@@ -109,6 +157,7 @@
 	}
 	w.elect()
 	for range 3000 {
+		w.resume(nil)
 		w.place()
 		w.advance(tick)
 		if w.state.Unfinished().Len() == 0 {
--- a/internal/gang/oracle_test.go
+++ b/internal/gang/oracle_test.go
@@ -30,12 +30,14 @@
 	gone      map[run]bool
 	lostAt    map[run]time.Time
 	running   map[run]bool
+	mixedAt   map[run]time.Time
 }
 
 func newOracle(t require.TestingT) *oracle {
 	return &oracle{
 		t: t, reserved: map[run]map[int]bool{}, ran: map[string]map[lease.Fence]bool{},
 		succeeded: map[run]map[int]bool{}, gone: map[run]bool{}, lostAt: map[run]time.Time{},
+		mixedAt: map[run]time.Time{},
 	}
 }
 
@@ -66,6 +68,7 @@
 // observe notes the state of each task; a frozen worker runs nothing.
 func (o *oracle) observe(w *world) {
 	o.running = map[run]bool{}
+	atSpeed, waiting := map[run]bool{}, map[run]bool{}
 	for _, m := range w.machines {
 		require.LessOrEqual(o.t, m.host.Held(), capacity, "worker %s gave accelerators to two tasks", m.name)
 		if m.frozen {
@@ -76,9 +79,18 @@
 			o.note(k, r, w.now)
 			if r.State() == task.Running {
 				o.running[k] = true
+				atSpeed[k] = atSpeed[k] || m.host.HeldBy(r.ID(), r.Fence()) > 0
+				waiting[k] = waiting[k] || m.host.HeldBy(r.ID(), r.Fence()) == 0
 			}
 		}
 	}
+	for k := range o.running {
+		if !atSpeed[k] || !waiting[k] {
+			delete(o.mixedAt, k)
+		} else if _, known := o.mixedAt[k]; !known {
+			o.mixedAt[k] = w.now
+		}
+	}
 }
 
 // check judges what runs.
@@ -88,6 +100,19 @@
 		require.True(o.t, ok)
 		assertMayRun(o, k, j, w.now)
 	}
+	for id, j := range w.state.Unfinished().All() {
+		if j.State() == job.Started && j.Speed() == job.Throttled {
+			assertHoldsNothing(o, w, id, j)
+		}
+	}
+}
+
+// assertHoldsNothing judges a gang whose accelerators may be given away because it is throttled.
+func assertHoldsNothing(o *oracle, w *world, id string, j job.Job) {
+	for i, m := range j.Members() {
+		held := w.find(m.Worker()).host.HeldBy(task.NewID(id, i), j.Fence())
+		require.Zero(o.t, held, "member %d of throttled %s holds accelerators", i, id)
+	}
 }
 
 func (o *oracle) note(k run, r task.Report, now time.Time) {
@@ -123,6 +148,9 @@
 	if !j.Spec().Idempotent() {
 		require.Len(o.t, o.ran[k.job], 1, "job %s is not idempotent and ran under two fences", k.job)
 	}
+	if at, mixed := o.mixedAt[k]; mixed {
+		require.LessOrEqual(o.t, now.Sub(at), partialBound, "a part of %v waits long after the rest runs", k)
+	}
 	if at, lost := o.lostAt[k]; lost {
 		assert.LessOrEqual(o.t, now.Sub(at), partialBound, "%v runs long after a member was lost", k)
 		if now.Sub(at) > partialBound {
--- a/internal/gang/progress.go
+++ b/internal/gang/progress.go
@@ -39,6 +39,7 @@
 	denied    time.Time
 	reported  task.State
 	silent    bool
+	throttle  throttleProgress
 }
 
 // NewProgress returns the progress of a reservation that the leader of a term takes up now; an earlier leader
@@ -90,10 +91,15 @@
 		p.mark = max(p.mark, t.Mark())
 	case task.Renew:
 		p.mark = max(p.mark, t.Mark())
-	case task.Start, task.Stop, task.Throttle:
+	case task.Throttle:
+		p.mark = max(p.mark, t.Mark())
+	case task.Start, task.Stop:
 	}
 	return p.edit(index, func(m *memberProgress) {
 		m.lastSent = now
+		if t, ok := o.(task.Throttle); ok {
+			m.throttle = m.throttle.sent(t.Mark(), t.Percent())
+		}
 		if t, ok := o.(task.Renew); ok && t.Since() != 0 {
 			m.asked = now
 			counts := m.anchorAt.Add(min(now.Sub(m.anchorAt), p.length/renewals))
@@ -158,6 +164,8 @@
 	case task.Stop:
 		m.stopped = true
 	case task.Throttle:
+		m.denied = time.Time{}
+		m.throttle = m.throttle.accepted(t.Mark(), t.Percent())
 	}
 }
 
@@ -179,11 +187,11 @@
 		if !m.started {
 			m.refusal = message
 		}
-	case task.Renew:
+	case task.Renew, task.Throttle:
 		if m.denied.IsZero() {
 			m.denied = now
 		}
-	case task.Stop, task.Throttle:
+	case task.Stop:
 	}
 }
 
--- a/internal/gang/step.go
+++ b/internal/gang/step.go
@@ -72,7 +72,7 @@
 }
 
 func started(j job.Job, p Progress, now time.Time) (actions []Action) {
-	succeeded, silent, complete := 0, 0, p.complete()
+	succeeded, silent, settled, complete := 0, 0, 0, p.complete()
 	for i, m := range j.Members() {
 		k := &p.members[i]
 		if k.reported == task.Succeeded {
@@ -82,6 +82,9 @@
 		if k.silent {
 			silent++
 		}
+		if k.throttle.settled(j.Speed()) {
+			settled++
+		}
 		if reason := lost(k, now); reason != "" {
 			return []Action{Stop{reason: fmt.Sprintf("member %d on worker %s: %s", i, m.Worker(), reason)}}
 		}
@@ -95,6 +98,9 @@
 	if silent > 0 && silent+succeeded < len(p.members) {
 		return []Action{Stop{reason: "a member's worker does not answer"}}
 	}
+	if j.Speed() == job.Slowing && settled+succeeded == len(p.members) {
+		return []Action{Release{}}
+	}
 	return actions
 }
 
@@ -106,7 +112,7 @@
 	case m.refusal != "":
 		return "refused to start: " + m.refusal
 	case !m.denied.IsZero() && !now.Before(m.denied.Add(reportWithin)):
-		return "its renewal was refused"
+		return "its renewal or throttling was refused"
 	case m.confirmed.Over(now):
 		return "its lease is over"
 	default:
@@ -126,6 +132,8 @@
 		return nil
 	case !m.started:
 		return task.NewStart(id, p.fence)
+	case !m.throttle.settled(j.Speed()):
+		return task.NewThrottle(id, p.fence, p.mark+1, percentOf(j.Speed()))
 	case now.Before(m.asked.Add(p.length / renewals)):
 		return nil
 	default:
--- a/internal/gang/world_test.go
+++ b/internal/gang/world_test.go
@@ -239,6 +239,8 @@
 		w.commit(registry.NewStartGang(id, fence))
 	case gang.Stop:
 		w.commit(registry.NewStopGang(id, fence, t.Reason()))
+	case gang.Release:
+		w.commit(registry.NewThrottleGang(id, fence, job.Throttled, "throttled"))
 	case gang.Requeue:
 		w.commit(registry.NewRequeueJob(id, fence, t.Reason(), t.NotBefore()))
 		w.oracle.released(j, job.Unfinished)
@@ -249,17 +251,27 @@
 	return p
 }
 
-// place puts the first queued job that fits on workers that the registry believes to be free.
-func (w *world) place() {
+// free returns the accelerators of each worker that the registry believes to be free.
+func (w *world) free() map[string]int {
 	free := map[string]int{}
 	for _, m := range w.machines {
 		free[m.name] = capacity
 	}
-	var queued []job.Job
 	for _, j := range w.state.Unfinished().All() {
 		for _, m := range j.Members() {
-			free[m.Worker()] -= m.Accelerators()
+			if j.Holds() {
+				free[m.Worker()] -= m.Accelerators()
+			}
 		}
+	}
+	return free
+}
+
+// place puts the first queued job that fits on workers that the registry believes to be free.
+func (w *world) place() {
+	free := w.free()
+	var queued []job.Job
+	for _, j := range w.state.Unfinished().All() {
 		if j.State() == job.Queued && !j.NotBefore().After(w.now) {
 			queued = append(queued, j)
 		}
--- a/internal/job/job.go
+++ b/internal/job/job.go
@@ -46,6 +46,7 @@
 	setbacks  int
 	members   []Member
 	lease     time.Duration
+	speed     Speed
 	notBefore time.Time
 	endedAt   time.Time
 }
@@ -80,7 +81,7 @@
 // Members returns where the members are placed, which the caller must not modify.
 func (j Job) Members() []Member { return j.members }
 
-// Placed reports whether the job holds accelerators.
+// Placed reports whether the job has members at workers.
 func (j Job) Placed() bool {
 	return j.state == Reserved || j.state == Started || j.state == Stopping
 }
@@ -88,6 +89,7 @@
 // Reserve returns the job placed on members under a new fence.
 func (j Job) Reserve(fence lease.Fence, members []Member) Job {
 	j.state, j.fence, j.members, j.reason = Reserved, fence, slices.Clone(members), "reserving all members"
+	j.speed = Full
 	j.setbacks++
 	return j
 }
@@ -119,13 +121,13 @@
 // Requeue returns the job as queued without members until the given time at least; its fence is kept
 // so that the next one voids it.
 func (j Job) Requeue(reason string, notBefore time.Time) Job {
-	j.state, j.members, j.reason, j.notBefore = Queued, nil, reason, notBefore
+	j.state, j.members, j.reason, j.notBefore, j.speed = Queued, nil, reason, notBefore, Full
 	return j
 }
 
 // Finish returns the job as done with the given result.
 func (j Job) Finish(result Result, reason string) Job {
-	j.state, j.result, j.reason, j.members = Done, result, reason, nil
+	j.state, j.result, j.reason, j.members, j.speed = Done, result, reason, nil, Full
 	return j
 }
 
--- a/internal/job/spec.go
+++ b/internal/job/spec.go
@@ -36,6 +36,7 @@
 	urgency        Urgency
 	idempotent     bool
 	checkpointable bool
+	throttleable   bool
 	runTime        time.Duration
 	submittedAt    time.Time
 	payload        string
@@ -53,6 +54,9 @@
 // WithCheckpointable marks the job as one whose tasks can be checkpointed.
 func WithCheckpointable(yes bool) SpecOption { return func(s *Spec) { s.checkpointable = yes } }
 
+// WithThrottleable marks the job as one whose tasks can be throttled until they hold no accelerator.
+func WithThrottleable(yes bool) SpecOption { return func(s *Spec) { s.throttleable = yes } }
+
 // WithRunTime sets the declared run time, which may be wrong.
 func WithRunTime(d time.Duration) SpecOption { return func(s *Spec) { s.runTime = d } }
 
@@ -89,6 +93,9 @@
 // Checkpointable reports whether the tasks can be checkpointed.
 func (s Spec) Checkpointable() bool { return s.checkpointable }
 
+// Throttleable reports whether the tasks can be throttled until they hold no accelerator.
+func (s Spec) Throttleable() bool { return s.throttleable }
+
 // RunTime returns the declared run time, 0 when none was declared.
 func (s Spec) RunTime() time.Duration { return s.runTime }
 
--- a/internal/operator/job.go
+++ b/internal/operator/job.go
@@ -21,6 +21,7 @@
 		&cli.BoolFlag{Name: "urgent", Usage: "start before patient work"},
 		&cli.BoolFlag{Name: "idempotent", Usage: "the job may run more than once"},
 		&cli.BoolFlag{Name: "checkpointable", Usage: "its tasks can be checkpointed"},
+		&cli.BoolFlag{Name: "throttleable", Usage: "its tasks can be throttled until they hold no accelerator"},
 		&cli.DurationFlag{Name: "run-time", Usage: "expected run time"},
 		&cli.StringFlag{Name: "payload", Usage: "what the tasks are told to do"},
 		&cli.StringFlag{Name: "payload-file", Usage: "file with the payload", TakesFile: true},
@@ -65,6 +66,9 @@
 	if s.cmd.Bool("checkpointable") {
 		list = append(list, client.WithCheckpointable())
 	}
+	if s.cmd.Bool("throttleable") {
+		list = append(list, client.WithThrottleable())
+	}
 	payload, file := s.cmd.String("payload"), s.cmd.String("payload-file")
 	if payload != "" && file != "" {
 		return nil, usage("give either --payload or --payload-file")
--- a/internal/plan/decision.go
+++ b/internal/plan/decision.go
@@ -62,6 +62,18 @@
 // Explanation returns why this job was chosen.
 func (r Reclaim) Explanation() string { return r.explanation }
 
+// Resume gives a throttled job its accelerators back.
+type Resume struct {
+	job         string
+	explanation string
+}
+
+// Job returns the id of the job.
+func (r Resume) Job() string { return r.job }
+
+// Explanation returns why the job may go on.
+func (r Resume) Explanation() string { return r.explanation }
+
 // Reject ends a job that can never run on this fleet.
 type Reject struct {
 	job    string
@@ -110,6 +122,7 @@
 
 func (Place) decision()    {}
 func (Reclaim) decision()  {}
+func (Resume) decision()   {}
 func (Reject) decision()   {}
 func (Wait) decision()     {}
 func (SetAside) decision() {}
--- a/internal/plan/fuzz_test.go
+++ b/internal/plan/fuzz_test.go
@@ -29,7 +29,7 @@
 				w.now = w.now.Add(time.Duration(rapid.IntRange(1, 60).Draw(t, "minutes")) * time.Minute)
 			},
 			"end": func(t *rapid.T) {
-				if ids := w.ids(job.Reserved, job.Queued); len(ids) > 0 {
+				if ids := w.ids(job.Reserved, job.Started, job.Queued); len(ids) > 0 {
 					delete(w.jobs, rapid.SampledFrom(ids).Draw(t, "id"))
 				}
 			},
--- a/internal/plan/pass.go
+++ b/internal/plan/pass.go
@@ -81,6 +81,7 @@
 		p.consider(q)
 		p.state.demand(q.owner, true)
 	}
+	p.resume()
 	for _, q := range entitled {
 		p.state.demand(q.owner, false)
 	}
--- a/internal/plan/report.go
+++ b/internal/plan/report.go
@@ -29,7 +29,6 @@
 	startedAt      time.Time
 	checkpointedAt time.Time
 	checkpointTime time.Duration
-	throttleable   bool
 }
 
 // NewProgress returns the progress of a job that was started at the given time.
@@ -43,12 +42,6 @@
 	return p
 }
 
-// WithThrottle returns the progress of a job whose workers can throttle its tasks until they hold no accelerator.
-func (p Progress) WithThrottle(yes bool) Progress {
-	p.throttleable = yes
-	return p
-}
-
 // Job returns the id of the job.
 func (p Progress) Job() string { return p.job }
 
@@ -61,9 +54,6 @@
 // CheckpointTime returns how long a checkpoint takes, 0 when unknown.
 func (p Progress) CheckpointTime() time.Duration { return p.checkpointTime }
 
-// Throttleable reports whether the job's tasks can be throttled until they hold no accelerator.
-func (p Progress) Throttleable() bool { return p.throttleable }
-
 // Start is the outcome of starting one task on a worker.
 type Start struct {
 	worker string
--- a/internal/plan/reserve_test.go
+++ b/internal/plan/reserve_test.go
@@ -96,10 +96,6 @@
 		assert.Equal(t, plan.Stop, r.Method())
 	})
 	t.Run("throttling where the workers can", func(t *testing.T) {
-		var progress []plan.ViewOption
-		for _, id := range []string{"a", "b", "c"} {
-			progress = append(progress, plan.WithProgress(plan.NewProgress(id, start).WithThrottle(true)))
-		}
-		assert.Equal(t, plan.Throttle, reclaim(plan.New(), full(), progress...).Method())
+		assert.Equal(t, plan.Throttle, reclaim(plan.New(), full(job.WithThrottleable(true))).Method())
 	})
 }
--- a/internal/plan/state.go
+++ b/internal/plan/state.go
@@ -60,7 +60,7 @@
 		u.free, u.usable = top.sites[i].capacity, v.usable(name, now)
 	}
 	for _, j := range v.jobs {
-		if j.Placed() {
+		if j.Holds() {
 			s.use(j, backfilled[j.Spec().ID()])
 		}
 	}
@@ -108,13 +108,13 @@
 		u.free -= n
 		h := u.share(owner)
 		h.used += n
-		if movable && j.State() != job.Stopping {
+		if movable && !j.Leaving() {
 			h.movable += n
 		}
 		if backfilled {
 			u.backfilled += n
 		}
-		if j.State() == job.Stopping {
+		if j.Leaving() {
 			u.releasing += n
 			h.leaving += n
 		}
--- a/internal/plan/victim.go
+++ b/internal/plan/victim.go
@@ -43,7 +43,7 @@
 	if p.running == nil {
 		p.running = make([][]*victim, len(p.state.sites))
 		for _, j := range p.view.jobs {
-			if j.State() == job.Reserved || j.State() == job.Started {
+			if j.Holds() && !j.Leaving() {
 				p.addVictim(j)
 			}
 		}
@@ -101,7 +101,7 @@
 	if takes := cmp.Or(progress.checkpointTime, defaultCheckpointTime); spec.Checkpointable() && takes < v.cost {
 		v.method, v.cost = Checkpoint, takes
 	}
-	if progress.throttleable && throttleTime < v.cost {
+	if spec.Throttleable() && v.job.State() == job.Started && throttleTime < v.cost {
 		v.method, v.cost = Throttle, throttleTime
 	}
 	if p.silent(v.job) {
--- a/internal/plan/world_test.go
+++ b/internal/plan/world_test.go
@@ -60,6 +60,7 @@
 		job.WithUrgency(rapid.SampledFrom([]job.Urgency{job.Urgent, job.Patient}).Draw(t, "urgency")),
 		job.WithIdempotent(rapid.Bool().Draw(t, "idempotent")),
 		job.WithCheckpointable(rapid.Bool().Draw(t, "checkpointable")),
+		job.WithThrottleable(rapid.Bool().Draw(t, "throttleable")),
 		job.WithRunTime(time.Duration(rapid.IntRange(0, 100).Draw(t, "declared"))*time.Minute))
 }
 
@@ -92,8 +93,17 @@
 			w.jobs[d.Job()] = j.Reserve(j.Fence().Next(), d.Members())
 			w.checkGang(w.jobs[d.Job()])
 		case plan.Reclaim:
-			require.Contains(w.t, []job.State{job.Reserved, job.Started}, w.jobs[d.Job()].State())
-			w.jobs[d.Job()] = w.jobs[d.Job()].Stop(d.Explanation())
+			j := w.jobs[d.Job()]
+			require.True(w.t, j.Holds() && !j.Leaving(), "%s holds nothing that can be reclaimed", d.Job())
+			if d.Method() == plan.Throttle {
+				require.True(w.t, j.Spec().Throttleable() && j.State() == job.Started)
+				w.jobs[d.Job()] = j.Throttle(job.Slowing, d.Explanation())
+			} else {
+				w.jobs[d.Job()] = j.Stop(d.Explanation())
+			}
+		case plan.Resume:
+			require.Equal(w.t, job.Throttled, w.jobs[d.Job()].Speed())
+			w.jobs[d.Job()] = w.jobs[d.Job()].Throttle(job.Resumed, d.Explanation())
 		case plan.Reject:
 			delete(w.jobs, d.Job())
 			rejected++
@@ -106,8 +116,17 @@
 	return rejected
 }
 
-// settle ends the stops: a job that may run again is queued, another is over.
+// settle starts what is reserved, throttles what slows down and ends the stops: a job that may run again is queued,
+// another is over.
 func (w *world) settle() {
+	for _, id := range w.ids(job.Reserved) {
+		w.jobs[id] = w.jobs[id].Start()
+	}
+	for _, id := range w.ids(job.Started) {
+		if w.jobs[id].Speed() == job.Slowing {
+			w.jobs[id] = w.jobs[id].Throttle(job.Throttled, "throttled")
+		}
+	}
 	for _, id := range w.ids(job.Stopping) {
 		if s := w.jobs[id].Spec(); s.Idempotent() || s.Checkpointable() {
 			w.jobs[id] = w.jobs[id].Requeue("reclaimed", w.now)
@@ -124,6 +143,9 @@
 		free[x.Name()] = x.Accelerators()
 	}
 	for _, j := range w.jobs {
+		if !j.Holds() {
+			continue
+		}
 		for _, m := range j.Members() {
 			free[m.Worker()] -= m.Accelerators()
 		}
@@ -181,7 +203,8 @@
 		w.now = w.now.Add(time.Minute)
 		w.decide()
 		w.settle()
-		if running := w.ids(job.Reserved); len(running) > 0 {
+		running := slices.DeleteFunc(w.ids(job.Reserved, job.Started), func(id string) bool { return !w.jobs[id].Holds() })
+		if len(running) > 0 {
 			delete(w.jobs, running[0])
 		}
 	}
--- a/internal/registry/accessors.go
+++ b/internal/registry/accessors.go
@@ -95,6 +95,23 @@
 // Reason returns the reason for people.
 func (s StopGang) Reason() string { return s.reason }
 
+// NewThrottleGang returns the command.
+func NewThrottleGang(id string, fence lease.Fence, speed job.Speed, reason string) ThrottleGang {
+	return ThrottleGang{id: id, fence: fence, speed: speed, reason: reason}
+}
+
+// ID returns the identity of the job.
+func (t ThrottleGang) ID() string { return t.id }
+
+// Fence returns the fencing number of the reservation.
+func (t ThrottleGang) Fence() lease.Fence { return t.fence }
+
+// Speed returns the new speed.
+func (t ThrottleGang) Speed() job.Speed { return t.speed }
+
+// Reason returns why the speed changes, for people.
+func (t ThrottleGang) Reason() string { return t.reason }
+
 // NewRequeueJob returns the command.
 func NewRequeueJob(id string, fence lease.Fence, reason string, notBefore time.Time) RequeueJob {
 	return RequeueJob{id: id, fence: fence, reason: reason, notBefore: notBefore}
--- a/internal/registry/apply.go
+++ b/internal/registry/apply.go
@@ -25,6 +25,8 @@
 		return placed(s, c.id, func(j job.Job) (job.Job, Result) { return startGang(j, c) })
 	case StopGang:
 		return placed(s, c.id, func(j job.Job) (job.Job, Result) { return stopGang(j, c) })
+	case ThrottleGang:
+		return placed(s, c.id, func(j job.Job) (job.Job, Result) { return throttleGang(j, c) })
 	case RequeueJob:
 		return placed(s, c.id, func(j job.Job) (job.Job, Result) { return requeue(j, c) })
 	case EndJob:
@@ -149,6 +151,19 @@
 	return j.Stop(c.reason), Accepted{fence: j.Fence()}
 }
 
+// throttleGang changes the speed one step; a job holds its accelerators until all members are known to be throttled.
+func throttleGang(j job.Job, c ThrottleGang) (job.Job, Result) {
+	switch {
+	case j.State() != job.Started || j.Fence() != c.fence:
+		return j, Denied{reason: "the reservation is not in force"}
+	case j.Speed() == c.speed:
+		return j, Accepted{fence: j.Fence()}
+	case !c.speed.Follows(j.Speed()):
+		return j, Denied{reason: fmt.Sprintf("speed %q does not follow %q", c.speed, j.Speed())}
+	}
+	return j.Throttle(c.speed, c.reason), Accepted{fence: j.Fence()}
+}
+
 // requeue refuses a second start of a job that may have run and is not idempotent.
 func requeue(j job.Job, c RequeueJob) (job.Job, Result) {
 	if !j.Placed() || j.Fence() != c.fence {
--- a/internal/registry/command.go
+++ b/internal/registry/command.go
@@ -58,6 +58,14 @@
 	reason string
 }
 
+// ThrottleGang changes the speed of a started job.
+type ThrottleGang struct {
+	id     string
+	fence  lease.Fence
+	speed  job.Speed
+	reason string
+}
+
 // RequeueJob returns a placed job to the queue after all its members have ended.
 type RequeueJob struct {
 	id        string
@@ -113,6 +121,7 @@
 func (ReserveGang) command()   {}
 func (StartGang) command()     {}
 func (StopGang) command()      {}
+func (ThrottleGang) command()  {}
 func (RequeueJob) command()    {}
 func (EndJob) command()        {}
 func (ClaimKey) command()      {}
--- a/internal/registry/fuzz_test.go
+++ b/internal/registry/fuzz_test.go
@@ -155,7 +155,7 @@
 	id := "j-" + requestID(t)
 	before, _ := l.state.Jobs().Get(id)
 	fence := before.Fence() - lease.Fence(rapid.IntRange(0, int(min(1, before.Fence()))).Draw(t, "behind"))
-	switch rapid.IntRange(0, 3).Draw(t, "step") {
+	switch rapid.IntRange(0, 4).Draw(t, "step") {
 	case 0:
 		if a, ok := l.apply(registry.NewReserveGang(id, []job.Member{job.NewMember(0, "w1", 1)}, time.Minute)).(registry.Accepted); ok {
 			require.False(t, l.fences[a.Fence()], "fence %d was given out twice", a.Fence())
@@ -165,6 +165,14 @@
 		l.assertFenced(l.apply(registry.NewStartGang(id, fence)), before, fence)
 	case 2:
 		l.assertFenced(l.apply(registry.NewStopGang(id, fence, "reclaimed")), before, fence)
+	case 4:
+		speed := rapid.SampledFrom([]job.Speed{job.Full, job.Slowing, job.Throttled, job.Resumed}).Draw(t, "speed")
+		r := l.apply(registry.NewThrottleGang(id, fence, speed, "reclaimed"))
+		l.assertFenced(r, before, fence)
+		if _, ok := r.(registry.Accepted); ok {
+			require.Equal(t, job.Started, before.State())
+			require.True(t, speed == before.Speed() || speed.Follows(before.Speed()), "%q after %q", speed, before.Speed())
+		}
 	case 3:
 		r := l.apply(registry.NewRequeueJob(id, fence, "lost", l.now.Add(time.Second)))
 		l.assertFenced(r, before, fence)
--- a/internal/standin/encoding.go
+++ b/internal/standin/encoding.go
@@ -61,7 +61,7 @@
 	case "stop", "checkpoint":
 		return task.NewStop(id, fence, verb == "checkpoint"), nil
 	case "throttle":
-		return task.NewThrottle(id, fence, f.Percent), nil
+		return task.NewThrottle(id, fence, task.Mark(f.Mark), f.Percent), nil
 	default:
 		return nil, fmt.Errorf("unknown order %q", verb)
 	}
--- a/internal/standin/host.go
+++ b/internal/standin/host.go
@@ -39,9 +39,12 @@
 	state        task.State
 	lease        lease.Held
 	endsAt       time.Time
-	percent      int
-	marks        []marked
-	watch        task.Watch
+	// percent is the speed of a running task; at 0 it holds no accelerators and left is the run time that it still needs.
+	percent   int
+	left      time.Duration
+	throttled task.Mark
+	marks     []marked
+	watch     task.Watch
 }
 
 // marked is when the worker took the order with a mark.
@@ -68,7 +71,7 @@
 	case task.Stop:
 		return h.stop(t)
 	case task.Throttle:
-		return h.edit(t.ID(), t.Fence(), func(r *record) { r.percent = t.Percent() })
+		return h.throttle(t, now)
 	}
 	return "unknown order"
 }
@@ -81,7 +84,7 @@
 			continue
 		case !r.lease.Valid(now):
 			r.state = task.Expired
-		case r.state == task.Running && !now.Before(r.endsAt):
+		case r.advances() && !now.Before(r.endsAt):
 			r.state = task.Succeeded
 			if strings.HasPrefix(r.payload, "fail") {
 				r.state = task.Failed
@@ -106,7 +109,7 @@
 		if r.lease.Ends().Before(soonest) {
 			soonest = r.lease.Ends()
 		}
-		if r.state == task.Running && r.endsAt.Before(soonest) {
+		if r.advances() && r.endsAt.Before(soonest) {
 			soonest = r.endsAt
 		}
 	}
@@ -128,13 +131,19 @@
 // Held returns the number of accelerators that reserved and running tasks hold.
 func (h *Host) Held() (n int) {
 	for _, r := range h.records {
-		if !r.state.Final() {
-			n += r.accelerators
-		}
+		n += r.held()
 	}
 	return n
 }
 
+// HeldBy returns the number of accelerators that the task holds under the fence.
+func (h *Host) HeldBy(id task.ID, f lease.Fence) int {
+	if r, known := h.records[id]; known && r.fence == f {
+		return r.held()
+	}
+	return 0
+}
+
 func (h *Host) list() []record {
 	list := make([]record, 0, len(h.records))
 	for _, r := range h.records {
@@ -163,7 +172,7 @@
 		return "not enough free accelerators"
 	}
 	r = record{
-		id: o.ID(), fence: o.Fence(), accelerators: o.Accelerators(), payload: o.Payload(), state: task.Reserved,
+		id: o.ID(), fence: o.Fence(), accelerators: o.Accelerators(), payload: o.Payload(), state: task.Reserved, percent: 100,
 		lease: lease.NewHeld(now, o.Length()), watch: o.Watch(),
 	}
 	r.take(o.Mark(), now)
@@ -215,6 +224,29 @@
 	return ""
 }
 
+// throttle ignores an order that is older than the latest one, as it may be when it arrives late.
+func (h *Host) throttle(o task.Throttle, now time.Time) (refusal string) {
+	r, known := h.records[o.ID()]
+	if known && r.fence == o.Fence() && !r.state.Final() {
+		switch {
+		case o.Mark() <= r.throttled:
+			return ""
+		case r.state != task.Running:
+			return "the task does not run"
+		case o.Percent() > 0 && r.percent == 0 && h.Held()+r.accelerators > h.accelerators:
+			return "not enough free accelerators"
+		}
+	}
+	return h.edit(o.ID(), o.Fence(), func(r *record) {
+		if r.percent > 0 {
+			r.left = r.endsAt.Sub(now) * time.Duration(r.percent) / 100
+		}
+		if r.percent, r.throttled = o.Percent(), o.Mark(); r.percent > 0 {
+			r.endsAt = now.Add(r.left * 100 / time.Duration(r.percent))
+		}
+	})
+}
+
 // edit changes a task that holds accelerators under the given fence.
 func (h *Host) edit(id task.ID, fence lease.Fence, f func(*record)) (refusal string) {
 	r, known := h.records[id]
@@ -245,6 +277,17 @@
 	}
 }
 
+// advances reports whether the task uses up its run time.
+func (r record) advances() bool { return r.state == task.Running && r.percent > 0 }
+
+// held returns the number of accelerators that the task holds.
+func (r record) held() int {
+	if r.state.Final() || r.state == task.Running && r.percent == 0 {
+		return 0
+	}
+	return r.accelerators
+}
+
 // take remembers when an order was taken; marks only grow, so a late copy of an older order is ignored.
 func (r *record) take(m task.Mark, now time.Time) {
 	if n := len(r.marks); n > 0 && m <= r.marks[n-1].mark {
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -88,6 +88,14 @@
 // Checkpoints returns the number of running tasks that were checkpointed before they were stopped.
 func (s *Standin) Checkpoints() int { return s.worker.published.Load().saved }
 
+// Accelerators returns the number of accelerators that tasks hold.
+func (s *Standin) Accelerators() (n int) {
+	for _, r := range s.worker.published.Load().tasks {
+		n += r.held()
+	}
+	return n
+}
+
 // Behave sets the fault in force.
 func (s *Standin) Behave(b Behaviour) { s.behaviour.Publish(b) }
 
@@ -205,11 +213,10 @@
 }
 
 func (s *Standin) usage(w http.ResponseWriter) {
-	f := usageForm{AgeMS: s.lag.Milliseconds()}
+	f := usageForm{AgeMS: s.lag.Milliseconds(), Accelerators: s.Accelerators()}
 	for _, r := range s.worker.published.Load().tasks {
 		if !r.state.Final() {
 			f.Running++
-			f.Accelerators += r.accelerators
 		}
 	}
 	_ = json.NewEncoder(w).Encode(f)
--- a/internal/task/order.go
+++ b/internal/task/order.go
@@ -69,10 +69,12 @@
 	checkpoint bool
 }
 
-// Throttle slows a member down to a share of its speed in percent.
+// Throttle sets the speed of a member in percent; at 0 it waits and holds no accelerators. The worker
+// ignores an order with a smaller mark than that of the latest one, which arrives late.
 type Throttle struct {
 	id      ID
 	fence   lease.Fence
+	mark    Mark
 	percent int
 }
 
@@ -109,9 +111,9 @@
 	return Stop{id: id, fence: fence, checkpoint: checkpoint}
 }
 
-// NewThrottle returns the order to slow a member down.
-func NewThrottle(id ID, fence lease.Fence, percent int) Throttle {
-	return Throttle{id: id, fence: fence, percent: percent}
+// NewThrottle returns the order to set the speed of a member.
+func NewThrottle(id ID, fence lease.Fence, mark Mark, percent int) Throttle {
+	return Throttle{id: id, fence: fence, mark: mark, percent: percent}
 }
 
 // ID returns the member.
@@ -171,7 +173,10 @@
 // Fence returns the fencing number of the reservation.
 func (t Throttle) Fence() lease.Fence { return t.fence }
 
-// Percent returns the share of full speed, from 1 to 100.
+// Mark returns the number of the order.
+func (t Throttle) Mark() Mark { return t.mark }
+
+// Percent returns the share of full speed, from 0 to 100.
 func (t Throttle) Percent() int { return t.percent }
 
 // IDOf returns the member that an order is for.
--- a/internal/wire/command.go
+++ b/internal/wire/command.go
@@ -16,18 +16,19 @@
 type commandKind string
 
 const (
-	commandApply   commandKind = "apply"
-	commandSubmit  commandKind = "submit"
-	commandCancel  commandKind = "cancel"
-	commandReserve commandKind = "reserve"
-	commandStart   commandKind = "start"
-	commandStop    commandKind = "stop"
-	commandRequeue commandKind = "requeue"
-	commandEnd     commandKind = "end"
-	commandClaim   commandKind = "claim"
-	commandSettle  commandKind = "settle"
-	commandDrain   commandKind = "drain"
-	commandExpire  commandKind = "expire"
+	commandApply    commandKind = "apply"
+	commandSubmit   commandKind = "submit"
+	commandCancel   commandKind = "cancel"
+	commandReserve  commandKind = "reserve"
+	commandStart    commandKind = "start"
+	commandStop     commandKind = "stop"
+	commandThrottle commandKind = "throttle"
+	commandRequeue  commandKind = "requeue"
+	commandEnd      commandKind = "end"
+	commandClaim    commandKind = "claim"
+	commandSettle   commandKind = "settle"
+	commandDrain    commandKind = "drain"
+	commandExpire   commandKind = "expire"
 )
 
 // commandForm holds the fields of all commands; each kind uses some of them.
@@ -52,6 +53,7 @@
 	Drained     bool         `cbor:"18,keyasint,omitempty"`
 	Length      int64        `cbor:"19,keyasint,omitempty"`
 	Attempt     string       `cbor:"20,keyasint,omitempty"`
+	Speed       job.Speed    `cbor:"21,keyasint,omitempty"`
 }
 
 type endingForm struct {
@@ -98,6 +100,8 @@
 		return commandForm{Kind: commandStart, ID: t.ID(), Fence: uint64(t.Fence())}
 	case registry.StopGang:
 		return commandForm{Kind: commandStop, ID: t.ID(), Fence: uint64(t.Fence()), Reason: t.Reason()}
+	case registry.ThrottleGang:
+		return commandForm{Kind: commandThrottle, ID: t.ID(), Fence: uint64(t.Fence()), Speed: t.Speed(), Reason: t.Reason()}
 	case registry.RequeueJob:
 		return commandForm{Kind: commandRequeue, ID: t.ID(), Fence: uint64(t.Fence()), Reason: t.Reason(), Until: toNanos(t.NotBefore())}
 	case registry.EndJob:
@@ -139,6 +143,8 @@
 		return registry.NewStartGang(f.ID, fence), nil
 	case commandStop:
 		return registry.NewStopGang(f.ID, fence, f.Reason), nil
+	case commandThrottle:
+		return registry.NewThrottleGang(f.ID, fence, f.Speed, f.Reason), nil
 	case commandRequeue:
 		return registry.NewRequeueJob(f.ID, fence, f.Reason, fromNanos(f.Until)), nil
 	case commandEnd:
--- a/internal/wire/job.go
+++ b/internal/wire/job.go
@@ -17,6 +17,7 @@
 	RunTime        int64       `cbor:"7,keyasint,omitempty"`
 	SubmittedAt    int64       `cbor:"8,keyasint"`
 	Payload        string      `cbor:"9,keyasint,omitempty"`
+	Throttleable   bool        `cbor:"10,keyasint,omitempty"`
 }
 
 type memberForm struct {
@@ -37,13 +38,14 @@
 	Setbacks int          `cbor:"9,keyasint,omitempty"`
 	Paused   int64        `cbor:"10,keyasint,omitempty"`
 	Lease    int64        `cbor:"11,keyasint,omitempty"`
+	Speed    job.Speed    `cbor:"12,keyasint,omitempty"`
 }
 
 func fromSpec(s job.Spec) specForm {
 	return specForm{
 		ID: s.ID(), Workspace: s.Workspace(), Shape: fromShape(s.Shape()), Urgency: s.Urgency(),
 		Idempotent: s.Idempotent(), Checkpointable: s.Checkpointable(), RunTime: int64(s.RunTime()),
-		SubmittedAt: toNanos(s.SubmittedAt()), Payload: s.Payload(),
+		SubmittedAt: toNanos(s.SubmittedAt()), Payload: s.Payload(), Throttleable: s.Throttleable(),
 	}
 }
 
@@ -54,7 +56,8 @@
 	}
 	return job.NewSpec(f.ID, f.Workspace, shape, fromNanos(f.SubmittedAt),
 		job.WithUrgency(f.Urgency), job.WithIdempotent(f.Idempotent), job.WithCheckpointable(f.Checkpointable),
-		job.WithRunTime(time.Duration(f.RunTime)), job.WithPayload(f.Payload))
+		job.WithRunTime(time.Duration(f.RunTime)), job.WithPayload(f.Payload),
+		job.WithThrottleable(f.Throttleable))
 }
 
 func fromMembers(members []job.Member) []memberForm {
@@ -78,7 +81,7 @@
 		Spec: fromSpec(j.Spec()), State: j.State(), Result: j.Result(), Reason: j.Reason(),
 		Fence: uint64(j.Fence()), Attempts: j.Attempts(), Members: fromMembers(j.Members()),
 		EndedAt: toNanos(j.EndTime()), Setbacks: j.Setbacks(), Paused: toNanos(j.NotBefore()),
-		Lease: int64(j.Lease()),
+		Lease: int64(j.Lease()), Speed: j.Speed(),
 	}
 }
 
@@ -89,5 +92,5 @@
 	}
 	p := job.NewProgress(f.State, f.Result, f.Reason, lease.Fence(f.Fence), f.Attempts, fromNanos(f.EndedAt)).
 		WithSetbacks(f.Setbacks, fromNanos(f.Paused))
-	return job.Restore(spec, p, toMembers(f.Members)).WithLease(time.Duration(f.Lease)), nil
+	return job.Restore(spec, p, toMembers(f.Members)).WithLease(time.Duration(f.Lease)).WithSpeed(f.Speed), nil
 }
--- a/internal/wire/order.go
+++ b/internal/wire/order.go
@@ -113,7 +113,7 @@
 	case task.Throttle:
 		return orderForm{
 			Kind: orderThrottle, Job: t.ID().Job(), Index: t.ID().Index(), Fence: uint64(t.Fence()),
-			Percent: t.Percent(),
+			Percent: t.Percent(), Mark: uint64(t.Mark()),
 		}
 	}
 	return orderForm{}
@@ -132,7 +132,7 @@
 	case orderStop:
 		return task.NewStop(id, fence, f.Checkpoint), nil
 	case orderThrottle:
-		return task.NewThrottle(id, fence, f.Percent), nil
+		return task.NewThrottle(id, fence, task.Mark(f.Mark), f.Percent), nil
 	default:
 		return nil, fmt.Errorf("order of unknown kind %q", f.Kind)
 	}
--- a/internal/wire/order_test.go
+++ b/internal/wire/order_test.go
@@ -22,7 +22,7 @@
 	t.Run("start", func(t *testing.T) { assertCarried(t, task.NewStart(id, 7)) })
 	t.Run("renew", func(t *testing.T) { assertCarried(t, task.NewRenew(id, 7, 9, 8, time.Minute)) })
 	t.Run("stop", func(t *testing.T) { assertCarried(t, task.NewStop(id, 7, true)) })
-	t.Run("throttle", func(t *testing.T) { assertCarried(t, task.NewThrottle(id, 7, 50)) })
+	t.Run("throttle", func(t *testing.T) { assertCarried(t, task.NewThrottle(id, 7, 9, 50)) })
 	t.Run("a batch", func(t *testing.T) { assertCarried(t, task.NewStart(id, 1), task.NewStop(id, 2, false)) })
 	t.Run("the number of replies must fit", func(t *testing.T) {
 		var b bytes.Buffer
--- a/operator_test.go
+++ b/operator_test.go
@@ -12,12 +12,17 @@
 	"github.com/stretchr/testify/require"
 )
 
-// requireCalled sends an operator's request to the control host that leads and returns the answer.
+// requireCalled posts an operator's request to the control host that leads and returns the answer.
 func requireCalled(t *testing.T, s *System, path, body string) (answer map[string]any) {
+	t.Helper()
+	return requireSent(t, s, http.MethodPost, path, body)
+}
+
+func requireSent(t *testing.T, s *System, method, path, body string) (answer map[string]any) {
 	t.Helper()
 	status, data := 0, []byte(nil)
 	for _, url := range s.ControlURLs() {
-		if status, data = requirePosted(t, s, url+path, body); status != http.StatusMisdirectedRequest {
+		if status, data = requireAnswered(t, s, method, url+path, body); status != http.StatusMisdirectedRequest {
 			break
 		}
 	}
@@ -26,9 +31,9 @@
 	return answer
 }
 
-func requirePosted(t *testing.T, s *System, url, body string) (status int, data []byte) {
+func requireAnswered(t *testing.T, s *System, method, url, body string) (status int, data []byte) {
 	t.Helper()
-	h, err := http.NewRequestWithContext(t.Context(), http.MethodPost, url, bytes.NewBufferString(body))
+	h, err := http.NewRequestWithContext(t.Context(), method, url, bytes.NewBufferString(body))
 	require.NoError(t, err)
 	h.Header.Set("Authorization", "Bearer "+s.OperatorToken())
 	r, err := http.DefaultClient.Do(h)
@@ -55,17 +60,21 @@
 }
 
 // requireSubmitted submits a job of 60 s with members of eight accelerators each; two of them must be in one rack.
-func requireSubmitted(t *testing.T, s *System, in string, members int, idempotent, checkpointable bool) (id string) {
+// The traits are fields such as idempotent.
+func requireSubmitted(t *testing.T, s *System, in string, members int, traits ...string) (id string) {
 	t.Helper()
 	adjacency, urgency := "any", "patient"
 	if members == 2 {
 		adjacency, urgency = "rack", "urgent"
 	}
-	body, err := json.Marshal(map[string]any{
-		"workspace": in, "urgency": urgency, "payload": "sleep 60s", "idempotent": idempotent,
-		"checkpointable": checkpointable,
-		"shape":          map[string]any{"members": members, "accelerators": 8, "adjacency": adjacency},
-	})
+	form := map[string]any{
+		"workspace": in, "urgency": urgency, "payload": "sleep 60s",
+		"shape": map[string]any{"members": members, "accelerators": 8, "adjacency": adjacency},
+	}
+	for _, name := range traits {
+		form[name] = true
+	}
+	body, err := json.Marshal(form)
 	require.NoError(t, err)
 	id, _ = requireCalled(t, s, "/v1/jobs", string(body))["id"].(string)
 	require.NotEmpty(t, id)
--- a/pkg/client/encoding.go
+++ b/pkg/client/encoding.go
@@ -41,6 +41,7 @@
 	Urgency        string    `json:"urgency"`
 	Idempotent     bool      `json:"idempotent"`
 	Checkpointable bool      `json:"checkpointable"`
+	Throttleable   bool      `json:"throttleable,omitempty"`
 	RunTimeS       float64   `json:"run_time_s"`
 	Payload        string    `json:"payload"`
 }
--- a/pkg/client/submission.go
+++ b/pkg/client/submission.go
@@ -29,6 +29,9 @@
 // WithCheckpointable marks the job as one whose tasks can be checkpointed.
 func WithCheckpointable() SubmitOption { return func(b *SubmitBody) { b.Checkpointable = true } }
 
+// WithThrottleable marks the job as one whose tasks can be throttled until they hold no accelerator.
+func WithThrottleable() SubmitOption { return func(b *SubmitBody) { b.Throttleable = true } }
+
 // WithRunTime declares the run time.
 func WithRunTime(d time.Duration) SubmitOption {
 	return func(b *SubmitBody) { b.RunTimeS = d.Seconds() }
--- a/watch_test.go
+++ b/watch_test.go
@@ -141,7 +141,7 @@
 func requireGang(t *testing.T, s *System) job.Job {
 	t.Helper()
 	requireDeclared(t, s, "team")
-	id := requireSubmitted(t, s, "team", 3, true, false)
+	id := requireSubmitted(t, s, "team", 3, "idempotent")
 	for {
 		state, changed := s.controls[0].Board().State().Watch()
 		if j, _ := state.Jobs().Get(id); j.State() == job.Started {
