--- /dev/null
+++ b/internal/gang/throttle_test.go
@@ -0,0 +1,52 @@
+package gang_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"rosemarywind.example/rosemarywind/internal/job"
+	"rosemarywind.example/rosemarywind/internal/task"
+)
+
+// TestThrottle guards against a leader that takes a member for throttled, or for resumed, that is not.
+func TestThrottle(t *testing.T) {
+	t.Run("a late answer to an older order says nothing", func(t *testing.T) {
+		d := newDriver(t, 1)
+		first := d.throttle(t, job.Slowing)
+		d.accept(first)
+		second := d.throttle(t, job.Resumed)
+		third := d.throttle(t, job.Slowing)
+		d.accept(third)
+		d.accept(second)
+		assertThrottled(t, d.throttle(t, job.Resumed), 100)
+	})
+	t.Run("no member is released while an order to resume may still arrive", func(t *testing.T) {
+		d := newDriver(t, 1)
+		d.accept(d.throttle(t, job.Slowing))
+		d.throttle(t, job.Resumed)
+		assertThrottled(t, d.throttle(t, job.Slowing), 0)
+	})
+	t.Run("a member that does not take its speed is not renewed", func(t *testing.T) {
+		d := newDriver(t, 2)
+		d.accept(d.throttle(t, job.Slowing))
+		for range 10 {
+			d.now = d.now.Add(leaseLength / 20)
+			for _, o := range d.step() {
+				_, renews := o.(task.Renew)
+				assert.False(t, renews && task.IDOf(o).Index() == 1, "member 1 is renewed")
+				if task.IDOf(o).Index() == 0 {
+					d.accept(o)
+				}
+			}
+		}
+	})
+}
+
+func assertThrottled(t *testing.T, o task.Order, percent int) {
+	t.Helper()
+	throttle, ok := o.(task.Throttle)
+	require.True(t, ok, "%T", o)
+	assert.Equal(t, percent, throttle.Percent())
+}
--- a/internal/gang/world_test.go
+++ b/internal/gang/world_test.go
@@ -26,6 +26,9 @@
 
 var start = time.Date(2026, 1, 5, 8, 0, 0, 0, time.UTC)
 
+// rates are those of the workers' clocks against the leader's; 5% is the difference that leases allow for.
+var rates = []float64{0.953, 1, 1.047}
+
 // machine is a worker with a clock of its own; orders wait while it is frozen.
 type machine struct {
 	name   string
@@ -72,7 +75,7 @@
 	for i := range 3 {
 		w.machines = append(w.machines, &machine{
 			name: fmt.Sprintf("w%d", i), host: standin.NewHost(capacity), heard: start,
-			rate: []float64{0.97, 1, 1.03}[rapid.IntRange(0, 2).Draw(t, "rate")],
+			rate: rates[rapid.IntRange(0, 2).Draw(t, "rate")],
 		})
 	}
 	shape, _ := workspace.NewShape(1, 1, workspace.Anywhere)
@@ -236,9 +239,12 @@
 		w.send(t, id, fence)
 		return p.WithSent(task.IDOf(t.Order()).Index(), t.Order(), w.now)
 	case gang.Start:
+		w.oracle.starts(j)
 		w.commit(registry.NewStartGang(id, fence))
 	case gang.Stop:
 		w.commit(registry.NewStopGang(id, fence, t.Reason()))
+	case gang.Release:
+		w.commit(registry.NewThrottleGang(id, fence, job.Throttled, "throttled"))
 	case gang.Requeue:
 		w.commit(registry.NewRequeueJob(id, fence, t.Reason(), t.NotBefore()))
 		w.oracle.released(j, job.Unfinished)
@@ -249,17 +255,27 @@
 	return p
 }
 
-// place puts the first queued job that fits on workers that the registry believes to be free.
-func (w *world) place() {
+// free returns the accelerators of each worker that the registry believes to be free.
+func (w *world) free() map[string]int {
 	free := map[string]int{}
 	for _, m := range w.machines {
 		free[m.name] = capacity
 	}
-	var queued []job.Job
 	for _, j := range w.state.Unfinished().All() {
 		for _, m := range j.Members() {
-			free[m.Worker()] -= m.Accelerators()
+			if j.Holds() {
+				free[m.Worker()] -= m.Accelerators()
+			}
 		}
+	}
+	return free
+}
+
+// place puts the first queued job that fits on workers that the registry believes to be free.
+func (w *world) place() {
+	free := w.free()
+	var queued []job.Job
+	for _, j := range w.state.Unfinished().All() {
 		if j.State() == job.Queued && !j.NotBefore().After(w.now) {
 			queued = append(queued, j)
 		}
