Wait for the leader before a test of an entry takes it away

Cause: TestLeaderless failed in 2 of 48 runs, 8 processes at once. The configuration is in force a moment before its leader is published, so the test saw no leader before there had been one, and the request ran. Change: the harness waits for the leader as well; the checks are unchanged.

--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -311,6 +311,8 @@
 	})
 	if _, ok := l.update.Load().Config(); ok {
 		requireSection(t, s.entry.Board().Policy(), func(p *entry.Policy) bool { return p.Config().Revision() > 0 })
+		// The configuration is in force a moment before the leader that sent it is known.
+		requireSection(t, s.entry.Board().Control(), func(c entry.Control) bool { return c.Leader() != "" })
 	}
 	return s
 }
