Set endpoints aside that fail request after request

Cause: an endpoint that fails everything at once has nothing in flight, so the choice by load prefers it, and once the others are full it is the only one with a free slot. Its agent's probe does not see it as long as the endpoint answers probes.

Change: an entry counts failures in a row of each endpoint: a status of 500 or more, a lost connection, a truncated answer, and refusals other than for a full endpoint. After aside.failures (5) the endpoint gets nothing for aside.pause (1 s, doubled up to 8 times), then one request at a time until one succeeds. At most one endpoint in three is set aside, never the only one, so that bad requests of one workspace cannot take the fleet away.

Ruled out: counting a failed request as load for a while. It takes slots away from other workspaces when one workspace's own requests fail.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -31,6 +31,8 @@
 	mayHaveRun := false
 	for n := 1; ; n++ {
 		result = e.attempt(ctx, r, t.endpoint)
+		v := verdict(result)
+		e.judge(t.endpoint, v, time.Now())
 		if _, lost := result.(request.Lost); lost {
 			mayHaveRun = true
 		}
@@ -42,7 +44,7 @@
 			return overall(result, mayHaveRun)
 		}
 		e.metrics.retries.Inc(1)
-		next, ok := route.Choose(e.board.fleet.Load(), globalRandom{}, excluded)
+		next, ok := route.Choose(e.board.fleet.Load(), globalRandom{}, excluded, time.Now())
 		if !ok {
 			return overall(result, mayHaveRun)
 		}
--- a/internal/entry/dispatcher.go
+++ b/internal/entry/dispatcher.go
@@ -165,7 +165,7 @@
 	if !t.gate.Enter(t.workspace.Limits().InFlight()) {
 		return ticket{}, false
 	}
-	e, ok := route.Choose(d.board.fleet.Load(), globalRandom{}, nil)
+	e, ok := route.Choose(d.board.fleet.Load(), globalRandom{}, nil, time.Now())
 	if !ok {
 		t.gate.Leave()
 		return ticket{}, false
--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -9,6 +9,7 @@
 	"go.opentelemetry.io/otel/trace"
 	"go.opentelemetry.io/otel/trace/noop"
 
+	"rosemarywind.example/rosemarywind/internal/route"
 	"rosemarywind.example/rosemarywind/internal/telemetry"
 )
 
@@ -34,6 +35,7 @@
 	retryShare    int
 	retryAttempts int
 	retryPause    time.Duration
+	health        route.Health
 	grace         time.Duration
 }
 
@@ -44,7 +46,7 @@
 		logger:   hclog.NewNullLogger(), bodyLimit: 4 << 20, bufferedLimit: 64 << 20, headerLimit: 64 << 10,
 		headerTimeout: 5 * time.Second, bodyTimeout: 30 * time.Second, queueWait: 2 * time.Second,
 		deadline: 30 * time.Second, maxDeadline: 10 * time.Minute, retryShare: 10, retryAttempts: 3,
-		retryPause: 25 * time.Millisecond, grace: 30 * time.Second,
+		retryPause: 25 * time.Millisecond, health: route.NewHealth(5, time.Second), grace: 30 * time.Second,
 	}
 }
 
@@ -91,5 +93,10 @@
 	return func(o *options) { o.retryShare, o.retryAttempts, o.retryPause = sharePercent, attempts, pause }
 }
 
+// WithSetAside sets after how many failures in a row an endpoint gets no requests, 0 for never, and the first pause.
+func WithSetAside(failures int, pause time.Duration) Option {
+	return func(o *options) { o.health = route.NewHealth(failures, pause) }
+}
+
 // WithGrace sets how long a planned stop waits for requests in flight.
 func WithGrace(d time.Duration) Option { return func(o *options) { o.grace = d } }
--- a/internal/fleet/load.go
+++ b/internal/fleet/load.go
@@ -1,13 +1,18 @@
 package fleet
 
-import "sync/atomic"
+import (
+	"sync/atomic"
+	"time"
+)
 
-// Load counts the requests in flight at an endpoint, as one entry process knows them.
+// Load counts the requests in flight and the failures at an endpoint, as one entry process knows them.
 type Load struct {
-	own    atomic.Int64
-	others atomic.Int64
+	own      atomic.Int64
+	others   atomic.Int64
+	failures atomic.Int64
+	aside    atomic.Int64 // end of the pause in Unix nanoseconds, 0 for an endpoint that is not set aside
 	// The padding fills a cache line, since the loads of different endpoints are written by different threads.
-	_ [48]byte
+	_ [32]byte
 }
 
 // Begin counts a request that this process sends.
@@ -27,3 +32,33 @@
 
 // InFlight returns the estimated number of requests in flight from all processes.
 func (l *Load) InFlight() int64 { return l.own.Load() + l.others.Load() }
+
+// Failed counts a failure and returns the number in a row.
+func (l *Load) Failed() int64 { return l.failures.Add(1) }
+
+// Succeeded ends a row of failures.
+func (l *Load) Succeeded() {
+	// A write on each success would move the cache line between threads.
+	if l.failures.Load() != 0 {
+		l.failures.Store(0)
+	}
+	if l.aside.Load() != 0 {
+		l.aside.Store(0)
+	}
+}
+
+// SetAside keeps requests away until the given time, then all but one at a time until one succeeds; it reports false
+// if another thread was first.
+func (l *Load) SetAside(now, until time.Time) bool {
+	old := l.aside.Load()
+	return now.UnixNano() >= old && l.aside.CompareAndSwap(old, until.UnixNano())
+}
+
+// Suspect reports whether the endpoint is set aside, or is tried again with one request at a time.
+func (l *Load) Suspect() bool { return l.aside.Load() != 0 }
+
+// Aside reports whether no more requests may be sent to the endpoint because of its failures.
+func (l *Load) Aside(now time.Time) bool {
+	until := l.aside.Load()
+	return until != 0 && (now.UnixNano() < until || l.own.Load() > 0)
+}
--- a/internal/route/choose.go
+++ b/internal/route/choose.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"rosemarywind.example/rosemarywind/internal/fleet"
 )
@@ -14,8 +15,9 @@
 // candidateDraws is the number of random candidates that are compared.
 const candidateDraws = 2
 
-// Choose returns the less loaded of two random ready endpoints with a free slot, passing over the excluded names.
-func Choose(s *fleet.Snapshot, random Random, excluded []string) (chosen fleet.Endpoint, ok bool) {
+// Choose returns the less loaded of two random ready endpoints with a free slot, passing over the excluded names and
+// the endpoints that are set aside.
+func Choose(s *fleet.Snapshot, random Random, excluded []string, now time.Time) (chosen fleet.Endpoint, ok bool) {
 	ready := s.Ready()
 	if len(ready) == 0 {
 		return fleet.Endpoint{}, false
@@ -23,12 +25,12 @@
 	best := -1
 	for range candidateDraws {
 		i := random.IntN(len(ready))
-		if usable(&ready[i], excluded) && (best < 0 || less(&ready[i], &ready[best])) {
+		if usable(&ready[i], excluded) && !ready[i].Load().Aside(now) && (best < 0 || less(&ready[i], &ready[best])) {
 			best = i
 		}
 	}
 	if best < 0 {
-		best = scan(ready, random.IntN(len(ready)), excluded)
+		best = scan(ready, random.IntN(len(ready)), excluded, now)
 	}
 	if best < 0 {
 		return fleet.Endpoint{}, false
@@ -36,13 +38,27 @@
 	return ready[best], true
 }
 
-// scan returns the first usable endpoint at or after start, or -1.
-func scan(ready []fleet.Endpoint, start int, excluded []string) int {
+// scan returns the first usable endpoint at or after start, or -1. An endpoint that is set aside counts when more are
+// so than may be, as after the others have left.
+func scan(ready []fleet.Endpoint, start int, excluded []string, now time.Time) int {
+	suspects, spare := 0, -1
 	for i := range ready {
 		k := (start + i) % len(ready)
-		if usable(&ready[k], excluded) {
+		if ready[k].Load().Suspect() {
+			suspects++
+		}
+		if !usable(&ready[k], excluded) {
+			continue
+		}
+		if !ready[k].Load().Aside(now) {
 			return k
 		}
+		if spare < 0 {
+			spare = k
+		}
+	}
+	if suspects > mostAside(len(ready)) {
+		return spare
 	}
 	return -1
 }
--- a/internal/route/choose_test.go
+++ b/internal/route/choose_test.go
@@ -13,6 +13,9 @@
 	"rosemarywind.example/rosemarywind/internal/route"
 )
 
+// start is the time at which each test begins.
+var start = time.Unix(1_000_000, 0)
+
 // Guards against work sent to an endpoint that is full, leaving or excluded.
 func TestChoose(t *testing.T) {
 	random := rand.New(rand.NewPCG(1, 2))
@@ -42,7 +45,7 @@
 			b.RunParallel(func(p *testing.PB) {
 				random := rand.New(rand.NewPCG(1, 2))
 				for p.Next() {
-					route.Choose(s, random, nil)
+					route.Choose(s, random, nil, start)
 				}
 			})
 		})
@@ -73,7 +76,7 @@
 			b.RunParallel(func(p *testing.PB) {
 				random := rand.New(rand.NewPCG(1, 2))
 				for p.Next() {
-					route.Choose(section.Load(), random, nil)
+					route.Choose(section.Load(), random, nil, start)
 				}
 			})
 			close(done)
@@ -84,14 +87,14 @@
 
 func assertNone(t *testing.T, s *fleet.Snapshot, random route.Random, excluded ...string) {
 	t.Helper()
-	_, ok := route.Choose(s, random, excluded)
+	_, ok := route.Choose(s, random, excluded, start)
 	assert.False(t, ok)
 }
 
 func assertChosen(t *testing.T, s *fleet.Snapshot, random route.Random, want string, excluded ...string) {
 	t.Helper()
 	for range 100 {
-		e, ok := route.Choose(s, random, excluded)
+		e, ok := route.Choose(s, random, excluded, start)
 		assert.True(t, ok)
 		assert.Equal(t, want, e.Name())
 	}
--- /dev/null
+++ b/internal/route/health.go
@@ -0,0 +1,67 @@
+package route
+
+import (
+	"time"
+
+	"rosemarywind.example/rosemarywind/internal/fleet"
+)
+
+const (
+	// asideShare bounds the endpoints that are set aside to one in three, so that the faulty requests of one workspace
+	// cannot take the fleet away from the others.
+	asideShare = 3
+	// maxPauseDoublings bounds the pause to 8 times the first one.
+	maxPauseDoublings = 3
+)
+
+// Health sets endpoints aside that fail request after request. An endpoint that fails at once has few requests in
+// flight, so the choice by load would prefer it.
+type Health struct {
+	failures int
+	pause    time.Duration
+}
+
+// NewHealth returns a rule that sets an endpoint aside after a number of failures in a row, never if it is 0. The pause
+// doubles with each further failure, up to 8 times.
+func NewHealth(failures int, pause time.Duration) Health {
+	return Health{failures: failures, pause: pause}
+}
+
+// Record takes in the verdict on one request and reports whether it set the endpoint aside.
+func (h Health) Record(s *fleet.Snapshot, e fleet.Endpoint, v Verdict, now time.Time) bool {
+	l := e.Load()
+	switch v {
+	case Unclear:
+		return false
+	case Sound:
+		l.Succeeded()
+		return false
+	case Faulty:
+	}
+	excess := int(l.Failed()) - h.failures
+	if h.failures == 0 || excess < 0 || !l.Suspect() && suspects(s)+1 > mostAside(len(s.Ready())) {
+		return false
+	}
+	doublings := 0
+	if l.Suspect() {
+		doublings = min(excess, maxPauseDoublings)
+	}
+	return l.SetAside(now, now.Add(h.pause<<doublings))
+}
+
+// mostAside returns how many of n endpoints may be set aside, which is never the only one.
+func mostAside(n int) int {
+	if n < 2 {
+		return 0
+	}
+	return (n + asideShare - 1) / asideShare
+}
+
+func suspects(s *fleet.Snapshot) (n int) {
+	for _, e := range s.Ready() {
+		if e.Load().Suspect() {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -52,3 +52,9 @@
 
 // RetryBasePause returns the pause before the first retry.
 func (e Entry) RetryBasePause() time.Duration { return retryPauseKey.of(e.v) }
+
+// AsideFailures returns the failures in a row after which an endpoint is set aside, 0 for never.
+func (e Entry) AsideFailures() int { return int(asideFailuresKey.of(e.v)) }
+
+// AsidePause returns the first pause of an endpoint that is set aside.
+func (e Entry) AsidePause() time.Duration { return asidePauseKey.of(e.v) }
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -58,12 +58,14 @@
 	retryShareKey      = integer("retry.share_percent", "percent", 0, 100, "retries allowed in percent of first attempts").withDefault(int64(10))
 	retryAttemptsKey   = integer("retry.attempts", "attempts", 1, 10, "attempts of a request, the first included").withDefault(int64(3))
 	retryPauseKey      = duration("retry.base_pause", time.Millisecond, 10*time.Second, "pause before the first retry, doubled for each further one").withDefault("25ms")
+	asideFailuresKey   = integer("aside.failures", "failures", 0, 1000, "failures in a row after which an endpoint gets no requests for a pause; 0 for never").withDefault(int64(5))
+	asidePauseKey      = duration("aside.pause", time.Millisecond, 10*time.Minute, "first pause of such an endpoint, doubled with each further failure up to 8 times the first").withDefault("1s")
 
 	entryKeys = []declared{
 		httpListenKey.declared, controlAddressesKey.declared, bodyBytesKey.declared, headerBytesKey.declared,
 		headerTimeoutKey.declared, bodyTimeoutKey.declared, queueWaitKey.declared, bufferedBytesKey.declared,
 		deadlineDefaultKey.declared, deadlineMaxKey.declared, retryShareKey.declared, retryAttemptsKey.declared,
-		retryPauseKey.declared,
+		retryPauseKey.declared, asideFailuresKey.declared, asidePauseKey.declared,
 	}
 )
 
