Retry after a full endpoint outside the retry budget

Cause: load figures are old, so entries send requests to endpoints that are full, and the agent refuses them within a hop. These retries used up the budget of 10%, and the rest was refused to the caller while other endpoints had free slots.

Change: a refusal for want of a slot spends nothing of the budget; the attempts of the request bound it. The agent refuses before it reads the body, so such a retry costs the endpoint nothing; what it costs the agent's host was not measured.

Seen failing before: TestRetries/a_full_endpoint_costs_no_share_of_traffic.

--- a/internal/entry/health.go
+++ b/internal/entry/health.go
@@ -29,6 +29,8 @@
 		switch t.Reason() {
 		case outcome.Leaving, outcome.EndpointSilent, outcome.StaleIncarnation, outcome.ConnectionLost, outcome.Incompatible:
 			return route.Faulty
+		case outcome.NoSlot:
+			return route.Full
 		default:
 			return route.Unclear
 		}
--- a/internal/entry/path_test.go
+++ b/internal/entry/path_test.go
@@ -74,6 +74,28 @@
 		requireCall(t, s, http.MethodGet, "/w/previews/a", "")
 		assert.EqualValues(t, 1, calls.Load())
 	})
+	t.Run("a full endpoint costs no share of traffic", func(t *testing.T) {
+		w := newWorld(t)
+		full := refusing(outcome.NoSlot, 0)
+		s := newSite(t, w, []fleet.Endpoint{w.agent("w1", 8, full), w.agent("w2", 8, answering)},
+			entry.WithRetries(0, 2, time.Millisecond))
+		for range 20 {
+			assertRan(t, requireCall(t, s, http.MethodPost, "/w/previews/a", "x"), "x")
+		}
+		assertIdle(t, s)
+	})
+	t.Run("full endpoints are tried as often as attempts allow", func(t *testing.T) {
+		w := newWorld(t)
+		var calls atomic.Int64
+		full := func(ctx context.Context, s *link.Stream, f wire.Forward) {
+			calls.Add(1)
+			refusing(outcome.NoSlot, 0)(ctx, s, f)
+		}
+		s := newSite(t, w, []fleet.Endpoint{w.agent("w1", 8, full), w.agent("w2", 8, full), w.agent("w3", 8, full)},
+			entry.WithRetries(0, 2, time.Millisecond))
+		assertRefused(t, requireCall(t, s, http.MethodGet, "/w/previews/a", ""), http.StatusServiceUnavailable, outcome.NoSlot)
+		assert.EqualValues(t, 2, calls.Load())
+	})
 }
 
 // Guards against an endpoint that a stale load figure keeps out of use for good.
--- a/internal/route/budget.go
+++ b/internal/route/budget.go
@@ -31,6 +31,10 @@
 	}
 }
 
+// SpendAfter reports whether a request with the given verdict may be retried, and counts the retry. A refusal for want
+// of a slot costs the endpoint nothing, so its retry is bounded by the attempts of the request alone.
+func (b *Budget) SpendAfter(v Verdict) bool { return v == Full || b.Spend() }
+
 // Spend reports whether one more retry is within the budget, and counts it.
 func (b *Budget) Spend() bool {
 	if b.units.Add(-unitsPerRetry) >= 0 {
--- a/internal/route/health.go
+++ b/internal/route/health.go
@@ -31,7 +31,7 @@
 func (h Health) Record(s *fleet.Snapshot, e fleet.Endpoint, v Verdict, now time.Time) bool {
 	l := e.Load()
 	switch v {
-	case Unclear:
+	case Full, Unclear:
 		return false
 	case Sound:
 		l.Succeeded()
--- a/internal/route/health_test.go
+++ b/internal/route/health_test.go
@@ -41,10 +41,10 @@
 			assert.False(t, bad.Load().Aside(now), seconds)
 		}
 	})
-	t.Run("a success between failures", func(t *testing.T) {
+	t.Run("a success between failures, and refusals of a full endpoint", func(t *testing.T) {
 		s := snapshot(2)
 		record(h, s, s.All()[0], start, route.Faulty, route.Faulty, route.Sound, route.Faulty, route.Faulty)
-		record(h, s, s.All()[0], start, route.Unclear, route.Unclear)
+		record(h, s, s.All()[0], start, route.Full, route.Full, route.Unclear)
 		assert.False(t, s.All()[0].Load().Suspect())
 	})
 	t.Run("at most one in three, never the only one", func(t *testing.T) {
@@ -72,6 +72,15 @@
 	})
 }
 
+// Guards against retries after full endpoints that use up the budget of others, and against others without a budget.
+func TestBudget(t *testing.T) {
+	b := route.NewBudget(0)
+	assert.True(t, b.SpendAfter(route.Full))
+	for _, v := range []route.Verdict{route.Sound, route.Faulty, route.Unclear} {
+		assert.False(t, b.SpendAfter(v), v)
+	}
+}
+
 func record(h route.Health, s *fleet.Snapshot, e fleet.Endpoint, now time.Time, verdicts ...route.Verdict) {
 	for _, v := range verdicts {
 		h.Record(s, e, v, now)
