--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -14,6 +14,7 @@
 	urgent  lane[T]
 	patient lane[T]
 	grants  int
+	turn    int
 }
 
 // lane holds the waiting items of one urgency; the workspace at the front is the next one to be served.
@@ -27,7 +28,13 @@
 }
 
 // NewQueue returns an empty queue.
-func NewQueue[T any]() *Queue[T] { return &Queue[T]{} }
+func NewQueue[T any]() *Queue[T] { return &Queue[T]{turn: patientTurn} }
+
+// WithPatientTurn lets every n-th grant go to a patient request, or none if n is 0; it returns the queue.
+func (q *Queue[T]) WithPatientTurn(n int) *Queue[T] {
+	q.turn = n
+	return q
+}
 
 // Push adds an item of a workspace behind its others of the same urgency.
 func (q *Queue[T]) Push(workspace string, urgency job.Urgency, item T) {
@@ -44,7 +51,7 @@
 // Next removes and returns the first item that admit takes; a workspace that admit refused is asked once.
 func (q *Queue[T]) Next(admit func(workspace string) bool) (item T, ok bool) {
 	first, second := &q.urgent, &q.patient
-	if q.grants%patientTurn == patientTurn-1 {
+	if q.turn > 0 && q.grants%q.turn == q.turn-1 {
 		first, second = second, first
 	}
 	var refused []string
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -27,6 +27,16 @@
 		q.Push("a", job.Patient, "patient")
 		assertServed(t, q, "urgent", "urgent", "urgent", "patient", "urgent")
 	})
+	t.Run("another turn, or none, for patient requests", func(t *testing.T) {
+		for turn, want := range map[int][]string{2: {"urgent", "patient", "urgent"}, 0: {"urgent", "urgent", "urgent"}} {
+			q := admission.NewQueue[string]().WithPatientTurn(turn)
+			for range 3 {
+				q.Push("a", job.Urgent, "urgent")
+				q.Push("a", job.Patient, "patient")
+			}
+			assertServed(t, q, want...)
+		}
+	})
 	t.Run("a workspace at its limit", func(t *testing.T) {
 		q := admission.NewQueue[string]()
 		q.Push("full", job.Urgent, "full")
