--- a/internal/declaration/key.go
+++ b/internal/declaration/key.go
@@ -40,7 +40,7 @@
 	{AnnounceLease, document.Duration(time.Second, time.Minute), 3 * time.Second, []string{workerTarget}, "time after which a silent agent counts as gone"},
 	{RequestInFlight, document.Integer(1, 65536), int64(64), []string{workspaceTarget}, "requests of a workspace that run at once at one entry"},
 	{RequestQueued, document.Integer(0, 1048576), int64(256), []string{workspaceTarget}, "requests of a workspace that wait at one entry"},
-	{RetrySharePercent, document.Integer(0, 100), int64(10), []string{workspaceTarget}, "retries in percent of first attempts; retries after a full endpoint do not count"},
+	{RetrySharePercent, document.Integer(0, 100), int64(10), []string{workspaceTarget}, "retries in percent of first attempts; retries after a full endpoint have a share of their own, 50 percent"},
 }
 
 func find(key Key) (d declared, ok bool) {
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -36,7 +36,7 @@
 		if _, lost := result.(request.Lost); lost {
 			mayHaveRun = true
 		}
-		if n >= e.retryAttempts || !retryable(r, result) || ctx.Err() != nil || !t.tenure.budget.SpendAfter(v) {
+		if n >= e.retryAttempts || !retryable(r, result) || ctx.Err() != nil || !t.tenure.budget.Spend(v) {
 			return overall(result, mayHaveRun)
 		}
 		excluded = append(excluded, t.endpoint.Name())
--- a/internal/routebench/host.go
+++ b/internal/routebench/host.go
@@ -137,9 +137,9 @@
 
 func (h *host) mayRetry(c *call, v route.Verdict) bool {
 	if h.run.policy.budgeted {
-		return h.budgets[c.workspace].Spend()
+		v = route.Faulty
 	}
-	return h.budgets[c.workspace].SpendAfter(v)
+	return h.budgets[c.workspace].Spend(v)
 }
 
 func (h *host) retry(c *call, old fleet.Endpoint) {
--- a/internal/routebench/policy.go
+++ b/internal/routebench/policy.go
@@ -23,7 +23,7 @@
 	return Policy{name: name, choice: c, shedding: s, turn: turn, health: route.NewHealth(5, time.Second)}
 }
 
-// WithBudgetedRetries returns the policy with a retry budget that also counts retries after a full endpoint's refusal.
+// WithBudgetedRetries returns the policy with one retry budget for all retries, those after a full endpoint included.
 func (p Policy) WithBudgetedRetries() Policy {
 	p.budgeted = true
 	return p
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -55,7 +55,7 @@
 	bufferedBytesKey   = integer("limits.buffered_bytes", "bytes", 1, 16*gibibyte, "total of buffered request bodies; at least limits.body_bytes").withDefault(int64(64 * mebibyte))
 	deadlineDefaultKey = duration("deadline.default", time.Millisecond, 24*time.Hour, "deadline of a request that states none; at most deadline.max").withDefault("30s")
 	deadlineMaxKey     = duration("deadline.max", time.Millisecond, 24*time.Hour, "longest deadline that a caller may state").withDefault("10m")
-	retryShareKey      = integer("retry.share_percent", "percent", 0, 100, "retries allowed in percent of first attempts; retries after a full endpoint do not count").withDefault(int64(10))
+	retryShareKey      = integer("retry.share_percent", "percent", 0, 100, "retries allowed in percent of first attempts; retries after a full endpoint have a share of their own, 50 percent").withDefault(int64(10))
 	retryAttemptsKey   = integer("retry.attempts", "attempts", 1, 10, "attempts of a request, the first included").withDefault(int64(3))
 	retryPauseKey      = duration("retry.base_pause", time.Millisecond, 10*time.Second, "pause before the first retry, doubled for each further one").withDefault("25ms")
 	asideFailuresKey   = integer("aside.failures", "failures", 0, 1000, "failures in a row after which an endpoint gets no requests for a pause; 0 for never").withDefault(int64(5))
