Tell entries of each new leader from all control hosts

Cause: an entry left a dead or frozen leader only after three missed heartbeats (3 s), although the next one commits after about 1.3 s; keyed requests waited 2 s and were refused. A claim under way stayed with the dead leader until its time was over.

Ruled out: faster heartbeats (0.9 KB/s an entry, still a search afterwards, and all entries reconnect when a leader pauses for a second) and asking a second host after one missed heartbeat (2 s). A shorter silence for agents: a false alarm would cost the leader 16 s of processor time for 7,200 connections, so what agents do and send is unchanged.

Change: an entry holds a stream of notices to each control host, which names the leader of each later term. The watcher goes there at once; an elected leader lets watchers wait for its first commit. A claim under way moves on under the same attempt, also when the connection falls silent.

Found and not repaired: with 3 hosts, a leader frozen 1.5 s after another host was killed and 40 ms after its restart is not replaced within 1.8 s, as the survivors' connections to the restarted host are still silent ones.

--- a/internal/control/board.go
+++ b/internal/control/board.go
@@ -5,6 +5,7 @@
 	"rosemarywind.example/rosemarywind/internal/plan"
 	"rosemarywind.example/rosemarywind/internal/registry"
 	"rosemarywind.example/rosemarywind/internal/task"
+	"rosemarywind.example/rosemarywind/internal/wire"
 )
 
 // Board is what the controllers of a control process publish. What each agent tells every second
@@ -17,6 +18,7 @@
 	starts   *board.Section[[]plan.Start]               // written by the gang driver
 	mutes    *board.Section[board.Table[mute]]          // written by the gang driver
 	explains *board.Section[board.Table[string]]        // written by the scheduler
+	elected  *board.Section[wire.Leadership]            // written by the observer of elections
 }
 
 func newBoard() *Board {
@@ -28,6 +30,7 @@
 		starts:   board.NewSection[[]plan.Start](nil),
 		mutes:    board.NewSection(board.NewTable[mute]()),
 		explains: board.NewSection(board.NewTable[string]()),
+		elected:  board.NewSection(wire.Leadership{}),
 	}
 }
 
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -73,6 +73,7 @@
 	g, inner := errgroup.WithContext(inner)
 	g.Go(func() error { return c.node.Run(inner) })
 	g.Go(func() error { return c.keeper.run(inner) })
+	g.Go(func() error { return newElections(c).run(inner) })
 	g.Go(func() error { return newScheduler(c).run(inner) })
 	g.Go(func() error { return newDriver(c).run(inner) })
 	g.Go(func() error { return newExpirer(c).run(inner) })
@@ -134,6 +135,8 @@
 		c.announcements(ctx, s)
 	case wire.KindWatch:
 		c.watch(ctx, s)
+	case wire.KindLeadership:
+		c.leadership(ctx, s)
 	case wire.KindPropose:
 		c.proposal(ctx, s, o.Trace())
 	case wire.KindForward, wire.KindOrders, wire.KindPing:
--- a/internal/control/streams.go
+++ b/internal/control/streams.go
@@ -67,6 +67,7 @@
 // watch sends the fleet and the configuration to one watcher: what is known, then each change. What the
 // watcher knows beyond that is replaced once all agents had time to announce themselves to a new leader.
 func (c *Control) watch(ctx context.Context, s *link.Stream) {
+	c.awaitReady(ctx)
 	if refusal := c.leading(); refusal != nil {
 		_ = wire.WriteStatus(s, refusal)
 		return
--- a/internal/entry/board.go
+++ b/internal/entry/board.go
@@ -8,14 +8,16 @@
 	"rosemarywind.example/rosemarywind/internal/declaration"
 	"rosemarywind.example/rosemarywind/internal/fleet"
 	"rosemarywind.example/rosemarywind/internal/route"
+	"rosemarywind.example/rosemarywind/internal/wire"
 	"rosemarywind.example/rosemarywind/internal/workspace"
 )
 
-// Board is what the controllers of an entry process publish; the watcher writes every section.
+// Board is what the controllers of an entry process publish.
 type Board struct {
-	fleet   *board.Section[*fleet.Snapshot]
-	policy  *board.Section[*Policy]
-	control *board.Section[Control]
+	fleet   *board.Section[*fleet.Snapshot] // written by the watcher
+	policy  *board.Section[*Policy]         // written by the watcher
+	control *board.Section[Control]         // written by the watcher
+	elected *board.Section[wire.Leadership] // written by the observer of elections
 }
 
 func newBoard() *Board {
@@ -23,6 +25,7 @@
 		fleet:   board.NewSection(fleet.NewSnapshot(0, nil)),
 		policy:  board.NewSection(&Policy{config: workspace.EmptyConfig()}),
 		control: board.NewSection(Control{}),
+		elected: board.NewSection(wire.Leadership{}),
 	}
 }
 
@@ -35,6 +38,9 @@
 // Control returns the section of the connection to the leader.
 func (b *Board) Control() *board.Section[Control] { return b.control }
 
+// Elected returns the section of the latest leader that any control host named.
+func (b *Board) Elected() *board.Section[wire.Leadership] { return b.elected }
+
 // Control is what the process knows of the leader.
 type Control struct {
 	leader  string
--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"rosemarywind.example/rosemarywind/internal/clock"
+	"rosemarywind.example/rosemarywind/internal/link"
 	"rosemarywind.example/rosemarywind/internal/registry"
 	"rosemarywind.example/rosemarywind/internal/request"
 	"rosemarywind.example/rosemarywind/internal/telemetry"
@@ -17,7 +18,8 @@
 )
 
 const (
-	claimTimeout = 2 * time.Second
+	// claimTimeout covers two elections of up to 1.5 s each, since the first one may end without a leader.
+	claimTimeout = 4 * time.Second
 	// settleTimeout covers a change of leader, which takes up to 2 s.
 	settleTimeout = 5 * time.Second
 	settlePause   = 250 * time.Millisecond
@@ -117,17 +119,58 @@
 	return err
 }
 
-// propose sends a command to the leader and returns the state machine's answer.
+// propose sends a command to the leader and returns the state machine's answer. When the leader is replaced or falls
+// silent meanwhile, the command is sent again, which is safe: an attempt is granted once, and an ending is recorded once.
 func (e *Entry) propose(ctx context.Context, c registry.Command) (result registry.Result, err error) {
 	defer func() {
 		if err != nil {
 			err = fmt.Errorf("propose: %w", err)
 		}
 	}()
-	leader, err := e.awaitLeader(ctx)
-	if err != nil {
-		return nil, err
+	for sent := false; ; sent = true {
+		leader, unknown := e.awaitLeader(ctx, "")
+		if unknown != nil {
+			if !sent {
+				err = unknown
+			}
+			return nil, err
+		}
+		if result, err = e.proposeWhile(ctx, leader, c); err == nil {
+			return result, nil
+		}
+		if !e.proposesAgain(ctx, leader, err) {
+			return nil, err
+		}
+	}
+}
+
+// proposesAgain reports whether a command that leader did not answer, for the reason of err, can be sent again. It
+// waits until that is of use or ctx ends.
+func (e *Entry) proposesAgain(ctx context.Context, leader string, err error) bool {
+	if c := e.board.control.Load(); c.leader != "" && c.leader != leader {
+		return ctx.Err() == nil
 	}
+	var status *wire.StatusError
+	if errors.As(err, &status) && status.Code() == wire.NotLeader {
+		_, err = e.awaitLeader(ctx, leader)
+		return err == nil
+	}
+	return link.Unreachable(err) && clock.Pause(ctx, settlePause)
+}
+
+// proposeWhile gives up once another leader is known.
+func (e *Entry) proposeWhile(ctx context.Context, leader string, c registry.Command) (result registry.Result, err error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		if _, err := e.awaitLeader(ctx, leader); err == nil {
+			cancel()
+		}
+	}()
+	return e.proposeTo(ctx, leader, c)
+}
+
+func (e *Entry) proposeTo(ctx context.Context, leader string, c registry.Command) (result registry.Result, err error) {
 	s, err := e.leaders.Open(ctx, leader)
 	if err != nil {
 		return nil, err
@@ -148,11 +191,11 @@
 	return wire.ReadResult(s)
 }
 
-// awaitLeader returns the address of the leader, waiting until it is known or ctx ends.
-func (e *Entry) awaitLeader(ctx context.Context) (address string, err error) {
+// awaitLeader returns the address of a leader other than the given one, waiting until it is known or ctx ends.
+func (e *Entry) awaitLeader(ctx context.Context, other string) (address string, err error) {
 	for {
 		c, changed := e.board.control.Watch()
-		if c.leader != "" {
+		if c.leader != "" && c.leader != other {
 			return c.leader, nil
 		}
 		select {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -63,6 +63,7 @@
 	var g errgroup.Group
 	w := newWatcher(e.board, e.leaders, e.control, e.retryShare, e.logger)
 	g.Go(func() error { return w.run(inner) })
+	g.Go(func() error { return newElections(e.board, e.leaders, e.control, e.logger).run(inner) })
 	g.Go(func() error { return e.queue.run(inner) })
 	g.Go(func() error { return e.releaser.run(inner) })
 	server := e.server()
--- a/internal/entry/watcher.go
+++ b/internal/entry/watcher.go
@@ -33,6 +33,8 @@
 	logger hclog.Logger
 	// retryShare counts for workspaces for which none is declared, in percent.
 	retryShare int
+	// term is that of the latest election which the watcher has followed.
+	term uint64
 	// unconfirmed are the endpoints that a new leader has not listed yet, which count until confirmBy.
 	unconfirmed map[string]bool
 	confirmBy   time.Time
@@ -46,13 +48,49 @@
 func (w *watcher) run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		address := w.search.Next()
-		err := w.watch(ctx, address)
+		err := w.follow(ctx, address)
 		w.board.control.Publish(Control{heardAt: w.board.control.Load().heardAt})
 		w.recover(ctx, address, err)
 	}
 	return nil
 }
 
+// follow watches a control host until that ends or a later election makes another one the leader.
+func (w *watcher) follow(ctx context.Context, address string) (err error) {
+	ctx, cancel := context.WithCancel(ctx)
+	next := make(chan string, 1)
+	go func() {
+		defer close(next)
+		if leader := w.awaitElection(ctx, address); leader != "" {
+			next <- leader
+			cancel()
+		}
+	}()
+	err = w.watch(ctx, address)
+	cancel()
+	if leader := <-next; leader != "" {
+		err = wire.NewStatusError(wire.NotLeader, leader, "another control host was elected")
+	}
+	return err
+}
+
+// awaitElection returns the leader of a later term that is not at address, or nothing once ctx ends.
+func (w *watcher) awaitElection(ctx context.Context, address string) (leader string) {
+	for {
+		l, changed := w.board.elected.Watch()
+		if l.Term() > w.term {
+			if w.term = l.Term(); l.Leader() != address {
+				return l.Leader()
+			}
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ""
+		}
+	}
+}
+
 // recover follows a follower's word about the leader at once, and pauses after any other error.
 func (w *watcher) recover(ctx context.Context, address string, err error) {
 	if ctx.Err() != nil {
--- a/internal/link/stream.go
+++ b/internal/link/stream.go
@@ -57,6 +57,14 @@
 	return errors.As(err, &ofConnection) && ofConnection.Remote && ofConnection.ErrorCode == codeStopped
 }
 
+// Unreachable reports whether err says that the peer fell silent or could not be reached, and not that it ended the
+// stream.
+func Unreachable(err error) bool {
+	var silent *quic.IdleTimeoutError
+	var absent *quic.HandshakeTimeoutError
+	return errors.As(err, &silent) || errors.As(err, &absent) || errors.Is(err, errUnreachable)
+}
+
 // SetDeadline bounds all reads and writes.
 func (s *Stream) SetDeadline(t time.Time) error { return s.stream.SetDeadline(t) }
 
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -25,13 +25,14 @@
 
 // The kinds of streams.
 const (
-	KindForward  Kind = "forward"
-	KindAnnounce Kind = "announce"
-	KindWatch    Kind = "watch"
-	KindPropose  Kind = "propose"
-	KindOrders   Kind = "orders"
-	KindLedger   Kind = "ledger"
-	KindPing     Kind = "ping"
+	KindForward    Kind = "forward"
+	KindAnnounce   Kind = "announce"
+	KindWatch      Kind = "watch"
+	KindLeadership Kind = "leadership"
+	KindPropose    Kind = "propose"
+	KindOrders     Kind = "orders"
+	KindLedger     Kind = "ledger"
+	KindPing       Kind = "ping"
 )
 
 type openingForm struct {
