--- a/internal/board/board_test.go
+++ b/internal/board/board_test.go
@@ -1,6 +1,7 @@
 package board_test
 
 import (
+	"maps"
 	"sync"
 	"testing"
 
@@ -45,6 +46,13 @@
 		assertEntries(t, two, map[string]int{"a": 2, "b": 3})
 		assertEntries(t, three, map[string]int{"b": 3})
 	})
+	t.Run("filtered", func(t *testing.T) {
+		all := board.Collect(maps.All(map[string]int{"a": 1, "b": 2, "c": 3}))
+		odd := all.Filter(func(_ string, v int) bool { return v%2 == 1 })
+		assertEntries(t, all, map[string]int{"a": 1, "b": 2, "c": 3})
+		assertEntries(t, odd, map[string]int{"a": 1, "c": 3})
+		assertEntries(t, odd.Filter(func(string, int) bool { return false }).With("d", 4), map[string]int{"d": 4})
+	})
 }
 
 func assertEntries(t *testing.T, table board.Table[int], want map[string]int) {
--- a/internal/board/table.go
+++ b/internal/board/table.go
@@ -21,6 +21,22 @@
 	return Table[V]{shards: &[shardCount]map[string]V{}}
 }
 
+// Collect returns the table of the entries; it costs less than a change for each, which copies a shard each time.
+func Collect[V any](entries iter.Seq2[string, V]) Table[V] {
+	t := NewTable[V]()
+	for k, v := range entries {
+		i := shardOf(k)
+		if t.shards[i] == nil {
+			t.shards[i] = map[string]V{}
+		}
+		t.shards[i][k] = v
+	}
+	for _, m := range t.shards {
+		t.size += len(m)
+	}
+	return t
+}
+
 // Len returns the number of entries.
 func (t Table[V]) Len() int { return t.size }
 
@@ -40,6 +56,30 @@
 	return t.change(key, func(m map[string]V) { delete(m, key) })
 }
 
+// Filter returns a table of the entries for which keep is true; it calls keep once for each
+// entry. A shard that loses entries is built anew, since a map keeps the memory of deleted entries.
+func (t Table[V]) Filter(keep func(key string, value V) bool) Table[V] {
+	shards := *t.shards
+	next := Table[V]{shards: &shards}
+	for i, m := range t.shards {
+		var kept map[string]V
+		for k, v := range m {
+			if !keep(k, v) {
+				continue
+			}
+			if kept == nil {
+				kept = map[string]V{}
+			}
+			kept[k] = v
+		}
+		if len(kept) < len(m) {
+			shards[i] = kept
+		}
+		next.size += len(kept)
+	}
+	return next
+}
+
 // All yields every entry in no particular order.
 func (t Table[V]) All() iter.Seq2[string, V] {
 	return func(yield func(string, V) bool) {
--- a/internal/control/expirer.go
+++ b/internal/control/expirer.go
@@ -8,9 +8,12 @@
 )
 
 const (
-	expireEvery = 10 * time.Minute
+	expireEvery = time.Minute
 	// recordsKept is how long a key, an operator's answer and an ended job are remembered.
 	recordsKept = 24 * time.Hour
+	// answersKept is how long the answer of an attempt is kept for resends. An answer takes up to 4 KB and the rest of
+	// a record 48 bytes; it is as long as the longest deadline of a request.
+	answersKept = 10 * time.Minute
 )
 
 // expirer is the controller that drops records that are too old to matter.
@@ -38,7 +41,7 @@
 func (x *expirer) expire(ctx context.Context, now time.Time) {
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
-	if _, err := x.control.propose(ctx, registry.NewExpire(now.Add(-recordsKept))); err != nil {
+	if _, err := x.control.propose(ctx, registry.NewExpire(now.Add(-recordsKept), now.Add(-answersKept))); err != nil {
 		x.control.logger.Warn("old records not dropped", "error", err)
 	}
 }
--- a/internal/registry/accessors.go
+++ b/internal/registry/accessors.go
@@ -199,9 +199,12 @@
 func (d DrainEndpoint) At() time.Time { return d.at }
 
 // NewExpire returns the command.
-func NewExpire(before time.Time) Expire {
-	return Expire{before: before}
+func NewExpire(before, answers time.Time) Expire {
+	return Expire{before: before, answers: answers}
 }
 
 // Before returns the moment before which records are dropped.
 func (e Expire) Before() time.Time { return e.before }
+
+// Answers returns the moment before which answers of attempts are dropped.
+func (e Expire) Answers() time.Time { return e.answers }
--- a/internal/registry/apply.go
+++ b/internal/registry/apply.go
@@ -177,6 +177,11 @@
 	if ok && (old.fingerprint != c.fingerprint || old.ending.outcome != outcome.NotRun) {
 		return s, Known{claim: old}
 	}
+	if !ok {
+		if old, ok := s.archive.find(digestOf(k)); ok {
+			return s, Known{claim: old.claim(c)}
+		}
+	}
 	s.sequence++
 	s.claims = s.claims.With(k, Claim{
 		workspace: c.workspace, key: c.key, fingerprint: c.fingerprint, attempt: c.attempt,
@@ -196,22 +201,24 @@
 	return s, Accepted{revision: s.config.Revision()}
 }
 
+// expire drops what is too old, and moves claims that ended for good into the archive, without their answers.
 func expire(s State, c Expire) State {
-	for k, v := range s.claims.All() {
+	var sealed []Sealed
+	s.archive = s.archive.since(c.before)
+	s.claims = s.claims.Filter(func(_ string, v Claim) bool {
 		if v.at.Before(c.before) {
-			s.claims = s.claims.Without(k)
+			return false
 		}
-	}
-	for k, v := range s.replies.All() {
-		if v.at.Before(c.before) {
-			s.replies = s.replies.Without(k)
+		record, ok := v.seal()
+		if !ok || !v.at.Before(c.answers) {
+			return true
 		}
-	}
-	for k, v := range s.jobs.All() {
-		if v.State() == job.Done && v.EndTime().Before(c.before) {
-			s.jobs = s.jobs.Without(k)
-		}
-	}
+		sealed = append(sealed, record)
+		return false
+	})
+	s.archive = s.archive.with(sealed)
+	s.replies = s.replies.Filter(func(_ string, v Reply) bool { return !v.at.Before(c.before) })
+	s.jobs = s.jobs.Filter(func(_ string, v job.Job) bool { return v.State() != job.Done || !v.EndTime().Before(c.before) })
 	return s
 }
 
--- a/internal/registry/command.go
+++ b/internal/registry/command.go
@@ -102,9 +102,10 @@
 	at        time.Time
 }
 
-// Expire drops records that ended before the given moment.
+// Expire drops records that ended before a moment, and the answers of attempts that ended before a later one.
 type Expire struct {
-	before time.Time
+	before  time.Time
+	answers time.Time
 }
 
 func (ApplyConfig) command()   {}
--- a/internal/registry/record.go
+++ b/internal/registry/record.go
@@ -72,9 +72,12 @@
 	return k.attempt != "" && c.attempt == k.attempt && c.fingerprint == k.fingerprint && c.ending.outcome == ""
 }
 
-// WithEnding returns the record of an attempt that ended at the given time.
+// WithEnding returns the record of an attempt that ended at the given time; only an open one needs its identity.
 func (c Claim) WithEnding(e Ending, at time.Time) Claim {
 	c.ending, c.at = e, at
+	if e.outcome != "" {
+		c.attempt = ""
+	}
 	return c
 }
 
--- a/internal/registry/state.go
+++ b/internal/registry/state.go
@@ -1,6 +1,8 @@
 package registry
 
 import (
+	"slices"
+
 	"rosemarywind.example/rosemarywind/internal/board"
 	"rosemarywind.example/rosemarywind/internal/job"
 	"rosemarywind.example/rosemarywind/internal/lease"
@@ -14,10 +16,12 @@
 	// unfinished holds the jobs that are not done, so that a day of finished jobs costs the controllers nothing.
 	unfinished board.Table[job.Job]
 	claims     board.Table[Claim]
-	replies    board.Table[Reply]
-	drained    board.Table[bool]
-	fence      lease.Fence
-	sequence   uint64
+	// archive holds the claims that ended for good and whose answers are no longer kept.
+	archive  Archive
+	replies  board.Table[Reply]
+	drained  board.Table[bool]
+	fence    lease.Fence
+	sequence uint64
 }
 
 // NewState returns the state before the first command.
@@ -33,24 +37,38 @@
 }
 
 // RestoreState returns the state that a snapshot held.
-func RestoreState(config *workspace.Config, jobs []job.Job, claims []Claim, replies []Reply, drained []string,
-	fence lease.Fence, sequence uint64,
+func RestoreState(config *workspace.Config, jobs []job.Job, claims []Claim, archive Archive, replies []Reply,
+	drained []string, fence lease.Fence, sequence uint64,
 ) State {
-	s := NewState()
-	s.config, s.fence, s.sequence = config, fence, sequence
-	for _, j := range jobs {
-		s = s.withJob(j)
-	}
-	for _, c := range claims {
-		s.claims = s.claims.With(claimKey(c.workspace, c.key), c)
-	}
-	for _, r := range replies {
-		s.replies = s.replies.With(r.requestID, r)
-	}
-	for _, name := range drained {
-		s.drained = s.drained.With(name, true)
+	unfinished := slices.DeleteFunc(slices.Clone(jobs), func(j job.Job) bool { return j.State() == job.Done })
+	jobID := func(j job.Job) string { return j.Spec().ID() }
+	return State{
+		config:     config,
+		jobs:       collect(jobs, jobID),
+		unfinished: collect(unfinished, jobID),
+		claims:     collect(claims, func(c Claim) string { return claimKey(c.workspace, c.key) }),
+		archive:    archive,
+		replies:    collect(replies, Reply.RequestID),
+		drained: board.Collect(func(yield func(string, bool) bool) {
+			for _, name := range drained {
+				if !yield(name, true) {
+					return
+				}
+			}
+		}),
+		fence:    fence,
+		sequence: sequence,
 	}
-	return s
+}
+
+func collect[V any](list []V, key func(V) string) board.Table[V] {
+	return board.Collect(func(yield func(string, V) bool) {
+		for _, v := range list {
+			if !yield(key(v), v) {
+				return
+			}
+		}
+	})
 }
 
 // Config returns the configuration in force.
@@ -62,9 +80,12 @@
 // Unfinished returns the jobs that are queued or placed, by identity.
 func (s State) Unfinished() board.Table[job.Job] { return s.unfinished }
 
-// Claims returns the at-most-once records.
+// Claims returns the at-most-once records that are open, may be repeated, or hold or lately held an answer.
 func (s State) Claims() board.Table[Claim] { return s.claims }
 
+// Archive returns the other at-most-once records.
+func (s State) Archive() Archive { return s.archive }
+
 // Replies returns the answers that resends of operators get.
 func (s State) Replies() board.Table[Reply] { return s.replies }
 
--- a/internal/wire/command.go
+++ b/internal/wire/command.go
@@ -121,7 +121,7 @@
 			Kind: commandDrain, RequestID: t.RequestID(), ID: t.Name(), Drained: t.Drained(), At: toNanos(t.At()),
 		}
 	case registry.Expire:
-		return commandForm{Kind: commandExpire, At: toNanos(t.Before())}
+		return commandForm{Kind: commandExpire, At: toNanos(t.Before()), Until: toNanos(t.Answers())}
 	}
 	return commandForm{}
 }
@@ -153,7 +153,7 @@
 	case commandDrain:
 		return registry.NewDrainEndpoint(f.RequestID, f.ID, f.Drained, at), nil
 	case commandExpire:
-		return registry.NewExpire(at), nil
+		return registry.NewExpire(at, fromNanos(f.Until)), nil
 	default:
 		return nil, fmt.Errorf("command of unknown kind %q", f.Kind)
 	}
--- a/internal/wire/state.go
+++ b/internal/wire/state.go
@@ -22,6 +22,7 @@
 	Drained  []string          `cbor:"5,keyasint,omitempty"`
 	Fence    uint64            `cbor:"6,keyasint"`
 	Sequence uint64            `cbor:"7,keyasint"`
+	Archive  [][]byte          `cbor:"8,keyasint,omitempty"`
 }
 
 // EncodeState returns a snapshot of the state machine.
@@ -34,6 +35,9 @@
 	for _, c := range s.Claims().All() {
 		f.Claims = append(f.Claims, fromClaim(c))
 	}
+	for r := range s.Archive().Runs() {
+		f.Archive = append(f.Archive, fromRun(r))
+	}
 	for _, r := range s.Replies().All() {
 		f.Replies = append(f.Replies, storedReplyForm{
 			RequestID: r.RequestID(), Result: fromResult(r.Result()), At: toNanos(r.At()),
@@ -79,7 +83,14 @@
 		}
 		replies[i] = registry.NewReply(r.RequestID, result, fromNanos(r.At))
 	}
-	return registry.RestoreState(config, jobs, claims, replies, f.Drained, lease.Fence(f.Fence), f.Sequence), nil
+	runs := make([][]registry.Sealed, len(f.Archive))
+	for i, r := range f.Archive {
+		if runs[i], err = toRun(r); err != nil {
+			return registry.State{}, err
+		}
+	}
+	return registry.RestoreState(config, jobs, claims, registry.NewArchive(runs), replies, f.Drained,
+		lease.Fence(f.Fence), f.Sequence), nil
 }
 
 // maxStateElements covers the claims of a day at 100 a second.
