--- a/internal/control/board.go
+++ b/internal/control/board.go
@@ -2,6 +2,7 @@
 
 import (
 	"rosemarywind.example/rosemarywind/internal/board"
+	"rosemarywind.example/rosemarywind/internal/fleet"
 	"rosemarywind.example/rosemarywind/internal/plan"
 	"rosemarywind.example/rosemarywind/internal/registry"
 	"rosemarywind.example/rosemarywind/internal/task"
@@ -17,6 +18,7 @@
 	starts   *board.Section[[]plan.Start]               // written by the gang driver
 	mutes    *board.Section[board.Table[mute]]          // written by the gang driver
 	explains *board.Section[board.Table[string]]        // written by the scheduler
+	elected  *board.Section[fleet.Leadership]           // written by the observer of elections
 }
 
 func newBoard() *Board {
@@ -28,6 +30,7 @@
 		starts:   board.NewSection[[]plan.Start](nil),
 		mutes:    board.NewSection(board.NewTable[mute]()),
 		explains: board.NewSection(board.NewTable[string]()),
+		elected:  board.NewSection(fleet.Leadership{}),
 	}
 }
 
