--- a/cmd/rosemarywind/scenario_test.go
+++ b/cmd/rosemarywind/scenario_test.go
@@ -57,7 +57,7 @@
 }
 
 // commands returns a folder in which this binary has the names of the commands.
-func commands(t *testing.T) (folder string) {
+func commands(t testing.TB) (folder string) {
 	t.Helper()
 	self, err := os.Executable()
 	require.NoError(t, err)
--- a/cmd/rosemarywind/script_test.go
+++ b/cmd/rosemarywind/script_test.go
@@ -19,7 +19,7 @@
 
 // script runs one file: a command on each line, in the syntax of testscript.
 type script struct {
-	t         *testing.T
+	t         testing.TB
 	text      string
 	folder    string
 	bin       string
@@ -34,7 +34,7 @@
 	forwards  map[string]*forwarder
 }
 
-func newScript(t *testing.T, file, bin string, number int) *script {
+func newScript(t testing.TB, file, bin string, number int) *script {
 	t.Helper()
 	data, err := os.ReadFile(file)
 	if err != nil {
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -134,7 +134,7 @@
 	stop    context.CancelFunc
 }
 
-func newWorld(t *testing.T, handler link.Handler) *world {
+func newWorld(t testing.TB, handler link.Handler) *world {
 	t.Helper()
 	a, err := keys.NewAuthority("test", time.Now(), time.Hour)
 	require.NoError(t, err)
@@ -155,7 +155,7 @@
 	return w
 }
 
-func (w *world) open(t *testing.T) *link.Stream {
+func (w *world) open(t testing.TB) *link.Stream {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), patience)
 	defer cancel()
@@ -168,7 +168,7 @@
 	return s
 }
 
-func material(t *testing.T, a *keys.Authority, role, name string) *keys.Reloader {
+func material(t testing.TB, a *keys.Authority, role, name string) *keys.Reloader {
 	t.Helper()
 	id, err := keys.NewIdentity(role, name)
 	require.NoError(t, err)
