Send the frames and a small body of a request or an answer in one write

A request went out in three writes (opening, header, body) and an answer in two; each wakes the thread that sends packets, and only its lateness kept them in one packet.

WriteForward now writes the opening too, and frames and a body of up to 16 KB leave in one write from a pooled buffer; a larger body is written by itself and not copied. The fuzz test's altered stream changed the second write of an answer; it now changes the last byte of each write, which is the body's.

--- a/internal/agent/forward_test.go
+++ b/internal/agent/forward_test.go
@@ -90,8 +90,7 @@
 	})
 	t.Run("another process under this identity", func(t *testing.T) {
 		stream := s.open(t, s.pool)
-		require.NoError(t, wire.WriteOpening(stream, wire.NewOpening(wire.KindForward, "")))
-		require.NoError(t, wire.WriteForward(stream, wire.NewForward(post("x"), s.agent.Incarnation()+1), time.Now()))
+		require.NoError(t, wire.WriteForward(stream, "", wire.NewForward(post("x"), s.agent.Incarnation()+1), time.Now()))
 		assertRefused(t, requireAnswer(t, stream, "r1"), outcome.StaleIncarnation)
 	})
 	t.Run("garbage on the UDP port", func(t *testing.T) {
--- a/internal/agent/harness_test.go
+++ b/internal/agent/harness_test.go
@@ -145,8 +145,7 @@
 
 func (s *site) write(t *testing.T, stream *link.Stream, r request.Request) {
 	t.Helper()
-	require.NoError(t, wire.WriteOpening(stream, wire.NewOpening(wire.KindForward, "")))
-	require.NoError(t, wire.WriteForward(stream, wire.NewForward(r, s.agent.Incarnation()), time.Now()))
+	require.NoError(t, wire.WriteForward(stream, "", wire.NewForward(r, s.agent.Incarnation()), time.Now()))
 }
 
 func (s *site) call(t *testing.T, r request.Request) request.Result {
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -131,11 +131,8 @@
 func (e *Entry) exchange(
 	ctx context.Context, s stream, r request.Request, target fleet.Endpoint,
 ) (result request.Result, inFlight int64, err error) {
-	if err = wire.WriteOpening(s, wire.NewOpening(wire.KindForward, telemetry.Inject(ctx))); err != nil {
-		return nil, 0, err
-	}
 	// An agent that refuses stops reading, so a failed write may have an answer.
-	unwritten := wire.WriteForward(s, wire.NewForward(r, target.Incarnation()), time.Now())
+	unwritten := wire.WriteForward(s, telemetry.Inject(ctx), wire.NewForward(r, target.Incarnation()), time.Now())
 	result, inFlight, err = wire.ReadAnswer(s, r.ID(), e.bodyLimit)
 	if err != nil {
 		return nil, 0, errors.Join(unwritten, err)
--- a/internal/entry/model_test.go
+++ b/internal/entry/model_test.go
@@ -127,18 +127,15 @@
 	return len(p), nil
 }
 
-// altered changes a byte of each write after the header frame.
+// altered changes the last byte of each write; frames and a small body go out in one, so that is the body's last byte.
 type altered struct {
 	*link.Stream
-	writes int
 }
 
-// Write sends the bytes, the last one of a body changed.
+// Write sends the bytes, the last one changed.
 func (a *altered) Write(p []byte) (int, error) {
-	if a.writes++; a.writes > 1 && len(p) > 0 {
-		p = append([]byte(nil), p...)
-		p[len(p)-1] ^= 1
-	}
+	p = append([]byte(nil), p...)
+	p[len(p)-1] ^= 1
 	return a.Stream.Write(p)
 }
 
--- a/internal/link/exchange_bench_test.go
+++ b/internal/link/exchange_bench_test.go
@@ -47,8 +47,7 @@
 	b.Helper()
 	r := request.New("r1", "previews", http.MethodPost, "/a", request.WithBody(nil, []byte("request")),
 		request.WithDeadline(time.Now().Add(patience)))
-	require.NoError(b, wire.WriteOpening(s, wire.NewOpening(wire.KindForward, "")))
-	require.NoError(b, wire.WriteForward(s, wire.NewForward(r, 1), time.Now()))
+	require.NoError(b, wire.WriteForward(s, "", wire.NewForward(r, 1), time.Now()))
 	_, _, err := wire.ReadAnswer(s, "r1", 1<<20)
 	require.NoError(b, err)
 }
--- a/internal/wire/forward.go
+++ b/internal/wire/forward.go
@@ -73,23 +73,19 @@
 // Incarnation returns the incarnation of the agent that the sender knows.
 func (f Forward) Incarnation() uint64 { return f.incarnation }
 
-// WriteForward writes a request; the deadline travels as the time that remains.
-func WriteForward(w io.Writer, f Forward, now time.Time) (err error) {
+// WriteForward writes the opening of a stream with the sender's trace context and the request on it; the deadline
+// travels as the time that remains.
+func WriteForward(w io.Writer, trace string, f Forward, now time.Time) (err error) {
 	defer annotate("write request", &err)
 	r := f.request
-	err = writeFrame(w, forwardForm{
+	return writeFrames(w, r.Body(), NewOpening(KindForward, trace).form(), forwardForm{
 		ID: r.ID(), Workspace: r.Workspace(), Method: r.Method(), Target: r.Target(), Headers: r.Headers(),
 		Urgency: r.Urgency(), Idempotent: r.Idempotent(), Remaining: int64(r.Deadline().Sub(now)),
 		Incarnation: f.incarnation, Length: len(r.Body()), Digest: xxhash.Sum64(r.Body()),
 	})
-	if err != nil {
-		return err
-	}
-	_, err = w.Write(r.Body())
-	return err
 }
 
-// ReadForward reads a request without its body, which the receiver reads only if it takes the request.
+// ReadForward reads a request after the opening, without its body, which the receiver reads only if it takes the request.
 func ReadForward(r io.Reader, now time.Time) (f Forward, err error) {
 	defer annotate("read request", &err)
 	var m forwardForm
@@ -131,11 +127,7 @@
 	case request.Unkept:
 		m.Kind, m.Status = unkept, t.Status()
 	}
-	if err = writeFrame(w, m); err != nil {
-		return err
-	}
-	_, err = w.Write(body)
-	return err
+	return writeFrames(w, body, m)
 }
 
 // ReadAnswer reads the whole result of the request with the given identity and the endpoint's load.
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"sync"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -56,8 +57,10 @@
 func (o Opening) Trace() string { return o.trace }
 
 // WriteOpening writes the first frame of a stream.
-func WriteOpening(w io.Writer, o Opening) error {
-	return writeFrame(w, openingForm{Version: Version, Kind: o.kind, Trace: o.trace})
+func WriteOpening(w io.Writer, o Opening) error { return writeFrames(w, nil, o.form()) }
+
+func (o Opening) form() openingForm {
+	return openingForm{Version: Version, Kind: o.kind, Trace: o.trace}
 }
 
 // ReadOpening reads the first frame of a stream; it fails on another protocol version.
@@ -75,18 +78,52 @@
 
 const maxOpeningBytes = 4 << 10
 
-func writeFrame(w io.Writer, v any) (err error) {
+func writeFrame(w io.Writer, v any) (err error) { return writeFrames(w, nil, v) }
+
+// buffers hold the frames of a message until they are written.
+var buffers = sync.Pool{New: func() any { return &bytes.Buffer{} }}
+
+// maxJoinedBytes bounds the body that is copied behind its frames, and the buffers that are kept.
+const maxJoinedBytes = 16 << 10
+
+// writeFrames writes frames and a body in one write, since each write may become a packet of its own; a large body is
+// written by itself.
+func writeFrames(w io.Writer, body []byte, frames ...any) (err error) {
 	defer annotate("write frame", &err)
-	data, err := cbor.Marshal(v)
-	if err != nil {
+	b := buffers.Get().(*bytes.Buffer)
+	defer func() {
+		if b.Cap() <= 2*maxJoinedBytes {
+			buffers.Put(b)
+		}
+	}()
+	b.Reset()
+	for _, v := range frames {
+		if err = appendFrame(b, v); err != nil {
+			return err
+		}
+	}
+	joined := len(body) <= maxJoinedBytes
+	if joined {
+		b.Write(body)
+	}
+	if _, err = w.Write(b.Bytes()); err != nil || joined {
 		return err
 	}
-	buffer := make([]byte, frameHeaderBytes, frameHeaderBytes+len(data))
-	binary.BigEndian.PutUint32(buffer, uint32(len(data)))
-	_, err = w.Write(append(buffer, data...))
+	_, err = w.Write(body)
 	return err
 }
 
+func appendFrame(b *bytes.Buffer, v any) (err error) {
+	var header [frameHeaderBytes]byte
+	at := b.Len()
+	b.Write(header[:])
+	if err = cbor.MarshalToBuffer(v, b); err != nil {
+		return err
+	}
+	binary.BigEndian.PutUint32(b.Bytes()[at:], uint32(b.Len()-at-frameHeaderBytes))
+	return nil
+}
+
 func readFrame(r io.Reader, v any, limit int) (err error) {
 	var header [frameHeaderBytes]byte
 	if _, err = io.ReadFull(r, header[:]); err != nil {
