Give the credit of ended streams back in batches

The library gives a peer the credit for a new stream as each stream ends, in a packet of its own that the peer acknowledges: half of the packets of an exchange. The limit is 16,384 streams, so this can wait.

--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
 
 	"rosemarywind.example/rosemarywind/internal/impair"
 	"rosemarywind.example/rosemarywind/internal/keys"
@@ -72,6 +73,42 @@
 	assert.Equal(t, "answer", string(data))
 }
 
+// Guards against a connection that takes no new stream because the credit of those that ended was not given back.
+func TestManyStreams(t *testing.T) {
+	const streams, threads = 16_384 + 256, 16
+	w := newWorld(t, func(_ context.Context, s *link.Stream) { _, _ = io.Copy(s, s) })
+	var g errgroup.Group
+	for range threads {
+		g.Go(func() error {
+			for range streams / threads {
+				if err := w.echo(t); err != nil {
+					return err
+				}
+			}
+			return nil
+		})
+	}
+	require.NoError(t, g.Wait())
+}
+
+// echo runs one exchange, whose stream must be opened within the patience.
+func (w *world) echo(t testing.TB) error {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), patience)
+	defer cancel()
+	s, err := w.pool.Open(ctx, w.address)
+	if err != nil {
+		return err
+	}
+	defer s.Finish()
+	if _, err = s.Write([]byte("x")); err != nil {
+		return err
+	}
+	s.CloseWrite()
+	_, err = io.ReadAll(s)
+	return err
+}
+
 // Guards against a connection that stays in use after something between its ends has lost its state.
 func TestSilence(t *testing.T) {
 	w := newWorld(t, func(ctx context.Context, s *link.Stream) {
--- a/internal/link/quic.go
+++ b/internal/link/quic.go
@@ -39,6 +39,7 @@
 		KeepAlivePeriod:                probeInterval,
 		MaxIncomingStreams:             maxStreams,
 		MaxIncomingUniStreams:          -1,
+		RequireStreamCreditRelease:     true,
 		InitialStreamReceiveWindow:     initialStreamWindow,
 		MaxStreamReceiveWindow:         maxStreamWindow,
 		InitialConnectionReceiveWindow: initialConnectionWindow,
--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -71,6 +71,7 @@
 			_ = c.CloseWithError(s.closingCode(), "stopped")
 		}
 	}()
+	var ended credits
 	for {
 		stream, err := c.AcceptStream(ctx)
 		if err != nil {
@@ -81,6 +82,7 @@
 			handler(stream.Context(), t)
 			t.stream.CancelRead(codeDone)
 			_ = t.stream.Close()
+			ended.give(stream)
 		})
 	}
 }
