Serve the streams of a server on threads that served others before

A profile of BenchmarkPath/GET showed 7% of the processor time in the growth of stacks, most of it under the decoding of frames: each stream had a new thread, whose small stack was copied several times before it reached the endpoint's call.

A thread that has served a stream now waits up to a minute for the next one; a stream that finds none waiting gets a new thread as before, so the number is that of the streams at once. They end with Serve.

--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -5,6 +5,9 @@
 	"errors"
 	"io"
 	"net/netip"
+	"runtime"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -91,6 +94,39 @@
 	require.NoError(t, g.Wait())
 }
 
+// Guards against a new thread for each stream, whose stack grows anew, and against a server whose end waits for
+// threads that have nothing to serve.
+func TestWorkers(t *testing.T) {
+	const streams = 500
+	var threads sync.Map
+	w := newWorld(t, func(_ context.Context, s *link.Stream) {
+		threads.Store(thread(), true)
+		_, _ = io.Copy(s, s)
+	})
+	for range streams {
+		require.NoError(t, w.echo(t))
+	}
+	used := 0
+	threads.Range(func(any, any) bool { used++; return true })
+	assert.Less(t, used, streams)
+	w.pool.Close()
+	require.NoError(t, w.server.Close())
+	select {
+	case err := <-w.ended:
+		assert.NoError(t, err)
+		w.ended <- nil
+	case <-time.After(patience):
+		require.FailNow(t, "the server did not end in time")
+	}
+}
+
+// thread returns the name of the calling thread.
+func thread() string {
+	b := make([]byte, 64)
+	name, _, _ := strings.Cut(string(b[:runtime.Stack(b, false)]), " [")
+	return name
+}
+
 // echo runs one exchange, whose stream must be opened within the patience.
 func (w *world) echo(t testing.TB) error {
 	t.Helper()
@@ -169,6 +205,7 @@
 	pool    *link.Pool
 	address string
 	stop    context.CancelFunc
+	ended   chan error
 }
 
 func newWorld(t testing.TB, handler link.Handler) *world {
@@ -181,12 +218,12 @@
 	w.address = w.server.Address().String()
 	ctx, stop := context.WithCancel(context.Background())
 	w.stop = stop
-	ended := make(chan error, 1)
-	go func() { ended <- w.server.Serve(ctx, handler) }()
+	w.ended = make(chan error, 1)
+	go func() { w.ended <- w.server.Serve(ctx, handler) }()
 	t.Cleanup(func() {
 		w.pool.Close()
 		stop()
-		assert.NoError(t, <-ended)
+		assert.NoError(t, <-w.ended)
 		_ = w.server.Close()
 	})
 	return w
--- a/internal/link/server.go
+++ b/internal/link/server.go
@@ -36,7 +36,11 @@
 
 // Serve runs handler for each stream until ctx ends, then waits for the handlers.
 func (s *Server) Serve(ctx context.Context, handler Handler) (err error) {
-	defer s.active.Wait()
+	w := newWorkers(&s.active)
+	defer func() {
+		close(w.ended)
+		s.active.Wait()
+	}()
 	for {
 		c, err := s.listener.Accept(ctx)
 		if errors.Is(err, quic.ErrServerClosed) || ctx.Err() != nil {
@@ -45,7 +49,7 @@
 		if err != nil {
 			return fmt.Errorf("accept QUIC connection: %w", err)
 		}
-		s.active.Go(func() { s.connection(ctx, c, handler) })
+		s.active.Go(func() { s.connection(ctx, c, w, handler) })
 	}
 }
 
@@ -63,7 +67,7 @@
 	return codeDone
 }
 
-func (s *Server) connection(ctx context.Context, c *quic.Conn, handler Handler) {
+func (s *Server) connection(ctx context.Context, c *quic.Conn, w *workers, handler Handler) {
 	stop := context.AfterFunc(ctx, func() { _ = c.CloseWithError(s.closingCode(), "stopped") })
 	defer func() {
 		// AcceptStream may return before the function above has begun, and then nothing else closes the connection.
@@ -77,12 +81,6 @@
 		if err != nil {
 			return
 		}
-		s.active.Go(func() {
-			t := &Stream{stream: stream, connection: c}
-			handler(stream.Context(), t)
-			t.stream.CancelRead(codeDone)
-			_ = t.stream.Close()
-			ended.give(stream)
-		})
+		w.serve(task{stream: &Stream{stream: stream, connection: c}, handler: handler, ended: &ended})
 	}
 }
