--- a/cmd/rosemarywind/script_test.go
+++ b/cmd/rosemarywind/script_test.go
@@ -39,21 +39,29 @@
 // scriptKey finds a script among the values of its testscript.
 type scriptKey struct{}
 
-// setup prepares a script; an address of its own for each, and for each run of the tests, keeps ports from clashing.
+// raceOptions keep the race detector from waiting for a second at the exit of each process.
+const raceOptions = "atexit_sleep_ms=0"
+
+// setup prepares the script of a testscript.
 func setup(env *testscript.Env, number int64) {
-	t := env.T().(testing.TB)
+	s := newScript(env.T().(testing.TB), env.WorkDir, number)
+	env.Values[scriptKey{}] = s
+	env.Setenv("ip", s.ip)
+	env.Setenv("ROSEMARYWIND_SETTINGS", s.path("op.toml"))
+	env.Setenv("GORACE", raceOptions)
+}
+
+// newScript returns the state of a script that works in folder. An address of its own for each number, and for each run
+// of the tests, keeps ports from clashing.
+func newScript(t testing.TB, folder string, number int64) *script {
 	pid := os.Getpid()
 	s := &script{
-		t: t, folder: env.WorkDir, ip: fmt.Sprintf("127.%d.%d.%d", 1+pid/250%250, 1+pid%250, number),
+		t: t, folder: folder, ip: fmt.Sprintf("127.%d.%d.%d", 1+pid/250%250, 1+pid%250, number),
 		tokens: map[string]string{}, processes: map[string]*child{}, relays: map[string]*impair.Relay{},
 	}
 	s.journal = newJournal(s)
 	t.Cleanup(s.end)
-	env.Values[scriptKey{}] = s
-	env.Setenv("ip", s.ip)
-	env.Setenv("ROSEMARYWIND_SETTINGS", s.path("op.toml"))
-	// The race detector waits for a second at the exit of a process unless it is told not to.
-	env.Setenv("GORACE", "atexit_sleep_ms=0")
+	return s
 }
 
 // end stops what the script left running, and prints the ends of the logs after a failure.
@@ -102,7 +110,7 @@
 func (s *script) command(args []string) *exec.Cmd {
 	c := exec.Command(args[0], args[1:]...)
 	c.Dir = s.folder
-	c.Env = append(os.Environ(), "ROSEMARYWIND_SETTINGS="+s.path("op.toml"), "GORACE="+s.ts.Getenv("GORACE"))
+	c.Env = append(os.Environ(), "ROSEMARYWIND_SETTINGS="+s.path("op.toml"), "GORACE="+raceOptions)
 	return c
 }
 
--- a/internal/agent/forward_test.go
+++ b/internal/agent/forward_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -29,7 +30,7 @@
 	t.Run("wrong protocol version", func(t *testing.T) {
 		stream := s.open(t, s.pool)
 		raw(t, stream, map[int]any{1: wire.Version + 1, 2: wire.KindForward})
-		assertNotServed(t, s, stream, "protocol version 2 is not supported")
+		assertNotServed(t, s, stream, fmt.Sprintf("protocol version %d is not supported", wire.Version+1))
 	})
 	t.Run("wrong kind of stream", func(t *testing.T) {
 		stream := s.open(t, s.pool)
@@ -90,8 +91,7 @@
 	})
 	t.Run("another process under this identity", func(t *testing.T) {
 		stream := s.open(t, s.pool)
-		require.NoError(t, wire.WriteOpening(stream, wire.NewOpening(wire.KindForward, "")))
-		require.NoError(t, wire.WriteForward(stream, wire.NewForward(post("x"), s.agent.Incarnation()+1), time.Now()))
+		require.NoError(t, wire.WriteForward(stream, "", wire.NewForward(post("x"), s.agent.Incarnation()+1), time.Now()))
 		assertRefused(t, requireAnswer(t, stream, "r1"), outcome.StaleIncarnation)
 	})
 	t.Run("garbage on the UDP port", func(t *testing.T) {
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -5,11 +5,15 @@
 	"errors"
 	"io"
 	"net/netip"
+	"runtime"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
 
 	"rosemarywind.example/rosemarywind/internal/impair"
 	"rosemarywind.example/rosemarywind/internal/keys"
@@ -72,6 +76,75 @@
 	assert.Equal(t, "answer", string(data))
 }
 
+// Guards against a connection that takes no new stream because the credit of those that ended was not given back.
+func TestManyStreams(t *testing.T) {
+	const streams, threads = 16_384 + 256, 16
+	w := newWorld(t, func(_ context.Context, s *link.Stream) { _, _ = io.Copy(s, s) })
+	var g errgroup.Group
+	for range threads {
+		g.Go(func() error {
+			for range streams / threads {
+				if err := w.echo(t); err != nil {
+					return err
+				}
+			}
+			return nil
+		})
+	}
+	require.NoError(t, g.Wait())
+}
+
+// Guards against a new thread for each stream, whose stack grows anew, and against a server whose end waits for
+// threads that have nothing to serve.
+func TestWorkers(t *testing.T) {
+	const streams = 500
+	var threads sync.Map
+	w := newWorld(t, func(_ context.Context, s *link.Stream) {
+		threads.Store(thread(), true)
+		_, _ = io.Copy(s, s)
+	})
+	for range streams {
+		require.NoError(t, w.echo(t))
+	}
+	used := 0
+	threads.Range(func(any, any) bool { used++; return true })
+	assert.Less(t, used, streams)
+	w.pool.Close()
+	require.NoError(t, w.server.Close())
+	select {
+	case err := <-w.ended:
+		assert.NoError(t, err)
+		w.ended <- nil
+	case <-time.After(patience):
+		require.FailNow(t, "the server did not end in time")
+	}
+}
+
+// thread returns the name of the calling thread.
+func thread() string {
+	b := make([]byte, 64)
+	name, _, _ := strings.Cut(string(b[:runtime.Stack(b, false)]), " [")
+	return name
+}
+
+// echo runs one exchange, whose stream must be opened within the patience.
+func (w *world) echo(t testing.TB) error {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), patience)
+	defer cancel()
+	s, err := w.pool.Open(ctx, w.address)
+	if err != nil {
+		return err
+	}
+	defer s.Finish()
+	if _, err = s.Write([]byte("x")); err != nil {
+		return err
+	}
+	s.CloseWrite()
+	_, err = io.ReadAll(s)
+	return err
+}
+
 // Guards against a connection that stays in use after something between its ends has lost its state.
 func TestSilence(t *testing.T) {
 	w := newWorld(t, func(ctx context.Context, s *link.Stream) {
@@ -132,9 +205,10 @@
 	pool    *link.Pool
 	address string
 	stop    context.CancelFunc
+	ended   chan error
 }
 
-func newWorld(t *testing.T, handler link.Handler) *world {
+func newWorld(t testing.TB, handler link.Handler) *world {
 	t.Helper()
 	a, err := keys.NewAuthority("test", time.Now(), time.Hour)
 	require.NoError(t, err)
@@ -144,18 +218,18 @@
 	w.address = w.server.Address().String()
 	ctx, stop := context.WithCancel(context.Background())
 	w.stop = stop
-	ended := make(chan error, 1)
-	go func() { ended <- w.server.Serve(ctx, handler) }()
+	w.ended = make(chan error, 1)
+	go func() { w.ended <- w.server.Serve(ctx, handler) }()
 	t.Cleanup(func() {
 		w.pool.Close()
 		stop()
-		assert.NoError(t, <-ended)
+		assert.NoError(t, <-w.ended)
 		_ = w.server.Close()
 	})
 	return w
 }
 
-func (w *world) open(t *testing.T) *link.Stream {
+func (w *world) open(t testing.TB) *link.Stream {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), patience)
 	defer cancel()
@@ -168,7 +242,7 @@
 	return s
 }
 
-func material(t *testing.T, a *keys.Authority, role, name string) *keys.Reloader {
+func material(t testing.TB, a *keys.Authority, role, name string) *keys.Reloader {
 	t.Helper()
 	id, err := keys.NewIdentity(role, name)
 	require.NoError(t, err)
