--- a/internal/standin/host.go
+++ b/internal/standin/host.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"cmp"
 	"slices"
 	"strconv"
 	"strings"
@@ -149,7 +150,9 @@
 	for _, r := range h.records {
 		list = append(list, r)
 	}
-	slices.SortFunc(list, func(a, b record) int { return strings.Compare(a.id.String(), b.id.String()) })
+	slices.SortFunc(list, func(a, b record) int {
+		return cmp.Or(strings.Compare(a.id.Job(), b.id.Job()), cmp.Compare(a.id.Index(), b.id.Index()))
+	})
 	return list
 }
 
