Keep what fits of a guarantee on a smaller fleet, and tell the operator

Cause: once workers were lost, a guarantee whose shape no longer fitted was given up as a whole, cells of other workspaces moved although their workers were there, and nothing told the operator.

Ruled out: refusing jobs of such a workspace; they may still run on accelerators of others.

Change: cells move only if all guarantees then fit. Otherwise whole cells stay, and the rest keep as many members as fit. The planner names each guarantee that cannot be held; the leader logs it, counts it in control.guarantees-short and adds it to explain.

--- a/internal/control/board.go
+++ b/internal/control/board.go
@@ -17,6 +17,7 @@
 	starts   *board.Section[[]plan.Start]               // written by the gang driver
 	mutes    *board.Section[board.Table[mute]]          // written by the gang driver
 	explains *board.Section[board.Table[string]]        // written by the scheduler
+	short    *board.Section[*map[string]string]         // written by the scheduler
 }
 
 func newBoard() *Board {
@@ -28,6 +29,7 @@
 		starts:   board.NewSection[[]plan.Start](nil),
 		mutes:    board.NewSection(board.NewTable[mute]()),
 		explains: board.NewSection(board.NewTable[string]()),
+		short:    board.NewSection(&map[string]string{}),
 	}
 }
 
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -17,6 +17,7 @@
 	AppliedMetric   = "control.applied"
 	RevisionMetric  = "control.revision"
 	EndpointsMetric = "control.endpoints"
+	ShortMetric     = "control.guarantees-short"
 	JobsMetric      = "control.jobs."
 )
 
@@ -46,6 +47,12 @@
 	r.GaugeFunc(AppliedMetric, func() int64 { return int64(c.Status().Applied()) })
 	r.GaugeFunc(RevisionMetric, func() int64 { return int64(c.board.state.Load().Config().Revision()) })
 	r.GaugeFunc(EndpointsMetric, func() int64 { return int64(len(c.board.roster.Load().snapshot.All())) })
+	r.GaugeFunc(ShortMetric, func() (short int64) {
+		if c.Status().Ready(time.Now()) {
+			short = int64(len(*c.board.short.Load()))
+		}
+		return short
+	})
 	for _, state := range []job.State{job.Queued, job.Reserved, job.Started, job.Stopping, job.Done} {
 		r.GaugeFunc(JobsMetric+string(state), func() int64 { return c.jobsIn(state) })
 	}
--- a/internal/control/scheduler.go
+++ b/internal/control/scheduler.go
@@ -43,6 +43,7 @@
 	roster     *Roster
 	starts     uint64
 	mutes      uint64
+	settled    bool
 }
 
 func newScheduler(c *Control) *scheduler {
@@ -87,6 +88,7 @@
 		unfinished: state.Unfinished(), config: state.Config(), drained: state.Drained(),
 		roster: b.roster.Load(),
 		starts: b.starts.Version(), mutes: b.mutes.Version(),
+		settled: b.roster.Load().settled(s.control.node.Status().Load().Term(), now),
 	}
 	if latest == s.seen && (!s.queued || now.Before(s.passedAt.Add(replanEvery))) {
 		return false
@@ -98,6 +100,7 @@
 // pass decides once and carries the decisions out.
 func (s *scheduler) pass(ctx context.Context, now time.Time) {
 	view, explains := s.view(now)
+	short := map[string]string{}
 	var g errgroup.Group
 	g.SetLimit(commitThreads)
 	commit := func(c registry.Command) {
@@ -124,13 +127,15 @@
 			if j, ok := s.seen.unfinished.Get(t.Job()); ok && j.Speed() == job.Throttled {
 				commit(registry.NewThrottleGang(t.Job(), j.Fence(), job.Resumed, t.Explanation()))
 			}
+		case plan.Shortfall:
+			short[t.Workspace()] = t.Explanation()
 		case plan.SetAside:
 			s.setAside[t.Worker()] = t.Until()
 			s.control.logger.Warn("worker set aside", "worker", t.Worker(), "until", t.Until(), "reason", t.Reason())
 		}
 	}
 	_ = g.Wait() // commit logs its errors
-	s.control.board.explains.Publish(explains)
+	s.control.board.explains.Publish(s.tell(explains, short))
 }
 
 // reclaim returns the command that takes a job's accelerators back; the workers checkpoint a stopped job if they can.
--- a/internal/plan/cells.go
+++ b/internal/plan/cells.go
@@ -116,13 +116,25 @@
 	return false
 }
 
-// greedy places as many shapes as it can, each where it fits best.
+// greedy places as many whole shapes as it can, each where it fits best, and then as many members as it can of the rest.
 func (c *cellSearch) greedy() {
 	for i, w := range c.workspaces {
 		if c.chosen[i] = c.pool.find(w.Guarantee()); c.chosen[i] != nil {
 			c.shift(c.chosen[i], w.Guarantee(), -1)
 		}
 	}
+	for i, w := range c.workspaces {
+		s := w.Guarantee()
+		for n := s.Members() - 1; n > 0 && c.chosen[i] == nil; n-- {
+			part, err := workspace.NewShape(n, s.Accelerators(), s.Adjacency())
+			if err != nil {
+				break
+			}
+			if c.chosen[i] = c.pool.find(part); c.chosen[i] != nil {
+				c.shift(c.chosen[i], s, -1)
+			}
+		}
+	}
 }
 
 func (c *cellSearch) shift(sites []int32, s workspace.Shape, sign int) {
--- a/internal/plan/decision.go
+++ b/internal/plan/decision.go
@@ -1,10 +1,12 @@
 package plan
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
 	"rosemarywind.example/rosemarywind/internal/job"
+	"rosemarywind.example/rosemarywind/internal/workspace"
 )
 
 // Decision is one thing that the control role carries out or shows to operators.
@@ -101,6 +103,25 @@
 // Explanation returns what the job waits for.
 func (w Wait) Explanation() string { return w.explanation }
 
+// Shortfall says that a guarantee does not fit on the usable workers.
+type Shortfall struct {
+	workspace  string
+	held       int
+	guaranteed workspace.Shape
+}
+
+// Workspace returns the name of the workspace.
+func (s Shortfall) Workspace() string { return s.workspace }
+
+// Held returns the number of accelerators that are still set apart for the workspace.
+func (s Shortfall) Held() int { return s.held }
+
+// Explanation returns what is missing.
+func (s Shortfall) Explanation() string {
+	return fmt.Sprintf("the guarantee of workspace %s cannot be held: %d of the %d accelerators of %s fit on the workers in service",
+		s.workspace, s.held, s.guaranteed.Total(), s.guaranteed)
+}
+
 // SetAside keeps a worker without new work for a while.
 type SetAside struct {
 	worker string
@@ -120,9 +141,10 @@
 // Explanation returns the reason.
 func (s SetAside) Explanation() string { return s.reason }
 
-func (Place) decision()    {}
-func (Reclaim) decision()  {}
-func (Resume) decision()   {}
-func (Reject) decision()   {}
-func (Wait) decision()     {}
-func (SetAside) decision() {}
+func (Place) decision()     {}
+func (Reclaim) decision()   {}
+func (Resume) decision()    {}
+func (Reject) decision()    {}
+func (Wait) decision()      {}
+func (Shortfall) decision() {}
+func (SetAside) decision()  {}
--- a/internal/plan/guarantee.go
+++ b/internal/plan/guarantee.go
@@ -36,9 +36,11 @@
 		maps.DeleteFunc(p.planner.holds, func(_ string, h hold) bool { return h.claim })
 		added, failed := assignCells(free, missing)
 		if failed != "" {
-			free = top.idle(func(i int32) bool { return p.state.sites[i].usable })
-			chosen = map[string][]cellPart{}
-			added, _ = assignCells(free, p.view.workspaces)
+			// Cells move only when that makes all guarantees whole; otherwise each keeps what it has.
+			idle := top.idle(func(i int32) bool { return p.state.sites[i].usable })
+			if moved, failed := assignCells(idle, p.view.workspaces); failed == "" {
+				chosen, added = map[string][]cellPart{}, moved
+			}
 		}
 		for name, parts := range added {
 			chosen[name] = parts
@@ -52,13 +54,24 @@
 		}
 		p.planner.cells[w.Name()] = c
 		p.state.setCells(p.state.owner(w.Name()), chosen[w.Name()])
+		if held := c.total(); held < w.Guarantee().Total() && !p.view.partial {
+			p.decide(Shortfall{w.Name(), held, w.Guarantee()})
+		}
+	}
+}
+
+func (c cell) total() (n int) {
+	for _, a := range c.parts {
+		n += a.accelerators
 	}
+	return n
 }
 
-// keep returns the workspace's cell of the previous pass and takes it off the pool, nil when it cannot stay.
+// keep returns the workspace's cell of the previous pass and takes it off the pool, nil when it cannot stay or
+// holds only a part of the guarantee.
 func (p *pass) keep(free *pool, w workspace.Workspace) []cellPart {
 	old, ok := p.planner.cells[w.Name()]
-	if !ok || old.guarantee != w.Guarantee() || len(old.parts) == 0 {
+	if !ok || old.guarantee != w.Guarantee() || len(old.parts) == 0 || old.total() < w.Guarantee().Total() {
 		return nil
 	}
 	parts := make([]cellPart, 0, len(old.parts))
--- a/internal/planbench/run.go
+++ b/internal/planbench/run.go
@@ -194,7 +194,7 @@
 			r.result.rejected++
 		case plan.SetAside:
 			r.aside[d.Worker()] = d.Until()
-		case plan.Wait, plan.Resume: // no job of the scenarios is throttleable
+		case plan.Wait, plan.Shortfall, plan.Resume: // no job of the scenarios is throttleable
 		}
 	}
 	r.live = slices.DeleteFunc(r.live, func(t *task) bool { return t.gone })
