Correct the counted steps, and count a member that is reserved anew as present

And make test, with 200 checks of that length and -race, failed in TestGangsFuzz after 158 tests: "runs long after a member was lost", 40.4 s for 40.3 s. There a worker restarted while it held a reservation that had not run, took the same reservation again from the resent order, and then ran its job rightly. The oracle counted the restart as a loss for good.

Ruled out: a larger bound, which would hide real losses. The oracle now forgets the loss of a member once a worker accepts its reservation again; a worker refuses that for a task that ended, so ended members stay lost.

The saved case of the failure passes; gang, registry and ledger/storage pass with -race and -shuffle=1. The whole make test was not run again after this commit.

--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -36,7 +36,7 @@
 )
 
 // stepsOfCheck gives more than 10,000 steps in the 200 checks of CI with seed 1.
-const stepsOfCheck = 110
+const stepsOfCheck = 56
 
 func TestMain(m *testing.M) {
 	if err := fuzzing.Setup(stepsOfCheck); err != nil {
--- a/internal/gang/fuzz_test.go
+++ b/internal/gang/fuzz_test.go
@@ -145,7 +145,7 @@
 func (w *world) restart(m *machine) {
 	for _, r := range m.host.Reports() {
 		if !r.State().Final() {
-			w.oracle.lost(run{r.ID().Job(), r.Fence()}, w.now)
+			w.oracle.lost(run{r.ID().Job(), r.Fence()}, r.ID().Index(), w.now)
 		}
 	}
 	m.host, m.frozen = standin.NewHost(capacity), false
--- a/internal/gang/oracle_test.go
+++ b/internal/gang/oracle_test.go
@@ -28,15 +28,16 @@
 	ran       map[string]map[lease.Fence]bool
 	succeeded map[run]map[int]bool
 	gone      map[run]bool
-	lostAt    map[run]time.Time
-	running   map[run]bool
-	mixedAt   map[run]time.Time
+	// lostAt is when each member that is not reserved anew was lost.
+	lostAt  map[run]map[int]time.Time
+	running map[run]bool
+	mixedAt map[run]time.Time
 }
 
 func newOracle(t require.TestingT) *oracle {
 	return &oracle{
 		t: t, reserved: map[run]map[int]bool{}, ran: map[string]map[lease.Fence]bool{},
-		succeeded: map[run]map[int]bool{}, gone: map[run]bool{}, lostAt: map[run]time.Time{},
+		succeeded: map[run]map[int]bool{}, gone: map[run]bool{}, lostAt: map[run]map[int]time.Time{},
 		mixedAt: map[run]time.Time{},
 	}
 }
@@ -49,6 +50,8 @@
 			o.reserved[k] = map[int]bool{}
 		}
 		o.reserved[k][t.ID().Index()] = true
+		// A restarted worker takes a reservation that it forgot; one that ended there is refused.
+		delete(o.lostAt[k], t.ID().Index())
 	}
 }
 
@@ -136,15 +139,18 @@
 			o.succeeded[k][r.ID().Index()] = true
 		}
 	case task.Failed, task.Stopped, task.Expired:
-		o.lost(k, now)
+		o.lost(k, r.ID().Index(), now)
 	case task.Reserved:
 	}
 }
 
-// lost notes the first loss of a member.
-func (o *oracle) lost(k run, now time.Time) {
-	if _, known := o.lostAt[k]; !known {
-		o.lostAt[k] = now
+// lost notes the loss of a member.
+func (o *oracle) lost(k run, index int, now time.Time) {
+	if o.lostAt[k] == nil {
+		o.lostAt[k] = map[int]time.Time{}
+	}
+	if _, known := o.lostAt[k][index]; !known {
+		o.lostAt[k][index] = now
 	}
 }
 
@@ -158,7 +164,7 @@
 	if at, mixed := o.mixedAt[k]; mixed {
 		require.LessOrEqual(o.t, now.Sub(at), partialBound, "a part of %v waits long after the rest runs", k)
 	}
-	if at, lost := o.lostAt[k]; lost {
+	for _, at := range o.lostAt[k] {
 		assert.LessOrEqual(o.t, now.Sub(at), partialBound, "%v runs long after a member was lost", k)
 		if now.Sub(at) > partialBound {
 			o.t.FailNow()
--- a/internal/plan/main_test.go
+++ b/internal/plan/main_test.go
@@ -19,7 +19,7 @@
 var start = time.Date(2026, 1, 5, 8, 0, 0, 0, time.UTC)
 
 // stepsOfCheck gives more than 10,000 steps in the 200 checks of CI with seed 1.
-const stepsOfCheck = 140
+const stepsOfCheck = 72
 
 func TestMain(m *testing.M) {
 	if err := fuzzing.Setup(stepsOfCheck); err != nil {
--- a/internal/registry/main_test.go
+++ b/internal/registry/main_test.go
@@ -8,7 +8,7 @@
 )
 
 // stepsOfCheck gives more than 10,000 steps in the 200 checks of CI with seed 1.
-const stepsOfCheck = 90
+const stepsOfCheck = 60
 
 func TestMain(m *testing.M) {
 	if err := fuzzing.Setup(stepsOfCheck); err != nil {
