--- a/cmd/planbench/main.go
+++ b/cmd/planbench/main.go
@@ -19,6 +19,7 @@
 		Flags: []cli.Flag{
 			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "seed of the arrival lists"},
 			&cli.StringFlag{Name: "scenario", Usage: "run only this scenario"},
+			&cli.StringFlag{Name: "policy", Usage: "run only this policy"},
 			&cli.StringFlag{Name: "chart", Usage: "write a bar chart to this SVG file"},
 		},
 		Action: compare,
@@ -40,6 +41,9 @@
 			continue
 		}
 		for _, p := range []plan.Policy{plan.FirstFit, plan.StrictPriority, plan.Reserving} {
+			if only := c.String("policy"); only != "" && only != string(p) {
+				continue
+			}
 			results = append(results, planbench.Run(s, p))
 		}
 	}
