Checkpoint borrowed jobs for a deep urgent backlog

Change: when urgent jobs beyond a guarantee ask for more than four times its accelerators, borrowed patient jobs are checkpointed for them, cheapest and then youngest first, and what they leave is held for the urgent ones. Seen to fail without it: TestUrgentBacklog/more.

--- a/internal/plan/drain.go
+++ b/internal/plan/drain.go
@@ -201,10 +201,13 @@
 	var held []int32
 	for _, id := range p.planner.holders() {
 		h := p.planner.holds[id]
+		if h.claim || h.urgent {
+			continue
+		}
 		for _, a := range h.parts {
 			site := p.planner.top.byName[a.worker]
 			u := &p.state.sites[site]
-			if n := u.free - u.claimed - p.state.demanded(u); !h.claim && n > 0 {
+			if n := u.free - u.claimed - p.state.demanded(u); n > 0 {
 				p.state.loan.set(site, n)
 				held = append(held, site)
 			}
--- a/internal/plan/hold.go
+++ b/internal/plan/hold.go
@@ -13,8 +13,10 @@
 	parts []cellAt
 	// claim marks a hold that a guarantee backs; it goes before other holds.
 	claim bool
-	owner string
-	since time.Time
+	// urgent marks a hold on what patient jobs leave for an urgent one; nothing is backfilled on it.
+	urgent bool
+	owner  string
+	since  time.Time
 	// checked is when other domains were last compared with this one.
 	checked time.Time
 }
@@ -108,7 +110,7 @@
 // drains returns the number of holds without a guarantee behind them.
 func (p *pass) drains() (n int) {
 	for _, h := range p.planner.holds {
-		if !h.claim {
+		if !h.claim && !h.urgent {
 			n++
 		}
 	}
--- a/internal/plan/pass.go
+++ b/internal/plan/pass.go
@@ -12,20 +12,21 @@
 
 // pass is the work on one view.
 type pass struct {
-	planner   *Planner
-	view      View
-	now       time.Time
-	state     *state
-	idle      *pool
-	running   [][]*victim
-	leaving   []departure
-	chosen    map[string]bool
-	oldest    string
-	failedOn  map[string][]int32
-	decisions []Decision
-	blocked   map[attempt]string
-	fitting   map[attempt]bool
-	reasons   map[workspace.Shape]string
+	planner    *Planner
+	view       View
+	now        time.Time
+	state      *state
+	idle       *pool
+	running    [][]*victim
+	leaving    []departure
+	chosen     map[string]bool
+	oldest     string
+	preemption preemption
+	failedOn   map[string][]int32
+	decisions  []Decision
+	blocked    map[attempt]string
+	fitting    map[attempt]bool
+	reasons    map[workspace.Shape]string
 }
 
 // attempt is what the success of a search depends on; free capacity only shrinks during a pass.
@@ -42,9 +43,10 @@
 	}
 	s := &pass{
 		planner: p, view: v, now: now,
-		chosen:  map[string]bool{},
-		fitting: map[attempt]bool{},
-		blocked: map[attempt]string{}, reasons: map[workspace.Shape]string{},
+		chosen:     map[string]bool{},
+		fitting:    map[attempt]bool{},
+		preemption: preemption{backlog: map[int32]int{}},
+		blocked:    map[attempt]string{}, reasons: map[workspace.Shape]string{},
 	}
 	s.findFaulty()
 	s.findFailures()
@@ -67,6 +69,7 @@
 	p.dropClaims(queue)
 	var entitled, others []waiting
 	for _, q := range queue {
+		p.countBacklog(q)
 		switch {
 		case !q.guaranteed:
 			others = append(others, q)
@@ -160,6 +163,10 @@
 	switch {
 	case p.reclaim(q):
 		return
+	case holds && old.urgent:
+		p.hold(spec.ID(), old)
+		p.decide(Wait{spec.ID(), urgentWait})
+		return
 	case holds && p.rechoose(q, old):
 		p.decide(Wait{spec.ID(), p.shortage(spec.Shape()) + "; another place is now held for it"})
 		return
@@ -175,6 +182,8 @@
 		p.decide(Wait{spec.ID(), fmt.Sprintf("waits for jobs to end on the accelerators held for it on %d workers since %s",
 			len(old.parts), old.since.Format(time.RFC3339))})
 		return
+	case p.preempt(q):
+		return
 	case p.backfill(q):
 		return
 	case p.reserve(q):
--- a/internal/plan/reserve_test.go
+++ b/internal/plan/reserve_test.go
@@ -138,6 +138,27 @@
 	assertReclaimed(t, p.Decide(v, start.Add(3*time.Minute)), "small")
 }
 
+// Guards against a deep urgent backlog that waits behind jobs that a checkpoint could move, and against
+// checkpoints for short bursts.
+func TestUrgentBacklog(t *testing.T) {
+	owner := spaceOf(t, "owner", 1, 8, workspace.SameWorker)
+	decide := func(waiting int) []plan.Decision {
+		jobs := []job.Job{
+			jobOf(t, "own", "owner", owner.Guarantee(), job.WithUrgency(job.Urgent)).
+				Reserve(1, []job.Member{job.NewMember(0, "w0", 8)}).Start(),
+			jobOf(t, "patient", "x", owner.Guarantee(), job.WithCheckpointable(true)).
+				Reserve(1, []job.Member{job.NewMember(0, "w1", 8)}).Start(),
+		}
+		for i := range waiting {
+			jobs = append(jobs, jobOf(t, fmt.Sprintf("u%02d", i), "owner", shapeOf(t, 1, 1, workspace.Anywhere), job.WithUrgency(job.Urgent)))
+		}
+		v := plan.NewView(workersOf(2, 1), jobs, []workspace.Workspace{owner})
+		return plan.New().Decide(v, start.Add(time.Minute))
+	}
+	t.Run("four times the guarantee", func(t *testing.T) { assertReclaimed(t, decide(32)) })
+	t.Run("more", func(t *testing.T) { assertReclaimed(t, decide(33), "patient") })
+}
+
 // Guards against reclaim of a job that loses more than another one would.
 func TestReclaimChoice(t *testing.T) {
 	workers := workersOf(3, 1)
--- a/internal/plan/scale_test.go
+++ b/internal/plan/scale_test.go
@@ -72,10 +72,10 @@
 	}
 }
 
-func (f *fleetOfSize) queued(b testing.TB, count int, s workspace.Shape) (jobs []job.Job) {
+func (f *fleetOfSize) queued(b testing.TB, count int, s workspace.Shape, opts ...job.SpecOption) (jobs []job.Job) {
 	jobs = append(jobs, f.jobs...)
 	for i := range count {
-		jobs = append(jobs, jobOf(b, fmt.Sprintf("new%d", i), fmt.Sprintf("s%d", i%len(f.spaces)), s, job.WithIdempotent(true)))
+		jobs = append(jobs, jobOf(b, fmt.Sprintf("new%d", i), fmt.Sprintf("s%d", i%len(f.spaces)), s, append(opts, job.WithIdempotent(true))...))
 	}
 	return jobs
 }
@@ -106,6 +106,9 @@
 	b.Run("blocked gang of 512", func(b *testing.B) { f.decideOnce(b, f.queued(b, 1, shapeOf(b, 512, 1, workspace.SameZone))) })
 	b.Run("burst of 1000", func(b *testing.B) { f.decideOnce(b, f.queued(b, 1000, shapeOf(b, 1, 1, workspace.Anywhere))) })
 	b.Run("blocked burst of 1000", func(b *testing.B) { f.decideOnce(b, f.queued(b, 1000, shapeOf(b, 2, 8, workspace.SameRack))) })
+	b.Run("urgent burst of 5000", func(b *testing.B) {
+		f.decideOnce(b, f.queued(b, 5000, shapeOf(b, 1, 1, workspace.Anywhere), job.WithUrgency(job.Urgent)))
+	})
 	b.Run("availability zone lost", func(b *testing.B) { f.decideOnce(b, f.zoneLost(b, "z03"), f.unreachable("z03")) })
 }
 
