--- a/cmd/planbench/main.go
+++ b/cmd/planbench/main.go
@@ -40,7 +40,7 @@
 		if only := c.String("scenario"); only != "" && only != s.Name() {
 			continue
 		}
-		for _, p := range []plan.Policy{plan.FirstFit, plan.StrictPriority, plan.Reserving} {
+		for _, p := range []plan.Policy{plan.FirstFit, plan.StrictPriority, plan.Buddy, plan.Direct, plan.Reserving} {
 			if only := c.String("policy"); only != "" && only != string(p) {
 				continue
 			}
--- a/internal/plan/baseline.go
+++ b/internal/plan/baseline.go
@@ -7,9 +7,9 @@
 	"rosemarywind.example/rosemarywind/internal/job"
 )
 
-// runBaseline places jobs by age, or urgent ones first, each on the first workers that have room.
-// It knows neither guarantees nor reservations nor packing.
-func (p *pass) runBaseline(urgentFirst bool) []Decision {
+// runBaseline places jobs by age, or urgent ones first, each on the sites that find returns.
+// It knows neither guarantees nor reservations.
+func (p *pass) runBaseline(urgentFirst bool, find func(waiting) []int32) []Decision {
 	queue := p.order()
 	slices.SortFunc(queue, func(a, b waiting) int {
 		x, y := a.job.Spec(), b.job.Spec()
@@ -23,8 +23,8 @@
 		spec := q.job.Spec()
 		if reason := p.never(spec.Shape()); reason != "" && !p.view.partial {
 			p.decide(Reject{spec.ID(), reason})
-		} else if sites := p.firstFit(q); sites != nil {
-			p.place(q, sites, "placed on the first workers with room")
+		} else if sites := find(q); sites != nil {
+			p.place(q, sites, "placed without regard to guarantees")
 		} else {
 			p.decide(Wait{spec.ID(), p.shortage(spec.Shape())})
 		}
@@ -61,3 +61,13 @@
 	}
 	return nil
 }
+
+// direct returns the sites that the planner itself prefers on a fleet without cells.
+func (p *pass) direct(q waiting) []int32 {
+	avoided := p.avoid(p.state.loan, q.job.Spec().ID())
+	defer p.refresh(avoided)
+	if sites := p.state.loan.findBroken(q.job.Spec().Shape()); sites != nil {
+		return sites
+	}
+	return p.state.loan.find(q.job.Spec().Shape())
+}
--- a/internal/plan/planner.go
+++ b/internal/plan/planner.go
@@ -84,6 +84,10 @@
 	Reserving Policy = "reserving"
 	// FirstFit takes jobs by age, places each at the first worker that has room, and neither reserves nor reclaims.
 	FirstFit Policy = "first-fit"
+	// Direct takes jobs by age and places each as Reserving does, without cells, reservation or reclaim.
+	Direct Policy = "direct"
+	// Buddy takes jobs by age and splits the smallest free cell of worker, rack and availability zone.
+	Buddy Policy = "buddy"
 	// StrictPriority takes urgent jobs first and then jobs by age, without reservation.
 	StrictPriority Policy = "strict-priority"
 )
@@ -93,9 +97,13 @@
 func (p *Planner) Decide(v View, now time.Time) []Decision {
 	switch s := p.begin(v, now); p.policy {
 	case FirstFit:
-		return s.runBaseline(false)
+		return s.runBaseline(false, s.firstFit)
 	case StrictPriority:
-		return s.runBaseline(true)
+		return s.runBaseline(true, s.firstFit)
+	case Direct:
+		return s.runBaseline(false, s.direct)
+	case Buddy:
+		return s.runBaseline(false, s.buddy)
 	case Reserving:
 		return s.run()
 	default:
