--- a/internal/plan/hold.go
+++ b/internal/plan/hold.go
@@ -13,8 +13,12 @@
 	parts []cellAt
 	// claim marks a hold that a guarantee backs; it goes before other holds.
 	claim bool
-	owner string
-	since time.Time
+	// urgent marks a hold on what patient jobs leave for an urgent one; nothing is backfilled on it.
+	urgent bool
+	owner  string
+	since  time.Time
+	// checked is when other domains were last compared with this one.
+	checked time.Time
 }
 
 // restoreHolds drops the holds of jobs that no longer wait or whose workers are not usable, and counts the others.
@@ -87,7 +91,7 @@
 }
 
 func (p *pass) keepFor(q waiting, parts map[int32]int, claim bool) {
-	h := hold{claim: claim, owner: q.job.Spec().Workspace(), since: p.now}
+	h := hold{claim: claim, owner: q.job.Spec().Workspace(), since: p.now, checked: p.now}
 	for _, site := range slices.Sorted(maps.Keys(parts)) {
 		h.parts = append(h.parts, cellAt{p.planner.top.sites[site].name, parts[site]})
 	}
@@ -106,7 +110,7 @@
 // drains returns the number of holds without a guarantee behind them.
 func (p *pass) drains() (n int) {
 	for _, h := range p.planner.holds {
-		if !h.claim {
+		if !h.claim && !h.urgent {
 			n++
 		}
 	}
--- a/internal/plan/reserve_test.go
+++ b/internal/plan/reserve_test.go
@@ -59,6 +59,106 @@
 	assert.Fail(t, "the gang is not placed")
 }
 
+// Guards against a gang that waits for its workspace's own cell while younger jobs of the workspace take it in turn.
+func TestOvertaking(t *testing.T) {
+	owner := spaceOf(t, "owner", 3, 8, workspace.SameRack)
+	busy := jobOf(t, "busy", "owner", shapeOf(t, 1, 8, workspace.Anywhere)).
+		Reserve(1, []job.Member{job.NewMember(0, "w0", 8)}).Start()
+	gang := jobOf(t, "gang", "owner", owner.Guarantee())
+	pair := func(opts ...job.SpecOption) job.Job {
+		return jobOf(t, "pair", "owner", shapeOf(t, 2, 8, workspace.SameRack), opts...)
+	}
+	decide := func(pair job.Job) []plan.Decision {
+		v := plan.NewView(workersOf(3, 1), []job.Job{busy, gang, pair}, []workspace.Workspace{owner})
+		return plan.New().Decide(v, start.Add(time.Minute))
+	}
+	t.Run("a younger patient job waits", func(t *testing.T) {
+		decisions := decide(pair())
+		requireWait(t, decisions, "gang")
+		requireWait(t, decisions, "pair")
+	})
+	t.Run("an urgent one does not", func(t *testing.T) {
+		requirePlace(t, decide(pair(job.WithUrgency(job.Urgent))), "pair")
+	})
+}
+
+// Guards against a rack that stays broken by a small job that a checkpoint could move,
+// and against a small job that loses its place to a gang that came later.
+func TestConsolidation(t *testing.T) {
+	running := func(id, worker string, n int, opts ...job.SpecOption) job.Job {
+		return jobOf(t, id, "x", shapeOf(t, 1, n, workspace.Anywhere), append(opts, job.WithRunTime(time.Hour))...).
+			Reserve(1, []job.Member{job.NewMember(0, worker, n)}).Start()
+	}
+	decide := func(last int, gangAt time.Time) []plan.Decision {
+		spec, err := job.NewSpec("gang", "x", shapeOf(t, 3, 8, workspace.SameRack), gangAt, job.WithIdempotent(true))
+		require.NoError(t, err)
+		p, v := plan.New(), plan.NewView(workersOf(6, 2), []job.Job{
+			running("small", "w0", 4, job.WithCheckpointable(true)),
+			running("a", "w3", 8), running("b", "w4", 8), running("c", "w5", last), job.New(spec),
+		}, nil)
+		requireWait(t, p.Decide(v, start.Add(time.Minute)), "gang")
+		return p.Decide(v, start.Add(2*time.Minute))
+	}
+	t.Run("moved when it fits elsewhere", func(t *testing.T) {
+		assertReclaimed(t, decide(4, start.Add(time.Second)), "small")
+	})
+	t.Run("not moved when it fits nowhere else", func(t *testing.T) {
+		assertReclaimed(t, decide(8, start.Add(time.Second)))
+	})
+	t.Run("moved when it overtook the gang", func(t *testing.T) {
+		assertReclaimed(t, decide(8, start.Add(-time.Second)), "small")
+	})
+}
+
+func assertReclaimed(t *testing.T, decisions []plan.Decision, ids ...string) {
+	t.Helper()
+	var reclaimed []string
+	for _, d := range decisions {
+		if r, ok := d.(plan.Reclaim); ok {
+			reclaimed = append(reclaimed, r.Job())
+			assert.Equal(t, plan.Checkpoint, r.Method())
+		}
+	}
+	assert.Equal(t, ids, reclaimed)
+}
+
+// Guards against a hold that stays on a domain although another one can be emptied at once.
+func TestRechoose(t *testing.T) {
+	running := func(id, worker string, n int, opts ...job.SpecOption) job.Job {
+		return jobOf(t, id, "x", shapeOf(t, 1, n, workspace.Anywhere), append(opts, job.WithRunTime(2*time.Hour))...).
+			Reserve(1, []job.Member{job.NewMember(0, worker, n)}).Start()
+	}
+	gang := jobOf(t, "gang", "x", shapeOf(t, 3, 8, workspace.SameRack))
+	p, workers := plan.New(), workersOf(6, 2)
+	a, b := running("a", "w0", 8), running("b", "w3", 8)
+	requireWait(t, p.Decide(plan.NewView(workers, []job.Job{a, b, gang}, nil), start.Add(time.Minute)), "gang")
+	small := running("small", "w3", 4, job.WithCheckpointable(true))
+	v := plan.NewView(workers, []job.Job{a, small, gang}, nil)
+	requireWait(t, p.Decide(v, start.Add(2*time.Minute)), "gang")
+	assertReclaimed(t, p.Decide(v, start.Add(3*time.Minute)), "small")
+}
+
+// Guards against a deep urgent backlog that waits behind jobs that a checkpoint could move, and against
+// checkpoints for short bursts.
+func TestUrgentBacklog(t *testing.T) {
+	owner := spaceOf(t, "owner", 1, 8, workspace.SameWorker)
+	decide := func(waiting int) []plan.Decision {
+		jobs := []job.Job{
+			jobOf(t, "own", "owner", owner.Guarantee(), job.WithUrgency(job.Urgent)).
+				Reserve(1, []job.Member{job.NewMember(0, "w0", 8)}).Start(),
+			jobOf(t, "patient", "x", owner.Guarantee(), job.WithCheckpointable(true)).
+				Reserve(1, []job.Member{job.NewMember(0, "w1", 8)}).Start(),
+		}
+		for i := range waiting {
+			jobs = append(jobs, jobOf(t, fmt.Sprintf("u%02d", i), "owner", shapeOf(t, 1, 1, workspace.Anywhere), job.WithUrgency(job.Urgent)))
+		}
+		v := plan.NewView(workersOf(2, 1), jobs, []workspace.Workspace{owner})
+		return plan.New().Decide(v, start.Add(time.Minute))
+	}
+	t.Run("four times the guarantee", func(t *testing.T) { assertReclaimed(t, decide(32)) })
+	t.Run("more", func(t *testing.T) { assertReclaimed(t, decide(33), "patient") })
+}
+
 // Guards against reclaim of a job that loses more than another one would.
 func TestReclaimChoice(t *testing.T) {
 	workers := workersOf(3, 1)
