Publish the guarantees that cannot be held as a table

The section held a pointer to a map, which its reader could have changed; the other sections hold tables.

--- a/internal/control/board.go
+++ b/internal/control/board.go
@@ -19,7 +19,7 @@
 	mutes    *board.Section[board.Table[mute]]          // written by the gang driver
 	explains *board.Section[board.Table[string]]        // written by the scheduler
 	elected  *board.Section[fleet.Leadership]           // written by the observer of elections
-	short    *board.Section[*map[string]string]         // written by the scheduler
+	short    *board.Section[board.Table[string]]        // written by the scheduler
 }
 
 func newBoard() *Board {
@@ -32,7 +32,7 @@
 		mutes:    board.NewSection(board.NewTable[mute]()),
 		explains: board.NewSection(board.NewTable[string]()),
 		elected:  board.NewSection(fleet.Leadership{}),
-		short:    board.NewSection(&map[string]string{}),
+		short:    board.NewSection(board.NewTable[string]()),
 	}
 }
 
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -49,7 +49,7 @@
 	r.GaugeFunc(EndpointsMetric, func() int64 { return int64(len(c.board.roster.Load().snapshot.All())) })
 	r.GaugeFunc(ShortMetric, func() (short int64) {
 		if c.Status().Ready(time.Now()) {
-			short = int64(len(*c.board.short.Load()))
+			short = int64(c.board.short.Load().Len())
 		}
 		return short
 	})
--- a/internal/control/scheduler.go
+++ b/internal/control/scheduler.go
@@ -100,7 +100,7 @@
 // pass decides once and carries the decisions out.
 func (s *scheduler) pass(ctx context.Context, now time.Time) {
 	view, explains := s.view(now)
-	short := map[string]string{}
+	short := board.NewTable[string]()
 	var g errgroup.Group
 	g.SetLimit(commitThreads)
 	commit := func(c registry.Command) {
@@ -128,7 +128,7 @@
 				commit(registry.NewThrottleGang(t.Job(), j.Fence(), job.Resumed, t.Explanation()))
 			}
 		case plan.Shortfall:
-			short[t.Workspace()] = t.Explanation()
+			short = short.With(t.Workspace(), t.Explanation())
 		case plan.SetAside:
 			s.setAside[t.Worker()] = t.Until()
 			s.control.logger.Warn("worker set aside", "worker", t.Worker(), "until", t.Until(), "reason", t.Reason())
