Open the streams of a control host's notices in one place

Cause: the watcher and the controller of elections repeated the same steps to open a stream and wait for its status, with two constants of 3 s for one bound. Change: subscribe does it for both. No behaviour and no test changes.

--- a/internal/entry/elections.go
+++ b/internal/entry/elections.go
@@ -15,11 +15,8 @@
 	"rosemarywind.example/rosemarywind/internal/wire"
 )
 
-const (
-	electionsTimeout = 3 * time.Second
-	// electionsPause keeps a control host that is down from costing more than 1 KB/s, since one dial sends about 14 KB.
-	electionsPause = 15 * time.Second
-)
+// electionsPause keeps a control host that is down from costing more than 1 KB/s, since one dial sends about 14 KB.
+const electionsPause = 15 * time.Second
 
 // elections is the controller that learns of each new leader from all control hosts, since a leader that died or is
 // frozen cannot say so and the others know the next one as soon as it is elected.
@@ -69,22 +66,11 @@
 			err = fmt.Errorf("listen to %s: %w", address, err)
 		}
 	}()
-	opening, cancel := context.WithTimeout(ctx, electionsTimeout)
-	defer cancel()
-	s, err := e.pool.Open(opening, address)
+	s, end, err := subscribe(ctx, e.pool, address, wire.KindLeadership)
 	if err != nil {
 		return err
 	}
-	stop := s.Watch(ctx)
-	defer stop()
-	defer s.Cancel()
-	if err = wire.WriteOpening(s, wire.NewOpening(wire.KindLeadership, "")); err != nil {
-		return err
-	}
-	_ = s.SetReadDeadline(time.Now().Add(electionsTimeout))
-	if err = wire.ReadStatus(s); err != nil {
-		return err
-	}
+	defer end()
 	// The probes of the connection tell when the host is gone.
 	_ = s.SetReadDeadline(time.Time{})
 	for {
--- a/internal/entry/watcher.go
+++ b/internal/entry/watcher.go
@@ -103,22 +103,11 @@
 }
 
 func (w *watcher) watch(ctx context.Context, address string) (err error) {
-	opening, cancel := context.WithTimeout(ctx, watchSilence)
-	defer cancel()
-	s, err := w.pool.Open(opening, address)
+	s, end, err := subscribe(ctx, w.pool, address, wire.KindWatch)
 	if err != nil {
 		return err
 	}
-	stop := s.Watch(ctx)
-	defer stop()
-	defer s.Cancel()
-	if err = wire.WriteOpening(s, wire.NewOpening(wire.KindWatch, "")); err != nil {
-		return err
-	}
-	_ = s.SetReadDeadline(time.Now().Add(watchSilence))
-	if err = wire.ReadStatus(s); err != nil {
-		return err
-	}
+	defer end()
 	for {
 		_ = s.SetReadDeadline(time.Now().Add(watchSilence))
 		u, err := wire.ReadUpdate(s)
