--- /dev/null
+++ b/internal/call/call.go
@@ -0,0 +1,80 @@
+package call
+
+// Call is what a caller or an operator asks.
+//
+//sumtype:decl
+type Call interface{ call() }
+
+// Place is where a caller's request was sent: a host name, a path and the caller's key.
+type Place struct {
+	host string
+	path string
+	key  string
+}
+
+// NewPlace returns the place of a request.
+func NewPlace(host, path, key string) Place { return Place{host: host, path: path, key: key} }
+
+// Host returns the host name.
+func (p Place) Host() string { return p.host }
+
+// Path returns the path.
+func (p Place) Path() string { return p.path }
+
+// Key returns the caller's key, or an empty string.
+func (p Place) Key() string { return p.key }
+
+// Submit hands in a job.
+type Submit struct {
+	place    Place
+	document []byte
+}
+
+// Read asks for the state of a job, or for the pending jobs of a queue when the path names no job.
+type Read struct{ place Place }
+
+// Cancel ends a job.
+type Cancel struct{ place Place }
+
+// Declare puts a declaration in force.
+type Declare struct{ document []byte }
+
+// ReadDeclaration asks for the newest declaration.
+type ReadDeclaration struct{}
+
+// Ping asks for nothing; its reply names the control hosts.
+type Ping struct{}
+
+func (Submit) call()          {}
+func (Read) call()            {}
+func (Cancel) call()          {}
+func (Declare) call()         {}
+func (ReadDeclaration) call() {}
+func (Ping) call()            {}
+
+// NewSubmit returns the call that hands in a job.
+func NewSubmit(p Place, document []byte) Submit { return Submit{place: p, document: document} }
+
+// Place returns where the request was sent.
+func (c Submit) Place() Place { return c.place }
+
+// Document returns the job as the caller sent it.
+func (c Submit) Document() []byte { return c.document }
+
+// NewRead returns the call that asks for a job's or a queue's state.
+func NewRead(p Place) Read { return Read{place: p} }
+
+// Place returns where the request was sent.
+func (c Read) Place() Place { return c.place }
+
+// NewCancel returns the call that ends a job.
+func NewCancel(p Place) Cancel { return Cancel{place: p} }
+
+// Place returns where the request was sent.
+func (c Cancel) Place() Place { return c.place }
+
+// NewDeclare returns the call that puts a declaration in force.
+func NewDeclare(document []byte) Declare { return Declare{document: document} }
+
+// Document returns the declaration as the operator sent it.
+func (c Declare) Document() []byte { return c.document }
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"rosemarywind.example/rosemarywind/internal/ledger/driver"
+	"rosemarywind.example/rosemarywind/internal/ledger/transport"
 	"rosemarywind.example/rosemarywind/internal/link"
 	"rosemarywind.example/rosemarywind/internal/registry"
 	"rosemarywind.example/rosemarywind/internal/wire"
@@ -23,7 +24,7 @@
 	agents *link.Pool
 	others *link.Pool
 	keeper *keeper
-	peers  *peers
+	peers  *transport.Peers
 }
 
 // New returns a control role that Run starts; it fails when the ledger's options do not fit.
@@ -40,7 +41,7 @@
 	c.agents = link.NewPool(c.agentTLS)
 	c.others = link.NewPool(c.peerTLS)
 	c.keeper = newKeeper(c.board, c.announceLease, c.logger)
-	c.peers = newPeers(c.others, c.logger)
+	c.peers = transport.NewPeers(c.others, c.logger)
 	node, err := driver.NewNode[registry.Result](newApplier(c.board, c.logger),
 		append(c.ledger, driver.WithTransport(c.peers))...)
 	if err != nil {
--- /dev/null
+++ b/internal/dispatch/core.go
@@ -0,0 +1,346 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"rosemarywind.example/rosemarywind/internal/batch"
+	"rosemarywind.example/rosemarywind/internal/placement"
+	"rosemarywind.example/rosemarywind/internal/run"
+)
+
+// Core is the leader's view of the workers during one term. It is not safe for concurrent use.
+type Core struct {
+	timing  Timing
+	fence   uint64
+	elected time.Time
+	hosts   map[string]*host
+	ordered map[run.ID]*ordered
+	fresh   map[run.ID]bool
+	forgot  time.Time
+	log     []Decision
+}
+
+// ordered is a run that this leader gave orders about.
+type ordered struct {
+	started time.Time
+	stopped time.Time
+	refused bool
+}
+
+// NewCore returns the core of a leader that was elected at the given time; its fencing token is higher than that of any
+// leader before it.
+func NewCore(t Timing, fence uint64, now time.Time) *Core {
+	return &Core{
+		timing: t, fence: fence, elected: now, forgot: now,
+		hosts: map[string]*host{}, ordered: map[run.ID]*ordered{}, fresh: map[run.ID]bool{},
+	}
+}
+
+// Actions is what a step wants done.
+type Actions struct {
+	ends      []batch.End
+	forget    time.Time
+	groups    []batch.Group
+	orders    []Addressed
+	decisions []Decision
+	wake      time.Time
+}
+
+// Ends returns the ends of runs to commit.
+func (a Actions) Ends() []batch.End { return a.ends }
+
+// Forget returns before which time ended jobs are to be dropped; the zero time means that none are.
+func (a Actions) Forget() time.Time { return a.forget }
+
+// Groups returns the runs to commit as begun; Begun is to be called for those that were.
+func (a Actions) Groups() []batch.Group { return a.groups }
+
+// Orders returns the orders to send.
+func (a Actions) Orders() []Addressed { return a.orders }
+
+// Decisions returns what the step decided, for the log.
+func (a Actions) Decisions() []Decision { return a.decisions }
+
+// Wake returns when the next step is due at the latest.
+func (a Actions) Wake() time.Time { return a.wake }
+
+// Addressed is an order to the worker of an agent.
+type Addressed struct {
+	agent string
+	order run.Order
+}
+
+// Agent returns the agent's name.
+func (a Addressed) Agent() string { return a.agent }
+
+// Order returns the order.
+func (a Addressed) Order() run.Order { return a.order }
+
+// Decision is one decision about a run or a worker, for the log.
+type Decision struct {
+	id     run.ID
+	worker string
+	what   string
+	why    string
+	age    time.Duration
+}
+
+// ID returns the run, or the zero ID when the decision is about a worker.
+func (d Decision) ID() run.ID { return d.id }
+
+// Worker returns the worker's id.
+func (d Decision) Worker() string { return d.worker }
+
+// What returns the decision.
+func (d Decision) What() string { return d.what }
+
+// Why returns the reason.
+func (d Decision) Why() string { return d.why }
+
+// Age returns how old the latest report of the worker was.
+func (d Decision) Age() time.Duration { return d.age }
+
+// Connect notes that an agent has a session.
+func (c *Core) Connect(agent string, session uint64) {
+	h := c.host(agent)
+	h.session, h.connected, h.asked = session, true, false
+}
+
+// Disconnect notes that a session has ended, unless the agent has a later one.
+func (c *Core) Disconnect(agent string, session uint64) {
+	if h := c.host(agent); h.session == session {
+		h.connected = false
+	}
+}
+
+// Report takes the report of an agent.
+func (c *Core) Report(now time.Time, r run.Report) {
+	h := c.host(r.Agent())
+	h.listen(now, r)
+	for _, e := range r.Refused() {
+		c.note(e.ID()).refused = true
+		if e.Reason() == Unhealthy {
+			h.health.failed(now)
+		}
+		c.decide(h, now, e.ID(), "start refused", e.Reason())
+	}
+}
+
+// Unhealthy is the reason with which a sick worker refuses a start.
+const Unhealthy = "unhealthy"
+
+func (c *Core) host(agent string) *host {
+	h, known := c.hosts[agent]
+	if !known {
+		h = &host{agent: agent, leaseEnds: c.inherited()}
+		c.hosts[agent] = h
+	}
+	return h
+}
+
+// inherited returns until when a lease may run that an earlier leader granted.
+func (c *Core) inherited() time.Time {
+	return c.elected.Add(time.Duration(float64(c.timing.lease)/slowestClock) + lapseMargin)
+}
+
+func (c *Core) note(id run.ID) *ordered {
+	o, known := c.ordered[id]
+	if !known {
+		o = &ordered{}
+		c.ordered[id] = o
+	}
+	return o
+}
+
+// Begun notes a group whose runs were committed as begun by this leader, which is yet to order them.
+func (c *Core) Begun(g batch.Group) {
+	for _, m := range g.Members() {
+		c.fresh[run.NewID(g.Task(m), m.Run())] = true
+	}
+}
+
+// Step decides what is to be done at a time in a state.
+func (c *Core) Step(now time.Time, s batch.State) (a Actions) {
+	lives := c.lives()
+	c.begin(now, s, lives, &a)
+	stopping := c.resolve(now, s, lives, &a)
+	if len(a.ends) == 0 {
+		c.place(now, s, stopping, lives, &a)
+	}
+	c.hold(now, s, &a)
+	c.forget(now, s, &a)
+	a.decisions, c.log = c.log, nil
+	a.wake = now.Add(tickInterval)
+	return a
+}
+
+// lives returns the hosts by the life of the worker that they have now.
+func (c *Core) lives() map[batch.Life]*host {
+	m := map[batch.Life]*host{}
+	for _, h := range c.hosts {
+		if h.announced {
+			m[h.announcement.Life()] = h
+		}
+	}
+	return m
+}
+
+// begin orders the runs that were committed since the last step.
+func (c *Core) begin(now time.Time, s batch.State, lives map[batch.Life]*host, a *Actions) {
+	ids := make([]run.ID, 0, len(c.fresh))
+	for id := range c.fresh {
+		ids = append(ids, id)
+	}
+	slices.SortFunc(ids, compareIDs)
+	for _, id := range ids {
+		delete(c.fresh, id)
+		j, known := s.Job(id.Task().Job())
+		if !known || !j.Live() {
+			continue
+		}
+		t, _ := j.Task(id.Task())
+		h, here := lives[t.Worker()]
+		if t.Phase() != batch.Placed || t.Run() != id.Run() || !here || !h.usable(now, c.fence) {
+			continue
+		}
+		c.note(id).started = now
+		lease := h.grant(now, c.timing.lease)
+		h.held = now
+		a.orders = append(a.orders, Addressed{h.agent, run.NewStart(id, t.Worker(), j.Spec().Payload(), j.Checkpoint(id.Task()), lease)})
+		c.decide(h, now, id, "start", "placed")
+	}
+}
+
+// place chooses what begins next.
+func (c *Core) place(now time.Time, s batch.State, stopping map[run.ID]bool, lives map[batch.Life]*host, a *Actions) {
+	var workers []placement.Worker
+	for _, h := range c.hosts {
+		if h.usable(now, c.fence) && !h.health.suspect(now) {
+			workers = append(workers, placement.NewWorker(h.announcement, h.health.failures > 0))
+		}
+	}
+	if len(workers) == 0 {
+		return
+	}
+	p := placement.Decide(placement.NewView(now, s, workers, stopping, c.timing.far))
+	a.groups = p.Groups()
+	for _, id := range p.Stops() {
+		j, _ := s.Job(id.Task().Job())
+		t, _ := j.Task(id.Task())
+		c.stop(now, id, lives[t.Worker()], "room for a more urgent job", a)
+	}
+}
+
+// stop orders the end of a run, again after a while.
+func (c *Core) stop(now time.Time, id run.ID, h *host, why string, a *Actions) {
+	o := c.note(id)
+	if h == nil || !h.connected || now.Sub(o.stopped) < stopInterval {
+		return
+	}
+	o.stopped = now
+	a.orders = append(a.orders, Addressed{h.agent, run.NewStop(id)})
+	c.decide(h, now, id, "stop", why)
+}
+
+// hold extends leases, acknowledges ends and asks for lists.
+func (c *Core) hold(now time.Time, s batch.State, a *Actions) {
+	busy := map[batch.Life]bool{}
+	for _, j := range s.Jobs().All() {
+		eachPlaced(j, func(_ run.ID, t batch.Task) { busy[t.Worker()] = true })
+	}
+	for _, h := range sortedHosts(c.hosts) {
+		if !h.connected || !h.announced || h.clockLife != h.announcement.Life() {
+			continue
+		}
+		life := h.announcement.Life()
+		ack := c.acknowledge(h, s)
+		first := !h.current(c.fence) && !h.asked
+		due := (busy[life] || len(h.list.Running()) > 0 || !h.current(c.fence)) && now.Sub(h.held) >= holdInterval
+		if !first && !due && ack <= h.acknowledged {
+			continue
+		}
+		h.asked = true
+		h.held = now
+		h.acknowledged = max(h.acknowledged, ack)
+		lease := time.Duration(0)
+		if h.alive(now) {
+			lease = h.grant(now, c.timing.lease)
+		}
+		a.orders = append(a.orders, Addressed{h.agent, run.NewHold(life, lease, h.acknowledged, !h.current(c.fence))})
+	}
+}
+
+// acknowledge returns the number up to which all listed ends have been committed.
+func (c *Core) acknowledge(h *host, s batch.State) int64 {
+	ack := h.acknowledged
+	for _, f := range h.list.Finished() {
+		if f.Number() <= ack {
+			continue
+		}
+		if j, known := s.Job(f.End().Task().Job()); known {
+			t, _ := j.Task(f.End().Task())
+			if t.Phase() == batch.Placed && t.Run() == f.End().Run() && t.Worker() == h.list.Life() {
+				return ack
+			}
+		}
+		ack = f.Number()
+	}
+	return ack
+}
+
+func (c *Core) forget(now time.Time, s batch.State, a *Actions) {
+	if now.Sub(c.forgot) < forgetInterval {
+		return
+	}
+	c.forgot = now
+	before := now.Add(-c.timing.keepEnded)
+	for _, j := range s.Jobs().All() {
+		if !j.Live() && j.EndedAt().Before(before) {
+			a.forget = before
+			break
+		}
+	}
+	for id := range c.ordered {
+		if j, known := s.Job(id.Task().Job()); !known || !j.Live() && !j.HasPlaced() {
+			delete(c.ordered, id)
+		}
+	}
+}
+
+func (c *Core) decide(h *host, now time.Time, id run.ID, what, why string) {
+	d := Decision{id: id, what: what, why: why}
+	if h != nil {
+		d.worker = h.announcement.Life().ID()
+		d.age = now.Sub(h.heard)
+	}
+	c.log = append(c.log, d)
+}
+
+func sortedHosts(hosts map[string]*host) (list []*host) {
+	for _, h := range hosts {
+		list = append(list, h)
+	}
+	slices.SortFunc(list, func(a, b *host) int { return cmp.Compare(a.agent, b.agent) })
+	return list
+}
+
+func compareIDs(a, b run.ID) int {
+	x, y := a.Task(), b.Task()
+	return cmp.Or(cmp.Compare(x.Job(), y.Job()), cmp.Compare(x.Occurrence(), y.Occurrence()),
+		cmp.Compare(x.Step(), y.Step()), cmp.Compare(x.Index(), y.Index()), cmp.Compare(a.Run(), b.Run()))
+}
+
+// eachPlaced calls f for each run of a job that is placed.
+func eachPlaced(j *batch.Job, f func(run.ID, batch.Task)) {
+	for k := range j.Spec().Times() {
+		for i := range j.Spec().Steps() {
+			for n, t := range j.Tasks(k, i) {
+				if t.Phase() == batch.Placed {
+					f(run.NewID(batch.NewTaskID(j.Spec().ID(), k, i, n), t.Run()), t)
+				}
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/leader/client.go
@@ -0,0 +1,164 @@
+package leader
+
+import (
+	"context"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"rosemarywind.example/rosemarywind/internal/call"
+	"rosemarywind.example/rosemarywind/internal/clock"
+	"rosemarywind.example/rosemarywind/internal/link"
+	"rosemarywind.example/rosemarywind/internal/wire"
+)
+
+const (
+	// attemptTimeout bounds one exchange, so that a leader that stands still costs a call no more than this.
+	attemptTimeout = 900 * time.Millisecond
+	// retryPause is waited before the next host is asked.
+	retryPause = 60 * time.Millisecond
+)
+
+// Client passes calls to the leader, wherever it is. Its methods may be called from several threads.
+type Client struct {
+	pool  *link.Pool
+	known atomic.Pointer[known]
+	turn  atomic.Uint64
+}
+
+// known is what a client knows of the control hosts; it is immutable.
+type known struct {
+	seeds  []string
+	hosts  []string
+	leader string
+}
+
+// NewClient returns a client that begins with the given addresses of control hosts.
+func NewClient(p *link.Pool, seeds []string) *Client {
+	c := &Client{pool: p}
+	c.known.Store(&known{seeds: seeds, hosts: seeds})
+	return c
+}
+
+// Reseed replaces the addresses that the client began with.
+func (c *Client) Reseed(seeds []string) {
+	k := *c.known.Load()
+	k.seeds = seeds
+	k.hosts = merge(k.hosts, seeds)
+	c.known.Store(&k)
+}
+
+// Leader returns the address of the leader as far as it is known.
+func (c *Client) Leader() string { return c.known.Load().leader }
+
+// Call passes a call to the leader until ctx ends. The reply is Unavailable if the call had no effect, and Uncertain if
+// it may have had one.
+func (c *Client) Call(ctx context.Context, trace string, asked call.Call) call.Reply {
+	uncertain, reason := false, "no control host was reached"
+	for first := true; ; first = false {
+		if !first && !clock.Pause(ctx, retryPause) || ctx.Err() != nil {
+			return unfinished(uncertain, reason)
+		}
+		address := c.next()
+		r, sent, err := c.exchange(ctx, address, trace, asked)
+		if err != nil {
+			uncertain = uncertain || sent
+			reason = err.Error()
+			c.forget(address)
+			continue
+		}
+		c.learn(r)
+		switch r.Outcome() {
+		case call.NotLeader:
+			reason = "no leader is known"
+			if r.Leader() == "" || r.Leader() == address {
+				c.forget(address)
+			}
+			continue
+		case call.Uncertain:
+			uncertain, reason = true, r.Reason()
+			continue
+		case call.Refused, call.Unavailable:
+			if uncertain {
+				return unfinished(true, r.Reason())
+			}
+		case call.OK, call.Invalid, call.Unauthorized, call.NoQueue, call.NoJob:
+		}
+		return r
+	}
+}
+
+func unfinished(uncertain bool, reason string) call.Reply {
+	if uncertain {
+		return call.NewReply(call.Uncertain, reason)
+	}
+	return call.NewReply(call.Unavailable, reason).WithRetryAfter(unavailablePause)
+}
+
+// unavailablePause is about what the election of another leader takes.
+const unavailablePause = time.Second
+
+// next returns the leader, or the next control host in turn.
+func (c *Client) next() string {
+	k := c.known.Load()
+	if k.leader != "" {
+		return k.leader
+	}
+	return k.hosts[int(c.turn.Add(1))%len(k.hosts)]
+}
+
+// exchange asks one host; sent reports whether the call may have reached it.
+func (c *Client) exchange(ctx context.Context, address, trace string, asked call.Call) (r call.Reply, sent bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	defer cancel()
+	s, err := c.pool.Open(ctx, address)
+	if err != nil {
+		return r, false, err
+	}
+	deadline, _ := ctx.Deadline()
+	if err = s.SetDeadline(deadline); err == nil {
+		err = wire.WriteCall(s, trace, asked)
+	}
+	if err == nil {
+		s.CloseWrite()
+		r, err = wire.ReadReply(s)
+	}
+	if err != nil {
+		s.Cancel()
+		return r, !link.NotServed(err), err
+	}
+	s.Finish()
+	return r, true, nil
+}
+
+// learn takes over what a reply says of the control hosts.
+func (c *Client) learn(r call.Reply) {
+	old := c.known.Load()
+	if len(r.Hosts()) == 0 || r.Leader() == old.leader && slices.Equal(old.hosts, merge(r.Hosts(), old.seeds)) {
+		return
+	}
+	next := *old
+	next.hosts = merge(r.Hosts(), old.seeds)
+	if r.Leader() != "" {
+		next.leader = r.Leader()
+	}
+	c.known.Store(&next)
+}
+
+// forget drops the leader if it has the given address.
+func (c *Client) forget(address string) {
+	old := c.known.Load()
+	if old.leader != address {
+		return
+	}
+	next := *old
+	next.leader = ""
+	c.known.CompareAndSwap(old, &next)
+}
+
+// merge returns the addresses of both lists, each once, in order.
+func merge(a, b []string) []string {
+	all := append(slices.Clone(a), b...)
+	slices.Sort(all)
+	return slices.Compact(all)
+}
--- a/internal/ledger/driver/found.go
+++ b/internal/ledger/driver/found.go
@@ -20,6 +20,10 @@
 		return o.saved, nil
 	}
 	fresh := ledger.FreshID(o.id, o.random.Int64N(math.MaxInt64))
+	if saved, ok := ledger.FoundAtOnce(o.id, fresh, o.initial, o.founding); ok {
+		snapshot := saved.Snapshot()
+		return saved, o.storage.Save([]ledger.Persist{ledger.NewPersist(saved.Hard(), &snapshot, nil)})
+	}
 	f := ledger.NewFounding(o.id, fresh, o.initial)
 	ticker := time.NewTicker(askInterval)
 	defer ticker.Stop()
--- a/internal/ledger/driver/options.go
+++ b/internal/ledger/driver/options.go
@@ -32,6 +32,7 @@
 	random    ledger.Random
 	timing    ledger.Timing
 	threshold uint64
+	founding  bool
 }
 
 // Option sets one property of a Node.
@@ -52,6 +53,10 @@
 	return func(o *options) { o.initial = ledger.NewMembership(members...) }
 }
 
+// WithFoundingDisk says that the whole system starts for the first time, so that an initial member with an empty disk
+// founds the ledger without asking the others.
+func WithFoundingDisk(first bool) Option { return func(o *options) { o.founding = first } }
+
 // WithStorage sets the storage and what it recovered; the node closes it.
 func WithStorage(s Storage, saved ledger.Saved) Option {
 	return func(o *options) { o.storage, o.saved = s, saved }
--- a/internal/ledger/founding.go
+++ b/internal/ledger/founding.go
@@ -46,3 +46,17 @@
 	}
 	return NewSaved(NewHardState(f.id, 0, ""), founding, nil), true
 }
+
+// FoundAtOnce returns what the disk of a member must hold that needs to ask nobody: an initial member of a system that
+// starts for the first time, and a host that is no initial member, which joins under a fresh id.
+func FoundAtOnce(id, fresh MemberID, initial Membership, first bool) (saved Saved, ok bool) {
+	founding := NewSnapshot(0, 0, initial, nil)
+	_, member := initial.Find(id)
+	switch {
+	case member && first:
+		return NewSaved(NewHardState(id, 0, ""), founding, nil), true
+	case !member:
+		return NewSaved(NewHardState(fresh, 0, ""), founding, nil), true
+	}
+	return Saved{}, false
+}
--- /dev/null
+++ b/internal/ledger/transport/doc.go
@@ -0,0 +1,2 @@
+// Package transport carries the messages of the ledger's members over links.
+package transport
--- a/internal/control/peers.go
+++ b/internal/ledger/transport/peers.go
@@ -1,13 +1,15 @@
-package control
+package transport
 
 import (
 	"context"
+	"errors"
+	"fmt"
+	"io"
 	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 
-	"rosemarywind.example/rosemarywind/internal/keys"
 	"rosemarywind.example/rosemarywind/internal/ledger"
 	"rosemarywind.example/rosemarywind/internal/link"
 	"rosemarywind.example/rosemarywind/internal/wire"
@@ -19,8 +21,8 @@
 	peerTimeout = time.Second
 )
 
-// peers is the ledger's transport: one goroutine and one stream for each other member.
-type peers struct {
+// Peers is the ledger's transport: one goroutine and one stream for each other member.
+type Peers struct {
 	pool   *link.Pool
 	logger hclog.Logger
 	lines  sync.Map // address to chan []byte
@@ -28,13 +30,14 @@
 	cancel context.CancelFunc
 }
 
-func newPeers(p *link.Pool, l hclog.Logger) *peers {
+// NewPeers returns a transport over the links of a pool.
+func NewPeers(p *link.Pool, l hclog.Logger) *Peers {
 	ctx, cancel := context.WithCancel(context.Background())
-	return &peers{pool: p, logger: l, ctx: ctx, cancel: cancel}
+	return &Peers{pool: p, logger: l, ctx: ctx, cancel: cancel}
 }
 
 // Send queues a message and drops it if the member does not take messages fast enough.
-func (p *peers) Send(_ ledger.MemberID, address string, message []byte) {
+func (p *Peers) Send(_ ledger.MemberID, address string, message []byte) {
 	line, known := p.lines.Load(address)
 	if !known {
 		var loaded bool
@@ -50,10 +53,10 @@
 }
 
 // Close ends all streams.
-func (p *peers) Close() { p.cancel() }
+func (p *Peers) Close() { p.cancel() }
 
 // deliver writes messages to one member, on a new stream after each failure.
-func (p *peers) deliver(address string, line <-chan []byte) {
+func (p *Peers) deliver(address string, line <-chan []byte) {
 	var s *link.Stream
 	for {
 		var message []byte
@@ -77,7 +80,7 @@
 	}
 }
 
-func (p *peers) open(address string) *link.Stream {
+func (p *Peers) open(address string) *link.Stream {
 	ctx, cancel := context.WithTimeout(p.ctx, peerTimeout)
 	defer cancel()
 	s, err := p.pool.Open(ctx, address)
@@ -92,21 +95,16 @@
 	return s
 }
 
-// deliver takes the messages of another member; only a control host may send them.
-func (c *Control) deliver(s *link.Stream) {
-	peer, err := keys.PeerIdentity(s.TLS())
-	if err != nil || peer.Role() != RoleName {
-		c.logger.Warn("ledger messages refused", "peer", s.RemoteAddr().String())
-		return
-	}
+// Receive passes the messages of one stream to deliver until the stream ends; it returns why, nil at an orderly end.
+func Receive(s io.Reader, deliver func(from ledger.MemberID, message []byte)) (err error) {
 	for {
 		_, message, err := wire.ReadPeerMessage(s)
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
 		if err != nil {
-			return
+			return fmt.Errorf("receive ledger messages: %w", err)
 		}
-		c.node.Deliver("", message)
+		deliver("", message)
 	}
 }
-
-// RoleName is the role in the certificates of control hosts.
-const RoleName = "control"
--- /dev/null
+++ b/internal/placement/plan.go
@@ -0,0 +1,356 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"rosemarywind.example/rosemarywind/internal/batch"
+	"rosemarywind.example/rosemarywind/internal/run"
+)
+
+// maxReservations bounds the units that wait for workers to empty; each of them narrows what the others may use.
+const maxReservations = 4
+
+// planner is one decision in progress.
+type planner struct {
+	view         View
+	places       []*place
+	racks        map[string][]*place
+	reservations int
+	plan         Plan
+	stopped      map[run.ID]bool
+}
+
+// Decide returns what is to be done now.
+func Decide(v View) Plan {
+	p := &planner{view: v, racks: map[string][]*place{}, stopped: map[run.ID]bool{}}
+	var byLife map[batch.Life]*place
+	p.places, byLife = v.places()
+	for _, e := range p.places {
+		p.racks[e.rack] = append(p.racks[e.rack], e)
+	}
+	sure := v.sure()
+	var units []*unit
+	for id, j := range v.state.Jobs().All() {
+		v.hold(j, byLife, sure[id])
+		units = append(units, v.units(j, sure[id])...)
+	}
+	order(units)
+	for _, u := range units {
+		p.try(u)
+	}
+	return p.plan
+}
+
+// sure returns the live jobs of priority 0 whose workspaces' guarantees cover them, in the order of acceptance.
+func (v View) sure() map[string]bool {
+	byOwner := map[string][]*batch.Job{}
+	for _, j := range v.state.Jobs().All() {
+		if j.Live() && v.state.QueueOf(j).Priority() == 0 {
+			byOwner[j.Workspace()] = append(byOwner[j.Workspace()], j)
+		}
+	}
+	covered := map[string]bool{}
+	for name, jobs := range byOwner {
+		w, _ := v.state.Declaration().Workspace(name)
+		left := w.Guaranteed()
+		slices.SortFunc(jobs, func(a, b *batch.Job) int {
+			return cmp.Or(a.Accepted().Compare(b.Accepted()), compareText(a.Spec().ID(), b.Spec().ID()))
+		})
+		for _, j := range jobs {
+			if n := accelerators(j.Spec()); n <= left {
+				left -= n
+				covered[j.Spec().ID()] = true
+			}
+		}
+	}
+	return covered
+}
+
+// accelerators returns the most that any step of a job takes at once.
+func accelerators(s batch.Spec) int {
+	most := 0
+	for _, e := range s.Steps() {
+		most = max(most, e.Count()*e.Resources().Accelerators())
+	}
+	return most
+}
+
+func (p *planner) try(u *unit) {
+	if u.step.Gang() {
+		p.tryGang(u)
+		return
+	}
+	p.tryTasks(u)
+}
+
+// tryTasks places the tasks of a step that need not begin together.
+func (p *planner) tryTasks(u *unit) {
+	g := newGathering(u)
+	left := u.indexes[:0:0]
+	for _, n := range u.indexes {
+		e := p.choose(u, g, p.eligible(u))
+		if e == nil {
+			left = append(left, n)
+			continue
+		}
+		g.add(n, e)
+		p.take(u, e)
+	}
+	if len(g.members) > 0 {
+		p.plan.groups = append(p.plan.groups, g.group())
+	}
+	if len(left) == 0 {
+		return
+	}
+	u.indexes = left
+	if u.queue.Priority() == 0 && p.preempt(u, [][]*place{p.eligible(u)}) {
+		return
+	}
+	if len(g.members) == 0 {
+		p.reserve(u, [][]*place{p.eligible(u)})
+	}
+}
+
+// tryGang places all tasks of a gang or none.
+func (p *planner) tryGang(u *unit) {
+	sets := p.sets(u)
+	var best *gathering
+	for _, set := range sets {
+		g := p.gather(u, set)
+		if g != nil && (best == nil || g.waste < best.waste) {
+			best = g
+		}
+	}
+	if best != nil {
+		for _, e := range best.places {
+			p.take(u, e)
+		}
+		p.plan.groups = append(p.plan.groups, best.group())
+		return
+	}
+	if u.queue.Priority() == 0 && p.preempt(u, sets) {
+		return
+	}
+	p.reserve(u, sets)
+}
+
+// sets returns the sets of workers among which a gang may be placed: the racks for one that is slow across racks,
+// unless no rack is large enough.
+func (p *planner) sets(u *unit) (sets [][]*place) {
+	eligible := p.eligible(u)
+	if !u.step.Tight() {
+		return [][]*place{eligible}
+	}
+	racks := map[string][]*place{}
+	for _, e := range eligible {
+		racks[e.rack] = append(racks[e.rack], e)
+	}
+	for _, name := range slices.Sorted(keys(racks)) {
+		if p.couldHold(u, racks[name]) {
+			sets = append(sets, racks[name])
+		}
+	}
+	if len(sets) == 0 {
+		return [][]*place{eligible}
+	}
+	return sets
+}
+
+func keys(m map[string][]*place) func(yield func(string) bool) {
+	return func(yield func(string) bool) {
+		for k := range m {
+			if !yield(k) {
+				return
+			}
+		}
+	}
+}
+
+// eligible returns the workers that may run the unit's tasks, those near its data if they are enough for it.
+func (p *planner) eligible(u *unit) (list []*place) {
+	var near []*place
+	for _, e := range p.places {
+		if e.service != u.queue.Service() || u.step.Label() != "" && !slices.Contains(e.labels, u.step.Label()) {
+			continue
+		}
+		list = append(list, e)
+		if u.step.Rack() == e.rack {
+			near = append(near, e)
+		}
+	}
+	least := u
+	if !u.step.Gang() {
+		one := *u
+		one.indexes = one.indexes[:1]
+		least = &one
+	}
+	if u.step.Rack() != "" && p.couldHold(least, near) {
+		return near
+	}
+	return list
+}
+
+// couldHold reports whether the workers could run all tasks of the unit if they ran nothing else.
+func (p *planner) couldHold(u *unit, set []*place) bool {
+	room := 0
+	for _, e := range set {
+		room += u.most(e.capacity)
+		if room >= len(u.indexes) {
+			return true
+		}
+	}
+	return false
+}
+
+// most returns how many tasks of the unit fit into resources.
+func (u *unit) most(free batch.Resources) int {
+	needs, count := u.step.Reserved(), 0
+	for count < len(u.indexes) && needs.Fits(free) {
+		free = free.Minus(needs)
+		count++
+	}
+	if m := u.step.MaxPerWorker(); m > 0 {
+		count = min(count, m)
+	}
+	return count
+}
+
+// gathering is the placement of a unit while it is put together.
+type gathering struct {
+	unit    *unit
+	members []batch.Member
+	places  []*place
+	counts  map[*place]int
+	waste   int
+}
+
+func newGathering(u *unit) *gathering {
+	g := &gathering{unit: u, counts: map[*place]int{}}
+	return g
+}
+
+func (g *gathering) add(index int, e *place) {
+	run := 1
+	for n, t := range g.unit.job.Tasks(g.unit.key.Occurrence(), g.unit.key.Step()) {
+		if g.unit.step.Gang() || n == index {
+			run = max(run, t.Run()+1)
+		}
+	}
+	g.members = append(g.members, batch.NewMember(index, run, e.life))
+	g.places = append(g.places, e)
+	g.counts[e]++
+}
+
+func (g *gathering) group() batch.Group { return batch.NewGroup(g.unit.key, g.members...) }
+
+// gather places a gang among a set of workers, the fullest ones first, or returns nil.
+func (p *planner) gather(u *unit, set []*place) *gathering {
+	g := newGathering(u)
+	sorted := slices.Clone(set)
+	slices.SortStableFunc(sorted, func(a, b *place) int {
+		return cmp.Or(compareBool(a.suspect, b.suspect), cmp.Compare(p.fit(u, a), p.fit(u, b)))
+	})
+	left := u.indexes
+	for _, e := range sorted {
+		free := e.free
+		for len(left) > 0 && p.fits(u, g, e, free) {
+			free = free.Minus(u.step.Reserved())
+			g.add(left[0], e)
+			left = left[1:]
+		}
+		if g.counts[e] > 0 {
+			g.waste += free.Accelerators()
+			if e.suspect {
+				g.waste += suspectWaste
+			}
+		}
+		if len(left) == 0 {
+			return g
+		}
+	}
+	return nil
+}
+
+// suspectWaste makes a set with a suspect worker worse than any without.
+const suspectWaste = 1000
+
+// fit returns how many accelerators a worker has left over after it took as many tasks of the unit as fit; a worker
+// that fits none comes last.
+func (p *planner) fit(u *unit, e *place) int {
+	n := u.most(e.free)
+	if n == 0 {
+		return suspectWaste
+	}
+	return e.free.Accelerators() - n*u.step.Reserved().Accelerators()
+}
+
+// choose returns the best worker for one more task of a step, or nil.
+func (p *planner) choose(u *unit, g *gathering, set []*place) (best *place) {
+	for _, e := range set {
+		if !p.fits(u, g, e, e.free) {
+			continue
+		}
+		if best == nil || p.better(u, e, best) {
+			best = e
+		}
+	}
+	return best
+}
+
+func (p *planner) better(u *unit, a, b *place) bool {
+	if a.suspect != b.suspect {
+		return b.suspect
+	}
+	if u.step.Reserved().Accelerators() > 0 && a.free.Accelerators() != b.free.Accelerators() {
+		return a.free.Accelerators() < b.free.Accelerators()
+	}
+	return a.free.Millicores() < b.free.Millicores()
+}
+
+// fits reports whether one more task fits into what a worker has left, beside what others have booked there.
+func (p *planner) fits(u *unit, g *gathering, e *place, free batch.Resources) bool {
+	needs := u.step.Reserved()
+	if !needs.Fits(free) {
+		return false
+	}
+	if m := u.step.MaxPerWorker(); m > 0 && g.counts[e]+p.already(u, e) >= m {
+		return false
+	}
+	ends := p.view.now.Add(u.step.Estimate())
+	for _, b := range e.booked {
+		if ends.After(b.from) && !needs.Plus(b.needs).Fits(free.Plus(freed(e, b.from))) {
+			return false
+		}
+	}
+	return true
+}
+
+// already counts the placed tasks of the unit's step on a worker.
+func (p *planner) already(u *unit, e *place) (count int) {
+	for _, h := range e.holdings {
+		if h.id.Task().StepKey() == u.key {
+			count++
+		}
+	}
+	return count
+}
+
+// freed returns what a worker gets back until a time.
+func freed(e *place, until time.Time) (sum batch.Resources) {
+	for _, h := range e.holdings {
+		if !h.ends.After(until) {
+			sum = sum.Plus(h.step.Reserved())
+		}
+	}
+	return sum
+}
+
+func (p *planner) take(u *unit, e *place) {
+	e.free = e.free.Minus(u.step.Reserved())
+	e.holdings = append(e.holdings, &holding{
+		id: run.NewID(u.key, 0), job: u.job, step: u.step, place: e, since: p.view.now,
+		ends: p.view.now.Add(u.step.Estimate()), sure: true,
+	})
+}
--- /dev/null
+++ b/internal/placement/preempt.go
@@ -0,0 +1,143 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"rosemarywind.example/rosemarywind/internal/batch"
+)
+
+// patience is how long an urgent unit rather waits for a run to end than has one stopped.
+const patience = 600 * time.Millisecond
+
+// preempt stops runs so that an urgent unit fits into one of the sets, and reports whether it will. A unit within its
+// workspace's guarantee may stop anything that is not; another one may only stop less urgent runs that resume from a
+// checkpoint.
+func (p *planner) preempt(u *unit, sets [][]*place) bool {
+	for _, set := range sets {
+		if at, ok := p.earliest(u, set); ok && at.Sub(p.view.now) <= patience {
+			p.reserve(u, [][]*place{set})
+			return true
+		}
+	}
+	var best []*holding
+	var bestSet []*place
+	bestLoss := 0.0
+	for _, set := range sets {
+		victims, ok := p.victims(u, set)
+		if !ok {
+			continue
+		}
+		if loss := p.loss(victims); best == nil || loss < bestLoss {
+			best, bestSet, bestLoss = victims, set, loss
+		}
+	}
+	if best == nil {
+		return false
+	}
+	for _, h := range best {
+		if !p.stopped[h.id] {
+			p.stopped[h.id] = true
+			p.plan.stops = append(p.plan.stops, h.id)
+		}
+		h.ends = p.view.now.Add(stopAllowance)
+		h.stopping = true
+	}
+	p.reserve(u, [][]*place{bestSet})
+	return true
+}
+
+// victims returns the cheapest runs, found one after the other, whose end makes room for the unit.
+func (p *planner) victims(u *unit, set []*place) (victims []*holding, ok bool) {
+	free := map[*place]batch.Resources{}
+	var candidates []*holding
+	for _, e := range set {
+		free[e] = p.availableAt(e, p.view.now.Add(stopAllowance))
+		for _, h := range e.holdings {
+			if p.mayStop(u, h) {
+				candidates = append(candidates, h)
+			}
+		}
+	}
+	slices.SortStableFunc(candidates, func(a, b *holding) int {
+		return cmp.Or(cmp.Compare(p.price(a), p.price(b)), compareText(a.id.Task().String(), b.id.Task().String()))
+	})
+	room := func() (n int) {
+		for _, e := range set {
+			n += u.most(free[e])
+		}
+		return n
+	}
+	for _, h := range candidates {
+		if room() >= len(u.indexes) {
+			break
+		}
+		free[h.place] = free[h.place].Plus(h.step.Reserved())
+		victims = append(victims, h)
+	}
+	if room() < len(u.indexes) {
+		return nil, false
+	}
+	return p.prune(u, set, free, victims), true
+}
+
+// prune drops victims that are not needed, the dearest first.
+func (p *planner) prune(u *unit, set []*place, free map[*place]batch.Resources, victims []*holding) (kept []*holding) {
+	for i := len(victims) - 1; i >= 0; i-- {
+		h := victims[i]
+		free[h.place] = free[h.place].Minus(h.step.Reserved())
+		room := 0
+		for _, e := range set {
+			room += u.most(free[e])
+		}
+		if room < len(u.indexes) {
+			free[h.place] = free[h.place].Plus(h.step.Reserved())
+			kept = append(kept, h)
+		}
+	}
+	return kept
+}
+
+func (p *planner) mayStop(u *unit, h *holding) bool {
+	if h.stopping || h.sure || h.step.Lasting() || h.id.Run() == 0 || !h.ends.After(p.view.now.Add(patience)) {
+		return false
+	}
+	urgent := p.view.state.QueueOf(h.job).Priority() == 0
+	if u.sure {
+		return true
+	}
+	return !urgent && h.step.Checkpoints()
+}
+
+// price returns the work that stopping a run throws away, for each accelerator that it frees.
+func (p *planner) price(h *holding) float64 {
+	return p.thrownAway(h) / float64(1+h.step.Reserved().Accelerators())
+}
+
+// checkpointLoss is the work that a run loses which resumes from a checkpoint.
+const checkpointLoss = time.Second
+
+func (p *planner) thrownAway(h *holding) float64 {
+	lost := p.view.now.Sub(h.since)
+	if h.step.Checkpoints() {
+		lost = min(lost, checkpointLoss)
+	}
+	members := 1
+	if h.step.Gang() {
+		members = h.step.Count()
+	}
+	return lost.Seconds() * h.step.Resources().Cores() * float64(members)
+}
+
+func (p *planner) loss(victims []*holding) (sum float64) {
+	counted := map[batch.TaskID]bool{}
+	for _, h := range victims {
+		if h.step.Gang() && counted[h.id.Task().StepKey()] {
+			continue
+		}
+		counted[h.id.Task().StepKey()] = h.step.Gang()
+		sum += p.thrownAway(h)
+	}
+	return sum
+}
--- /dev/null
+++ b/internal/placement/unit.go
@@ -0,0 +1,108 @@
+package placement
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"rosemarywind.example/rosemarywind/internal/batch"
+)
+
+// unit is what begins together: a gang, or the waiting tasks of a step, which may begin one by one.
+type unit struct {
+	job       *batch.Job
+	queue     batch.Queue
+	step      batch.Step
+	key       batch.TaskID
+	indexes   []int
+	slack     time.Duration
+	sure      bool
+	placeable bool
+}
+
+// needs returns what all tasks of the unit take together.
+func (u *unit) needs() batch.Resources {
+	total := batch.Resources{}
+	for range u.indexes {
+		total = total.Plus(u.step.Reserved())
+	}
+	return total
+}
+
+// units returns what waits for workers.
+func (v View) units(j *batch.Job, sure bool) (list []*unit) {
+	if !j.Live() {
+		return nil
+	}
+	q := v.state.QueueOf(j)
+	spec := j.Spec()
+	for k := range spec.Times() {
+		begin := j.Accepted()
+		if due := spec.Due(k); !due.IsZero() {
+			if v.now.Before(due) {
+				continue
+			}
+			begin = due
+		}
+		for i, s := range spec.Steps() {
+			u := &unit{job: j, queue: q, step: s, key: batch.NewTaskID(spec.ID(), k, i, 0), sure: sure}
+			u.indexes = waiting(j.Tasks(k, i))
+			if len(u.indexes) == 0 || s.Gang() && len(u.indexes) < s.Count() || !j.Ready(k, i) {
+				continue
+			}
+			u.slack = begin.Add(q.Objective(spec.Length())).Sub(v.now.Add(spec.Chain(i)))
+			list = append(list, u)
+		}
+	}
+	return list
+}
+
+func waiting(tasks []batch.Task) (indexes []int) {
+	for n, t := range tasks {
+		if t.Phase() == batch.Waiting {
+			indexes = append(indexes, n)
+		}
+	}
+	return indexes
+}
+
+// order sorts units: those within a guarantee, then by priority those that can still meet their objective, those with
+// the least slack first, then the late ones.
+func order(units []*unit) {
+	slices.SortStableFunc(units, func(a, b *unit) int {
+		return cmp.Or(
+			-compareBool(a.sure, b.sure),
+			cmp.Compare(rank(a), rank(b)),
+			cmp.Compare(a.slack, b.slack),
+			compareText(a.key.String(), b.key.String()),
+		)
+	})
+}
+
+// The ranks of units, lower first.
+const (
+	rankUrgent = 0
+	rankTimely = 1
+	rankLate   = 2
+)
+
+func rank(u *unit) int {
+	switch {
+	case u.queue.Priority() == 0:
+		return rankUrgent
+	case u.slack >= 0:
+		return rankTimely
+	default:
+		return rankLate
+	}
+}
+
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	}
+	return -1
+}
--- /dev/null
+++ b/internal/placement/view.go
@@ -0,0 +1,148 @@
+package placement
+
+import (
+	"slices"
+	"time"
+
+	"rosemarywind.example/rosemarywind/internal/batch"
+	"rosemarywind.example/rosemarywind/internal/run"
+)
+
+// Worker is a worker that can take runs.
+type Worker struct {
+	announcement run.Announcement
+	suspect      bool
+}
+
+// NewWorker returns a worker as it announced itself; a suspect one failed what it ran lately and comes last.
+func NewWorker(a run.Announcement, suspect bool) Worker {
+	return Worker{announcement: a, suspect: suspect}
+}
+
+// View is all that a decision depends on.
+type View struct {
+	now      time.Time
+	state    batch.State
+	workers  []Worker
+	stopping map[run.ID]bool
+	far      float64
+}
+
+// NewView returns the view at a time: the replicated state, the workers that can take runs, and the runs that were
+// told to stop. Far is how many times as long a task takes away from its data or its gang's rack.
+func NewView(now time.Time, s batch.State, workers []Worker, stopping map[run.ID]bool, far float64) View {
+	return View{now: now, state: s, workers: workers, stopping: stopping, far: far}
+}
+
+// Plan is what is to be done.
+type Plan struct {
+	groups []batch.Group
+	stops  []run.ID
+}
+
+// Groups returns the runs to begin.
+func (p Plan) Groups() []batch.Group { return p.groups }
+
+// Stops returns the runs to stop so that more urgent ones can begin.
+func (p Plan) Stops() []run.ID { return p.stops }
+
+// place is a worker with what it has left during a decision.
+type place struct {
+	life     batch.Life
+	service  string
+	rack     string
+	labels   []string
+	capacity batch.Resources
+	free     batch.Resources
+	suspect  bool
+	holdings []*holding
+	booked   []booking
+}
+
+// holding is a run that a worker has.
+type holding struct {
+	id       run.ID
+	job      *batch.Job
+	step     batch.Step
+	place    *place
+	ends     time.Time
+	since    time.Time
+	stopping bool
+	sure     bool
+}
+
+// booking is a claim on a worker from a time on.
+type booking struct {
+	from  time.Time
+	needs batch.Resources
+}
+
+// stopAllowance is how long a run that was told to stop is expected to keep its resources.
+const stopAllowance = 500 * time.Millisecond
+
+// places returns the workers with what is placed on them; the others' holdings are left out.
+func (v View) places() (list []*place, byLife map[batch.Life]*place) {
+	byLife = map[batch.Life]*place{}
+	for _, w := range v.workers {
+		a := w.announcement
+		p := &place{
+			life: a.Life(), service: a.Service(), rack: a.Rack(), labels: a.Labels(),
+			capacity: a.Capacity(), free: a.Capacity(), suspect: w.suspect,
+		}
+		list = append(list, p)
+		byLife[p.life] = p
+	}
+	slices.SortFunc(list, func(a, b *place) int { return compareText(a.life.ID(), b.life.ID()) })
+	return list, byLife
+}
+
+// hold notes the placed runs of a job at their workers.
+func (v View) hold(j *batch.Job, byLife map[batch.Life]*place, sure bool) {
+	steps := j.Spec().Steps()
+	for k := range j.Spec().Times() {
+		for i, s := range steps {
+			for n, t := range j.Tasks(k, i) {
+				if t.Phase() != batch.Placed {
+					continue
+				}
+				p, known := byLife[t.Worker()]
+				if !known {
+					continue
+				}
+				id := run.NewID(batch.NewTaskID(j.Spec().ID(), k, i, n), t.Run())
+				h := &holding{id: id, job: j, step: s, place: p, since: t.Since(), stopping: v.stopping[id] || !j.Live(), sure: sure}
+				h.ends = v.expectedEnd(h)
+				p.holdings = append(p.holdings, h)
+				p.free = p.free.Minus(s.Reserved())
+			}
+		}
+	}
+}
+
+func (v View) expectedEnd(h *holding) time.Time {
+	if h.stopping {
+		return v.now.Add(stopAllowance)
+	}
+	estimate := h.step.Estimate()
+	if h.step.Rack() != "" && h.step.Rack() != h.place.rack {
+		estimate = time.Duration(float64(estimate) * v.far)
+	}
+	ends := h.since.Add(estimate)
+	if least := v.now.Add(estimate / overdueShare); ends.Before(least) {
+		return least
+	}
+	return ends
+}
+
+// overdueShare is the part of its estimate that a run beyond its estimate is expected to take still.
+const overdueShare = 8
+
+func compareText(a, b string) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/run/order.go
@@ -0,0 +1,111 @@
+package run
+
+import (
+	"time"
+
+	"rosemarywind.example/rosemarywind/internal/batch"
+)
+
+// Order tells an agent what to do with its worker.
+//
+//sumtype:decl
+type Order interface{ order() }
+
+// Start begins a run of a task.
+type Start struct {
+	id         ID
+	life       batch.Life
+	payload    string
+	checkpoint string
+	lease      time.Duration
+}
+
+// Stop ends a run, or keeps a late start of it from running.
+type Stop struct{ id ID }
+
+// Hold extends the lease of all that the worker runs, and acknowledges its ends up to a number.
+type Hold struct {
+	life         batch.Life
+	lease        time.Duration
+	acknowledged int64
+	look         bool
+}
+
+func (Start) order() {}
+func (Stop) order()  {}
+func (Hold) order()  {}
+
+// ID names one run of a task.
+type ID struct {
+	task batch.TaskID
+	run  int
+}
+
+// NewID returns the name of a run.
+func NewID(task batch.TaskID, run int) ID { return ID{task: task, run: run} }
+
+// Task returns the task.
+func (i ID) Task() batch.TaskID { return i.task }
+
+// Run returns the run's number, from 1.
+func (i ID) Run() int { return i.run }
+
+// NewStart returns the order to begin a run in the given life of a worker under a lease that ends at a time of the
+// worker's clock.
+func NewStart(id ID, life batch.Life, payload, checkpoint string, lease time.Duration) Start {
+	return Start{id: id, life: life, payload: payload, checkpoint: checkpoint, lease: lease}
+}
+
+// ID returns the run.
+func (o Start) ID() ID { return o.id }
+
+// Life returns the life of the worker that the order is meant for.
+func (o Start) Life() batch.Life { return o.life }
+
+// Payload returns what the task is told to run.
+func (o Start) Payload() string { return o.payload }
+
+// Checkpoint returns where the run resumes, or an empty string.
+func (o Start) Checkpoint() string { return o.checkpoint }
+
+// Lease returns when the lease ends on the worker's clock.
+func (o Start) Lease() time.Duration { return o.lease }
+
+// NewStop returns the order to end a run.
+func NewStop(id ID) Stop { return Stop{id: id} }
+
+// ID returns the run.
+func (o Stop) ID() ID { return o.id }
+
+// NewHold returns the order to extend the lease until a time of the worker's clock, or not at all if that is 0, and to
+// acknowledge ends; look asks for a list of the runs at once.
+func NewHold(life batch.Life, lease time.Duration, acknowledged int64, look bool) Hold {
+	return Hold{life: life, lease: lease, acknowledged: acknowledged, look: look}
+}
+
+// Life returns the life of the worker that the order is meant for.
+func (o Hold) Life() batch.Life { return o.life }
+
+// Lease returns when the lease ends on the worker's clock.
+func (o Hold) Lease() time.Duration { return o.lease }
+
+// Acknowledged returns the number of the last end that was committed.
+func (o Hold) Acknowledged() int64 { return o.acknowledged }
+
+// Look reports whether the leader asks for a list at once.
+func (o Hold) Look() bool { return o.look }
+
+// Envelope is an order and the fencing token that it is given under.
+type Envelope struct {
+	fence uint64
+	order Order
+}
+
+// NewEnvelope returns an order under a fencing token.
+func NewEnvelope(fence uint64, o Order) Envelope { return Envelope{fence: fence, order: o} }
+
+// Fence returns the fencing token.
+func (e Envelope) Fence() uint64 { return e.fence }
+
+// Order returns the order.
+func (e Envelope) Order() Order { return e.order }
--- /dev/null
+++ b/internal/scheduler/calls.go
@@ -0,0 +1,206 @@
+package scheduler
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"time"
+
+	"rosemarywind.example/rosemarywind/internal/batch"
+	"rosemarywind.example/rosemarywind/internal/call"
+	"rosemarywind.example/rosemarywind/internal/ledger/driver"
+	"rosemarywind.example/rosemarywind/internal/link"
+	"rosemarywind.example/rosemarywind/internal/wire"
+)
+
+// callTimeout bounds how long a call may wait for its commit.
+const callTimeout = 4 * time.Second
+
+// answer serves one call of another process.
+func (s *Scheduler) answer(ctx context.Context, st *link.Stream, trace string) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	_ = st.SetDeadline(time.Now().Add(callTimeout))
+	c, err := wire.ReadCall(st)
+	if err != nil {
+		s.logger.Warn("call refused", "peer", st.RemoteAddr().String(), "error", err)
+		return
+	}
+	begun := time.Now()
+	r := s.decide(ctx, begun, c)
+	s.meters.calls.Inc(1)
+	s.meters.answering.Update(time.Since(begun).Microseconds())
+	s.logCall(c, r, trace)
+	r = r.WithHosts(s.hosts())
+	if err = wire.WriteReply(st, r); err != nil {
+		s.logger.Debug("reply not delivered", "peer", st.RemoteAddr().String(), "error", err)
+		return
+	}
+	st.Finish()
+}
+
+// decide answers a call if this host leads.
+func (s *Scheduler) decide(ctx context.Context, now time.Time, c call.Call) call.Reply {
+	if !s.node.Status().Load().Ready(now) {
+		return call.NewReply(call.NotLeader, "this control host does not lead")
+	}
+	switch c := c.(type) {
+	case call.Submit:
+		return s.submit(ctx, now, c)
+	case call.Read:
+		return s.read(ctx, c)
+	case call.Cancel:
+		return s.cancel(ctx, now, c)
+	case call.Declare:
+		return s.declare(ctx, c)
+	case call.ReadDeclaration:
+		return s.readDeclaration(ctx)
+	case call.Ping:
+		return call.NewReply(call.OK, "")
+	}
+	return call.NewReply(call.Invalid, "unknown call")
+}
+
+// locate finds the queue that a request names, the owner of its key, and the rest of its path.
+func (s *Scheduler) locate(p call.Place) (q batch.Queue, owner, rest string, refusal call.Outcome) {
+	d := s.state.Load().Declaration()
+	if d.Version() == 0 {
+		return q, "", "", call.Unavailable
+	}
+	q, rest, ok := d.At(p.Host(), p.Path())
+	if !ok {
+		return q, "", "", call.NoQueue
+	}
+	owner, known := d.Owner(p.Key())
+	if !known && !q.Open() {
+		return q, "", "", call.Unauthorized
+	}
+	return q, owner, rest, ""
+}
+
+func (s *Scheduler) submit(ctx context.Context, now time.Time, c call.Submit) call.Reply {
+	q, owner, id, refusal := s.locate(c.Place())
+	if refusal != "" {
+		return call.NewReply(refusal, "")
+	}
+	if id == "" || strings.ContainsAny(id, "/.") {
+		return call.NewReply(call.Invalid, "the path names no job")
+	}
+	if _, err := s.decoder.Spec(id, c.Document()); err != nil {
+		return call.NewReply(call.Invalid, err.Error())
+	}
+	r, err := s.propose(ctx, batch.NewSubmit(id, q.Name(), owner, c.Document(), now))
+	if err != nil {
+		return s.failure(err)
+	}
+	switch r := r.(type) {
+	case batch.Accepted:
+		return call.NewReply(call.OK, "")
+	case batch.Rejected:
+		return call.NewReply(call.NoQueue, r.Reason())
+	case batch.Declared, batch.Cancelled, batch.Begun, batch.Applied:
+	}
+	return call.NewReply(call.Uncertain, "unexpected result of a submission")
+}
+
+func (s *Scheduler) read(ctx context.Context, c call.Read) call.Reply {
+	q, _, id, refusal := s.locate(c.Place())
+	if refusal != "" {
+		return call.NewReply(refusal, "")
+	}
+	if id == "" {
+		return call.NewReply(call.OK, "").WithPending(s.state.Load().Pending(q.Name()))
+	}
+	if j, known := s.state.Load().Job(id); known {
+		return call.NewReply(call.OK, "").WithState(string(j.State()))
+	}
+	// A leader that was replaced without noticing may not know of a newer job.
+	if _, err := s.propose(ctx, batch.Barrier{}); err != nil {
+		return s.failure(err)
+	}
+	if j, known := s.state.Load().Job(id); known {
+		return call.NewReply(call.OK, "").WithState(string(j.State()))
+	}
+	return call.NewReply(call.NoJob, "")
+}
+
+func (s *Scheduler) cancel(ctx context.Context, now time.Time, c call.Cancel) call.Reply {
+	_, _, id, refusal := s.locate(c.Place())
+	if refusal != "" {
+		return call.NewReply(refusal, "")
+	}
+	r, err := s.propose(ctx, batch.NewCancel(id, now))
+	if err != nil {
+		return s.failure(err)
+	}
+	if r, ok := r.(batch.Cancelled); ok && r.Known() {
+		return call.NewReply(call.OK, "")
+	}
+	return call.NewReply(call.NoJob, "")
+}
+
+func (s *Scheduler) declare(ctx context.Context, c call.Declare) call.Reply {
+	if _, err := s.decoder.Declaration(c.Document()); err != nil {
+		return call.NewReply(call.Invalid, err.Error())
+	}
+	r, err := s.propose(ctx, batch.NewDeclare(c.Document()))
+	if err != nil {
+		return s.failure(err)
+	}
+	switch r := r.(type) {
+	case batch.Declared:
+		return call.NewReply(call.OK, "")
+	case batch.Rejected:
+		return call.NewReply(call.Invalid, r.Reason())
+	case batch.Accepted, batch.Cancelled, batch.Begun, batch.Applied:
+	}
+	return call.NewReply(call.Uncertain, "unexpected result of a declaration")
+}
+
+// readDeclaration commits a barrier first, so that a leader that was replaced without noticing answers nothing old.
+func (s *Scheduler) readDeclaration(ctx context.Context) call.Reply {
+	if _, err := s.propose(ctx, batch.Barrier{}); err != nil {
+		return call.NewReply(call.Unavailable, err.Error())
+	}
+	document := s.state.Load().Document()
+	if document == nil {
+		return call.NewReply(call.Unavailable, "nothing was declared yet")
+	}
+	return call.NewReply(call.OK, "").WithDocument(document)
+}
+
+// failure returns the reply for a command that was perhaps not committed.
+func (s *Scheduler) failure(err error) call.Reply {
+	var unknown *driver.UnknownOutcomeError
+	if errors.As(err, &unknown) || errors.Is(err, context.DeadlineExceeded) {
+		return call.NewReply(call.Uncertain, err.Error())
+	}
+	var moved *driver.NotLeaderError
+	if errors.As(err, &moved) {
+		return call.NewReply(call.NotLeader, err.Error())
+	}
+	return call.NewReply(call.Uncertain, err.Error())
+}
+
+// logCall writes one line for a call that changed something or was not answered as asked.
+func (s *Scheduler) logCall(c call.Call, r call.Reply, trace string) {
+	fields := []any{"outcome", string(r.Outcome()), "reason", r.Reason(), "version", s.state.Load().Declaration().Version()}
+	if trace != "" {
+		fields = append(fields, "trace", trace)
+	}
+	switch c := c.(type) {
+	case call.Submit:
+		s.logger.Info("submission", append(fields, "path", c.Place().Path())...)
+	case call.Cancel:
+		s.logger.Info("cancellation", append(fields, "path", c.Place().Path())...)
+	case call.Declare:
+		s.logger.Info("declaration", append(fields, "bytes", len(c.Document()))...)
+	case call.Read:
+		if r.Outcome() != call.OK {
+			s.logger.Info("read", append(fields, "path", c.Place().Path(), "host", c.Place().Host())...)
+		}
+	case call.ReadDeclaration:
+		s.logger.Info("declaration read", fields...)
+	case call.Ping:
+	}
+}
--- /dev/null
+++ b/internal/scheduler/director.go
@@ -0,0 +1,201 @@
+package scheduler
+
+import (
+	"context"
+	"time"
+
+	"rosemarywind.example/rosemarywind/internal/batch"
+	"rosemarywind.example/rosemarywind/internal/dispatch"
+	"rosemarywind.example/rosemarywind/internal/run"
+)
+
+// director is the controller that drives the workers while this host leads.
+type director struct {
+	*Scheduler
+	sessions map[string]*session
+}
+
+func newDirector(s *Scheduler) *director {
+	return &director{Scheduler: s, sessions: map[string]*session{}}
+}
+
+// run leads term after term until the context ends.
+func (d *director) run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		status, changed := d.node.Status().Watch()
+		if status.Ready(time.Now()) {
+			d.lead(ctx, status.Term())
+			continue
+		}
+		select {
+		case <-changed:
+		case e := <-d.events:
+			d.turnAway(e)
+		case <-ctx.Done():
+		}
+	}
+	return ctx.Err()
+}
+
+// turnAway ends a session that reached this host while it does not lead.
+func (d *director) turnAway(e event) {
+	switch e := e.(type) {
+	case opened:
+		e.session.cancel()
+	case reported:
+		e.session.cancel()
+	case closed:
+	}
+}
+
+// batchWindow is how long the loop waits for more events before it decides.
+const batchWindow = 3 * time.Millisecond
+
+// lead decides for one term.
+func (d *director) lead(ctx context.Context, term uint64) {
+	core := dispatch.NewCore(d.timing, term, time.Now())
+	d.logger.Info("leading", "term", term)
+	defer func() {
+		for agent, s := range d.sessions {
+			s.cancel()
+			delete(d.sessions, agent)
+		}
+		d.logger.Info("leads no more", "term", term)
+	}()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		status, changed := d.node.Status().Watch()
+		if ctx.Err() != nil || status.Term() != term || !status.Leading() {
+			return
+		}
+		_, applied := d.state.Watch()
+		if status.Ready(time.Now()) {
+			timer.Reset(time.Until(d.step(ctx, core, term)))
+		} else {
+			timer.Reset(batchWindow)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		case <-changed:
+		case <-applied:
+		case e := <-d.events:
+			d.take(core, e)
+			d.drain(core)
+		}
+	}
+}
+
+// drain takes the events that have come meanwhile.
+func (d *director) drain(core *dispatch.Core) {
+	for {
+		select {
+		case e := <-d.events:
+			d.take(core, e)
+		default:
+			return
+		}
+	}
+}
+
+func (d *director) take(core *dispatch.Core, e event) {
+	switch e := e.(type) {
+	case opened:
+		if old := d.sessions[e.session.agent]; old != nil {
+			old.cancel()
+		}
+		d.sessions[e.session.agent] = e.session
+		core.Connect(e.session.agent, e.session.number)
+		d.logger.Info("agent connected", "agent", e.session.agent)
+	case reported:
+		if d.sessions[e.session.agent] == e.session {
+			core.Report(time.Now(), e.report)
+		}
+	case closed:
+		if d.sessions[e.session.agent] == e.session {
+			delete(d.sessions, e.session.agent)
+			core.Disconnect(e.session.agent, e.session.number)
+			d.logger.Info("agent lost", "agent", e.session.agent)
+		}
+	}
+}
+
+// step decides once and carries the decision out; it returns when the next one is due.
+func (d *director) step(ctx context.Context, core *dispatch.Core, term uint64) time.Time {
+	begun := time.Now()
+	a := core.Step(begun, d.state.Load())
+	d.meters.decision.Update(time.Since(begun).Microseconds())
+	d.logDecisions(a.Decisions())
+	for _, o := range a.Orders() {
+		d.order(o, term)
+	}
+	if len(a.Ends()) > 0 {
+		d.meters.ends.Inc(int64(len(a.Ends())))
+		d.commit(ctx, batch.NewFinish(begun, a.Ends()...))
+		return time.Now()
+	}
+	if !a.Forget().IsZero() {
+		d.commit(ctx, batch.NewForget(a.Forget()))
+	}
+	if len(a.Groups()) > 0 {
+		d.begin(ctx, core, begun, a.Groups())
+		return time.Now()
+	}
+	return a.Wake()
+}
+
+// begin commits the start of runs; the next step orders those that were committed.
+func (d *director) begin(ctx context.Context, core *dispatch.Core, now time.Time, groups []batch.Group) {
+	r, ok := d.commit(ctx, batch.NewBegin(now, groups...)).(batch.Begun)
+	if !ok {
+		return
+	}
+	for i, placed := range r.Placed() {
+		if placed {
+			core.Begun(groups[i])
+			d.meters.starts.Inc(int64(len(groups[i].Members())))
+		}
+	}
+}
+
+// commitTimeout bounds a commit of the leader's loop; a leader that cannot commit is replaced sooner.
+const commitTimeout = 3 * time.Second
+
+func (d *director) commit(ctx context.Context, c batch.Command) batch.Result {
+	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	r, err := d.propose(ctx, c)
+	if err != nil {
+		d.logger.Warn("decision not committed", "error", err)
+	}
+	return r
+}
+
+// order queues an order; a session that takes none is closed, and the agent opens another.
+func (d *director) order(o dispatch.Addressed, term uint64) {
+	s := d.sessions[o.Agent()]
+	if s == nil {
+		return
+	}
+	select {
+	case s.orders <- run.NewEnvelope(term, o.Order()):
+	default:
+		d.logger.Warn("agent takes no orders", "agent", o.Agent())
+		s.cancel()
+	}
+}
+
+func (d *director) logDecisions(list []dispatch.Decision) {
+	for _, e := range list {
+		switch e.What() {
+		case "lost":
+			d.meters.lost.Inc(1)
+		case "stop":
+			d.meters.stops.Inc(1)
+		}
+		d.logger.Info("run", "task", e.ID().Task().String(), "run", e.ID().Run(), "worker", e.Worker(),
+			"decision", e.What(), "reason", e.Why(), "age_ms", e.Age().Milliseconds())
+	}
+}
--- /dev/null
+++ b/internal/scheduler/metrics.go
@@ -0,0 +1,30 @@
+package scheduler
+
+import (
+	gometrics "github.com/rcrowley/go-metrics"
+
+	"rosemarywind.example/rosemarywind/internal/telemetry"
+)
+
+// meters are the counters and histograms of a control host; times are in microseconds.
+type meters struct {
+	calls     gometrics.Counter
+	refused   gometrics.Counter
+	starts    gometrics.Counter
+	ends      gometrics.Counter
+	stops     gometrics.Counter
+	lost      gometrics.Counter
+	commit    gometrics.Histogram
+	decision  gometrics.Histogram
+	answering gometrics.Histogram
+}
+
+func newMeters(r *telemetry.Registry) meters {
+	return meters{
+		calls: r.Counter("scheduler.calls"), refused: r.Counter("scheduler.refused"),
+		starts: r.Counter("scheduler.starts"), ends: r.Counter("scheduler.ends"),
+		stops: r.Counter("scheduler.stops"), lost: r.Counter("scheduler.lost"),
+		commit: r.Histogram("scheduler.commit"), decision: r.Histogram("scheduler.decision"),
+		answering: r.Histogram("scheduler.answering"),
+	}
+}
--- /dev/null
+++ b/internal/wire/call.go
@@ -0,0 +1,106 @@
+package wire
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"rosemarywind.example/rosemarywind/internal/call"
+)
+
+// The kinds of calls.
+const (
+	callSubmit          = "submit"
+	callRead            = "read"
+	callCancel          = "cancel"
+	callDeclare         = "declare"
+	callReadDeclaration = "read-declaration"
+	callPing            = "ping"
+)
+
+type callForm struct {
+	Kind     string `cbor:"1,keyasint"`
+	Host     string `cbor:"2,keyasint,omitempty"`
+	Path     string `cbor:"3,keyasint,omitempty"`
+	Key      string `cbor:"4,keyasint,omitempty"`
+	Document []byte `cbor:"5,keyasint,omitempty"`
+}
+
+func placedForm(kind string, p call.Place, document []byte) callForm {
+	return callForm{Kind: kind, Host: p.Host(), Path: p.Path(), Key: p.Key(), Document: document}
+}
+
+// WriteCall writes the opening of a stream and a call.
+func WriteCall(w io.Writer, trace string, c call.Call) error {
+	var f callForm
+	switch c := c.(type) {
+	case call.Submit:
+		f = placedForm(callSubmit, c.Place(), c.Document())
+	case call.Read:
+		f = placedForm(callRead, c.Place(), nil)
+	case call.Cancel:
+		f = placedForm(callCancel, c.Place(), nil)
+	case call.Declare:
+		f = callForm{Kind: callDeclare, Document: c.Document()}
+	case call.ReadDeclaration:
+		f = callForm{Kind: callReadDeclaration}
+	case call.Ping:
+		f = callForm{Kind: callPing}
+	}
+	return writeFrames(w, nil, NewOpening(KindCall, trace).form(), f)
+}
+
+// ReadCall reads a call after the opening.
+func ReadCall(r io.Reader) (c call.Call, err error) {
+	defer annotate("read call", &err)
+	var f callForm
+	if err = readFrame(r, &f, MaxFrameBytes); err != nil {
+		return nil, err
+	}
+	place := call.NewPlace(f.Host, f.Path, f.Key)
+	switch f.Kind {
+	case callSubmit:
+		return call.NewSubmit(place, f.Document), nil
+	case callRead:
+		return call.NewRead(place), nil
+	case callCancel:
+		return call.NewCancel(place), nil
+	case callDeclare:
+		return call.NewDeclare(f.Document), nil
+	case callReadDeclaration:
+		return call.ReadDeclaration{}, nil
+	case callPing:
+		return call.Ping{}, nil
+	}
+	return nil, fmt.Errorf("unknown kind %q", f.Kind)
+}
+
+type callReplyForm struct {
+	Outcome    string   `cbor:"1,keyasint"`
+	Reason     string   `cbor:"2,keyasint,omitempty"`
+	State      string   `cbor:"3,keyasint,omitempty"`
+	Pending    int      `cbor:"4,keyasint,omitempty"`
+	RetryAfter int64    `cbor:"5,keyasint,omitempty"`
+	Document   []byte   `cbor:"6,keyasint,omitempty"`
+	Leader     string   `cbor:"7,keyasint,omitempty"`
+	Hosts      []string `cbor:"8,keyasint,omitempty"`
+}
+
+// WriteReply writes the reply to a call.
+func WriteReply(w io.Writer, r call.Reply) error {
+	return writeFrame(w, callReplyForm{
+		Outcome: string(r.Outcome()), Reason: r.Reason(), State: r.State(), Pending: r.Pending(),
+		RetryAfter: int64(r.RetryAfter()), Document: r.Document(), Leader: r.Leader(), Hosts: r.Hosts(),
+	})
+}
+
+// ReadReply reads the reply to a call.
+func ReadReply(r io.Reader) (reply call.Reply, err error) {
+	defer annotate("read reply", &err)
+	var f callReplyForm
+	if err = readFrame(r, &f, MaxFrameBytes); err != nil {
+		return reply, err
+	}
+	return call.NewReply(call.Outcome(f.Outcome), f.Reason).WithState(f.State).WithPending(f.Pending).
+		WithRetryAfter(time.Duration(f.RetryAfter)).WithDocument(f.Document).WithHosts(f.Leader, f.Hosts), nil
+}
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -34,6 +34,8 @@
 	KindOrders     Kind = "orders"
 	KindLedger     Kind = "ledger"
 	KindPing       Kind = "ping"
+	KindCall       Kind = "call"
+	KindRuns       Kind = "runs"
 )
 
 type openingForm struct {
--- /dev/null
+++ b/internal/wire/run.go
@@ -0,0 +1,216 @@
+package wire
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"rosemarywind.example/rosemarywind/internal/batch"
+	"rosemarywind.example/rosemarywind/internal/run"
+)
+
+// The kinds of orders about runs.
+const (
+	runStart = "start"
+	runStop  = "stop"
+	runHold  = "hold"
+)
+
+type runIDForm struct {
+	_    struct{} `cbor:",toarray"`
+	Task taskForm
+	Run  int
+}
+
+func newRunIDForm(i run.ID) runIDForm { return runIDForm{Task: newTaskForm(i.Task()), Run: i.Run()} }
+
+func (f runIDForm) id() run.ID { return run.NewID(f.Task.task(), f.Run) }
+
+type runOrderForm struct {
+	Kind       string     `cbor:"1,keyasint"`
+	Fence      uint64     `cbor:"2,keyasint"`
+	ID         *runIDForm `cbor:"3,keyasint,omitempty"`
+	Life       *lifeForm  `cbor:"4,keyasint,omitempty"`
+	Payload    string     `cbor:"5,keyasint,omitempty"`
+	Checkpoint string     `cbor:"6,keyasint,omitempty"`
+	Lease      int64      `cbor:"7,keyasint,omitempty"`
+	Ack        int64      `cbor:"8,keyasint,omitempty"`
+	Look       bool       `cbor:"9,keyasint,omitempty"`
+}
+
+// WriteRunOrder writes an order about runs.
+func WriteRunOrder(w io.Writer, e run.Envelope) error {
+	f := runOrderForm{Fence: e.Fence()}
+	switch o := e.Order().(type) {
+	case run.Start:
+		id, life := newRunIDForm(o.ID()), newLifeForm(o.Life())
+		f.Kind, f.ID, f.Life, f.Payload, f.Checkpoint, f.Lease = runStart, &id, &life, o.Payload(), o.Checkpoint(), int64(o.Lease())
+	case run.Stop:
+		id := newRunIDForm(o.ID())
+		f.Kind, f.ID = runStop, &id
+	case run.Hold:
+		life := newLifeForm(o.Life())
+		f.Kind, f.Life, f.Lease, f.Ack, f.Look = runHold, &life, int64(o.Lease()), o.Acknowledged(), o.Look()
+	}
+	return writeFrame(w, f)
+}
+
+// ReadRunOrder reads an order about runs.
+func ReadRunOrder(r io.Reader) (e run.Envelope, err error) {
+	defer annotate("read order", &err)
+	var f runOrderForm
+	if err = readFrame(r, &f, MaxFrameBytes); err != nil {
+		return e, err
+	}
+	switch {
+	case f.Kind == runStart && f.ID != nil && f.Life != nil:
+		return run.NewEnvelope(f.Fence, run.NewStart(f.ID.id(), f.Life.life(), f.Payload, f.Checkpoint, time.Duration(f.Lease))), nil
+	case f.Kind == runStop && f.ID != nil:
+		return run.NewEnvelope(f.Fence, run.NewStop(f.ID.id())), nil
+	case f.Kind == runHold && f.Life != nil:
+		return run.NewEnvelope(f.Fence, run.NewHold(f.Life.life(), time.Duration(f.Lease), f.Ack, f.Look)), nil
+	}
+	return e, fmt.Errorf("order of kind %q is unknown or incomplete", f.Kind)
+}
+
+type runWorkerForm struct {
+	_            struct{} `cbor:",toarray"`
+	Life         lifeForm
+	Service      string
+	Zone         string
+	Rack         string
+	Labels       []string
+	Millicores   int
+	MemoryMB     int
+	Accelerators int
+	Draining     bool
+	Remaining    int64
+	Sequence     int64
+	Clock        int64
+}
+
+type runningForm struct {
+	_          struct{} `cbor:",toarray"`
+	ID         runIDForm
+	Checkpoint string
+	Percent    int
+	Figure     int
+}
+
+type finishedForm struct {
+	_      struct{} `cbor:",toarray"`
+	Number int64
+	End    endForm
+}
+
+type listForm struct {
+	_        struct{} `cbor:",toarray"`
+	Life     lifeForm
+	Fence    uint64
+	Clock    int64
+	Running  []runningForm
+	Finished []finishedForm
+	Settled  []runIDForm
+}
+
+type refusalForm struct {
+	_      struct{} `cbor:",toarray"`
+	ID     runIDForm
+	Reason string
+}
+
+type runReportForm struct {
+	Agent        string         `cbor:"1,keyasint"`
+	Announcement *runWorkerForm `cbor:"2,keyasint,omitempty"`
+	List         *listForm      `cbor:"3,keyasint,omitempty"`
+	Refused      []refusalForm  `cbor:"4,keyasint,omitempty"`
+	Gone         bool           `cbor:"5,keyasint,omitempty"`
+}
+
+func newRunWorkerForm(a run.Announcement) *runWorkerForm {
+	c := a.Capacity()
+	return &runWorkerForm{
+		Life: newLifeForm(a.Life()), Service: a.Service(), Zone: a.Zone(), Rack: a.Rack(), Labels: a.Labels(),
+		Millicores: c.Millicores(), MemoryMB: c.MemoryMB(), Accelerators: c.Accelerators(),
+		Draining: a.Draining(), Remaining: int64(a.Remaining()), Sequence: a.Sequence(), Clock: int64(a.Clock()),
+	}
+}
+
+func (f runWorkerForm) announcement() run.Announcement {
+	a := run.NewAnnouncement(f.Life.life(), f.Service, f.Zone, f.Sequence).WithPlace(f.Rack, f.Labels).
+		WithCapacity(batch.NewResources(f.Millicores, f.MemoryMB, f.Accelerators)).WithClock(time.Duration(f.Clock))
+	if f.Draining {
+		a = a.WithDraining(time.Duration(f.Remaining))
+	}
+	return a
+}
+
+func newListForm(l run.List) *listForm {
+	f := &listForm{Life: newLifeForm(l.Life()), Fence: l.Fence(), Clock: int64(l.Clock())}
+	for _, r := range l.Running() {
+		f.Running = append(f.Running, runningForm{ID: newRunIDForm(r.ID()), Checkpoint: r.Checkpoint(), Percent: r.Percent(), Figure: r.Figure()})
+	}
+	for _, e := range l.Finished() {
+		f.Finished = append(f.Finished, finishedForm{Number: e.Number(), End: newEndForm(e.End())})
+	}
+	for _, s := range l.Settled() {
+		f.Settled = append(f.Settled, newRunIDForm(s))
+	}
+	return f
+}
+
+func (f listForm) list() run.List {
+	running := make([]run.Running, len(f.Running))
+	for i, r := range f.Running {
+		running[i] = run.NewRunning(r.ID.id(), r.Checkpoint, r.Percent, r.Figure)
+	}
+	finished := make([]run.Finished, len(f.Finished))
+	for i, e := range f.Finished {
+		finished[i] = run.NewFinished(e.Number, e.End.end())
+	}
+	settled := make([]run.ID, len(f.Settled))
+	for i, s := range f.Settled {
+		settled[i] = s.id()
+	}
+	return run.NewList(f.Life.life(), f.Fence, time.Duration(f.Clock), running, finished, settled)
+}
+
+// WriteRunReport writes the report of an agent.
+func WriteRunReport(w io.Writer, r run.Report) error {
+	f := runReportForm{Agent: r.Agent(), Gone: r.Gone()}
+	if a, ok := r.Announcement(); ok {
+		f.Announcement = newRunWorkerForm(a)
+	}
+	if l, ok := r.List(); ok {
+		f.List = newListForm(l)
+	}
+	for _, e := range r.Refused() {
+		f.Refused = append(f.Refused, refusalForm{ID: newRunIDForm(e.ID()), Reason: e.Reason()})
+	}
+	return writeFrame(w, f)
+}
+
+// ReadRunReport reads the report of an agent.
+func ReadRunReport(r io.Reader) (report run.Report, err error) {
+	defer annotate("read report", &err)
+	var f runReportForm
+	if err = readFrame(r, &f, MaxFrameBytes); err != nil {
+		return report, err
+	}
+	report = run.NewReport(f.Agent)
+	if f.Announcement != nil {
+		report = report.WithAnnouncement(f.Announcement.announcement())
+	}
+	if f.List != nil {
+		report = report.WithList(f.List.list())
+	}
+	refused := make([]run.Refusal, len(f.Refused))
+	for i, e := range f.Refused {
+		refused[i] = run.NewRefusal(e.ID.id(), e.Reason)
+	}
+	report = report.WithRefused(refused)
+	if f.Gone {
+		report = report.WithGone()
+	}
+	return report, nil
+}
