Do not let guaranteed work wait for runs that seem about to end

The declared times of a large scan were far too short, so its overdue runs were expected to end within 0.6 s again and again, and the guaranteed gang waited 4.1 s for them. The new test also showed that the tasks placed within a decision were counted twice against the most for each worker. Change: guaranteed work stops what is in its way whatever its estimate says; an overdue run is expected to take as long again as it is overdue.

--- /dev/null
+++ b/internal/placement/placement_test.go
@@ -0,0 +1,122 @@
+package placement_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"rosemarywind.example/rosemarywind/internal/batch"
+)
+
+// Guards against guaranteed work that waits for runs whose declared times were far too short, so that they always
+// seem about to end.
+func TestGuaranteeDespiteShortEstimates(t *testing.T) {
+	w := newWorld(t)
+	w.submit("scan", scans, "b", batch.NewStep(48, gpus(1), 100*time.Millisecond))
+	w.decide()
+	w.assertPlaced("scan", 48)
+	w.pass(5 * time.Second)
+	w.submit("urgent", urgent, "a", gang(2, 6, time.Second))
+	stops := 0
+	for range 4 {
+		stops += len(w.decide().Stops())
+		w.pass(250 * time.Millisecond)
+	}
+	assert.GreaterOrEqual(t, stops, 12)
+}
+
+// Guards against a gang that is split over racks although one rack can hold it.
+func TestTightGang(t *testing.T) {
+	t.Run("in one rack", func(t *testing.T) {
+		w := newWorld(t)
+		w.submit("small", scans, "a", batch.NewStep(2, gpus(4), time.Second))
+		w.decide()
+		w.submit("gang", patient, "a", gang(2, 8, time.Second))
+		w.decide()
+		racks := w.racks("gang")
+		assert.Len(t, racks, 2)
+		assert.Equal(t, racks[0], racks[1])
+	})
+	t.Run("over racks when none can hold it", func(t *testing.T) {
+		w := newWorld(t)
+		w.submit("gang", patient, "a", gang(3, 8, time.Second))
+		w.decide()
+		w.assertPlaced("gang", 3)
+	})
+}
+
+// Guards against small work that keeps every rack too full for a gang that came before it.
+func TestReservationAgainstSmallWork(t *testing.T) {
+	w := newWorld(t)
+	w.submit("first", scans, "a", batch.NewStep(6, gpus(5), 2*time.Second))
+	w.decide()
+	w.assertPlaced("first", 6)
+	w.submit("gang", patient, "a", gang(2, 8, time.Second))
+	w.decide()
+	w.assertPlaced("gang", 0)
+	w.submit("long", scans, "a", batch.NewStep(18, gpus(1), time.Minute))
+	w.decide()
+	assert.Less(t, len(w.racks("long")), 18, "one rack is kept for the gang")
+	w.pass(2 * time.Second)
+	for i := range 6 {
+		w.end(batch.NewTaskID("first", 0, 0, i), batch.Done)
+	}
+	w.decide()
+	w.assertPlaced("gang", 2)
+}
+
+// Guards against urgent work beyond any guarantee that throws away the work of others.
+func TestPreemptionWithoutGuarantee(t *testing.T) {
+	for name, c := range map[string]struct {
+		checkpoints bool
+		stops       bool
+	}{
+		"of runs that resume":     {checkpoints: true, stops: true},
+		"of runs that start anew": {checkpoints: false, stops: false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t)
+			w.submit("victims", patient, "a", batch.NewStep(6, gpus(8), time.Minute, batch.WithCheckpoints(c.checkpoints)))
+			w.decide()
+			w.submit("urgent", urgent, "nobody", gang(1, 4, time.Second))
+			assert.Equal(t, c.stops, len(w.decide().Stops()) > 0)
+		})
+	}
+}
+
+// Guards against tasks that run away from their data, without their label, or too many to a worker.
+func TestConstraints(t *testing.T) {
+	t.Run("rack of the data", func(t *testing.T) {
+		w := newWorld(t)
+		w.submit("near", scans, "a", batch.NewStep(20, gpus(1), time.Second, batch.WithRack("r1")))
+		w.decide()
+		assert.Len(t, w.racks("near"), 16)
+		assert.NotContains(t, w.racks("near"), "r0")
+		assert.NotContains(t, w.racks("near"), "r2")
+	})
+	t.Run("label", func(t *testing.T) {
+		w := newWorld(t)
+		w.submit("labelled", scans, "a", batch.NewStep(20, gpus(1), time.Second, batch.WithLabel("r2")))
+		w.decide()
+		assert.Len(t, w.racks("labelled"), 16)
+		assert.NotContains(t, w.racks("labelled"), "r0")
+	})
+	t.Run("most on a worker", func(t *testing.T) {
+		w := newWorld(t)
+		w.submit("spread", scans, "a", batch.NewStep(20, gpus(1), time.Second, batch.WithMaxPerWorker(2)))
+		w.decide()
+		w.assertPlaced("spread", 12)
+		w.decide()
+		w.assertPlaced("spread", 12)
+	})
+	t.Run("steps in order", func(t *testing.T) {
+		w := newWorld(t)
+		w.submit("two", scans, "a", batch.NewStep(1, gpus(1), time.Second), batch.NewStep(2, gpus(1), time.Second, batch.WithAfter(0)))
+		w.decide()
+		w.assertPlaced("two", 1)
+		w.end(batch.NewTaskID("two", 0, 0, 0), batch.Done)
+		w.decide()
+		w.assertPlaced("two", 2)
+	})
+}
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -327,10 +327,10 @@
 	return true
 }
 
-// already counts the placed tasks of the unit's step on a worker.
+// already counts the tasks of the unit's step that were placed on a worker before this decision.
 func (p *planner) already(u *unit, e *place) (count int) {
 	for _, h := range e.holdings {
-		if h.id.Task().StepKey() == u.key {
+		if h.id.Run() > 0 && h.id.Task().StepKey() == u.key {
 			count++
 		}
 	}
--- a/internal/placement/preempt.go
+++ b/internal/placement/preempt.go
@@ -15,10 +15,12 @@
 // workspace's guarantee may stop anything that is not; another one may only stop less urgent runs that resume from a
 // checkpoint.
 func (p *planner) preempt(u *unit, sets [][]*place) bool {
-	for _, set := range sets {
-		if at, ok := p.earliest(u, set); ok && at.Sub(p.view.now) <= patience {
-			p.reserve(u, [][]*place{set})
-			return true
+	if !u.sure {
+		for _, set := range sets {
+			if at, ok := p.earliest(u, set); ok && at.Sub(p.view.now) <= patience {
+				p.reserve(u, [][]*place{set})
+				return true
+			}
 		}
 	}
 	var best []*holding
@@ -53,7 +55,10 @@
 	free := map[*place]batch.Resources{}
 	var candidates []*holding
 	for _, e := range set {
-		free[e] = p.availableAt(e, p.view.now.Add(stopAllowance))
+		free[e] = e.free.Plus(stopped(e))
+		for _, b := range e.booked {
+			free[e] = free[e].Minus(b.needs)
+		}
 		for _, h := range e.holdings {
 			if p.mayStop(u, h) {
 				candidates = append(candidates, h)
@@ -82,6 +87,16 @@
 	return p.prune(u, set, free, victims), true
 }
 
+// stopped returns what a worker gets back from the runs that were told to stop.
+func stopped(e *place) (sum batch.Resources) {
+	for _, h := range e.holdings {
+		if h.stopping {
+			sum = sum.Plus(h.step.Reserved())
+		}
+	}
+	return sum
+}
+
 // prune drops victims that are not needed, the dearest first.
 func (p *planner) prune(u *unit, set []*place, free map[*place]batch.Resources, victims []*holding) (kept []*holding) {
 	for i := len(victims) - 1; i >= 0; i-- {
@@ -100,14 +115,15 @@
 }
 
 func (p *planner) mayStop(u *unit, h *holding) bool {
-	if h.stopping || h.sure || h.step.Lasting() || h.id.Run() == 0 || !h.ends.After(p.view.now.Add(patience)) {
+	if h.stopping || h.sure || h.step.Lasting() || h.id.Run() == 0 {
 		return false
 	}
-	urgent := p.view.state.QueueOf(h.job).Priority() == 0
+	// Declared times are often wrong, so a guarantee does not wait for a run that seems about to end.
 	if u.sure {
 		return true
 	}
-	return !urgent && h.step.Checkpoints()
+	urgent := p.view.state.QueueOf(h.job).Priority() == 0
+	return !urgent && h.step.Checkpoints() && h.ends.After(p.view.now.Add(patience))
 }
 
 // price returns the work that stopping a run throws away, for each accelerator that it frees.
--- a/internal/placement/view.go
+++ b/internal/placement/view.go
@@ -128,13 +128,14 @@
 		estimate = time.Duration(float64(estimate) * v.far)
 	}
 	ends := h.since.Add(estimate)
-	if least := v.now.Add(estimate / overdueShare); ends.Before(least) {
-		return least
+	if overdue := v.now.Sub(ends); overdue > -estimate/overdueShare {
+		return v.now.Add(max(overdue, estimate/overdueShare))
 	}
 	return ends
 }
 
-// overdueShare is the part of its estimate that a run beyond its estimate is expected to take still.
+// overdueShare is the part of its estimate that a run at the end of its estimate is expected to take still; one that is
+// further beyond it is expected to take as long again as it is.
 const overdueShare = 8
 
 func compareText(a, b string) int {
