Order late work by its next deadline, and leave room for urgent work

Change: late work competes by the deadline up to which it still counts; patient work with time left leaves half a rack free; an urgent job may have up to three times its own work thrown away, and runs that would miss their time by a stop count double. The submission's log line tells the shape.

--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -18,6 +18,7 @@
 	places       []*place
 	racks        map[string][]*place
 	reservations int
+	headroom     int // accelerators
 	plan         Plan
 	stopped      map[run.ID]bool
 }
@@ -30,6 +31,7 @@
 	for _, e := range p.places {
 		p.racks[e.rack] = append(p.racks[e.rack], e)
 	}
+	p.setHeadroom()
 	sure := v.sure()
 	var units []*unit
 	for id, j := range v.state.Jobs().All() {
@@ -91,6 +93,9 @@
 	left := u.indexes[:0:0]
 	for _, n := range u.indexes {
 		e := p.choose(u, g, p.eligible(u))
+		if e != nil && !p.leavesRoom(u, e) {
+			e = nil
+		}
 		if e == nil {
 			left = append(left, n)
 			continue
@@ -123,7 +128,7 @@
 			best = g
 		}
 	}
-	if best != nil {
+	if best != nil && p.leavesRoom(u, best.places...) {
 		for _, e := range best.places {
 			p.take(u, e)
 		}
@@ -261,7 +266,7 @@
 			left = left[1:]
 		}
 		if g.counts[e] > 0 {
-			g.waste += free.Accelerators()
+			g.waste += free.Accelerators()*wasteUnit + p.rackFree(e.rack)
 			if e.suspect {
 				g.waste += suspectWaste
 			}
@@ -273,6 +278,17 @@
 	return nil
 }
 
+// wasteUnit is what an accelerator that is left over on a used worker weighs against one that is free in its rack.
+const wasteUnit = 10
+
+// rackFree returns how many accelerators of a rack are free.
+func (p *planner) rackFree(rack string) (sum int) {
+	for _, e := range p.racks[rack] {
+		sum += e.free.Accelerators()
+	}
+	return sum
+}
+
 // suspectWaste makes a set with a suspect worker worse than any without.
 const suspectWaste = 1000
 
@@ -303,6 +319,9 @@
 	if a.suspect != b.suspect {
 		return b.suspect
 	}
+	if x, y := p.rackFree(a.rack), p.rackFree(b.rack); x != y {
+		return x < y
+	}
 	if u.step.Reserved().Accelerators() > 0 && a.free.Accelerators() != b.free.Accelerators() {
 		return a.free.Accelerators() < b.free.Accelerators()
 	}
--- a/internal/placement/preempt.go
+++ b/internal/placement/preempt.go
@@ -31,7 +31,11 @@
 		if !ok {
 			continue
 		}
-		if loss := p.loss(victims); best == nil || loss < bestLoss {
+		loss := p.loss(victims)
+		if !u.sure && loss > worthStopping*u.work() {
+			continue
+		}
+		if best == nil || loss < bestLoss {
 			best, bestSet, bestLoss = victims, set, loss
 		}
 	}
@@ -50,6 +54,14 @@
 	return true
 }
 
+// worthStopping is how much work, for each core-second of its own, an urgent unit may have others throw away.
+const worthStopping = 3.0
+
+// work returns the core-seconds that the unit is expected to take.
+func (u *unit) work() float64 {
+	return u.step.Resources().Cores() * u.step.Estimate().Seconds() * float64(len(u.indexes))
+}
+
 // victims returns the cheapest runs, found one after the other, whose end makes room for the unit.
 func (p *planner) victims(u *unit, set []*place) (victims []*holding, ok bool) {
 	free := map[*place]batch.Resources{}
@@ -123,7 +135,7 @@
 		return true
 	}
 	urgent := p.view.state.QueueOf(h.job).Priority() == 0
-	return !urgent && h.step.Checkpoints() && h.ends.After(p.view.now.Add(patience))
+	return !urgent && u.slack >= 0 && h.ends.After(p.view.now.Add(patience))
 }
 
 // price returns the work that stopping a run throws away, for each accelerator that it frees.
@@ -143,9 +155,32 @@
 	if h.step.Gang() {
 		members = h.step.Count()
 	}
-	return lost.Seconds() * h.step.Resources().Cores() * float64(members)
+	work := lost.Seconds() * h.step.Resources().Cores() * float64(members)
+	if p.lateIfStopped(h) {
+		work += h.step.Estimate().Seconds() * h.step.Resources().Cores() * float64(members)
+	}
+	return work
 }
 
+// lateIfStopped reports whether the job of a run, which may still end in time, will not if the run is stopped.
+func (p *planner) lateIfStopped(h *holding) bool {
+	q := p.view.state.QueueOf(h.job)
+	spec := h.job.Spec()
+	until := h.job.Accepted().Add(q.Objective(spec.Length()))
+	if due := spec.Due(h.id.Task().Occurrence()); !due.IsZero() {
+		until = due.Add(q.Objective(spec.Length()))
+	}
+	left := spec.Chain(h.id.Task().Step())
+	if h.step.Checkpoints() {
+		left -= p.view.now.Sub(h.since)
+	}
+	inTime := !h.ends.After(until)
+	return inTime && p.view.now.Add(max(left, 0)+restartDelay).After(until)
+}
+
+// restartDelay is about how long a run that was stopped waits until it runs again.
+const restartDelay = 3 * time.Second
+
 func (p *planner) loss(victims []*holding) (sum float64) {
 	counted := map[batch.TaskID]bool{}
 	for _, h := range victims {
--- a/internal/placement/unit.go
+++ b/internal/placement/unit.go
@@ -10,14 +10,15 @@
 
 // unit is what begins together: a gang, or the waiting tasks of a step, which may begin one by one.
 type unit struct {
-	job       *batch.Job
-	queue     batch.Queue
-	step      batch.Step
-	key       batch.TaskID
-	indexes   []int
-	slack     time.Duration
-	sure      bool
-	placeable bool
+	job     *batch.Job
+	queue   batch.Queue
+	step    batch.Step
+	key     batch.TaskID
+	indexes []int
+	slack   time.Duration // until it must begin to meet its objective
+	next    time.Duration // until it must begin to meet its objective, or three times that
+	sure    bool
+	ready   time.Time // since when the unit could begin, as far as its tasks tell
 }
 
 // needs returns what all tasks of the unit take together.
@@ -50,7 +51,17 @@
 			if len(u.indexes) == 0 || s.Gang() && len(u.indexes) < s.Count() || !j.Ready(k, i) {
 				continue
 			}
+			u.ready = begin
+			for _, t := range j.Tasks(k, i) {
+				if t.Phase() == batch.Waiting && t.Since().After(u.ready) {
+					u.ready = t.Since()
+				}
+			}
 			u.slack = begin.Add(q.Objective(spec.Length())).Sub(v.now.Add(spec.Chain(i)))
+			u.next = u.slack
+			if u.slack < 0 {
+				u.next += 2 * q.Objective(spec.Length())
+			}
 			list = append(list, u)
 		}
 	}
@@ -73,7 +84,7 @@
 		return cmp.Or(
 			-compareBool(a.sure, b.sure),
 			cmp.Compare(rank(a), rank(b)),
-			cmp.Compare(a.slack, b.slack),
+			compareSlack(a, b),
 			compareText(a.key.String(), b.key.String()),
 		)
 	})
@@ -88,9 +99,9 @@
 
 func rank(u *unit) int {
 	switch {
-	case u.queue.Priority() == 0:
+	case u.slack >= 0 && u.queue.Priority() == 0:
 		return rankUrgent
-	case u.slack >= 0:
+	case u.next >= 0:
 		return rankTimely
 	default:
 		return rankLate
@@ -106,3 +117,11 @@
 	}
 	return -1
 }
+
+// compareSlack puts those with the least slack first; late ones with the least work come first among those.
+func compareSlack(a, b *unit) int {
+	if rank(a) == rankLate {
+		return cmp.Compare(a.work(), b.work())
+	}
+	return cmp.Compare(a.next, b.next)
+}
--- a/internal/scheduler/calls.go
+++ b/internal/scheduler/calls.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"strings"
 	"time"
 
@@ -190,7 +191,7 @@
 	}
 	switch c := c.(type) {
 	case call.Submit:
-		s.logger.Info("submission", append(fields, "path", c.Place().Path())...)
+		s.logger.Info("submission", append(fields, "path", c.Place().Path(), "steps", s.outline(c))...)
 	case call.Cancel:
 		s.logger.Info("cancellation", append(fields, "path", c.Place().Path())...)
 	case call.Declare:
@@ -204,3 +205,26 @@
 	case call.Ping:
 	}
 }
+
+// outline returns a word for each step of a submitted job: tasks, accelerators and thousandths of a core of each,
+// declared milliseconds, and its constraints.
+func (s *Scheduler) outline(c call.Submit) string {
+	spec, err := s.decoder.Spec("outline", c.Document())
+	if err != nil {
+		return ""
+	}
+	words := make([]string, len(spec.Steps()))
+	for i, e := range spec.Steps() {
+		r := e.Resources()
+		words[i] = fmt.Sprintf("%dx%dg%dm/%dms", e.Count(), r.Accelerators(), r.Millicores(), e.Estimate().Milliseconds())
+		for word, on := range map[string]bool{
+			"gang": e.Gang(), "tight": e.Tight(), "saves": e.Checkpoints(), "lasts": e.Lasting(), "fills": e.Filling(),
+			"rack=" + e.Rack(): e.Rack() != "", "label=" + e.Label(): e.Label() != "",
+		} {
+			if on {
+				words[i] += "," + word
+			}
+		}
+	}
+	return strings.Join(words, " ")
+}
