End runs at once when another worker runs on their host

Change: a worker's life names its host, on which one worker runs at a time, so a later life there ends the runs of the one before.

--- a/internal/batch/task.go
+++ b/internal/batch/task.go
@@ -55,14 +55,18 @@
 // StepKey names a step of an occurrence.
 func (t TaskID) StepKey() TaskID { return TaskID{t.job, t.occurrence, t.step, 0} }
 
-// Life is one life of a worker process: its id and its birth.
+// Life is one life of a worker process: its host, its id and its birth.
 type Life struct {
+	host string
 	id   string
 	born int64
 }
 
-// NewLife returns the life of the worker id that was born at the given Unix millisecond.
-func NewLife(id string, born int64) Life { return Life{id: id, born: born} }
+// NewLife returns the life of the worker id on a host that was born at the given Unix millisecond.
+func NewLife(host, id string, born int64) Life { return Life{host: host, id: id, born: born} }
+
+// Host returns the name of the host, on which one worker runs at a time.
+func (l Life) Host() string { return l.host }
 
 // ID returns the worker's id.
 func (l Life) ID() string { return l.id }
--- a/internal/dispatch/resolve.go
+++ b/internal/dispatch/resolve.go
@@ -10,13 +10,12 @@
 // resolve ends the runs that have ended, and stops those that must. It returns the runs that were told to stop.
 func (c *Core) resolve(now time.Time, s batch.State, lives map[batch.Life]*host, a *Actions) (stopping map[run.ID]bool) {
 	stopping = map[run.ID]bool{}
-	byID := c.byWorkerID()
 	for _, j := range s.Jobs().All() {
 		eachPlaced(j, func(id run.ID, t batch.Task) {
 			if c.fresh[id] {
 				return
 			}
-			if e, ended := c.fate(now, id, t, lives, byID, a); ended {
+			if e, ended := c.fate(now, id, t, lives, a); ended {
 				c.take(now, s, j, e, lives[t.Worker()], a)
 				return
 			}
@@ -32,20 +31,9 @@
 	return stopping
 }
 
-// byWorkerID returns the hosts by the id of their worker, whatever its life.
-func (c *Core) byWorkerID() map[string]*host {
-	m := map[string]*host{}
-	for _, h := range c.hosts {
-		if h.announced {
-			m[h.announcement.Life().ID()] = h
-		}
-	}
-	return m
-}
-
 // fate returns the end of a placed run, if it is known. The table in docs/platform.md lists the cases.
 func (c *Core) fate(
-	now time.Time, id run.ID, t batch.Task, lives map[batch.Life]*host, byID map[string]*host, a *Actions,
+	now time.Time, id run.ID, t batch.Task, lives map[batch.Life]*host, a *Actions,
 ) (e batch.End, ended bool) {
 	lost := func(why string, h *host) (batch.End, bool) {
 		checkpoint := ""
@@ -57,7 +45,7 @@
 	}
 	h, here := lives[t.Worker()]
 	if !here {
-		return c.fateElsewhere(now, id, t, byID[t.Worker().ID()], lost, a)
+		return c.fateElsewhere(now, id, t, c.hosts[t.Worker().Host()], lost, a)
 	}
 	if f, ok := h.finished(id); ok && h.listed {
 		return f.End(), true
@@ -90,34 +78,29 @@
 func (c *Core) fateElsewhere(
 	now time.Time, id run.ID, t batch.Task, h *host, lost func(string, *host) (batch.End, bool), a *Actions,
 ) (e batch.End, ended bool) {
-	if h == nil {
+	if h == nil || !h.announced || h.announcement.Life().Born() <= t.Worker().Born() {
 		if now.After(c.inherited()) && now.After(c.latestLease(t.Worker())) {
-			return lost("no agent has the worker and its lease has ended", nil)
+			return lost("no agent has the worker and its lease has ended", h)
 		}
 		return e, false
 	}
-	if h.announcement.Life().Born() < t.Worker().Born() || !h.connected {
-		if now.After(h.leaseEnds) {
-			return lost("the worker's lease has ended", h)
-		}
-		return e, false
+	if h.announcement.Life().ID() != t.Worker().ID() {
+		return lost("another worker runs on its host", h)
 	}
-	// A late start of the run could reach the new life, so it is stopped there first.
-	if h.current(c.fence) && h.settled(id) && !h.runs(id) {
+	// A late start of the run could reach the new life of the same id, so it is stopped there first.
+	if h.connected && h.current(c.fence) && h.settled(id) && !h.runs(id) {
 		return lost("the worker was born anew", h)
 	}
 	c.stop(now, id, h, "its worker was born anew", a)
 	return e, false
 }
 
-// latestLease returns until when a lease may run that any host was granted under a worker's id.
-func (c *Core) latestLease(l batch.Life) (latest time.Time) {
-	for _, h := range c.hosts {
-		if h.clockLife.ID() == l.ID() && h.leaseEnds.After(latest) {
-			latest = h.leaseEnds
-		}
+// latestLease returns until when a lease may run that the host of a worker was granted.
+func (c *Core) latestLease(l batch.Life) time.Time {
+	if h, known := c.hosts[l.Host()]; known {
+		return h.leaseEnds
 	}
-	return latest
+	return time.Time{}
 }
 
 // take notes an end that is to be committed.
--- a/internal/placement/setup_test.go
+++ b/internal/placement/setup_test.go
@@ -67,7 +67,7 @@
 	return w
 }
 
-func life(i int) batch.Life { return batch.NewLife(fmt.Sprintf("w%d", i), 1) }
+func life(i int) batch.Life { return batch.NewLife(fmt.Sprintf("h%d", i), fmt.Sprintf("w%d", i), 1) }
 
 func (w *world) apply(c batch.Command) batch.Result {
 	var r batch.Result
--- a/internal/wire/batch.go
+++ b/internal/wire/batch.go
@@ -41,6 +41,7 @@
 
 type lifeForm struct {
 	_    struct{} `cbor:",toarray"`
+	Host string
 	ID   string
 	Born int64
 }
@@ -74,9 +75,9 @@
 	return batch.NewTaskID(f.Job, f.Occurrence, f.Step, f.Index)
 }
 
-func newLifeForm(l batch.Life) lifeForm { return lifeForm{ID: l.ID(), Born: l.Born()} }
+func newLifeForm(l batch.Life) lifeForm { return lifeForm{Host: l.Host(), ID: l.ID(), Born: l.Born()} }
 
-func (f lifeForm) life() batch.Life { return batch.NewLife(f.ID, f.Born) }
+func (f lifeForm) life() batch.Life { return batch.NewLife(f.Host, f.ID, f.Born) }
 
 func newEndForm(e batch.End) endForm {
 	return endForm{Task: newTaskForm(e.Task()), Run: e.Run(), How: string(e.How()), Checkpoint: e.Checkpoint()}
