--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -109,13 +109,35 @@
 	if len(left) == 0 {
 		return
 	}
-	u.indexes = left
-	if u.queue.Priority() == 0 && p.preempt(u, [][]*place{p.eligible(u)}) {
+	p.await(u, left)
+}
+
+// await has room made for tasks that did not fit, or books it, one task after the other.
+func (p *planner) await(u *unit, indexes []int) {
+	if p.reservations >= maxReservations && !u.sure {
 		return
 	}
-	if len(g.members) == 0 {
-		p.reserve(u, [][]*place{p.eligible(u)})
+	p.reservations++
+	rest := *u
+	rest.indexes = indexes
+	set := p.eligible(&rest)
+	if u.queue.Priority() == 0 {
+		p.preempt(&rest, [][]*place{set}, worthStopping*rest.work())
+	}
+	for _, n := range indexes {
+		rest.indexes = []int{n}
+		if !p.book(&rest, singles(set)) {
+			return
+		}
+	}
+}
+
+// singles returns a set for each worker.
+func singles(places []*place) (sets [][]*place) {
+	for _, e := range places {
+		sets = append(sets, []*place{e})
 	}
+	return sets
 }
 
 // tryGang places all tasks of a gang or none.
@@ -135,10 +157,15 @@
 		p.plan.groups = append(p.plan.groups, best.group())
 		return
 	}
-	if u.queue.Priority() == 0 && p.preempt(u, sets) {
-		return
+	if u.queue.Priority() == 0 {
+		if set := p.preempt(u, sets, worthStopping*u.work()); set != nil {
+			sets = [][]*place{set}
+		}
+	}
+	if p.reservations < maxReservations {
+		p.reservations++
+		p.book(u, sets)
 	}
-	p.reserve(u, sets)
 }
 
 // sets returns the sets of workers among which a gang may be placed: the racks for one that is slow across racks,
--- a/internal/placement/preempt.go
+++ b/internal/placement/preempt.go
@@ -11,15 +11,14 @@
 // patience is how long an urgent unit rather waits for a run to end than has one stopped.
 const patience = 600 * time.Millisecond
 
-// preempt stops runs so that an urgent unit fits into one of the sets, and reports whether it will. A unit within its
-// workspace's guarantee may stop anything that is not; another one may only stop less urgent runs that resume from a
-// checkpoint.
-func (p *planner) preempt(u *unit, sets [][]*place) bool {
+// preempt stops runs so that an urgent unit fits into one of the sets; it returns that
+// set, or nil if the unit will not fit soon. A unit within its workspace's guarantee may stop anything that is not; another one may only
+// stop less urgent runs, and throw away no more work than the budget.
+func (p *planner) preempt(u *unit, sets [][]*place, budget float64) (chosen []*place) {
 	if !u.sure {
 		for _, set := range sets {
 			if at, ok := p.earliest(u, set); ok && at.Sub(p.view.now) <= patience {
-				p.reserve(u, [][]*place{set})
-				return true
+				return set
 			}
 		}
 	}
@@ -32,7 +31,7 @@
 			continue
 		}
 		loss := p.loss(victims)
-		if !u.sure && loss > worthStopping*u.work() {
+		if !u.sure && loss > budget {
 			continue
 		}
 		if best == nil || loss < bestLoss {
@@ -40,7 +39,7 @@
 		}
 	}
 	if best == nil {
-		return false
+		return nil
 	}
 	for _, h := range best {
 		if !p.stopped[h.id] {
@@ -50,8 +49,7 @@
 		h.ends = p.view.now.Add(stopAllowance)
 		h.stopping = true
 	}
-	p.reserve(u, [][]*place{bestSet})
-	return true
+	return bestSet
 }
 
 // worthStopping is how much work, for each core-second of its own, an urgent unit may have others throw away.
@@ -155,7 +153,8 @@
 	if h.step.Gang() {
 		members = h.step.Count()
 	}
-	work := lost.Seconds() * h.step.Resources().Cores() * float64(members)
+	// Each earlier run makes it dearer, so that no job is stopped again and again.
+	work := lost.Seconds() * h.step.Resources().Cores() * float64(members*h.id.Run())
 	if p.lateIfStopped(h) {
 		work += h.step.Estimate().Seconds() * h.step.Resources().Cores() * float64(members)
 	}
--- a/internal/placement/reserve.go
+++ b/internal/placement/reserve.go
@@ -7,11 +7,9 @@
 	"rosemarywind.example/rosemarywind/internal/batch"
 )
 
-// reserve books the workers that can take a unit first, so that later units do not keep them busy beyond that time.
-func (p *planner) reserve(u *unit, sets [][]*place) {
-	if p.reservations >= maxReservations {
-		return
-	}
+// book books the workers that can take a unit first, so that later units do not keep them busy beyond that time; it
+// reports whether any can.
+func (p *planner) book(u *unit, sets [][]*place) bool {
 	var best []*place
 	var from time.Time
 	for _, set := range sets {
@@ -21,9 +19,8 @@
 		}
 	}
 	if best == nil {
-		return
+		return false
 	}
-	p.reservations++
 	left := len(u.indexes)
 	for _, e := range best {
 		n := min(u.most(p.availableAt(e, from)), left)
@@ -36,6 +33,7 @@
 			e.booked = append(e.booked, booking{from: from, needs: needs})
 		}
 	}
+	return true
 }
 
 // earliest returns when a set of workers is expected to have room for all tasks of the unit.
