Keep the first answer to a repeated stop

A start was not answered, so its stop was repeated each 0.7 s, and each answer moved the time from which the run counts as settled; lists come each second and never caught up. Ruled out: the worker (it answered each stop), the link and the session, by the agent's lines. Change: the first answer counts. The agent logs what becomes of a stop.

--- a/internal/runner/loop.go
+++ b/internal/runner/loop.go
@@ -95,7 +95,7 @@
 		l.started(in)
 	case stoppedInput:
 		if in.life == l.life {
-			l.settled[in.id] = in.at
+			l.settle(in.id, in.at)
 			l.nextList = now
 		}
 	case listedInput:
@@ -103,6 +103,13 @@
 	}
 }
 
+// settle notes when a call about a run was first answered; later answers to repeated calls tell nothing new.
+func (l *loop) settle(id run.ID, at time.Time) {
+	if _, known := l.settled[id]; !known {
+		l.settled[id] = at
+	}
+}
+
 // order takes an order, unless a later leader has given one.
 func (l *loop) order(ctx context.Context, now time.Time, e run.Envelope) {
 	if e.Fence() < l.fence {
@@ -178,7 +185,7 @@
 		cancel()
 		delete(l.starts, in.id)
 	}
-	l.settled[in.id] = in.at
+	l.settle(in.id, in.at)
 	if in.refusal == "" {
 		return
 	}
@@ -202,9 +209,11 @@
 			done()
 			var refused *RefusedError
 			if err == nil || errors.As(err, &refused) {
+				l.logger.Info("stop answered", "task", o.ID().Task().String(), "run", o.ID().Run(), "refused", err != nil)
 				l.tell(ctx, stoppedInput{id: o.ID(), life: life, at: time.Now()})
 				return
 			}
+			l.logger.Info("stop not answered", "task", o.ID().Task().String(), "run", o.ID().Run(), "error", err)
 			if !clock.Pause(ctx, callPause) {
 				return
 			}
