Keep the workers that are being emptied for urgent work

Once enough runs were told to stop, the choice of a set with nothing more to stop counted as no choice, and the booking went to the rack that seemed to become free first. Change: a set that needs no further stop is the best choice. Conclusion: guarded by TestEmptiedWorkersAreKept.

--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"rosemarywind.example/rosemarywind/internal/batch"
 )
@@ -123,3 +124,22 @@
 		w.assertPlaced("two", 2)
 	})
 }
+
+// Guards against work that begins on workers which are being emptied for guaranteed work, because another rack seems to
+// become free sooner.
+func TestEmptiedWorkersAreKept(t *testing.T) {
+	w := newWorld(t)
+	w.submit("scan", scans, "b", batch.NewStep(48, gpus(1), 100*time.Millisecond))
+	w.submit("more", scans, "b", batch.NewStep(48, gpus(1), 100*time.Millisecond))
+	w.decide()
+	w.pass(time.Second)
+	w.submit("urgent", urgent, "a", gang(2, 8, time.Second))
+	stops := w.decide().Stops()
+	require.Len(t, stops, 16)
+	for _, id := range stops {
+		w.pass(20 * time.Millisecond)
+		w.end(id.Task(), batch.Stopped)
+		w.decide()
+	}
+	w.assertPlaced("urgent", 2)
+}
--- a/internal/placement/preempt.go
+++ b/internal/placement/preempt.go
@@ -34,13 +34,10 @@
 		if !u.sure && loss > budget {
 			continue
 		}
-		if best == nil || loss < bestLoss {
+		if bestSet == nil || loss < bestLoss {
 			best, bestSet, bestLoss = victims, set, loss
 		}
 	}
-	if best == nil {
-		return nil
-	}
 	for _, h := range best {
 		if !p.stopped[h.id] {
 			p.stopped[h.id] = true
--- a/internal/placement/setup_test.go
+++ b/internal/placement/setup_test.go
@@ -34,6 +34,7 @@
 	decoder *specs
 	state   batch.State
 	workers []placement.Worker
+	told    map[run.ID]bool // runs that were told to stop
 	now     time.Time
 }
 
@@ -56,7 +57,7 @@
 		batch.NewWorkspace("a", guaranteed, "ka"), batch.NewWorkspace("b", guaranteed, "kb"),
 	})
 	require.NoError(t, err)
-	w := &world{t: t, decoder: &specs{declaration: d, specs: map[string]batch.Spec{}}, now: epoch}
+	w := &world{t: t, decoder: &specs{declaration: d, specs: map[string]batch.Spec{}}, now: epoch, told: map[run.ID]bool{}}
 	w.state = batch.NewState(w.decoder)
 	w.apply(batch.NewDeclare([]byte("d")))
 	for i := range 6 {
@@ -87,7 +88,10 @@
 // decide takes a decision and begins what it chose.
 func (w *world) decide() placement.Plan {
 	w.t.Helper()
-	p := placement.Decide(placement.NewView(w.now, w.state, w.workers, nil, far))
+	p := placement.Decide(placement.NewView(w.now, w.state, w.workers, w.told, far))
+	for _, id := range p.Stops() {
+		w.told[id] = true
+	}
 	if len(p.Groups()) > 0 {
 		r, ok := w.apply(batch.NewBegin(w.now, p.Groups()...)).(batch.Begun)
 		require.True(w.t, ok)
