Begin nothing beside what is booked for urgent work

Cause: TestEmptiedWorkersAreKept still failed: scans that claim to take 0.1 s began on emptied accelerators, since they would end before the booking. Change: a booking of urgent work allows no backfill. Before: the test failed. After: it passes.

--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -366,7 +366,7 @@
 	}
 	ends := p.view.now.Add(u.step.Estimate())
 	for _, b := range e.booked {
-		if ends.After(b.from) && !needs.Plus(b.needs).Fits(free.Plus(freed(e, b.from))) {
+		if (b.strict || ends.After(b.from)) && !needs.Plus(b.needs).Fits(free.Plus(freed(e, b.from))) {
 			return false
 		}
 	}
--- a/internal/placement/reserve.go
+++ b/internal/placement/reserve.go
@@ -30,7 +30,7 @@
 			for range n - 1 {
 				needs = needs.Plus(u.step.Reserved())
 			}
-			e.booked = append(e.booked, booking{from: from, needs: needs})
+			e.booked = append(e.booked, booking{from: from, needs: needs, strict: u.queue.Priority() == 0})
 		}
 	}
 	return true
--- a/internal/placement/view.go
+++ b/internal/placement/view.go
@@ -71,10 +71,12 @@
 	sure     bool
 }
 
-// booking is a claim on a worker from a time on.
+// booking is a claim on a worker from a time on; nothing else may begin beside a strict one, however short it claims to
+// be.
 type booking struct {
-	from  time.Time
-	needs batch.Resources
+	from   time.Time
+	needs  batch.Resources
+	strict bool
 }
 
 // stopAllowance is how long a run that was told to stop is expected to keep its resources.
