--- /dev/null
+++ b/internal/batch/batch_test.go
@@ -0,0 +1,266 @@
+package batch_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"rosemarywind.example/rosemarywind/internal/batch"
+)
+
+var (
+	epoch  = time.Unix(1_800_000_000, 0)
+	worker = batch.NewLife("h", "w", 1)
+)
+
+// specs is a decoder whose documents are the names of declarations and specs.
+type specs struct {
+	declarations map[string]batch.Declaration
+	specs        map[string]batch.Spec
+}
+
+func (s *specs) Declaration(document []byte) (batch.Declaration, error) {
+	return s.declarations[string(document)], nil
+}
+
+func (s *specs) Spec(id string, _ []byte) (batch.Spec, error) { return s.specs[id], nil }
+
+func queue(name string) batch.Queue {
+	return batch.NewQueue(name, "h", "/"+name+"/", "s").WithPolicy(1, 2).WithObjective(2, time.Second, time.Second)
+}
+
+func service() []batch.Service { return []batch.Service{batch.NewService("s", false, false)} }
+
+// newState returns a state with one queue of two attempts and a job of the given steps.
+func newState(t *testing.T, steps ...batch.Step) batch.State {
+	t.Helper()
+	d, err := batch.NewDeclaration(1, []batch.Queue{queue("q")}, service(), nil)
+	require.NoError(t, err)
+	spec, err := batch.NewSpec("j", "", steps...)
+	require.NoError(t, err)
+	s := batch.NewState(&specs{declarations: map[string]batch.Declaration{"1": d}, specs: map[string]batch.Spec{"j": spec}})
+	s, _ = s.Apply(batch.NewDeclare([]byte("1")))
+	s, r := s.Apply(batch.NewSubmit("j", "q", "", nil, epoch))
+	require.Equal(t, batch.Accepted{}, r)
+	return s
+}
+
+func task(step, index int) batch.TaskID { return batch.NewTaskID("j", 0, step, index) }
+
+// begin places runs of the tasks of a step and reports whether it could.
+func begin(s batch.State, step, run int, indexes ...int) (batch.State, bool) {
+	var members []batch.Member
+	for _, n := range indexes {
+		members = append(members, batch.NewMember(n, run, worker))
+	}
+	s, r := s.Apply(batch.NewBegin(epoch, batch.NewGroup(task(step, 0), members...)))
+	return s, r.(batch.Begun).Placed()[0]
+}
+
+func end(s batch.State, step, index, run int, how batch.How, checkpoint string) batch.State {
+	s, _ = s.Apply(batch.NewFinish(epoch, batch.NewEnd(task(step, index), run, how, checkpoint)))
+	return s
+}
+
+func assertState(t *testing.T, s batch.State, want batch.JobState) {
+	t.Helper()
+	j, known := s.Job("j")
+	require.True(t, known)
+	assert.Equal(t, want, j.State())
+}
+
+func step(count int, opts ...batch.StepOption) batch.Step {
+	return batch.NewStep(count, batch.NewResources(1000, 1000, 1), time.Second, opts...)
+}
+
+// Guards against a job that is told as something else than what its tasks say.
+func TestJobStates(t *testing.T) {
+	t.Run("to completion in the order of steps", func(t *testing.T) {
+		s := newState(t, step(1), step(1, batch.WithAfter(0)))
+		assertState(t, s, batch.Queued)
+		s, _ = begin(s, 0, 1, 0)
+		assertState(t, s, batch.Running)
+		s = end(s, 0, 0, 1, batch.Done, "")
+		j, _ := s.Job("j")
+		assert.True(t, j.Ready(0, 1))
+		s, _ = begin(s, 1, 1, 0)
+		s = end(s, 1, 0, 1, batch.Done, "")
+		assertState(t, s, batch.Completed)
+	})
+	t.Run("failed after all attempts, which only failures count as", func(t *testing.T) {
+		s := newState(t, step(1))
+		for run, how := range []batch.How{batch.Lost, batch.Stopped, batch.Failed, batch.Lapsed, batch.Failed} {
+			assertState(t, s, map[bool]batch.JobState{true: batch.Queued, false: batch.Running}[run == 0])
+			var ok bool
+			s, ok = begin(s, 0, run+1, 0)
+			require.True(t, ok)
+			s = end(s, 0, 0, run+1, how, "")
+		}
+		assertState(t, s, batch.JobFailed)
+	})
+	t.Run("cancelled, and nothing begins any more", func(t *testing.T) {
+		s := newState(t, step(1))
+		s, r := s.Apply(batch.NewCancel("j", epoch))
+		assert.True(t, r.(batch.Cancelled).Known())
+		assertState(t, s, batch.JobCancelled)
+		_, ok := begin(s, 0, 1, 0)
+		assert.False(t, ok)
+		_, r = s.Apply(batch.NewCancel("other", epoch))
+		assert.False(t, r.(batch.Cancelled).Known())
+	})
+	t.Run("submitted again it stays one job", func(t *testing.T) {
+		s := newState(t, step(1))
+		s, _ = begin(s, 0, 1, 0)
+		s, r := s.Apply(batch.NewSubmit("j", "q", "", nil, epoch.Add(time.Second)))
+		assert.True(t, r.(batch.Accepted).Known())
+		assertState(t, s, batch.Running)
+	})
+	t.Run("a lasting task that fails is never out of attempts", func(t *testing.T) {
+		s := newState(t, step(1, batch.WithLasting(true, 0)))
+		for run := 1; run < 6; run++ {
+			s, _ = begin(s, 0, run, 0)
+			s = end(s, 0, 0, run, batch.Failed, "")
+		}
+		assertState(t, s, batch.Running)
+	})
+}
+
+// Guards against runs that are placed twice, or ends of another run that are taken for this one's.
+func TestRuns(t *testing.T) {
+	s := newState(t, step(2))
+	s, ok := begin(s, 0, 1, 0)
+	require.True(t, ok)
+	t.Run("a placed task", func(t *testing.T) {
+		_, ok := begin(s, 0, 2, 0)
+		assert.False(t, ok)
+	})
+	t.Run("a group with a placed task, whole or not at all", func(t *testing.T) {
+		after, ok := begin(s, 0, 2, 1, 0)
+		assert.False(t, ok)
+		j, _ := after.Job("j")
+		assert.Equal(t, batch.Waiting, j.Tasks(0, 0)[1].Phase())
+	})
+	t.Run("the end of another run", func(t *testing.T) {
+		after := end(s, 0, 0, 7, batch.Done, "")
+		j, _ := after.Job("j")
+		assert.Equal(t, batch.Placed, j.Tasks(0, 0)[0].Phase())
+	})
+	t.Run("a run number that was used", func(t *testing.T) {
+		after := end(s, 0, 0, 1, batch.Lost, "")
+		_, ok := begin(after, 0, 1, 0)
+		assert.False(t, ok)
+		_, ok = begin(after, 0, 2, 0)
+		assert.True(t, ok)
+	})
+}
+
+// Guards against a gang whose members end, fail or resume apart from each other.
+func TestGang(t *testing.T) {
+	gang := step(2, batch.WithGang(true, false), batch.WithCheckpoints(true))
+	t.Run("one end done stands for all", func(t *testing.T) {
+		s, _ := begin(newState(t, gang), 0, 1, 0, 1)
+		assertState(t, end(s, 0, 1, 1, batch.Done, ""), batch.Completed)
+	})
+	t.Run("two failures of one run are one attempt", func(t *testing.T) {
+		s, _ := begin(newState(t, gang), 0, 1, 0, 1)
+		s = end(s, 0, 0, 1, batch.Failed, "")
+		s = end(s, 0, 1, 1, batch.Failed, "")
+		assertState(t, s, batch.Running)
+		s, _ = begin(s, 0, 2, 0, 1)
+		assertState(t, end(s, 0, 1, 2, batch.Failed, ""), batch.JobFailed)
+	})
+	t.Run("the checkpoint of a member is that of all", func(t *testing.T) {
+		s, _ := begin(newState(t, gang), 0, 1, 0, 1)
+		s = end(s, 0, 1, 1, batch.Stopped, "c1")
+		j, _ := s.Job("j")
+		assert.Equal(t, "c1", j.Checkpoint(task(0, 0)))
+		assert.Equal(t, "c1", j.Checkpoint(task(0, 1)))
+	})
+}
+
+// Guards against a declaration that goes back, or is in force though it is invalid.
+func TestDeclarations(t *testing.T) {
+	t.Run("an older or equal version changes nothing", func(t *testing.T) {
+		first, err := batch.NewDeclaration(5, []batch.Queue{queue("a")}, service(), nil)
+		require.NoError(t, err)
+		same, err := batch.NewDeclaration(5, []batch.Queue{queue("b")}, service(), nil)
+		require.NoError(t, err)
+		s := batch.NewState(&specs{declarations: map[string]batch.Declaration{"first": first, "same": same}})
+		s, _ = s.Apply(batch.NewDeclare([]byte("first")))
+		s, r := s.Apply(batch.NewDeclare([]byte("same")))
+		assert.Equal(t, int64(5), r.(batch.Declared).Version())
+		assert.Equal(t, "first", string(s.Document()))
+	})
+	for name, c := range map[string]struct {
+		queues     []batch.Queue
+		workspaces []batch.Workspace
+	}{
+		"unknown service": {queues: []batch.Queue{batch.NewQueue("q", "h", "/", "x").WithObjective(1, 0, time.Second)}},
+		"no timeout":      {queues: []batch.Queue{batch.NewQueue("q", "h", "/", "s")}},
+		"same place":      {queues: []batch.Queue{queue("a"), batch.NewQueue("b", "h", "/a/", "s").WithObjective(1, 0, time.Second)}},
+		"no prefix":       {queues: []batch.Queue{batch.NewQueue("q", "h", "", "s").WithObjective(1, 0, time.Second)}},
+		"shared key":      {workspaces: []batch.Workspace{batch.NewWorkspace("a", 0, "k"), batch.NewWorkspace("b", 0, "k")}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, err := batch.NewDeclaration(1, c.queues, service(), c.workspaces)
+			assert.Error(t, err)
+		})
+	}
+	t.Run("longest prefix", func(t *testing.T) {
+		d, err := batch.NewDeclaration(1, []batch.Queue{queue("a"), batch.NewQueue("b", "h", "/a/b/", "s").WithObjective(1, 0, time.Second)}, service(), nil)
+		require.NoError(t, err)
+		q, rest, ok := d.At("h", "/a/b/x")
+		assert.True(t, ok)
+		assert.Equal(t, "b", q.Name())
+		assert.Equal(t, "x", rest)
+		_, _, ok = d.At("other", "/a/")
+		assert.False(t, ok)
+	})
+}
+
+// Guards against jobs that cannot be ordered, and names of tasks that are read wrongly.
+func TestSpecs(t *testing.T) {
+	for name, steps := range map[string][]batch.Step{
+		"no step":      nil,
+		"no task":      {step(0)},
+		"a later step": {step(1, batch.WithAfter(1)), step(1)},
+		"itself":       {step(1, batch.WithAfter(0))},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, err := batch.NewSpec("j", "", steps...)
+			assert.Error(t, err)
+		})
+	}
+	t.Run("length of the longest chain", func(t *testing.T) {
+		s, err := batch.NewSpec("j", "", step(1), step(1), step(1, batch.WithAfter(0, 1)))
+		require.NoError(t, err)
+		assert.Equal(t, 2*time.Second, s.Length())
+	})
+	t.Run("names", func(t *testing.T) {
+		id := batch.NewTaskID("5c0e", 1, 2, 17)
+		read, err := batch.ParseTaskID(id.String())
+		require.NoError(t, err)
+		assert.Equal(t, id, read)
+		for _, text := range []string{"", "a.b", "a.1.2", "a.1.2.x", "a.1.2.-3", ".1.2.3"} {
+			_, err := batch.ParseTaskID(text)
+			assert.Error(t, err, text)
+		}
+	})
+}
+
+// Guards against ended jobs that are kept for good, and live or placed ones that are dropped.
+func TestForget(t *testing.T) {
+	s, _ := begin(newState(t, step(1)), 0, 1, 0)
+	forget := batch.NewForget(epoch.Add(time.Hour))
+	s, _ = s.Apply(forget)
+	assertState(t, s, batch.Running)
+	s, _ = s.Apply(batch.NewCancel("j", epoch))
+	s, _ = s.Apply(forget)
+	assertState(t, s, batch.JobCancelled)
+	s = end(s, 0, 0, 1, batch.Stopped, "")
+	s, _ = s.Apply(forget)
+	_, known := s.Job("j")
+	assert.False(t, known)
+}
