--- a/internal/scheduler/director.go
+++ b/internal/scheduler/director.go
@@ -34,7 +34,7 @@
 		case <-ctx.Done():
 		}
 	}
-	return ctx.Err()
+	return nil
 }
 
 // turnAway ends a session that reached this host while it does not lead.
--- /dev/null
+++ b/internal/wire/batch_test.go
@@ -0,0 +1,150 @@
+package wire_test
+
+import (
+	"bytes"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"rosemarywind.example/rosemarywind/internal/batch"
+	"rosemarywind.example/rosemarywind/internal/call"
+	"rosemarywind.example/rosemarywind/internal/run"
+	"rosemarywind.example/rosemarywind/internal/wire"
+)
+
+var (
+	batchTime = time.Unix(1_800_000_000, 5)
+	aLife     = batch.NewLife("h", "w", 1_800_000_000_123)
+	aTask     = batch.NewTaskID("j", 1, 2, 3)
+	anEnd     = batch.NewEnd(aTask, 2, batch.Failed, "c")
+)
+
+// Guards against a command that the log gives back in another form than it was proposed in.
+func TestBatchCommands(t *testing.T) {
+	for name, c := range map[string]batch.Command{
+		"declare": batch.NewDeclare([]byte("document")),
+		"submit":  batch.NewSubmit("j", "q", "w", []byte("document"), batchTime),
+		"cancel":  batch.NewCancel("j", batchTime),
+		"begin":   batch.NewBegin(batchTime, batch.NewGroup(aTask.StepKey(), batch.NewMember(3, 2, aLife))),
+		"finish":  batch.NewFinish(batchTime, anEnd),
+		"forget":  batch.NewForget(batchTime),
+		"barrier": batch.Barrier{},
+	} {
+		t.Run(name, func(t *testing.T) {
+			data, err := wire.EncodeBatch(c)
+			require.NoError(t, err)
+			read, err := wire.DecodeBatch(data)
+			require.NoError(t, err)
+			assert.Equal(t, c, read)
+			_, err = wire.DecodeBatch(data[:len(data)-1])
+			assert.Error(t, err)
+		})
+	}
+}
+
+// textDecoder reads any document as the same declaration and job.
+type textDecoder struct{}
+
+func (textDecoder) Declaration([]byte) (batch.Declaration, error) {
+	q := batch.NewQueue("q", "h", "/q/", "s").WithPolicy(1, 2).WithObjective(2, time.Second, time.Second)
+	return batch.NewDeclaration(7, []batch.Queue{q}, []batch.Service{batch.NewService("s", false, false)}, nil)
+}
+
+func (textDecoder) Spec(id string, _ []byte) (batch.Spec, error) {
+	return batch.NewSpec(id, "payload", batch.NewStep(2, batch.NewResources(1, 2, 3), time.Second))
+}
+
+// Guards against a snapshot that loses a part of the state.
+func TestBatchSnapshot(t *testing.T) {
+	s := batch.NewState(textDecoder{})
+	first := batch.NewTaskID("j", 0, 0, 0)
+	for _, c := range []batch.Command{
+		batch.NewDeclare([]byte("document")),
+		batch.NewSubmit("j", "q", "w", []byte("job"), batchTime),
+		batch.NewSubmit("other", "q", "w", []byte("job"), batchTime),
+		batch.NewCancel("other", batchTime),
+		batch.NewBegin(batchTime, batch.NewGroup(first, batch.NewMember(0, 1, aLife), batch.NewMember(1, 4, aLife))),
+		batch.NewFinish(batchTime, batch.NewEnd(first, 1, batch.Failed, "c")),
+	} {
+		s, _ = s.Apply(c)
+	}
+	data, err := wire.EncodeBatchState(s)
+	require.NoError(t, err)
+	read, err := wire.DecodeBatchState(textDecoder{}, data)
+	require.NoError(t, err)
+	assert.Equal(t, s.Document(), read.Document())
+	assert.Equal(t, s.Declaration(), read.Declaration())
+	assert.Equal(t, s.Jobs().Len(), read.Jobs().Len())
+	for id, j := range s.Jobs().All() {
+		o, known := read.Job(id)
+		require.True(t, known)
+		assert.Equal(t, j.State(), o.State())
+		assert.Equal(t, j.Workspace(), o.Workspace())
+		assert.True(t, j.Accepted().Equal(o.Accepted()))
+		assert.True(t, j.EndedAt().Equal(o.EndedAt()))
+		assert.Equal(t, j.Tasks(0, 0), o.Tasks(0, 0))
+	}
+}
+
+// Guards against orders and reports that arrive changed.
+func TestRuns(t *testing.T) {
+	id := run.NewID(aTask, 2)
+	for name, o := range map[string]run.Order{
+		"start": run.NewStart(id, aLife, "payload", "c", time.Minute),
+		"stop":  run.NewStop(id),
+		"hold":  run.NewHold(aLife, time.Minute, 57, true),
+	} {
+		t.Run(name, func(t *testing.T) {
+			var b bytes.Buffer
+			e := run.NewEnvelope(9, o)
+			require.NoError(t, wire.WriteRunOrder(&b, e))
+			read, err := wire.ReadRunOrder(&b)
+			require.NoError(t, err)
+			assert.Equal(t, e, read)
+		})
+	}
+	t.Run("report", func(t *testing.T) {
+		var b bytes.Buffer
+		r := run.NewReport("h").WithAnnouncement(run.NewAnnouncement(aLife, "s", "z", 3).WithPlace("r", []string{"a", "r"}).
+			WithCapacity(batch.NewResources(1, 2, 3)).WithClock(time.Hour).WithDraining(time.Second)).
+			WithList(run.NewList(aLife, 9, time.Hour, []run.Running{run.NewRunning(id, "c", 100, 5)},
+				[]run.Finished{run.NewFinished(58, anEnd)}, []run.ID{id})).
+			WithRefused([]run.Refusal{run.NewRefusal(id, "late")}).WithGone()
+		require.NoError(t, wire.WriteRunReport(&b, r))
+		read, err := wire.ReadRunReport(&b)
+		require.NoError(t, err)
+		assert.Equal(t, r, read)
+	})
+}
+
+// Guards against calls and replies that arrive changed.
+func TestCalls(t *testing.T) {
+	place := call.NewPlace("h", "/q/j", "key")
+	for name, c := range map[string]call.Call{
+		"submit": call.NewSubmit(place, []byte("job")), "read": call.NewRead(place), "cancel": call.NewCancel(place),
+		"declare": call.NewDeclare([]byte("d")), "read declaration": call.ReadDeclaration{}, "ping": call.Ping{},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var b bytes.Buffer
+			require.NoError(t, wire.WriteCall(&b, "trace", c))
+			o, err := wire.ReadOpening(&b)
+			require.NoError(t, err)
+			assert.Equal(t, wire.KindCall, o.Kind())
+			assert.Equal(t, "trace", o.Trace())
+			read, err := wire.ReadCall(&b)
+			require.NoError(t, err)
+			assert.Equal(t, c, read)
+		})
+	}
+	t.Run("reply", func(t *testing.T) {
+		var b bytes.Buffer
+		r := call.NewReply(call.Refused, "full").WithState("queued").WithPending(3).WithRetryAfter(time.Second).
+			WithDocument([]byte("d")).WithHosts("a", []string{"a", "b"})
+		require.NoError(t, wire.WriteReply(&b, r))
+		read, err := wire.ReadReply(&b)
+		require.NoError(t, err)
+		assert.Equal(t, r, read)
+	})
+}
