--- a/internal/ledger/driver/encoding.go
+++ b/internal/ledger/driver/encoding.go
@@ -44,6 +44,7 @@
 	Entries  []storage.EncodedEntry   `cbor:"14,keyasint,omitempty"`
 	Snapshot *storage.EncodedSnapshot `cbor:"15,keyasint,omitempty"`
 	Joining  string                   `cbor:"16,keyasint,omitempty"`
+	Joiner   string                   `cbor:"17,keyasint,omitempty"`
 }
 
 func encode(d delivery) (data []byte, err error) {
@@ -80,7 +81,7 @@
 	case ledger.ProbeReply:
 		e.Kind, e.Term = kindProbeReply, m.Term()
 	case ledger.Join:
-		e.Kind, e.Joining = kindJoin, m.Address()
+		e.Kind, e.Joining, e.Joiner = kindJoin, m.Address(), string(m.Member())
 	}
 	return cbor.Marshal(e)
 }
@@ -131,7 +132,7 @@
 	case kindProbeReply:
 		return ledger.NewProbeReply(e.Term), nil
 	case kindJoin:
-		return ledger.NewJoin(e.Joining), nil
+		return ledger.NewJoin(e.Joining).For(ledger.MemberID(e.Joiner)), nil
 	default:
 		return nil, fmt.Errorf("unknown kind %q", e.Kind)
 	}
--- a/internal/ledger/join.go
+++ b/internal/ledger/join.go
@@ -30,9 +30,15 @@
 }
 
 // onJoin notes a member that asks to become a voter, or that has moved to another address. The place of a member that
-// still answers is not given to another one.
+// still answers is not given to another one. A follower passes the request on, since who joins may know no leader.
 func (c *Core) onJoin(from MemberID, m Join) {
+	if m.member != "" {
+		from = m.member
+	}
 	if c.role != Leader {
+		if m.member == "" && c.leader != "" {
+			c.send(c.leader, m.For(from))
+		}
 		return
 	}
 	current, _ := c.membership.Find(from)
--- /dev/null
+++ b/internal/ledger/join_test.go
@@ -0,0 +1,54 @@
+package ledger_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"rosemarywind.example/rosemarywind/internal/ledger"
+)
+
+// Guards against a host with an empty disk that never joins, because it knows only followers.
+func TestJoinByFollower(t *testing.T) {
+	now := time.Unix(1000, 0)
+	random := rand.New(rand.NewPCG(1, 1))
+	members := ledger.NewMembership(
+		ledger.NewMember("a", "a", true), ledger.NewMember("b", "b", true), ledger.NewMember("c", "c", true))
+	saved := ledger.NewSaved(ledger.NewHardState("a", 2, ""), ledger.NewSnapshot(0, 0, members, nil), nil)
+	follower := ledger.NewCore(saved, "a", ledger.DefaultTiming(), now, random)
+	t.Run("not without a leader", func(t *testing.T) {
+		assert.Empty(t, joins(follower.Step(now, random, ledger.NewReceive("d-1", ledger.NewJoin("d")))))
+	})
+	follower.Step(now, random, ledger.NewReceive("b", ledger.NewAppend(2, 0, 0, nil, 0, 1, 0)))
+	t.Run("passed on to the leader", func(t *testing.T) {
+		sent := joins(follower.Step(now, random, ledger.NewReceive("d-1", ledger.NewJoin("d"))))
+		require.Len(t, sent, 1)
+		assert.Equal(t, ledger.MemberID("b"), sent[0].To())
+		assert.Equal(t, ledger.NewJoin("d").For("d-1"), sent[0].Message())
+	})
+	t.Run("once only", func(t *testing.T) {
+		assert.Empty(t, joins(follower.Step(now, random, ledger.NewReceive("c", ledger.NewJoin("d").For("d-1")))))
+	})
+	t.Run("the leader adds who joins", func(t *testing.T) {
+		l := newLeader(t)
+		l.step(ledger.NewMatched(l.core.Term(), 2, 0, 2))
+		l.core.Step(l.now, l.random, ledger.NewReceive("b", ledger.NewJoin("d").For("d-1")))
+		_, known := l.core.Membership().Find("d-1")
+		assert.True(t, known)
+	})
+}
+
+// joins returns the sent requests to join.
+func joins(effects []ledger.Effect) (sent []ledger.Send) {
+	for _, e := range effects {
+		if s, ok := e.(ledger.Send); ok {
+			if _, ok := s.Message().(ledger.Join); ok {
+				sent = append(sent, s)
+			}
+		}
+	}
+	return sent
+}
--- a/internal/ledger/message.go
+++ b/internal/ledger/message.go
@@ -67,7 +67,10 @@
 type ProbeReply struct{ term uint64 }
 
 // Join asks the leader to make the sender a voter, in place of an earlier disk of its host, or to note that it has moved.
-type Join struct{ address string }
+type Join struct {
+	address string
+	member  MemberID // who joins, if another one passes the request on
+}
 
 func (PreVote) message()      {}
 func (PreVoteReply) message() {}
@@ -212,7 +215,16 @@
 func (m ProbeReply) Term() uint64 { return m.term }
 
 // NewJoin returns the request of a member at address.
-func NewJoin(address string) Join { return Join{address} }
+func NewJoin(address string) Join { return Join{address: address} }
+
+// For returns the request passed on for another member.
+func (m Join) For(id MemberID) Join {
+	m.member = id
+	return m
+}
+
+// Member returns who joins, or an empty id for the sender.
+func (m Join) Member() MemberID { return m.member }
 
-// Address returns where the transport reaches the sender.
+// Address returns where the transport reaches who joins.
 func (m Join) Address() string { return m.address }
--- a/internal/scheduler/director.go
+++ b/internal/scheduler/director.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"rosemarywind.example/rosemarywind/internal/batch"
 	"rosemarywind.example/rosemarywind/internal/dispatch"
+	"rosemarywind.example/rosemarywind/internal/ledger"
 	"rosemarywind.example/rosemarywind/internal/run"
 )
 
@@ -19,6 +21,37 @@
 	return &director{Scheduler: s, sessions: map[string]*session{}}
 }
 
+// watchMembership logs each change of the ledger's membership and of its leader until ctx ends.
+func (s *Scheduler) watchMembership(ctx context.Context) error {
+	var members, leader string
+	for {
+		status, changed := s.node.Status().Watch()
+		list := describe(status.Membership())
+		if list != members || status.LeaderAddress() != leader {
+			members, leader = list, status.LeaderAddress()
+			s.logger.Info("membership", "self", string(status.Self()), "term", status.Term(), "leader", leader, "members", members)
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// describe returns the members, the voters with a star.
+func describe(m ledger.Membership) string {
+	words := make([]string, 0, len(m.Members()))
+	for _, e := range m.Members() {
+		word := string(e.ID())
+		if e.Voter() {
+			word += "*"
+		}
+		words = append(words, word)
+	}
+	return strings.Join(words, " ")
+}
+
 // run leads term after term until the context ends.
 func (d *director) run(ctx context.Context) error {
 	for ctx.Err() == nil {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -73,6 +73,7 @@
 	g, inner := errgroup.WithContext(inner)
 	g.Go(func() error { return s.node.Run(inner) })
 	g.Go(func() error { return newDirector(s).run(inner) })
+	g.Go(func() error { return s.watchMembership(inner) })
 	g.Go(func() error { return s.server.Serve(inner, s.serve) })
 	g.Go(func() error {
 		select {
