--- a/cmd/rosemarywind/control_test.go
+++ b/cmd/rosemarywind/control_test.go
@@ -170,7 +170,7 @@
 	if err := s.get(args); err != nil {
 		return err
 	}
-	page, err := os.ReadFile("../../docs/operations.md")
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
 	if err != nil {
 		return err
 	}
@@ -181,7 +181,7 @@
 	for name := range metrics {
 		group := name[:strings.LastIndex(name, ".")+1]
 		if !regexp.MustCompile("`(" + regexp.QuoteMeta(name) + "|" + regexp.QuoteMeta(group) + "(REASON|STATE))`").Match(page) {
-			return fmt.Errorf("docs/operations.md does not say what to do about %s", name)
+			return fmt.Errorf("docs/OPERATIONS.md does not say what to do about %s", name)
 		}
 	}
 	return nil
--- a/internal/operator/page_test.go
+++ b/internal/operator/page_test.go
@@ -16,11 +16,11 @@
 	"rosemarywind.example/rosemarywind/internal/telemetry"
 )
 
-var update = flag.Bool("update", false, "write the tables of docs/operations.md")
+var update = flag.Bool("update", false, "write the tables of docs/OPERATIONS.md")
 
 // Guards against an operations page whose tables differ from what the programs check, or that lacks a verb or a metric.
 func TestOperationsPage(t *testing.T) {
-	file := filepath.Join("..", "..", "docs", "operations.md")
+	file := filepath.Join("..", "..", "docs", "OPERATIONS.md")
 	data, err := os.ReadFile(file)
 	require.NoError(t, err)
 	page := string(data)
