Take the vote of a control host that is gone for good

Cause: a control host that is replaced at another address kept its vote, so the ledger had four voters of which one was dead, and the next loss left no majority. Ruled out: removing the silent member (one that was only cut off would stay away), control on hosts without a disk (they serve nothing that entries do not). Change: a silent voter becomes a non-voter when a new member joins, or where an even number of voters becomes odd; it joins again when it returns. Before: TestSuccessorOfSilentVoter failed with four voters.

--- a/internal/ledger/join.go
+++ b/internal/ledger/join.go
@@ -61,13 +61,22 @@
 	return "", false
 }
 
+const (
+	// deadAfter is how long a voter is silent before it loses its vote to one that joins, or where the ledger bears more
+	// losses without it. It keeps its place as a non-voter, and gets a vote back when it returns.
+	deadAfter = 2500 * time.Millisecond
+	// fewVoters is the number of voters up to which a silent one keeps its vote.
+	fewVoters = 3
+)
+
 // admit takes joining members one step further: they become non-voters, catch up,
-// replace the member whose disk is gone, and only then become voters. A member that
-// has moved keeps its vote, since its disk is the same.
+// replace the member whose disk is gone, take the vote of one that is silent, and only
+// then become voters. A member that has moved keeps its vote, since its disk is the same.
 func (c *Core) admit() {
 	if c.moved() {
 		c.joining[c.self] = c.address
 	}
+	c.demote()
 	for _, id := range c.joiners() {
 		if c.changePending() || c.transfer != nil {
 			return
@@ -90,11 +99,44 @@
 		case c.membership.Voters() >= maxVoters:
 			delete(c.joining, id)
 		default:
+			if dead, ok := c.silentVoter(); ok {
+				c.changeTo(0, c.membership.with(NewMember(dead.id, dead.address, false)))
+				return
+			}
 			c.changeTo(0, c.membership.with(NewMember(id, address, true)))
 		}
 	}
 }
 
+// demote takes the vote of a silent member where an even number of voters becomes an odd one, which bears as many
+// further losses with one member less.
+func (c *Core) demote() {
+	voters := c.membership.Voters()
+	if voters <= fewVoters || voters%2 == 1 || c.changePending() || c.transfer != nil {
+		return
+	}
+	if dead, ok := c.silentVoter(); ok {
+		c.changeTo(0, c.membership.with(NewMember(dead.id, dead.address, false)))
+	}
+}
+
+// silentVoter returns a voter that was not heard for long.
+func (c *Core) silentVoter() (silent Member, ok bool) {
+	for _, e := range c.membership.members {
+		if !e.voter || e.id == c.self {
+			continue
+		}
+		heard := c.leaderSince
+		if p := c.peers[e.id]; p != nil && p.heardOnce {
+			heard = c.epoch.Add(p.heardAt)
+		}
+		if c.now.Sub(heard) > deadAfter {
+			return e, true
+		}
+	}
+	return Member{}, false
+}
+
 // joiners returns the joining members in a fixed order.
 func (c *Core) joiners() []MemberID { return slices.Sorted(maps.Keys(c.joining)) }
 
--- a/internal/ledger/join_test.go
+++ b/internal/ledger/join_test.go
@@ -52,3 +52,30 @@
 	}
 	return sent
 }
+
+// Guards against a host that is gone for good and keeps its vote after its successor came at another address, so that the
+// next loss leaves no majority.
+func TestSuccessorOfSilentVoter(t *testing.T) {
+	l := newLeader(t)
+	l.step(ledger.NewMatched(l.core.Term(), 2, 0, 2))
+	for n := range 60 {
+		l.now = l.now.Add(100 * time.Millisecond)
+		l.core.Step(l.now, l.random, ledger.NewReceive("d-1", ledger.NewJoin("d")))
+		l.core.Step(l.now, l.random, ledger.NewPersisted(uint64(3+n)))
+		for _, from := range []ledger.MemberID{"b", "d-1"} {
+			matched := ledger.NewMatched(l.core.Term(), uint64(3+n), l.now.Sub(l.epoch), l.core.LastIndex())
+			l.core.Step(l.now, l.random, ledger.NewReceive(from, matched))
+		}
+	}
+	require.Equal(t, ledger.Leader, l.core.Role())
+	assertVoter(t, l, "d-1", true)
+	assertVoter(t, l, "c", false)
+	assert.Equal(t, 3, l.core.Membership().Voters())
+}
+
+func assertVoter(t *testing.T, l *led, id ledger.MemberID, want bool) {
+	t.Helper()
+	m, known := l.core.Membership().Find(id)
+	require.True(t, known, "member %s", id)
+	assert.Equal(t, want, m.Voter(), "member %s", id)
+}
