--- a/internal/placement/preempt.go
+++ b/internal/placement/preempt.go
@@ -50,7 +50,7 @@
 }
 
 // worthStopping is how much work, for each core-second of its own, an urgent unit may have others throw away.
-const worthStopping = 3.0
+const worthStopping = 2.0
 
 // work returns the core-seconds that the unit is expected to take.
 func (u *unit) work() float64 {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -10,6 +10,7 @@
 
 	"rosemarywind.example/rosemarywind/internal/batch"
 	"rosemarywind.example/rosemarywind/internal/board"
+	"rosemarywind.example/rosemarywind/internal/clock"
 	"rosemarywind.example/rosemarywind/internal/ledger/driver"
 	"rosemarywind.example/rosemarywind/internal/ledger/transport"
 	"rosemarywind.example/rosemarywind/internal/link"
@@ -88,23 +89,40 @@
 	return errors.Join(err, s.server.Close())
 }
 
-// transferTimeout bounds the wait for another member to take over.
-const transferTimeout = 2 * time.Second
-
-// settleTime is how long a host that stops still answers the calls that reached it.
-const settleTime = 150 * time.Millisecond
+const (
+	// transferTimeout bounds one attempt to have another member take over; an election that fails takes longer.
+	transferTimeout = 800 * time.Millisecond
+	// settleTime is how long a host that stops still answers the calls that reached it.
+	settleTime = 150 * time.Millisecond
+	// graceShare is the part of the grace within which another member has to take over.
+	graceShare = 0.6
+)
 
+// handOn has another member lead, and tries again if this one is elected anew.
 func (s *Scheduler) handOn(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, min(s.grace, transferTimeout))
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(float64(s.grace)*graceShare))
 	defer cancel()
-	if s.node.Status().Load().Ready(time.Now()) {
-		err := s.node.Transfer(ctx)
-		s.logger.Info("leadership handed on", "error", err)
-	}
-	select {
-	case <-time.After(settleTime):
-	case <-ctx.Done():
+	for ctx.Err() == nil && !s.led() {
+		status, changed := s.node.Status().Watch()
+		if status.Ready(time.Now()) {
+			attempt, done := context.WithTimeout(ctx, transferTimeout)
+			err := s.node.Transfer(attempt)
+			done()
+			s.logger.Info("leadership handed on", "error", err)
+			continue
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		}
 	}
+	clock.Pause(ctx, settleTime)
+}
+
+// led reports whether another member leads, or none could.
+func (s *Scheduler) led() bool {
+	status := s.node.Status().Load()
+	return status.Membership().Voters() < 2 || status.Leader() != "" && status.Leader() != status.Self()
 }
 
 // openingTimeout bounds how long a peer may take to say what a stream is for.
