--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 CHECKS ?= 200
 KNOWN_RED = $(shell sed -n "s/^test: \([A-Za-z0-9_]*\)$$/\1/p" KNOWN-RED.txt 2>/dev/null | paste -sd "|")
 
-.PHONY: build lint test bench fuzz fmt
+.PHONY: build lint test bench fuzz fmt soak
 
 build:
 	CGO_ENABLED=1 $(GO) build -tags netcgo -o bin/ ./cmd/rosemarywind ./cmd/standin
@@ -27,3 +27,7 @@
 fuzz:
 	@seed=$${SEED:-$$(date +%s)}; echo "seed $$seed"; \
 	ROSEMARYWIND_SEED=$$seed ROSEMARYWIND_CHECKS=20000 $(GO) test -count=1 -timeout 60m ./...
+
+soak:
+	@first=$${SEED:-$$(date +%s)}; last=$$((first + $${SEEDS:-20} - 1)); echo "seeds $$first to $$last"; \
+	ROSEMARYWIND_SOAK_SEEDS=$$first-$$last ROSEMARYWIND_SOAK_SECONDS=$${SECONDS_EACH:-20} $(GO) test -count=1 -timeout 60m -run TestSoak -v ./platform
