--- /dev/null
+++ b/internal/batch/fuzz_test.go
@@ -0,0 +1,187 @@
+package batch_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"rosemarywind.example/rosemarywind/internal/batch"
+	"rosemarywind.example/rosemarywind/internal/fuzzing"
+)
+
+// model is a state under random commands, and what must hold of it whatever comes.
+type model struct {
+	state   batch.State
+	decoder *specs
+	newest  int64
+	text    string
+	final   map[string]batch.JobState
+	runs    map[batch.TaskID]int
+	failed  map[batch.TaskID]int
+	done    map[batch.TaskID]bool
+}
+
+const modelJobs = 6
+
+func newModel() *model {
+	d := &specs{declarations: map[string]batch.Declaration{}, specs: map[string]batch.Spec{}}
+	return &model{
+		state: batch.NewState(d), decoder: d, final: map[string]batch.JobState{},
+		runs: map[batch.TaskID]int{}, failed: map[batch.TaskID]int{}, done: map[batch.TaskID]bool{},
+	}
+}
+
+// declare sends a declaration of a random version; another one of the same version has another text.
+func (m *model) declare(t *rapid.T) {
+	version := int64(rapid.IntRange(1, 30).Draw(t, "version"))
+	text := fmt.Sprintf("%d/%d", version, rapid.IntRange(0, 2).Draw(t, "variant"))
+	queues := []batch.Queue{queue("q")}
+	if rapid.Bool().Draw(t, "second queue") {
+		queues = append(queues, queue("p"))
+	}
+	d, err := batch.NewDeclaration(version, queues, service(), nil)
+	require.NoError(t, err)
+	m.decoder.declarations[text] = d
+	next, r := m.state.Apply(batch.NewDeclare([]byte(text)))
+	m.state = next
+	if version > m.newest {
+		m.newest, m.text = version, text
+	}
+	require.Equal(t, m.newest, r.(batch.Declared).Version())
+}
+
+func (m *model) submit(t *rapid.T) {
+	id := fmt.Sprintf("j%d", rapid.IntRange(0, modelJobs-1).Draw(t, "job"))
+	if _, known := m.decoder.specs[id]; !known {
+		first := step(rapid.IntRange(1, 3).Draw(t, "tasks"), batch.WithGang(rapid.Bool().Draw(t, "gang"), false))
+		s, err := batch.NewSpec(id, "", first, step(2, batch.WithAfter(0)))
+		require.NoError(t, err)
+		m.decoder.specs[id] = s
+	}
+	_, before := m.state.Job(id)
+	next, r := m.state.Apply(batch.NewSubmit(id, []string{"q", "p"}[rapid.IntRange(0, 1).Draw(t, "queue")], "", nil, epoch))
+	m.state = next
+	if a, ok := r.(batch.Accepted); ok {
+		require.Equal(t, before, a.Known())
+	}
+}
+
+// draw returns a random task of a known job.
+func (m *model) draw(t *rapid.T) (id batch.TaskID, j *batch.Job, ok bool) {
+	j, ok = m.state.Job(fmt.Sprintf("j%d", rapid.IntRange(0, modelJobs-1).Draw(t, "job")))
+	if !ok {
+		return id, nil, false
+	}
+	n := rapid.IntRange(0, 1).Draw(t, "step")
+	index := rapid.IntRange(0, j.Spec().Steps()[n].Count()-1).Draw(t, "task")
+	return batch.NewTaskID(j.Spec().ID(), 0, n, index), j, true
+}
+
+func (m *model) begin(t *rapid.T) {
+	id, j, ok := m.draw(t)
+	if !ok {
+		return
+	}
+	old, _ := j.Task(id)
+	run := max(old.Run()+rapid.IntRange(-1, 2).Draw(t, "run"), 1)
+	next, r := m.state.Apply(batch.NewBegin(epoch, batch.NewGroup(id.StepKey(), batch.NewMember(id.Index(), run, worker))))
+	m.state = next
+	if !r.(batch.Begun).Placed()[0] {
+		return
+	}
+	require.Greater(t, run, m.runs[id], "run of %s", id)
+	require.False(t, m.done[id], "%s began after it was done", id)
+	require.Equal(t, batch.Waiting, old.Phase())
+	m.runs[id] = run
+}
+
+func (m *model) end(t *rapid.T) {
+	id, j, ok := m.draw(t)
+	if !ok {
+		return
+	}
+	old, _ := j.Task(id)
+	run := max(old.Run()+rapid.IntRange(-1, 1).Draw(t, "run"), 1)
+	how := []batch.How{batch.Done, batch.Failed, batch.Stopped, batch.Lost}[rapid.IntRange(0, 3).Draw(t, "how")]
+	m.state, _ = m.state.Apply(batch.NewFinish(epoch, batch.NewEnd(id, run, how, "")))
+	if old.Phase() != batch.Placed || old.Run() != run {
+		after, _ := m.state.Job(id.Job())
+		require.Same(t, j, after, "the end of another run changed %s", id)
+	}
+}
+
+// check compares the state with what must hold of it.
+func (m *model) check(t *rapid.T) {
+	require.Equal(t, m.newest, m.state.Declaration().Version())
+	require.Equal(t, m.text, string(m.state.Document()))
+	for id, j := range m.state.Jobs().All() {
+		if was, ended := m.final[id]; ended {
+			require.Equal(t, was, j.State(), "job %s left its final state", id)
+		}
+		if !j.Live() {
+			m.final[id] = j.State()
+		}
+		all := true
+		for n, s := range j.Spec().Steps() {
+			for i := range s.Count() {
+				task := batch.NewTaskID(id, 0, n, i)
+				progress, _ := j.Task(task)
+				require.False(t, m.done[task] && progress.Phase() != batch.Ended, "%s is done no more", task)
+				m.done[task] = progress.Phase() == batch.Ended
+				all = all && m.done[task]
+			}
+		}
+		if j.State() == batch.Completed {
+			require.True(t, all, "job %s is completed with a task that is not done", id)
+		}
+	}
+}
+
+// TestStateFuzz guards against a declaration that goes back, a job that leaves its final state, a task that begins
+// after it was done or under a used number, and an end that is taken for that of another run.
+func TestStateFuzz(t *testing.T) {
+	steps := fuzzing.NewCounter(t)
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel()
+		t.Repeat(steps.Actions(map[string]func(*rapid.T){
+			"declare": m.declare,
+			"submit":  m.submit,
+			"begin":   m.begin,
+			"end":     m.end,
+			"cancel": func(t *rapid.T) {
+				id := fmt.Sprintf("j%d", rapid.IntRange(0, 4*modelJobs).Draw(t, "job"))
+				m.state, _ = m.state.Apply(batch.NewCancel(id, epoch))
+			},
+			"forget": func(t *rapid.T) {
+				if rapid.IntRange(0, 9).Draw(t, "whether") == 0 {
+					m.forget()
+				}
+			},
+			"": m.check,
+		}))
+	})
+}
+
+// forget drops the ended jobs; their ids may come again as other jobs.
+func (m *model) forget() {
+	m.state, _ = m.state.Apply(batch.NewForget(epoch.Add(time.Hour)))
+	for id := range m.final {
+		if _, known := m.state.Job(id); known {
+			continue
+		}
+		delete(m.final, id)
+		for task := range m.runs {
+			if task.Job() == id {
+				delete(m.runs, task)
+			}
+		}
+		for task := range m.done {
+			if task.Job() == id {
+				delete(m.done, task)
+			}
+		}
+	}
+}
