Do not book workers for patient work that is held back

Cause: patient work that leaves room for urgent work still booked workers, and kept later patient work from them.

--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -90,11 +90,13 @@
 // tryTasks places the tasks of a step that need not begin together.
 func (p *planner) tryTasks(u *unit) {
 	g := newGathering(u)
-	left := u.indexes[:0:0]
+	var left []int
+	heldBack := false
 	for _, n := range u.indexes {
 		e := p.choose(u, g, p.eligible(u))
 		if e != nil && !p.leavesRoom(u, e) {
-			e = nil
+			heldBack = true
+			break
 		}
 		if e == nil {
 			left = append(left, n)
@@ -106,10 +108,9 @@
 	if len(g.members) > 0 {
 		p.plan.groups = append(p.plan.groups, g.group())
 	}
-	if len(left) == 0 {
-		return
+	if len(left) > 0 && !heldBack {
+		p.await(u, left)
 	}
-	p.await(u, left)
 }
 
 // await has room made for tasks that did not fit, or books it, one task after the other.
@@ -150,7 +151,10 @@
 			best = g
 		}
 	}
-	if best != nil && p.leavesRoom(u, best.places...) {
+	if best != nil {
+		if !p.leavesRoom(u, best.places...) {
+			return
+		}
 		for _, e := range best.places {
 			p.take(u, e)
 		}
--- a/internal/placement/preempt.go
+++ b/internal/placement/preempt.go
@@ -11,9 +11,9 @@
 // patience is how long an urgent unit rather waits for a run to end than has one stopped.
 const patience = 600 * time.Millisecond
 
-// preempt stops runs so that an urgent unit fits into one of the sets; it returns that
-// set, or nil if the unit will not fit soon. A unit within its workspace's guarantee may stop anything that is not; another one may only
-// stop less urgent runs, and throw away no more work than the budget.
+// preempt stops runs so that an urgent unit fits into one of the sets; it returns that set, or nil if the unit will not
+// fit soon. A unit within its workspace's guarantee may stop anything that is not within one; another unit may only stop
+// less urgent runs, and throw away no more work than the budget.
 func (p *planner) preempt(u *unit, sets [][]*place, budget float64) (chosen []*place) {
 	if !u.sure {
 		for _, set := range sets {
