--- a/internal/plan/planner.go
+++ b/internal/plan/planner.go
@@ -50,17 +50,6 @@
 	return p
 }
 
-// WithAgeing sets the wait after which a patient job goes before urgent ones that exceed their guarantee.
-func WithAgeing(d time.Duration) Option { return func(p *Planner) { p.ageing = d } }
-
-// WithBackOff sets the number of different jobs that must fail on a worker in a row, and its first and longest pause.
-func WithBackOff(failures int, first, longest time.Duration) Option {
-	return func(p *Planner) { p.failures, p.pause, p.longestPause = max(1, failures), first, max(first, longest) }
-}
-
-// WithReservations sets how many blocked jobs hold accelerators at once.
-func WithReservations(n int) Option { return func(p *Planner) { p.reservations = n } }
-
 // WithWeights weighs completion time against fragmentation: a small patient job waits one minute times
 // fragmentation over completion before it breaks a whole idle worker. The default is not to wait.
 func WithWeights(completion, fragmentation float64) Option {
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -26,7 +25,6 @@
 	announced *board.Section[announced]
 	inputs    chan input
 	reports   chan run.Report
-	connected atomic.Bool
 }
 
 // announced is the latest that the worker said of itself.
@@ -107,9 +105,6 @@
 	}
 }
 
-// Connected reports whether the agent has a session with the leader.
-func (r *Runner) Connected() bool { return r.connected.Load() }
-
 // Run serves until ctx ends.
 func (r *Runner) Run(ctx context.Context) (err error) {
 	defer func() {
--- a/internal/runner/session.go
+++ b/internal/runner/session.go
@@ -24,7 +24,6 @@
 	for ctx.Err() == nil {
 		if r.findLeader(ctx) {
 			err := r.session(ctx, r.client.Leader())
-			r.connected.Store(false)
 			if ctx.Err() == nil {
 				r.logger.Info("leader lost", "address", r.client.Leader(), "error", err)
 			}
@@ -59,7 +58,6 @@
 	if err = wire.WriteRunReport(s, first); err != nil {
 		return err
 	}
-	r.connected.Store(true)
 	r.logger.Info("leader found", "address", address)
 	r.tell(ctx, sessionInput{})
 	ended := make(chan error, 1)
