Answer a request that reaches no leader while there is time to come back

Ruled out: giving up at once (an election takes 1.1 to 1.5 s), giving up when an attempt may have reached a leader (the next leader gives a true answer).

--- a/internal/leader/client.go
+++ b/internal/leader/client.go
@@ -51,16 +51,26 @@
 // Leader returns the address of the leader as far as it is known.
 func (c *Client) Leader() string { return c.known.Load().leader }
 
-// Call passes a call to the leader until ctx ends. The reply is Unavailable if the call had no effect, and Uncertain if
-// it may have had one.
-func (c *Client) Call(ctx context.Context, trace string, asked call.Call) call.Reply {
+// Call passes a call to the leader until ctx ends, but for no longer than patience while no attempt may have reached a
+// leader; a patience of 0 is no bound. The reply is Unavailable if the call had no effect, and Uncertain if it may have
+// had one.
+func (c *Client) Call(ctx context.Context, trace string, asked call.Call, patience time.Duration) call.Reply {
 	uncertain, reason := false, "no control host was reached"
+	unsent, cancel := ctx, context.CancelFunc(func() {})
+	if patience > 0 {
+		unsent, cancel = context.WithTimeout(ctx, patience)
+	}
+	defer cancel()
 	for first := true; ; first = false {
-		if !first && !clock.Pause(ctx, retryPause) || ctx.Err() != nil {
+		bounded := unsent
+		if uncertain {
+			bounded = ctx
+		}
+		if !first && !clock.Pause(bounded, retryPause) || bounded.Err() != nil {
 			return unfinished(uncertain, reason)
 		}
 		address := c.next()
-		r, sent, err := c.exchange(ctx, address, trace, asked)
+		r, sent, err := c.exchange(ctx, bounded, address, trace, asked)
 		if err != nil {
 			uncertain = uncertain || sent
 			reason = err.Error()
@@ -107,11 +117,16 @@
 	return k.hosts[int(c.turn.Add(1))%len(k.hosts)]
 }
 
-// exchange asks one host; sent reports whether the call may have reached it.
-func (c *Client) exchange(ctx context.Context, address, trace string, asked call.Call) (r call.Reply, sent bool, err error) {
+// exchange asks one host, whose connection must be there before opening ends; sent reports whether the call may have
+// reached it.
+func (c *Client) exchange(
+	ctx, opening context.Context, address, trace string, asked call.Call,
+) (r call.Reply, sent bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
-	s, err := c.pool.Open(ctx, address)
+	opening, opened := context.WithTimeout(opening, attemptTimeout)
+	defer opened()
+	s, err := c.pool.Open(opening, address)
 	if err != nil {
 		return r, false, err
 	}
--- a/internal/runner/session.go
+++ b/internal/runner/session.go
@@ -36,7 +36,7 @@
 func (r *Runner) findLeader(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, searchTimeout)
 	defer cancel()
-	return r.client.Call(ctx, "", call.Ping{}).Outcome() == call.OK && r.client.Leader() != ""
+	return r.client.Call(ctx, "", call.Ping{}, 0).Outcome() == call.OK && r.client.Leader() != ""
 }
 
 // session reports to the leader at address and takes its orders until the stream ends.
