--- a/internal/telemetry/bounded_test.go
+++ b/internal/telemetry/bounded_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync"
@@ -61,7 +62,7 @@
 		r.Histogram("entry.latency").Update(v)
 	}
 	w := httptest.NewRecorder()
-	telemetry.TextHandler(r).ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
+	telemetry.TextHandler(r).ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", nil))
 	assert.Contains(t, w.Body.String(), "entry_requests 3\n")
 	assert.Contains(t, w.Body.String(), "entry_latency_count 100\n")
 	assert.Contains(t, w.Body.String(), "entry_latency_p99 ")
