--- a/internal/leader/client.go
+++ b/internal/leader/client.go
@@ -13,8 +13,11 @@
 )
 
 const (
-	// attemptTimeout bounds one exchange, so that a leader that stands still costs a call no more than this.
-	attemptTimeout = 900 * time.Millisecond
+	// attemptTimeout bounds one exchange, so that a leader that stands still costs a call no more than this; a second
+	// attempt then fits into the second after which operators turn to another host.
+	attemptTimeout = 600 * time.Millisecond
+	// avoidTime is how long a host that did not answer is asked last.
+	avoidTime = 2 * time.Second
 	// retryPause is waited before the next host is asked.
 	retryPause = 60 * time.Millisecond
 )
@@ -28,9 +31,16 @@
 
 // known is what a client knows of the control hosts; it is immutable.
 type known struct {
-	seeds  []string
-	hosts  []string
-	leader string
+	seeds        []string
+	hosts        []string
+	leader       string
+	avoided      string
+	avoidedUntil time.Time
+}
+
+// avoids reports whether a host did not answer lately.
+func (k *known) avoids(address string, now time.Time) bool {
+	return address == k.avoided && now.Before(k.avoidedUntil)
 }
 
 // NewClient returns a client that begins with the given addresses of control hosts.
@@ -48,6 +58,17 @@
 	c.known.Store(&k)
 }
 
+// Suggest names the leader as somebody else knows it.
+func (c *Client) Suggest(leader string) {
+	old := c.known.Load()
+	if leader == "" || leader == old.leader || old.avoids(leader, time.Now()) {
+		return
+	}
+	next := *old
+	next.leader = leader
+	c.known.CompareAndSwap(old, &next)
+}
+
 // Leader returns the address of the leader as far as it is known.
 func (c *Client) Leader() string { return c.known.Load().leader }
 
@@ -75,6 +96,7 @@
 			uncertain = uncertain || sent
 			reason = err.Error()
 			c.forget(address)
+			c.avoid(address)
 			continue
 		}
 		c.learn(r)
@@ -114,7 +136,11 @@
 	if k.leader != "" {
 		return k.leader
 	}
-	return k.hosts[int(c.turn.Add(1))%len(k.hosts)]
+	address := k.hosts[int(c.turn.Add(1))%len(k.hosts)]
+	if k.avoids(address, time.Now()) {
+		address = k.hosts[int(c.turn.Add(1))%len(k.hosts)]
+	}
+	return address
 }
 
 // exchange asks one host, whose connection must be there before opening ends; sent reports whether the call may have
@@ -154,7 +180,7 @@
 	}
 	next := *old
 	next.hosts = merge(r.Hosts(), old.seeds)
-	if r.Leader() != "" {
+	if r.Leader() != "" && !old.avoids(r.Leader(), time.Now()) {
 		next.leader = r.Leader()
 	}
 	c.known.Store(&next)
@@ -171,6 +197,14 @@
 	c.known.CompareAndSwap(old, &next)
 }
 
+// avoid has a host that did not answer asked last for a while.
+func (c *Client) avoid(address string) {
+	old := c.known.Load()
+	next := *old
+	next.avoided, next.avoidedUntil = address, time.Now().Add(avoidTime)
+	c.known.CompareAndSwap(old, &next)
+}
+
 // merge returns the addresses of both lists, each once, in order.
 func merge(a, b []string) []string {
 	all := append(slices.Clone(a), b...)
--- a/internal/leader/client_test.go
+++ b/internal/leader/client_test.go
@@ -119,3 +119,20 @@
 		assert.Equal(t, call.Uncertain, r.Outcome())
 	})
 }
+
+// Guards against calls that go to a leader which stands still again and again, because other hosts have not noticed or
+// its turn comes.
+func TestSilentHost(t *testing.T) {
+	silent := host(t, func(call.Call) *call.Reply { return nil })
+	first := host(t, func(call.Call) *call.Reply { return reply(call.OK) })
+	c := newClient(t, silent, first)
+	c.Suggest(silent)
+	r, _ := ask(t, c, patience, 0)
+	assert.Equal(t, call.OK, r.Outcome())
+	c.Suggest(silent)
+	for range 4 {
+		r, took := ask(t, c, patience, 0)
+		assert.Equal(t, call.OK, r.Outcome())
+		assert.Less(t, took, 500*time.Millisecond)
+	}
+}
