Use the library's comparison and keys, and find eligible workers once a step

Cause: the last read of the change: placement had its own comparison of texts and iterator over keys, and looked for the eligible workers anew for each task of a step, though placing a task does not change them. Conclusion: behaviour stays; less work on the leader's path.

--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -58,7 +59,7 @@
 		w, _ := v.state.Declaration().Workspace(name)
 		left := w.Guaranteed()
 		slices.SortFunc(jobs, func(a, b *batch.Job) int {
-			return cmp.Or(a.Accepted().Compare(b.Accepted()), compareText(a.Spec().ID(), b.Spec().ID()))
+			return cmp.Or(a.Accepted().Compare(b.Accepted()), cmp.Compare(a.Spec().ID(), b.Spec().ID()))
 		})
 		for _, j := range jobs {
 			if n := accelerators(j.Spec()); n <= left {
@@ -92,8 +93,9 @@
 	g := newGathering(u)
 	var left []int
 	heldBack := false
+	eligible := p.eligible(u)
 	for _, n := range u.indexes {
-		e := p.choose(u, g, p.eligible(u))
+		e := p.choose(u, g, eligible)
 		if e != nil && !p.leavesRoom(u, e) {
 			heldBack = true
 			break
@@ -183,7 +185,7 @@
 	for _, e := range eligible {
 		racks[e.rack] = append(racks[e.rack], e)
 	}
-	for _, name := range slices.Sorted(keys(racks)) {
+	for _, name := range slices.Sorted(maps.Keys(racks)) {
 		if p.couldHold(u, racks[name]) {
 			sets = append(sets, racks[name])
 		}
@@ -194,16 +196,6 @@
 	return sets
 }
 
-func keys(m map[string][]*place) func(yield func(string) bool) {
-	return func(yield func(string) bool) {
-		for k := range m {
-			if !yield(k) {
-				return
-			}
-		}
-	}
-}
-
 // eligible returns the workers that may run the unit's tasks, those near its data if they are enough for it.
 func (p *planner) eligible(u *unit) (list []*place) {
 	var near []*place
--- a/internal/placement/preempt.go
+++ b/internal/placement/preempt.go
@@ -73,7 +73,7 @@
 		}
 	}
 	slices.SortStableFunc(candidates, func(a, b *holding) int {
-		return cmp.Or(cmp.Compare(p.price(a), p.price(b)), compareText(a.id.Task().String(), b.id.Task().String()))
+		return cmp.Or(cmp.Compare(p.price(a), p.price(b)), cmp.Compare(a.id.Task().String(), b.id.Task().String()))
 	})
 	room := func() (n int) {
 		for _, e := range set {
--- a/internal/placement/unit.go
+++ b/internal/placement/unit.go
@@ -76,7 +76,7 @@
 			-compareBool(a.sure, b.sure),
 			cmp.Compare(rank(a), rank(b)),
 			compareSlack(a, b),
-			compareText(a.key.String(), b.key.String()),
+			cmp.Compare(a.key.String(), b.key.String()),
 		)
 	})
 }
--- a/internal/placement/view.go
+++ b/internal/placement/view.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -94,7 +95,7 @@
 		list = append(list, p)
 		byLife[p.life] = p
 	}
-	slices.SortFunc(list, func(a, b *place) int { return compareText(a.life.ID(), b.life.ID()) })
+	slices.SortFunc(list, func(a, b *place) int { return cmp.Compare(a.life.ID(), b.life.ID()) })
 	return list, byLife
 }
 
@@ -139,13 +140,3 @@
 // overdueShare is the part of its estimate that a run at the end of its estimate is expected to take still; one that is
 // further beyond it is expected to take as long again as it is.
 const overdueShare = 8
-
-func compareText(a, b string) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
-	}
-	return 0
-}
