Plan with the progress that workers list, and keep checkpoints in the ledger

A trial showed what the fourth column of a worker's list is: how far the run is, not the share at which it works. Change: a command that commits the checkpoints of going runs, once a second and at most 128 at a time, those saved longest ago first. Agents tell the leader a run's progress when it differs from what the leader extrapolates; the leader expects ends from it and takes the shortest duration that a step has shown for its other tasks. Urgent work waits for ends that were shown instead of stopping runs, as long as it still meets its objective. Runs that stand still are begun elsewhere once waiting has cost as much as beginning anew, and nothing begins beside them. Idle workers' leases are extended too, so that their agents notice a lost leader.

--- a/internal/batch/batch_test.go
+++ b/internal/batch/batch_test.go
@@ -236,7 +236,7 @@
 	t.Run("length of the longest chain", func(t *testing.T) {
 		s, err := batch.NewSpec("j", "", step(1), step(1), step(1, batch.WithAfter(0, 1)))
 		require.NoError(t, err)
-		assert.Equal(t, 2*time.Second, s.Length())
+		assert.Equal(t, 5*time.Second, s.Length(func(i int) time.Duration { return time.Duration(i+1) * time.Second }))
 	})
 	t.Run("names", func(t *testing.T) {
 		id := batch.NewTaskID("5c0e", 1, 2, 17)
--- a/internal/batch/command.go
+++ b/internal/batch/command.go
@@ -37,6 +37,9 @@
 	at   time.Time
 }
 
+// Save keeps the checkpoints of runs that go on, so that they outlive the worker.
+type Save struct{ marks []Mark }
+
 // Forget drops the jobs that ended before a time and have nothing placed.
 type Forget struct{ before time.Time }
 
@@ -48,6 +51,7 @@
 func (Cancel) command()  {}
 func (Begin) command()   {}
 func (Finish) command()  {}
+func (Save) command()    {}
 func (Forget) command()  {}
 func (Barrier) command() {}
 
@@ -104,6 +108,12 @@
 // At returns when the ends were taken.
 func (c Finish) At() time.Time { return c.at }
 
+// NewSave returns the command that keeps the checkpoints of runs that go on.
+func NewSave(marks ...Mark) Save { return Save{marks: marks} }
+
+// Marks returns the checkpoints.
+func (c Save) Marks() []Mark { return c.marks }
+
 // NewForget returns the command that drops jobs that ended before the given time.
 func NewForget(before time.Time) Forget { return Forget{before: before} }
 
@@ -177,3 +187,24 @@
 
 // Checkpoint returns the checkpoint that the run left.
 func (e End) Checkpoint() string { return e.checkpoint }
+
+// Mark is the latest checkpoint of a run that goes on.
+type Mark struct {
+	task       TaskID
+	run        int
+	checkpoint string
+}
+
+// NewMark returns the checkpoint of a run that goes on.
+func NewMark(task TaskID, run int, checkpoint string) Mark {
+	return Mark{task: task, run: run, checkpoint: checkpoint}
+}
+
+// Task returns the task's name.
+func (m Mark) Task() TaskID { return m.task }
+
+// Run returns the run's number.
+func (m Mark) Run() int { return m.run }
+
+// Checkpoint returns the checkpoint.
+func (m Mark) Checkpoint() string { return m.checkpoint }
--- a/internal/batch/fuzz_test.go
+++ b/internal/batch/fuzz_test.go
@@ -22,6 +22,7 @@
 	runs    map[batch.TaskID]int
 	failed  map[batch.TaskID]int
 	done    map[batch.TaskID]bool
+	saved   map[batch.TaskID]string
 }
 
 const modelJobs = 6
@@ -31,6 +32,7 @@
 	return &model{
 		state: batch.NewState(d), decoder: d, final: map[string]batch.JobState{},
 		runs: map[batch.TaskID]int{}, failed: map[batch.TaskID]int{}, done: map[batch.TaskID]bool{},
+		saved: map[batch.TaskID]string{},
 	}
 }
 
@@ -113,6 +115,29 @@
 	}
 }
 
+// save commits the checkpoint of a run that may be another one than the latest.
+func (m *model) save(t *rapid.T) {
+	id, j, ok := m.draw(t)
+	if !ok {
+		return
+	}
+	old, _ := j.Task(id)
+	run := max(old.Run()+rapid.IntRange(-1, 1).Draw(t, "run"), 1)
+	text := fmt.Sprint(rapid.IntRange(0, 99).Draw(t, "checkpoint"))
+	m.state, _ = m.state.Apply(batch.NewSave(batch.NewMark(id, run, text)))
+	if old.Phase() == batch.Placed && old.Run() == run && j.Live() {
+		m.saved[m.sharing(j, id)] = text
+	}
+}
+
+// sharing returns the task that keeps the checkpoint of a task: for a gang the first.
+func (m *model) sharing(j *batch.Job, id batch.TaskID) batch.TaskID {
+	if j.Spec().Steps()[id.Step()].Gang() {
+		return id.StepKey()
+	}
+	return id
+}
+
 // check compares the state with what must hold of it.
 func (m *model) check(t *rapid.T) {
 	require.Equal(t, m.newest, m.state.Declaration().Version())
@@ -131,6 +156,7 @@
 				progress, _ := j.Task(task)
 				require.False(t, m.done[task] && progress.Phase() != batch.Ended, "%s is done no more", task)
 				m.done[task] = progress.Phase() == batch.Ended
+				require.Equal(t, m.saved[m.sharing(j, task)], j.Checkpoint(task), "checkpoint of %s", task)
 				all = all && m.done[task]
 			}
 		}
@@ -141,7 +167,7 @@
 }
 
 // TestStateFuzz guards against a declaration that goes back, a job that leaves its final state, a task that begins
-// after it was done or under a used number, and an end that is taken for that of another run.
+// after it was done or under a used number, a checkpoint that another run's replaces, and an end that is taken for that of another run.
 func TestStateFuzz(t *testing.T) {
 	steps := fuzzing.NewCounter(t)
 	rapid.Check(t, func(t *rapid.T) {
@@ -151,6 +177,7 @@
 			"submit":  m.submit,
 			"begin":   m.begin,
 			"end":     m.end,
+			"save":    m.save,
 			"cancel": func(t *rapid.T) {
 				id := fmt.Sprintf("j%d", rapid.IntRange(0, 4*modelJobs).Draw(t, "job"))
 				m.state, _ = m.state.Apply(batch.NewCancel(id, epoch))
@@ -183,5 +210,10 @@
 				delete(m.done, task)
 			}
 		}
+		for task := range m.saved {
+			if task.Job() == id {
+				delete(m.saved, task)
+			}
+		}
 	}
 }
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -101,10 +101,7 @@
 
 // Checkpoint returns what the next run of a task starts from; the tasks of a gang share it.
 func (j *Job) Checkpoint(id TaskID) string {
-	if j.spec.steps[id.step].gang {
-		return j.tasks[id.occurrence][id.step][0].checkpoint
-	}
-	return j.tasks[id.occurrence][id.step][id.index].checkpoint
+	return j.sharing(id).checkpoint
 }
 
 func (j *Job) stepDone(occurrence, step int) bool {
@@ -167,6 +164,25 @@
 	return next, true
 }
 
+// save keeps the checkpoint of a run that goes on.
+func (j *Job) save(m Mark) (next *Job, ok bool) {
+	t, known := j.Task(m.task)
+	if !known || !j.Live() || t.phase != Placed || t.run != m.run || m.checkpoint == "" {
+		return j, false
+	}
+	next = j.with(m.task.occurrence, m.task.step)
+	next.sharing(m.task).checkpoint = m.checkpoint
+	return next, true
+}
+
+// sharing returns the task that keeps what a task shares with the others of its gang: the first, or the task itself.
+func (j *Job) sharing(id TaskID) *Task {
+	if j.spec.steps[id.step].gang {
+		return &j.tasks[id.occurrence][id.step][0]
+	}
+	return &j.tasks[id.occurrence][id.step][id.index]
+}
+
 // end takes the end of a run; attempts is how many runs of a task may fail.
 func (j *Job) end(e End, attempts int, at time.Time) (next *Job, ok bool) {
 	t, known := j.Task(e.task)
@@ -177,10 +193,7 @@
 	step := j.spec.steps[e.task.step]
 	tasks := next.tasks[e.task.occurrence][e.task.step]
 	ended := &tasks[e.task.index]
-	shared := ended
-	if step.gang {
-		shared = &tasks[0]
-	}
+	shared := next.sharing(e.task)
 	if e.checkpoint != "" {
 		shared.checkpoint = e.checkpoint
 	}
--- a/internal/batch/state.go
+++ b/internal/batch/state.go
@@ -122,6 +122,11 @@
 			s = s.end(e, c.at)
 		}
 		return s, Applied{}
+	case Save:
+		for _, m := range c.marks {
+			s = s.save(m)
+		}
+		return s, Applied{}
 	case Forget:
 		s.jobs = s.jobs.Filter(func(_ string, j *Job) bool {
 			return j.Live() || !j.ended.Before(c.before) || j.HasPlaced()
@@ -193,6 +198,17 @@
 	return s
 }
 
+func (s State) save(m Mark) State {
+	j, known := s.jobs.Get(m.task.job)
+	if !known {
+		return s
+	}
+	if next, ok := j.save(m); ok {
+		s.jobs = s.jobs.With(m.task.job, next)
+	}
+	return s
+}
+
 // Restored is a job as a snapshot keeps it.
 type Restored struct {
 	submit  Submit
--- a/internal/batch/step.go
+++ b/internal/batch/step.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 )
 
@@ -187,24 +188,22 @@
 	return s.first.Add(time.Duration(occurrence) * s.interval)
 }
 
-// Chain returns the declared duration of the longest chain of steps from the given step on.
-func (s Spec) Chain(from int) time.Duration {
+// Chain returns the duration of the longest chain of steps from the given step on, of which each takes what length says.
+func (s Spec) Chain(from int, length func(step int) time.Duration) time.Duration {
 	longest := time.Duration(0)
 	for i := from + 1; i < len(s.steps); i++ {
-		for _, a := range s.steps[i].after {
-			if a == from {
-				longest = max(longest, s.Chain(i))
-			}
+		if slices.Contains(s.steps[i].after, from) {
+			longest = max(longest, s.Chain(i, length))
 		}
 	}
-	return s.steps[from].estimate + longest
+	return length(from) + longest
 }
 
-// Length returns the declared duration of the longest chain of steps.
-func (s Spec) Length() time.Duration {
+// Length returns the duration of the longest chain of steps, of which each takes what length says.
+func (s Spec) Length(length func(step int) time.Duration) time.Duration {
 	longest := time.Duration(0)
 	for i := range s.steps {
-		longest = max(longest, s.Chain(i))
+		longest = max(longest, s.Chain(i, length))
 	}
 	return longest
 }
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -12,20 +12,24 @@
 
 // Core is the leader's view of the workers during one term. It is not safe for concurrent use.
 type Core struct {
-	timing  Timing
-	fence   uint64
-	elected time.Time
-	hosts   map[string]*host
-	ordered map[run.ID]*ordered
-	fresh   map[run.ID]bool
-	forgot  time.Time
-	log     []Decision
+	timing   Timing
+	fence    uint64
+	elected  time.Time
+	hosts    map[string]*host
+	ordered  map[run.ID]*ordered
+	fresh    map[run.ID]bool
+	progress map[run.ID]*progress
+	lengths  map[placement.StepKey]time.Duration
+	forgot   time.Time
+	saved    time.Time
+	log      []Decision
 }
 
 // ordered is a run that this leader gave orders about.
 type ordered struct {
 	started time.Time
 	stopped time.Time
+	saved   time.Time
 	refused bool
 }
 
@@ -35,6 +39,7 @@
 	return &Core{
 		timing: t, fence: fence, elected: now, forgot: now,
 		hosts: map[string]*host{}, ordered: map[run.ID]*ordered{}, fresh: map[run.ID]bool{},
+		progress: map[run.ID]*progress{}, lengths: map[placement.StepKey]time.Duration{},
 	}
 }
 
@@ -42,6 +47,7 @@
 type Actions struct {
 	ends      []batch.End
 	forget    time.Time
+	marks     []batch.Mark
 	groups    []batch.Group
 	orders    []Addressed
 	decisions []Decision
@@ -54,6 +60,9 @@
 // Forget returns before which time ended jobs are to be dropped; the zero time means that none are.
 func (a Actions) Forget() time.Time { return a.forget }
 
+// Marks returns the checkpoints to commit.
+func (a Actions) Marks() []batch.Mark { return a.marks }
+
 // Groups returns the runs to commit as begun; Begun is to be called for those that were.
 func (a Actions) Groups() []batch.Group { return a.groups }
 
@@ -118,7 +127,9 @@
 // Report takes the report of an agent.
 func (c *Core) Report(now time.Time, r run.Report) {
 	h := c.host(r.Agent())
-	h.listen(now, r)
+	if h.listen(now, r) {
+		c.observe(now, h.list)
+	}
 	for _, e := range r.Refused() {
 		c.note(e.ID()).refused = true
 		if e.Reason() == Unhealthy {
@@ -171,6 +182,7 @@
 	}
 	c.hold(now, s, &a)
 	c.forget(now, s, &a)
+	a.marks = c.save(now, s)
 	a.decisions, c.log = c.log, nil
 	a.wake = now.Add(tickInterval)
 	return a
@@ -216,15 +228,16 @@
 // place chooses what begins next.
 func (c *Core) place(now time.Time, s batch.State, stopping map[run.ID]bool, lives map[batch.Life]*host, a *Actions) {
 	var workers []placement.Worker
+	still, slow := c.ailing(now, s)
 	for _, h := range c.hosts {
-		if h.usable(now, c.fence) && !h.health.suspect(now) {
-			workers = append(workers, placement.NewWorker(h.announcement, h.health.failures > 0))
+		if h.usable(now, c.fence) && !h.health.suspect(now) && !still[h.agent] {
+			workers = append(workers, placement.NewWorker(h.announcement, h.health.failures > 0 || slow[h.agent]))
 		}
 	}
 	if len(workers) == 0 {
 		return
 	}
-	p := placement.Decide(placement.NewView(now, s, workers, stopping, c.timing.far))
+	p := placement.Decide(placement.NewView(now, s, workers, stopping, c.timing.far).WithForecast(c.forecast(now, s)))
 	a.groups = p.Groups()
 	for _, id := range p.Stops() {
 		j, _ := s.Job(id.Task().Job())
@@ -244,12 +257,9 @@
 	c.decide(h, now, id, "stop", why)
 }
 
-// hold extends leases, acknowledges ends and asks for lists.
+// hold extends leases, acknowledges ends and asks for lists. Idle workers get it too, so that their agents notice soon
+// when this leader is gone.
 func (c *Core) hold(now time.Time, s batch.State, a *Actions) {
-	busy := map[batch.Life]bool{}
-	for _, j := range s.Jobs().All() {
-		eachPlaced(j, func(_ run.ID, t batch.Task) { busy[t.Worker()] = true })
-	}
 	for _, h := range sortedHosts(c.hosts) {
 		if !h.connected || !h.announced || h.clockLife != h.announcement.Life() {
 			continue
@@ -257,7 +267,7 @@
 		life := h.announcement.Life()
 		ack := c.acknowledge(h, s)
 		first := !h.current(c.fence) && !h.asked
-		due := (busy[life] || len(h.list.Running()) > 0 || !h.current(c.fence)) && now.Sub(h.held) >= holdInterval
+		due := now.Sub(h.held) >= holdInterval
 		if !first && !due && ack <= h.acknowledged {
 			continue
 		}
@@ -307,6 +317,11 @@
 			delete(c.ordered, id)
 		}
 	}
+	for key := range c.lengths {
+		if j, known := s.Job(key.Job()); !known || !j.Live() {
+			delete(c.lengths, key)
+		}
+	}
 }
 
 func (c *Core) decide(h *host, now time.Time, id run.ID, what, why string) {
--- a/internal/dispatch/fuzz_test.go
+++ b/internal/dispatch/fuzz_test.go
@@ -51,6 +51,8 @@
 	machines []*machine
 	runs     map[run.ID]int
 	done     map[batch.TaskID]bool
+	made     map[batch.TaskID]map[string]bool // the checkpoints that the runs of a task, or of a gang, have made
+	kept     map[batch.TaskID]bool            // whether one of them was committed
 }
 
 func newWorld(t *rapid.T) *world {
@@ -63,6 +65,7 @@
 		t: t, now: epoch, work: 2 * time.Second, lateness: 3 * time.Second,
 		decoder: &specs{declaration: d, specs: map[string]batch.Spec{}},
 		runs:    map[run.ID]int{}, done: map[batch.TaskID]bool{},
+		made: map[batch.TaskID]map[string]bool{}, kept: map[batch.TaskID]bool{},
 	}
 	w.state, _ = batch.NewState(w.decoder).Apply(batch.NewDeclare(nil))
 	for i := range machines {
@@ -125,6 +128,12 @@
 	if len(a.Ends()) > 0 {
 		w.apply(batch.NewFinish(w.now, a.Ends()...))
 	}
+	if len(a.Marks()) > 0 {
+		w.apply(batch.NewSave(a.Marks()...))
+	}
+	for _, m := range a.Marks() {
+		w.kept[w.sharing(m.Task())] = true
+	}
 	if len(a.Groups()) > 0 {
 		begun, ok := w.apply(batch.NewBegin(w.now, a.Groups()...)).(batch.Begun)
 		require.True(w.t, ok)
@@ -167,6 +176,28 @@
 	return members
 }
 
+// sharing returns the task whose checkpoint a task resumes from: for a gang that of its first.
+func (w *world) sharing(id batch.TaskID) batch.TaskID {
+	if j, _ := w.state.Job(id.Job()); j.Spec().Steps()[0].Gang() {
+		return id.StepKey()
+	}
+	return id
+}
+
+// checkpoint returns what a run that is so far has saved: nothing at first, then a text each tenth.
+func (w *world) checkpoint(id run.ID, percent int) string {
+	if percent < 10 {
+		return ""
+	}
+	task := w.sharing(id.Task())
+	text := fmt.Sprintf("%s/%d/%d", task, id.Run(), percent/10)
+	if w.made[task] == nil {
+		w.made[task] = map[string]bool{}
+	}
+	w.made[task][text] = true
+	return text
+}
+
 // at returns the machine that has a run, or nil.
 func (w *world) at(id run.ID) *machine {
 	for _, m := range w.machines {
@@ -190,8 +221,11 @@
 }
 
 // started notes a start, and checks that it may happen.
-func (w *world) started(m *machine, id run.ID) {
+func (w *world) started(m *machine, o run.Start) {
+	id, from := o.ID(), w.sharing(o.ID().Task())
 	w.runs[id]++
+	require.True(w.t, o.Checkpoint() == "" || w.made[from][o.Checkpoint()], "%s resumes from %q", id.Task(), o.Checkpoint())
+	require.False(w.t, o.Checkpoint() == "" && w.kept[from] && !m.late, "%s begins anew despite its checkpoint", id.Task())
 	require.Equal(w.t, 1, w.runs[id], "run %d of %s started again", id.Run(), id.Task())
 	require.False(w.t, w.done[id.Task()], "%s started after it was done", id.Task())
 	for _, o := range w.machines {
@@ -257,7 +291,8 @@
 }
 
 // TestRunsFuzz guards against a task that runs twice at once or after its end, a worker with more than it can hold, and
-// a job that never ends, under lost, late and doubled orders, workers that are cut off, born anew or leave, leaders that
+// a job that never ends or resumes from what is not its own, and one that begins anew although its checkpoint was
+// committed, under lost, late and doubled orders, workers that are cut off, born anew or leave, leaders that
 // are replaced, and commits that are not heard of.
 func TestRunsFuzz(t *testing.T) {
 	steps := fuzzing.NewCounter(t)
--- a/internal/dispatch/host.go
+++ b/internal/dispatch/host.go
@@ -28,8 +28,8 @@
 	health       health
 }
 
-// listen takes a report.
-func (h *host) listen(now time.Time, r run.Report) {
+// listen takes a report, and reports whether it brought a list.
+func (h *host) listen(now time.Time, r run.Report) (listed bool) {
 	if a, ok := r.Announcement(); ok && (!h.announced || a.After(h.announcement)) {
 		h.heard = now
 		if a.Life() != h.announcement.Life() {
@@ -42,10 +42,12 @@
 		h.heard = now
 		h.list, h.listed = l, true
 		h.observe(now, l.Life(), l.Clock())
+		listed = true
 	}
 	if r.Gone() && h.goneAt.IsZero() {
 		h.goneAt = now
 	}
+	return listed
 }
 
 // reborn forgets what is known of an earlier life; the lease that it was granted may still run.
--- a/internal/dispatch/machine_test.go
+++ b/internal/dispatch/machine_test.go
@@ -156,7 +156,7 @@
 	}
 	m.lease = max(m.lease, min(o.Lease(), m.clock()+longestLease))
 	m.running[o.ID()] = m.w.now.Add(m.w.work)
-	m.w.started(m, o.ID())
+	m.w.started(m, o)
 	return ""
 }
 
@@ -242,8 +242,9 @@
 	}
 	m.finished = finished
 	var running []run.Running
-	for id := range m.running {
-		running = append(running, run.NewRunning(id, "", 100, 0))
+	for id, at := range m.running {
+		percent := 100 - int(100*at.Sub(m.w.now)/m.w.work)
+		running = append(running, run.NewRunning(id, m.w.checkpoint(id, percent), percent, 0))
 	}
 	var settled []run.ID
 	for id, at := range m.settled {
--- a/internal/dispatch/resolve.go
+++ b/internal/dispatch/resolve.go
@@ -19,7 +19,11 @@
 				c.take(now, e, lives[t.Worker()], a)
 				return
 			}
-			if why := mustStop(j, id); why != "" {
+			why := mustStop(j, id)
+			if why == "" {
+				why = c.moveOn(now, id, j.Spec().Steps()[id.Task().Step()])
+			}
+			if why != "" {
 				c.stop(now, id, lives[t.Worker()], why, a)
 			}
 			if o := c.ordered[id]; o != nil && !o.stopped.IsZero() {
@@ -107,6 +111,7 @@
 func (c *Core) take(now time.Time, e batch.End, h *host, a *Actions) {
 	a.ends = append(a.ends, e)
 	id := run.NewID(e.Task(), e.Run())
+	delete(c.progress, id)
 	if h == nil {
 		return
 	}
--- a/internal/keys/keys_test.go
+++ b/internal/keys/keys_test.go
@@ -273,3 +273,21 @@
 	require.NoError(t, err)
 	assert.Equal(t, want, got.String())
 }
+
+// Guards against processes that talk to anybody because nobody said how they know each other.
+func TestNetwork(t *testing.T) {
+	t.Run("trusted: peers without key files talk", func(t *testing.T) {
+		server, _, err := keys.Trusted.TLS(time.Now())
+		require.NoError(t, err)
+		_, client, err := keys.Trusted.TLS(time.Now())
+		require.NoError(t, err)
+		assert.Empty(t, server.ClientCAs)
+		assert.Equal(t, []string{keys.Protocol}, client.NextProtos)
+	})
+	for _, n := range []keys.Network{keys.Authenticated, "", "open"} {
+		t.Run("refused: "+string(n), func(t *testing.T) {
+			_, _, err := n.TLS(time.Now())
+			assert.Error(t, err)
+		})
+	}
+}
--- a/internal/placement/load_test.go
+++ b/internal/placement/load_test.go
@@ -68,6 +68,9 @@
 	random   *rand.Rand
 	classes  map[string]class
 	actual   map[batch.TaskID]time.Duration // work left
+	lengths  map[batch.TaskID]time.Duration // all work
+	works    map[string]time.Duration       // of a job's task, by job
+	shown    map[placement.StepKey]time.Duration
 	ends     map[run.ID]time.Time
 	stopping map[run.ID]bool
 	sent     map[string]time.Time
@@ -79,7 +82,8 @@
 func newDay(t *testing.T, seed uint64) *day {
 	d := &day{
 		world: newWorld(t), random: rand.New(rand.NewPCG(seed, 1)), classes: map[string]class{},
-		actual: map[batch.TaskID]time.Duration{}, ends: map[run.ID]time.Time{}, stopping: map[run.ID]bool{},
+		actual: map[batch.TaskID]time.Duration{}, lengths: map[batch.TaskID]time.Duration{}, works: map[string]time.Duration{},
+		shown: map[placement.StepKey]time.Duration{}, ends: map[run.ID]time.Time{}, stopping: map[run.ID]bool{},
 		sent: map[string]time.Time{}, begun: map[string]time.Time{},
 	}
 	d.workers = nil
@@ -113,7 +117,10 @@
 	d.submit(id, c.queue, []string{"a", "b"}[d.random.IntN(2)], batch.NewStep(count, batch.NewResources(c.millicores, c.memoryMB, shape), declared,
 		batch.WithGang(gang, tight), batch.WithCheckpoints(d.random.Float64() < c.checkpoints)))
 	for i := range count {
-		d.actual[batch.NewTaskID(id, 0, 0, i)] = time.Duration(float64(work) * (1 + 0.15*d.random.Float64()))
+		task := batch.NewTaskID(id, 0, 0, i)
+		d.actual[task] = time.Duration(float64(work) * (1 + 0.15*d.random.Float64()))
+		d.lengths[task] = d.actual[task]
+		d.works[id] = max(d.works[id], d.actual[task])
 	}
 }
 
@@ -144,7 +151,7 @@
 }
 
 func (d *day) step() {
-	p := placement.Decide(placement.NewView(d.now, d.state, d.workers, d.stopping, far))
+	p := placement.Decide(placement.NewView(d.now, d.state, d.workers, d.stopping, far).WithForecast(d.forecast()))
 	for _, id := range p.Stops() {
 		d.stop(id)
 	}
@@ -164,6 +171,27 @@
 	}
 }
 
+// shownAfter is how long a run takes to show its rate.
+const shownAfter = 1200 * time.Millisecond
+
+// forecast returns what the running tasks have shown.
+func (d *day) forecast() placement.Forecast {
+	ends := map[run.ID]time.Time{}
+	for id, at := range d.ends {
+		j, _ := d.state.Job(id.Task().Job())
+		t, _ := j.Task(id.Task())
+		if d.stopping[id] || d.now.Sub(t.Since()) < shownAfter {
+			continue
+		}
+		ends[id] = at
+		key := placement.NewStepKey(id.Task())
+		if length := d.lengths[id.Task()]; d.shown[key] == 0 || length < d.shown[key] {
+			d.shown[key] = length
+		}
+	}
+	return placement.NewForecast(ends, d.shown)
+}
+
 // stop ends a run, and all of its gang, after a while.
 func (d *day) stop(id run.ID) {
 	j, _ := d.state.Job(id.Task().Job())
@@ -238,6 +266,15 @@
 	}
 }
 
+// waves returns in how many turns a step runs on a quarter of all workers.
+func (d *day) waves(s batch.Step) int {
+	if s.Gang() {
+		return 1
+	}
+	room := max(hosts*8/s.Resources().Accelerators()/4, 1)
+	return (s.Count() + room - 1) / room
+}
+
 // wasteWorth is what a core-second of wasted work costs in worth.
 const wasteWorth = 0.0019
 
@@ -259,7 +296,7 @@
 		j, _ := d.state.Job(id)
 		weight := min(0.3+0.7*size(j)*counts[c.queue]/sizes[c.queue], 4)
 		q := d.state.QueueOf(j)
-		objective := q.Objective(c.length)
+		objective := q.Objective(d.works[id] * time.Duration(d.waves(j.Spec().Steps()[0])))
 		took := j.EndedAt().Sub(d.sent[id])
 		credit := 0.0
 		switch {
--- /dev/null
+++ b/internal/placement/objective.go
@@ -0,0 +1,62 @@
+package placement
+
+import (
+	"slices"
+	"time"
+
+	"rosemarywind.example/rosemarywind/internal/batch"
+)
+
+// fairShare is the part of a service's room beyond which a step counts as running in waves.
+const fairShare = 0.25
+
+// objective returns how long a job may take from its acceptance or its due time on.
+func (p *planner) objective(j *batch.Job) time.Duration {
+	q := p.view.state.QueueOf(j)
+	return q.Objective(j.Spec().Length(func(i int) time.Duration {
+		return p.view.length(j, i) * time.Duration(waves(j.Spec().Steps()[i], fairShare*p.room(q, j.Spec().Steps()[i])))
+	}))
+}
+
+// needed returns how long a job takes from the given step on if it gets all that its service has.
+func (p *planner) needed(j *batch.Job, from int) time.Duration {
+	q := p.view.state.QueueOf(j)
+	return j.Spec().Chain(from, func(i int) time.Duration {
+		return p.view.length(j, i) * time.Duration(waves(j.Spec().Steps()[i], p.room(q, j.Spec().Steps()[i])))
+	})
+}
+
+// waves returns how many times a step fills room for so many tasks; a gang runs at once.
+func waves(s batch.Step, room float64) int {
+	tasks := max(int(room), 1)
+	if s.Gang() || s.Lasting() {
+		return 1
+	}
+	return (s.Count() + tasks - 1) / tasks
+}
+
+// roomKey is what the room for a step depends on.
+type roomKey struct {
+	service string
+	label   string
+	needs   batch.Resources
+}
+
+// room returns how many tasks of a step its service's workers can run at once.
+func (p *planner) room(q batch.Queue, s batch.Step) float64 {
+	key := roomKey{q.Service(), s.Label(), s.Reserved()}
+	if sum, known := p.rooms[key]; known {
+		return sum
+	}
+	sum := 0.0
+	for _, e := range p.places {
+		if e.service != key.service || key.label != "" && !slices.Contains(e.labels, key.label) {
+			continue
+		}
+		for free := e.capacity; key.needs.Fits(free) && key.needs != (batch.Resources{}); free = free.Minus(key.needs) {
+			sum++
+		}
+	}
+	p.rooms[key] = sum
+	return sum
+}
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -20,13 +20,14 @@
 	racks        map[string][]*place
 	reservations int
 	headroom     int // accelerators
+	rooms        map[roomKey]float64
 	plan         Plan
 	stopped      map[run.ID]bool
 }
 
 // Decide returns what is to be done now.
 func Decide(v View) Plan {
-	p := &planner{view: v, racks: map[string][]*place{}, stopped: map[run.ID]bool{}}
+	p := &planner{view: v, racks: map[string][]*place{}, stopped: map[run.ID]bool{}, rooms: map[roomKey]float64{}}
 	var byLife map[batch.Life]*place
 	p.places, byLife = v.places()
 	for _, e := range p.places {
@@ -37,7 +38,7 @@
 	var units []*unit
 	for id, j := range v.state.Jobs().All() {
 		v.hold(j, byLife, sure[id])
-		units = append(units, v.units(j, sure[id])...)
+		units = append(units, p.units(j, sure[id])...)
 	}
 	order(units)
 	for _, u := range units {
@@ -360,9 +361,9 @@
 	if m := u.step.MaxPerWorker(); m > 0 && g.counts[e]+p.already(u, e) >= m {
 		return false
 	}
-	ends := p.view.now.Add(u.step.Estimate())
+	ends := p.view.now.Add(u.length)
 	for _, b := range e.booked {
-		if (b.strict || ends.After(b.from)) && !needs.Plus(b.needs).Fits(free.Plus(freed(e, b.from))) {
+		if (b.strict || ends.After(b.from)) && !needs.Plus(b.needs).Fits(free.Plus(freed(e, b.from, declared))) {
 			return false
 		}
 	}
@@ -379,10 +380,10 @@
 	return count
 }
 
-// freed returns what a worker gets back until a time.
-func freed(e *place, until time.Time) (sum batch.Resources) {
+// freed returns what a worker gets back until a time, by the ends that count.
+func freed(e *place, until time.Time, t trust) (sum batch.Resources) {
 	for _, h := range e.holdings {
-		if !h.ends.After(until) {
+		if t.counts(h) && !h.ends.After(until) {
 			sum = sum.Plus(h.step.Reserved())
 		}
 	}
@@ -393,6 +394,6 @@
 	e.free = e.free.Minus(u.step.Reserved())
 	e.holdings = append(e.holdings, &holding{
 		id: run.NewID(u.key, 0), job: u.job, step: u.step, place: e, since: p.view.now,
-		ends: p.view.now.Add(u.step.Estimate()), sure: true,
+		ends: p.view.now.Add(u.length), sure: true,
 	})
 }
--- a/internal/placement/preempt.go
+++ b/internal/placement/preempt.go
@@ -17,7 +17,7 @@
 func (p *planner) preempt(u *unit, sets [][]*place, budget float64) (chosen []*place) {
 	if !u.sure {
 		for _, set := range sets {
-			if at, ok := p.earliest(u, set); ok && at.Sub(p.view.now) <= patience {
+			if p.worthWaiting(u, set) {
 				return set
 			}
 		}
@@ -49,12 +49,24 @@
 	return bestSet
 }
 
+// startMargin is how much of its slack a unit keeps that waits for runs to end.
+const startMargin = 400 * time.Millisecond
+
+// worthWaiting reports whether a set has room for the unit soon, or in time by ends that its runs have shown.
+func (p *planner) worthWaiting(u *unit, set []*place) bool {
+	if at, ok := p.earliest(u, set, declared); ok && at.Sub(p.view.now) <= patience {
+		return true
+	}
+	at, ok := p.earliest(u, set, shown)
+	return ok && at.Sub(p.view.now) <= u.slack-startMargin
+}
+
 // worthStopping is how much work, for each core-second of its own, an urgent unit may have others throw away.
 const worthStopping = 2.0
 
 // work returns the core-seconds that the unit is expected to take.
 func (u *unit) work() float64 {
-	return u.step.Resources().Cores() * u.step.Estimate().Seconds() * float64(len(u.indexes))
+	return u.step.Resources().Cores() * u.length.Seconds() * float64(len(u.indexes))
 }
 
 // victims returns the cheapest runs, found one after the other, whose end makes room for the unit.
@@ -153,20 +165,19 @@
 	// Each earlier run makes it dearer, so that no job is stopped again and again.
 	work := lost.Seconds() * h.step.Resources().Cores() * float64(members*h.id.Run())
 	if p.lateIfStopped(h) {
-		work += h.step.Estimate().Seconds() * h.step.Resources().Cores() * float64(members)
+		work += p.view.length(h.job, h.id.Task().Step()).Seconds() * h.step.Resources().Cores() * float64(members)
 	}
 	return work
 }
 
 // lateIfStopped reports whether the job of a run, which may still end in time, will not if the run is stopped.
 func (p *planner) lateIfStopped(h *holding) bool {
-	q := p.view.state.QueueOf(h.job)
-	spec := h.job.Spec()
-	until := h.job.Accepted().Add(q.Objective(spec.Length()))
-	if due := spec.Due(h.id.Task().Occurrence()); !due.IsZero() {
-		until = due.Add(q.Objective(spec.Length()))
+	begin := h.job.Accepted()
+	if due := h.job.Spec().Due(h.id.Task().Occurrence()); !due.IsZero() {
+		begin = due
 	}
-	left := spec.Chain(h.id.Task().Step())
+	until := begin.Add(p.objective(h.job))
+	left := p.needed(h.job, h.id.Task().Step())
 	if h.step.Checkpoints() {
 		left -= p.view.now.Sub(h.since)
 	}
--- a/internal/placement/unit.go
+++ b/internal/placement/unit.go
@@ -15,6 +15,7 @@
 	step    batch.Step
 	key     batch.TaskID
 	indexes []int
+	length  time.Duration // of one task
 	slack   time.Duration // until it must begin to meet its objective
 	next    time.Duration // until it must begin to meet its objective, or three times that
 	sure    bool
@@ -22,22 +23,23 @@
 }
 
 // units returns what waits for workers.
-func (v View) units(j *batch.Job, sure bool) (list []*unit) {
+func (p *planner) units(j *batch.Job, sure bool) (list []*unit) {
 	if !j.Live() {
 		return nil
 	}
-	q := v.state.QueueOf(j)
-	spec := j.Spec()
+	q := p.view.state.QueueOf(j)
+	spec, now := j.Spec(), p.view.now
+	objective := p.objective(j)
 	for k := range spec.Times() {
 		begin := j.Accepted()
 		if due := spec.Due(k); !due.IsZero() {
-			if v.now.Before(due) {
+			if now.Before(due) {
 				continue
 			}
 			begin = due
 		}
 		for i, s := range spec.Steps() {
-			u := &unit{job: j, queue: q, step: s, key: batch.NewTaskID(spec.ID(), k, i, 0), sure: sure}
+			u := &unit{job: j, queue: q, step: s, key: batch.NewTaskID(spec.ID(), k, i, 0), sure: sure, length: p.view.length(j, i)}
 			u.indexes = waiting(j.Tasks(k, i))
 			if len(u.indexes) == 0 || s.Gang() && len(u.indexes) < s.Count() || !j.Ready(k, i) {
 				continue
@@ -48,10 +50,10 @@
 					u.ready = t.Since()
 				}
 			}
-			u.slack = begin.Add(q.Objective(spec.Length())).Sub(v.now.Add(spec.Chain(i)))
+			u.slack = begin.Add(objective).Sub(now.Add(p.needed(j, i)))
 			u.next = u.slack
 			if u.slack < 0 {
-				u.next += 2 * q.Objective(spec.Length())
+				u.next += 2 * objective
 			}
 			list = append(list, u)
 		}
--- a/internal/placement/view.go
+++ b/internal/placement/view.go
@@ -27,6 +27,7 @@
 	workers  []Worker
 	stopping map[run.ID]bool
 	far      float64
+	forecast Forecast
 }
 
 // NewView returns the view at a time: the replicated state, the workers that can take runs, and the runs that were
@@ -70,6 +71,7 @@
 	since    time.Time
 	stopping bool
 	sure     bool
+	shown    bool // its end is known from its progress
 }
 
 // booking is a claim on a worker from a time on; nothing else may begin beside a strict one, however short it claims to
@@ -114,7 +116,7 @@
 				}
 				id := run.NewID(batch.NewTaskID(j.Spec().ID(), k, i, n), t.Run())
 				h := &holding{id: id, job: j, step: s, place: p, since: t.Since(), stopping: v.stopping[id] || !j.Live(), sure: sure}
-				h.ends = v.expectedEnd(h)
+				h.ends, h.shown = v.expectedEnd(h)
 				p.holdings = append(p.holdings, h)
 				p.free = p.free.Minus(s.Reserved())
 			}
@@ -122,19 +124,22 @@
 	}
 }
 
-func (v View) expectedEnd(h *holding) time.Time {
+func (v View) expectedEnd(h *holding) (at time.Time, shown bool) {
 	if h.stopping {
-		return v.now.Add(stopAllowance)
+		return v.now.Add(stopAllowance), false
 	}
-	estimate := h.step.Estimate()
+	if at, shown = v.forecast.ends[h.id]; shown {
+		return at, true
+	}
+	estimate := v.length(h.job, h.id.Task().Step())
 	if h.step.Rack() != "" && h.step.Rack() != h.place.rack {
 		estimate = time.Duration(float64(estimate) * v.far)
 	}
 	ends := h.since.Add(estimate)
 	if overdue := v.now.Sub(ends); overdue > -estimate/overdueShare {
-		return v.now.Add(max(overdue, estimate/overdueShare))
+		return v.now.Add(max(overdue, estimate/overdueShare)), false
 	}
-	return ends
+	return ends, false
 }
 
 // overdueShare is the part of its estimate that a run at the end of its estimate is expected to take still; one that is
--- a/internal/run/report.go
+++ b/internal/run/report.go
@@ -95,7 +95,7 @@
 	figure     int
 }
 
-// NewRunning returns a run with its latest checkpoint, the share at which it works, and the worker's rough figure of it.
+// NewRunning returns a run with its latest checkpoint, how far it is in percent, and the worker's rough figure of it.
 func NewRunning(id ID, checkpoint string, percent, figure int) Running {
 	return Running{id: id, checkpoint: checkpoint, percent: percent, figure: figure}
 }
@@ -106,7 +106,7 @@
 // Checkpoint returns the latest checkpoint, or an empty string.
 func (r Running) Checkpoint() string { return r.checkpoint }
 
-// Percent returns the share at which the run works, 0 to 100.
+// Percent returns how far the run is, 0 to 100; for a task that lasts, 100 once it is at work.
 func (r Running) Percent() int { return r.percent }
 
 // Figure returns the tail latency in milliseconds of a task that serves, and the thousandths of a core that another uses.
--- a/internal/runner/loop.go
+++ b/internal/runner/loop.go
@@ -34,6 +34,7 @@
 	starts   map[run.ID]context.CancelFunc
 	settled  map[run.ID]time.Time
 	list     run.List
+	told     map[run.ID]told
 	listing  bool
 	look     bool
 	cancel   context.CancelFunc
@@ -304,8 +305,9 @@
 	} else {
 		l.nextList = now
 	}
-	if changed || l.resend {
+	if changed || l.resend || l.news(now, list) {
 		l.resend = false
+		l.tellProgress(now, list)
 		l.send(run.NewReport(l.name).WithList(list))
 	}
 }
--- a/internal/scheduler/director.go
+++ b/internal/scheduler/director.go
@@ -169,6 +169,9 @@
 		d.commit(ctx, batch.NewFinish(begun, a.Ends()...))
 		return time.Now()
 	}
+	if len(a.Marks()) > 0 {
+		d.commit(ctx, batch.NewSave(a.Marks()...))
+	}
 	if !a.Forget().IsZero() {
 		d.commit(ctx, batch.NewForget(a.Forget()))
 	}
--- a/internal/wire/batch.go
+++ b/internal/wire/batch.go
@@ -16,6 +16,7 @@
 	batchCancel  = "cancel"
 	batchBegin   = "begin"
 	batchFinish  = "finish"
+	batchSave    = "save"
 	batchForget  = "forget"
 	batchBarrier = "barrier"
 )
@@ -29,6 +30,7 @@
 	At        int64       `cbor:"6,keyasint,omitempty"`
 	Groups    []groupForm `cbor:"7,keyasint,omitempty"`
 	Ends      []endForm   `cbor:"8,keyasint,omitempty"`
+	Marks     []markForm  `cbor:"9,keyasint,omitempty"`
 }
 
 type taskForm struct {
@@ -67,6 +69,13 @@
 	Checkpoint string
 }
 
+type markForm struct {
+	_          struct{} `cbor:",toarray"`
+	Task       taskForm
+	Run        int
+	Checkpoint string
+}
+
 func newTaskForm(t batch.TaskID) taskForm {
 	return taskForm{Job: t.Job(), Occurrence: t.Occurrence(), Step: t.Step(), Index: t.Index()}
 }
@@ -124,6 +133,11 @@
 		for _, e := range c.Ends() {
 			f.Ends = append(f.Ends, newEndForm(e))
 		}
+	case batch.Save:
+		f = batchForm{Kind: batchSave}
+		for _, m := range c.Marks() {
+			f.Marks = append(f.Marks, markForm{Task: newTaskForm(m.Task()), Run: m.Run(), Checkpoint: m.Checkpoint()})
+		}
 	case batch.Forget:
 		f = batchForm{Kind: batchForget, At: toNanos(c.Before())}
 	case batch.Barrier:
@@ -168,6 +182,12 @@
 			ends[i] = e.end()
 		}
 		return batch.NewFinish(fromNanos(f.At), ends...), nil
+	case batchSave:
+		marks := make([]batch.Mark, len(f.Marks))
+		for i, m := range f.Marks {
+			marks[i] = batch.NewMark(m.Task.task(), m.Run, m.Checkpoint)
+		}
+		return batch.NewSave(marks...), nil
 	case batchForget:
 		return batch.NewForget(fromNanos(f.At)), nil
 	case batchBarrier:
--- a/internal/wire/batch_test.go
+++ b/internal/wire/batch_test.go
@@ -29,6 +29,7 @@
 		"cancel":  batch.NewCancel("j", batchTime),
 		"begin":   batch.NewBegin(batchTime, batch.NewGroup(aTask.StepKey(), batch.NewMember(3, 2, aLife))),
 		"finish":  batch.NewFinish(batchTime, anEnd),
+		"save":    batch.NewSave(batch.NewMark(aTask, 2, "c")),
 		"forget":  batch.NewForget(batchTime),
 		"barrier": batch.Barrier{},
 	} {
