Replace a lost leader in under a second, and give up early where no control host is reached

An entry cut off from all control hosts held requests for 1.3 s (503) or 2.9 s (504) although any other entry would have served them; the client was back 0.1 to 0.6 s later. Ruled out: the agents' reconnection (0.11 s after the election). Change: the scheduler's ledger runs with a leader lease of 500 ms and elections after 550 to 800 ms; the product's other roles keep theirs. A client that does not know the leader, or gets no answer from it for 200 ms, asks all control hosts at once which of them leads (400 ms at most); it turns to that one, and gives up when none answers. A connection on which a host does not answer is replaced. Agents that get no order for 1.3 s make sure in the same way that their leader leads. Two cases of TestCall now answer pings as leaders do, since nothing is sent to a host any more that does not say that it leads; TestUnreachable has the case of a host that answers nothing, with a bound. Seen red: TestUnreachable against the client before this change took until its deadline (5 s).

--- a/internal/leader/client.go
+++ b/internal/leader/client.go
@@ -2,31 +2,33 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/sync/singleflight"
+
 	"rosemarywind.example/rosemarywind/internal/call"
 	"rosemarywind.example/rosemarywind/internal/clock"
 	"rosemarywind.example/rosemarywind/internal/link"
-	"rosemarywind.example/rosemarywind/internal/wire"
 )
 
 const (
 	// attemptTimeout bounds one exchange, so that a leader that stands still costs a call no more than this; a second
 	// attempt then fits into the second after which operators turn to another host.
 	attemptTimeout = 600 * time.Millisecond
-	// avoidTime is how long a host that did not answer is asked last.
+	// avoidTime is how long a host that did not answer is not taken for the leader on the word of others.
 	avoidTime = 2 * time.Second
-	// retryPause is waited before the next host is asked.
+	// retryPause is waited before the leader is looked for again.
 	retryPause = 60 * time.Millisecond
 )
 
 // Client passes calls to the leader, wherever it is. Its methods may be called from several threads.
 type Client struct {
-	pool  *link.Pool
-	known atomic.Pointer[known]
-	turn  atomic.Uint64
+	pool     *link.Pool
+	known    atomic.Pointer[known]
+	searches singleflight.Group
 }
 
 // known is what a client knows of the control hosts; it is immutable.
@@ -73,8 +75,8 @@
 func (c *Client) Leader() string { return c.known.Load().leader }
 
 // Call passes a call to the leader until ctx ends, but for no longer than patience while no attempt may have reached a
-// leader; a patience of 0 is no bound. The reply is Unavailable if the call had no effect, and Uncertain if it may have
-// had one.
+// leader; a patience of 0 is no bound. It gives up sooner when no control host can be reached. The reply is Unavailable
+// if the call had no effect, and Uncertain if it may have had one.
 func (c *Client) Call(ctx context.Context, trace string, asked call.Call, patience time.Duration) call.Reply {
 	uncertain, reason := false, "no control host was reached"
 	unsent, cancel := ctx, context.CancelFunc(func() {})
@@ -90,13 +92,28 @@
 		if !first && !clock.Pause(bounded, retryPause) || bounded.Err() != nil {
 			return unfinished(uncertain, reason)
 		}
-		address := c.next()
-		r, sent, err := c.exchange(ctx, bounded, address, trace, asked)
+		address := c.Leader()
+		if address == "" {
+			found := c.find(bounded)
+			switch {
+			case found.leader != "":
+				address = found.leader
+			case found.reached:
+				reason = "no leader is known"
+				continue
+			default:
+				// Whoever asked is served sooner by another host than by waiting here.
+				return unfinished(uncertain, errUnreached.Error())
+			}
+		}
+		r, sent, err := c.ask(ctx, bounded, address, trace, asked)
 		if err != nil {
 			uncertain = uncertain || sent
 			reason = err.Error()
-			c.forget(address)
 			c.avoid(address)
+			if errors.Is(err, errUnreached) {
+				return unfinished(uncertain, reason)
+			}
 			continue
 		}
 		c.learn(r)
@@ -130,48 +147,6 @@
 // unavailablePause is about what the election of another leader takes.
 const unavailablePause = time.Second
 
-// next returns the leader, or the next control host in turn.
-func (c *Client) next() string {
-	k := c.known.Load()
-	if k.leader != "" {
-		return k.leader
-	}
-	address := k.hosts[int(c.turn.Add(1))%len(k.hosts)]
-	if k.avoids(address, time.Now()) {
-		address = k.hosts[int(c.turn.Add(1))%len(k.hosts)]
-	}
-	return address
-}
-
-// exchange asks one host, whose connection must be there before opening ends; sent reports whether the call may have
-// reached it.
-func (c *Client) exchange(
-	ctx, opening context.Context, address, trace string, asked call.Call,
-) (r call.Reply, sent bool, err error) {
-	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
-	defer cancel()
-	opening, opened := context.WithTimeout(opening, attemptTimeout)
-	defer opened()
-	s, err := c.pool.Open(opening, address)
-	if err != nil {
-		return r, false, err
-	}
-	deadline, _ := ctx.Deadline()
-	if err = s.SetDeadline(deadline); err == nil {
-		err = wire.WriteCall(s, trace, asked)
-	}
-	if err == nil {
-		s.CloseWrite()
-		r, err = wire.ReadReply(s)
-	}
-	if err != nil {
-		s.Cancel()
-		return r, !link.NotServed(err), err
-	}
-	s.Finish()
-	return r, true, nil
-}
-
 // learn takes over what a reply says of the control hosts.
 func (c *Client) learn(r call.Reply) {
 	old := c.known.Load()
@@ -197,8 +172,9 @@
 	c.known.CompareAndSwap(old, &next)
 }
 
-// avoid has a host that did not answer asked last for a while.
+// avoid drops a leader that did not answer, and does not take it for the leader for a while unless it says so itself.
 func (c *Client) avoid(address string) {
+	c.forget(address)
 	old := c.known.Load()
 	next := *old
 	next.avoided, next.avoidedUntil = address, time.Now().Add(avoidTime)
--- a/internal/leader/client_test.go
+++ b/internal/leader/client_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -20,7 +21,7 @@
 // host is a control host that answers each call by a function; a nil reply is silence.
 func host(t *testing.T, answer func(call.Call) *call.Reply) (address string) {
 	t.Helper()
-	serverTLS, _, err := keys.Trusted(time.Now())
+	serverTLS, _, err := keys.Trusted.TLS(time.Now())
 	require.NoError(t, err)
 	s, err := link.Listen("127.0.0.1:0", serverTLS)
 	require.NoError(t, err)
@@ -55,7 +56,7 @@
 
 func newClient(t *testing.T, seeds ...string) *leader.Client {
 	t.Helper()
-	_, clientTLS, err := keys.Trusted(time.Now())
+	_, clientTLS, err := keys.Trusted.TLS(time.Now())
 	require.NoError(t, err)
 	p := link.NewPool(clientTLS)
 	t.Cleanup(p.Close)
@@ -67,6 +68,16 @@
 	return &r
 }
 
+// leading returns the answers of a host that says that it leads, and answers anything else by a function.
+func leading(answer func(call.Call) *call.Reply) func(call.Call) *call.Reply {
+	return func(c call.Call) *call.Reply {
+		if _, ping := c.(call.Ping); ping {
+			return reply(call.OK)
+		}
+		return answer(c)
+	}
+}
+
 // ask submits a job with a deadline, and returns the reply and how long it took.
 func ask(t *testing.T, c *leader.Client, deadline, unsent time.Duration) (r call.Reply, took time.Duration) {
 	t.Helper()
@@ -103,18 +114,18 @@
 		assert.Equal(t, call.OK, r.Outcome())
 	})
 	t.Run("a leader that falls silent", func(t *testing.T) {
-		silent := host(t, func(call.Call) *call.Reply { return nil })
+		silent := host(t, leading(func(call.Call) *call.Reply { return nil }))
 		r, _ := ask(t, newClient(t, silent), 1200*time.Millisecond, 300*time.Millisecond)
 		assert.Equal(t, call.Uncertain, r.Outcome())
 	})
 	t.Run("a refusal after silence leaves the first attempt open", func(t *testing.T) {
 		n := 0
-		moody := host(t, func(call.Call) *call.Reply {
+		moody := host(t, leading(func(call.Call) *call.Reply {
 			if n++; n == 1 {
 				return nil
 			}
 			return reply(call.Refused)
-		})
+		}))
 		r, _ := ask(t, newClient(t, moody), patience, 0)
 		assert.Equal(t, call.Uncertain, r.Outcome())
 	})
@@ -136,3 +147,38 @@
 		assert.Less(t, took, 500*time.Millisecond)
 	}
 }
+
+// Guards against callers that are held by a host which no control host answers any more, although another host would
+// serve them at once.
+func TestUnreachable(t *testing.T) {
+	t.Run("nothing was sent", func(t *testing.T) {
+		silent := host(t, func(call.Call) *call.Reply { return nil })
+		r, took := ask(t, newClient(t, silent), patience, 0)
+		assert.Equal(t, call.Unavailable, r.Outcome())
+		assert.Less(t, took, 1500*time.Millisecond)
+	})
+	t.Run("the call was sent before", func(t *testing.T) {
+		var fell atomic.Bool
+		falling := host(t, func(c call.Call) *call.Reply {
+			if _, ping := c.(call.Ping); ping && !fell.Load() {
+				return reply(call.OK)
+			}
+			fell.Store(true)
+			return nil
+		})
+		r, took := ask(t, newClient(t, falling), patience, 0)
+		assert.Equal(t, call.Uncertain, r.Outcome())
+		assert.Less(t, took, 2*time.Second)
+	})
+}
+
+// Guards against a call that waits for the end of its attempt at a leader that was replaced meanwhile.
+func TestReplacedLeader(t *testing.T) {
+	silent := host(t, func(call.Call) *call.Reply { return nil })
+	second := host(t, func(call.Call) *call.Reply { return reply(call.OK) })
+	c := newClient(t, silent, second)
+	c.Suggest(silent)
+	r, took := ask(t, c, patience, 0)
+	assert.Equal(t, call.OK, r.Outcome())
+	assert.Less(t, took, 550*time.Millisecond)
+}
--- a/internal/ledger/driver/options.go
+++ b/internal/ledger/driver/options.go
@@ -68,6 +68,9 @@
 // WithRandom sets the source of election timeouts and fresh identities; only the node's goroutine uses it.
 func WithRandom(r ledger.Random) Option { return func(o *options) { o.random = r } }
 
+// WithTiming sets the durations that the member keeps to, which must be the same on all members.
+func WithTiming(t ledger.Timing) Option { return func(o *options) { o.timing = t } }
+
 // WithElectionTimeout sets the bounds of the time after which a silent leader is replaced.
 func WithElectionTimeout(least, most time.Duration) Option {
 	return func(o *options) { o.timing = o.timing.WithElection(least, most) }
--- a/internal/ledger/timing.go
+++ b/internal/ledger/timing.go
@@ -22,6 +22,17 @@
 	}
 }
 
+// ShortTiming returns a leader lease of 500 ms, a heartbeat each 80 ms and an election timeout of 550 ms to 800 ms, for
+// members whose messages take a few milliseconds.
+func ShortTiming() Timing {
+	return Timing{
+		lease:       500 * time.Millisecond,
+		heartbeat:   80 * time.Millisecond,
+		electionMin: 550 * time.Millisecond,
+		electionMax: 800 * time.Millisecond,
+	}
+}
+
 // WithElection returns a timing with the given bounds of the election timeout; the
 // lower bound is raised where the leader lease asks for more.
 func (t Timing) WithElection(least, most time.Duration) Timing {
--- a/internal/runner/session.go
+++ b/internal/runner/session.go
@@ -17,6 +17,9 @@
 	sessionPause = 100 * time.Millisecond
 	// reportTimeout bounds the write of one report.
 	reportTimeout = 2 * time.Second
+	// orderSilence is how long no order may come until the agent makes sure that its leader still leads; a leader extends
+	// the lease of each worker once a second.
+	orderSilence = 1300 * time.Millisecond
 )
 
 // keepSession keeps a session with the leader until ctx ends.
@@ -62,12 +65,23 @@
 	r.tell(ctx, sessionInput{})
 	ended := make(chan error, 1)
 	go func() {
+		var silence *time.Timer
+		silence = time.AfterFunc(orderSilence, func() {
+			if r.client.Confirm(ctx, address) {
+				silence.Reset(orderSilence)
+				return
+			}
+			r.logger.Info("no orders, and the leader does not answer", "address", address)
+			s.Cancel()
+		})
+		defer silence.Stop()
 		for {
 			e, err := wire.ReadRunOrder(s)
 			if err != nil {
 				ended <- err
 				return
 			}
+			silence.Reset(orderSilence)
 			r.tell(ctx, orderInput{envelope: e})
 		}
 	}()
--- a/internal/scheduler/options.go
+++ b/internal/scheduler/options.go
@@ -8,6 +8,7 @@
 
 	"rosemarywind.example/rosemarywind/internal/batch"
 	"rosemarywind.example/rosemarywind/internal/dispatch"
+	"rosemarywind.example/rosemarywind/internal/ledger"
 	"rosemarywind.example/rosemarywind/internal/ledger/driver"
 	"rosemarywind.example/rosemarywind/internal/link"
 	"rosemarywind.example/rosemarywind/internal/telemetry"
@@ -57,5 +58,6 @@
 	return options{
 		logger: hclog.NewNullLogger(), registry: telemetry.NewRegistry(),
 		timing: dispatch.DefaultTiming(), grace: 5 * time.Second,
+		ledger: []driver.Option{driver.WithTiming(ledger.ShortTiming())},
 	}
 }
