--- a/internal/dispatch/progress.go
+++ b/internal/dispatch/progress.go
@@ -40,6 +40,9 @@
 	}
 }
 
+// percent returns how far the run is.
+func (p *progress) percent() int { return p.samples[len(p.samples)-1].percent }
+
 // rate returns the percent that the run does in a second; it is known after two samples.
 func (p *progress) rate() (perSecond float64, ok bool) {
 	first, last := p.samples[0], p.samples[len(p.samples)-1]
@@ -108,11 +111,12 @@
 	slowShare = 0.35
 )
 
-// stalled returns how long a run stands still that should have moved, or 0. The members of a gang wait for each other
-// at first.
+// stalled returns how long a run stands still that should have moved, or 0. That is known once a run of its step has
+// moved; the members of a gang wait for each other at first.
 func (c *Core) stalled(now time.Time, id run.ID, step batch.Step) time.Duration {
-	p, known := c.progress[id]
-	if !known || step.Lasting() {
+	p, listed := c.progress[id]
+	length, shown := c.lengths[placement.NewStepKey(id.Task())]
+	if !listed || !shown || step.Lasting() || step.Gang() && p.percent() == 0 {
 		return 0
 	}
 	since, ok := p.still()
@@ -120,11 +124,7 @@
 		return 0
 	}
 	stood := now.Sub(since)
-	if step.Gang() && p.samples[len(p.samples)-1].percent == 0 {
-		return 0
-	}
-	expected := whole * stood.Seconds() / c.length(id.Task(), step).Seconds()
-	if stood < stallTime || expected < stallShare {
+	if stood < stallTime || whole*stood.Seconds()/length.Seconds() < stallShare {
 		return 0
 	}
 	return stood
@@ -155,8 +155,7 @@
 	if stood == 0 {
 		return ""
 	}
-	p := c.progress[id]
-	done := time.Duration(float64(c.length(id.Task(), step)) * float64(p.samples[len(p.samples)-1].percent) / whole)
+	done := time.Duration(float64(c.length(id.Task(), step)) * float64(c.progress[id].percent()) / whole)
 	if step.Checkpoints() {
 		done = min(done, stallTime)
 	}
