Keep services running, pace what fills beside them, and move work off leaving workers

Cause: three parts of the platform's contracts had types and no decisions. A task that lasts counted as done when its run ended so, seemed about to end to the plan, and could not be stopped for a guarantee; tasks that fill were never slowed; runs stayed on a leaving worker until it was gone. Change: lasting tasks begin again however they end, are taken to run for ever, may be stopped for a guarantee as far as their step bears, and leave guaranteed accelerators free once half of all are in use. A closed loop for each host sets the pace of what fills from the tail latency of what serves: to nothing above the target, halved near it, up by a tenth a second while all is calm. A run without checkpoints leaves a draining worker when it cannot end in time and has done less than half; lasting tasks move while enough others of their step work. Ruled out: pacing at the agent, which would not know targets.

--- a/internal/batch/batch_test.go
+++ b/internal/batch/batch_test.go
@@ -125,6 +125,16 @@
 		}
 		assertState(t, s, batch.Running)
 	})
+	t.Run("a lasting task begins again however it ended", func(t *testing.T) {
+		s := newState(t, step(1, batch.WithLasting(true, 0)))
+		for run, how := range []batch.How{batch.Done, batch.Stopped, batch.Done} {
+			var ok bool
+			s, ok = begin(s, 0, run+1, 0)
+			require.True(t, ok)
+			s = end(s, 0, 0, run+1, how, "")
+		}
+		assertState(t, s, batch.Running)
+	})
 }
 
 // Guards against runs that are placed twice, or ends of another run that are taken for this one's.
--- a/internal/batch/declaration.go
+++ b/internal/batch/declaration.go
@@ -219,6 +219,14 @@
 	return w, ok
 }
 
+// Guaranteed returns the accelerators that are guaranteed to all workspaces together.
+func (d Declaration) Guaranteed() (sum int) {
+	for _, w := range d.workspaces {
+		sum += w.guaranteed
+	}
+	return sum
+}
+
 // Owner returns the name of the workspace that holds a key.
 func (d Declaration) Owner(key string) (workspace string, ok bool) {
 	workspace, ok = d.byKey[key]
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -200,7 +200,10 @@
 	ended.phase, ended.since = Waiting, at
 	switch e.how {
 	case Done:
-		endDone(tasks, ended, step.gang)
+		// A task that lasts has no end of its own.
+		if !step.lasting {
+			endDone(tasks, ended, step.gang)
+		}
 	case Failed:
 		if shared.failedRun != e.run {
 			shared.failures++
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -180,6 +180,7 @@
 	if len(a.ends) == 0 {
 		c.place(now, s, stopping, lives, &a)
 	}
+	c.pace(now, s, &a)
 	c.hold(now, s, &a)
 	c.forget(now, s, &a)
 	a.marks = c.save(now, s)
--- /dev/null
+++ b/internal/dispatch/evacuate_test.go
@@ -0,0 +1,77 @@
+package dispatch_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"rosemarywind.example/rosemarywind/internal/batch"
+	"rosemarywind.example/rosemarywind/internal/run"
+)
+
+// newStepBench returns a bench whose job has one step, all of it placed on the worker.
+func newStepBench(t *testing.T, step batch.Step) *bench {
+	t.Helper()
+	b := newBench(t, 1)
+	spec, err := batch.NewSpec("k", "", step)
+	require.NoError(t, err)
+	b.decoder.specs["k"] = spec
+	b.apply(batch.NewSubmit("k", "q", "", nil, b.now))
+	var members []batch.Member
+	for n := range step.Count() {
+		members = append(members, batch.NewMember(n, 1, b.life))
+	}
+	b.apply(batch.NewBegin(b.now, batch.NewGroup(batch.NewTaskID("k", 0, 0, 0), members...)))
+	return b
+}
+
+// drain lets the worker say that it leaves in a while, with its runs so far, and returns how many of job k are stopped.
+func (b *bench) drain(remaining time.Duration, before, after int, count int) (stops int) {
+	for i, percent := range []int{before, after} {
+		b.now = b.now.Add(time.Second)
+		a := run.NewAnnouncement(b.life, "s", "z", b.now.UnixMilli()).WithClock(b.now.Sub(epoch))
+		if i > 0 {
+			a = a.WithDraining(remaining)
+		}
+		var running []run.Running
+		for n := range count {
+			running = append(running, run.NewRunning(run.NewID(batch.NewTaskID("k", 0, 0, n), 1), "", percent, 0))
+		}
+		b.core.Report(b.now, run.NewReport("h").WithAnnouncement(a).
+			WithList(run.NewList(b.life, 1, b.now.Sub(epoch), running, nil, nil)))
+	}
+	for _, id := range b.stops() {
+		if id.Task().Job() == "k" {
+			stops++
+		}
+	}
+	return stops
+}
+
+// Guards against runs that work on until their worker is gone and everything is lost, and against services of which
+// more tasks are away at once than they bear.
+func TestEvacuation(t *testing.T) {
+	plain := batch.NewStep(1, batch.NewResources(1, 1, 0), time.Second)
+	t.Run("cannot end in time", func(t *testing.T) {
+		assert.Equal(t, 1, newStepBench(t, plain).drain(2*time.Second, 0, 5, 1))
+	})
+	t.Run("ends in time", func(t *testing.T) {
+		assert.Zero(t, newStepBench(t, plain).drain(2*time.Second, 0, 45, 1))
+	})
+	t.Run("most of it is done", func(t *testing.T) {
+		assert.Zero(t, newStepBench(t, plain).drain(time.Second, 50, 60, 1))
+	})
+	t.Run("it keeps a checkpoint", func(t *testing.T) {
+		saves := batch.NewStep(1, batch.NewResources(1, 1, 0), time.Second, batch.WithCheckpoints(true))
+		assert.Zero(t, newStepBench(t, saves).drain(2*time.Second, 0, 5, 1))
+	})
+	lasts := batch.NewStep(3, batch.NewResources(1, 1, 0), 0, batch.WithLasting(true, 2))
+	t.Run("a service, as many tasks at once as it bears", func(t *testing.T) {
+		assert.Equal(t, 2, newStepBench(t, lasts).drain(9*time.Second, 100, 100, 3))
+	})
+	t.Run("a service, all when time is running out", func(t *testing.T) {
+		assert.Equal(t, 3, newStepBench(t, lasts).drain(500*time.Millisecond, 100, 100, 3))
+	})
+}
--- a/internal/dispatch/host.go
+++ b/internal/dispatch/host.go
@@ -15,8 +15,11 @@
 	heard        time.Time // the latest announcement or list of the worker
 	announcement run.Announcement
 	announced    bool
+	announcedAt  time.Time
 	list         run.List
 	listed       bool
+	listedAt     time.Time
+	pace         *pace
 	clock        time.Duration
 	clockLife    batch.Life
 	clockAt      time.Time
@@ -35,12 +38,12 @@
 		if a.Life() != h.announcement.Life() {
 			h.reborn()
 		}
-		h.announcement, h.announced = a, true
+		h.announcement, h.announced, h.announcedAt = a, true, now
 		h.observe(now, a.Life(), a.Clock())
 	}
 	if l, ok := r.List(); ok && l.Life() == h.announcement.Life() {
 		h.heard = now
-		h.list, h.listed = l, true
+		h.list, h.listed, h.listedAt = l, true, now
 		h.observe(now, l.Life(), l.Clock())
 		listed = true
 	}
@@ -56,6 +59,7 @@
 	h.acknowledged, h.asked = 0, false
 	h.goneAt = time.Time{}
 	h.health = health{}
+	h.pace = nil
 }
 
 func (h *host) observe(now time.Time, life batch.Life, clock time.Duration) {
--- a/internal/dispatch/progress.go
+++ b/internal/dispatch/progress.go
@@ -87,6 +87,7 @@
 			c.progress[r.ID()] = p
 		}
 		p.observe(now, r.Percent())
+		// How far a lasting task is says nothing of its length, which nobody asks for.
 		if d, ok := p.length(); ok {
 			c.learn(r.ID().Task(), d)
 		}
@@ -190,17 +191,21 @@
 
 // forecast returns what is known of the runs and steps that live.
 func (c *Core) forecast(now time.Time, s batch.State) placement.Forecast {
-	ends := make(map[run.ID]time.Time, len(c.progress))
+	ends, working := make(map[run.ID]time.Time, len(c.progress)), map[run.ID]bool{}
 	for id, p := range c.progress {
 		j, known := s.Job(id.Task().Job())
-		if !known || j.Spec().Steps()[id.Task().Step()].Lasting() {
+		if !known {
+			continue
+		}
+		if j.Spec().Steps()[id.Task().Step()].Lasting() {
+			working[id] = p.percent() == whole
 			continue
 		}
 		if at, ok := p.ends(); ok {
 			ends[id] = later(at, now)
 		}
 	}
-	return placement.NewForecast(ends, c.lengths)
+	return placement.NewForecast(ends, c.lengths).WithWorking(working)
 }
 
 func later(a, b time.Time) time.Time {
--- a/internal/dispatch/resolve.go
+++ b/internal/dispatch/resolve.go
@@ -23,6 +23,9 @@
 			if why == "" {
 				why = c.moveOn(now, id, j.Spec().Steps()[id.Task().Step()])
 			}
+			if why == "" {
+				why = c.evacuate(now, j, id, lives[t.Worker()])
+			}
 			if why != "" {
 				c.stop(now, id, lives[t.Worker()], why, a)
 			}
--- a/internal/dispatch/save_test.go
+++ b/internal/dispatch/save_test.go
@@ -15,11 +15,12 @@
 
 // bench is a leader with one worker, whose lists are written by hand.
 type bench struct {
-	t     *testing.T
-	now   time.Time
-	core  *dispatch.Core
-	state batch.State
-	life  batch.Life
+	t       *testing.T
+	now     time.Time
+	core    *dispatch.Core
+	state   batch.State
+	life    batch.Life
+	decoder *specs
 }
 
 // newBench returns a bench with a job of so many tasks, all placed on the worker.
@@ -31,9 +32,10 @@
 	require.NoError(t, err)
 	spec, err := batch.NewSpec("j", "", batch.NewStep(tasks, batch.NewResources(1, 1, 0), time.Second, batch.WithCheckpoints(true)))
 	require.NoError(t, err)
+	decoder := &specs{declaration: d, specs: map[string]batch.Spec{"j": spec, "other": spec}}
 	b := &bench{
-		t: t, now: epoch, core: dispatch.NewCore(dispatch.DefaultTiming(), 1, epoch), life: batch.NewLife("h", "w", 1),
-		state: batch.NewState(&specs{declaration: d, specs: map[string]batch.Spec{"j": spec, "other": spec}}),
+		t: t, decoder: decoder, now: epoch, core: dispatch.NewCore(dispatch.DefaultTiming(), 1, epoch), life: batch.NewLife("h", "w", 1),
+		state: batch.NewState(decoder),
 	}
 	b.apply(batch.NewDeclare(nil))
 	b.apply(batch.NewSubmit("j", "q", "", nil, b.now))
--- a/internal/placement/forecast.go
+++ b/internal/placement/forecast.go
@@ -11,6 +11,7 @@
 type Forecast struct {
 	ends    map[run.ID]time.Time
 	lengths map[StepKey]time.Duration
+	working map[run.ID]bool
 }
 
 // StepKey names a step of a job, in all its occurrences.
@@ -30,14 +31,26 @@
 	return Forecast{ends: ends, lengths: lengths}
 }
 
+// WithWorking returns the forecast with the runs of lasting tasks that are at work.
+func (f Forecast) WithWorking(runs map[run.ID]bool) Forecast {
+	f.working = runs
+	return f
+}
+
 // WithForecast returns the view with what running tasks have shown.
 func (v View) WithForecast(f Forecast) View {
 	v.forecast = f
 	return v
 }
 
+// lasting is how long a task that lasts is taken to run.
+const lasting = 365 * 24 * time.Hour
+
 // length returns how long a task of a step takes, as shown or else as declared.
 func (v View) length(j *batch.Job, step int) time.Duration {
+	if j.Spec().Steps()[step].Lasting() {
+		return lasting
+	}
 	if d, shown := v.forecast.lengths[StepKey{j.Spec().ID(), step}]; shown {
 		return d
 	}
--- a/internal/placement/objective.go
+++ b/internal/placement/objective.go
@@ -14,22 +14,31 @@
 func (p *planner) objective(j *batch.Job) time.Duration {
 	q := p.view.state.QueueOf(j)
 	return q.Objective(j.Spec().Length(func(i int) time.Duration {
-		return p.view.length(j, i) * time.Duration(waves(j.Spec().Steps()[i], fairShare*p.room(q, j.Spec().Steps()[i])))
+		return p.span(j, i, fairShare*p.room(q, j.Spec().Steps()[i]))
 	}))
 }
 
+// span returns how long a step takes with room for so many tasks; one that lasts is served from its start on.
+func (p *planner) span(j *batch.Job, step int, room float64) time.Duration {
+	s := j.Spec().Steps()[step]
+	if s.Lasting() {
+		return 0
+	}
+	return p.view.length(j, step) * time.Duration(waves(s, room))
+}
+
 // needed returns how long a job takes from the given step on if it gets all that its service has.
 func (p *planner) needed(j *batch.Job, from int) time.Duration {
 	q := p.view.state.QueueOf(j)
 	return j.Spec().Chain(from, func(i int) time.Duration {
-		return p.view.length(j, i) * time.Duration(waves(j.Spec().Steps()[i], p.room(q, j.Spec().Steps()[i])))
+		return p.span(j, i, p.room(q, j.Spec().Steps()[i]))
 	})
 }
 
 // waves returns how many times a step fills room for so many tasks; a gang runs at once.
 func waves(s batch.Step, room float64) int {
 	tasks := max(int(room), 1)
-	if s.Gang() || s.Lasting() {
+	if s.Gang() {
 		return 1
 	}
 	return (s.Count() + tasks - 1) / tasks
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -20,6 +20,8 @@
 	racks        map[string][]*place
 	reservations int
 	headroom     int // accelerators
+	accelerators int // of all workers
+	lasting      int // accelerators of tasks that last and are not within a guarantee
 	rooms        map[roomKey]float64
 	plan         Plan
 	stopped      map[run.ID]bool
@@ -32,6 +34,7 @@
 	p.places, byLife = v.places()
 	for _, e := range p.places {
 		p.racks[e.rack] = append(p.racks[e.rack], e)
+		p.accelerators += e.capacity.Accelerators()
 	}
 	p.setHeadroom()
 	sure := v.sure()
@@ -40,6 +43,11 @@
 		v.hold(j, byLife, sure[id])
 		units = append(units, p.units(j, sure[id])...)
 	}
+	for _, e := range p.places {
+		for _, h := range e.holdings {
+			p.note(h)
+		}
+	}
 	order(units)
 	for _, u := range units {
 		p.try(u)
@@ -97,7 +105,7 @@
 	eligible := p.eligible(u)
 	for _, n := range u.indexes {
 		e := p.choose(u, g, eligible)
-		if e != nil && !p.leavesRoom(u, e) {
+		if e != nil && (!p.leavesRoom(u, e) || !p.keepsGuarantees(u, 1)) {
 			heldBack = true
 			break
 		}
@@ -155,7 +163,7 @@
 		}
 	}
 	if best != nil {
-		if !p.leavesRoom(u, best.places...) {
+		if !p.leavesRoom(u, best.places...) || !p.keepsGuarantees(u, len(u.indexes)) {
 			return
 		}
 		for _, e := range best.places {
@@ -392,8 +400,25 @@
 
 func (p *planner) take(u *unit, e *place) {
 	e.free = e.free.Minus(u.step.Reserved())
-	e.holdings = append(e.holdings, &holding{
+	h := &holding{
 		id: run.NewID(u.key, 0), job: u.job, step: u.step, place: e, since: p.view.now,
 		ends: p.view.now.Add(u.length), sure: true,
-	})
+	}
+	e.holdings = append(e.holdings, h)
+	if !u.sure {
+		p.noteLasting(u.step)
+	}
+}
+
+// note counts what is placed already.
+func (p *planner) note(h *holding) {
+	if !h.sure {
+		p.noteLasting(h.step)
+	}
+}
+
+func (p *planner) noteLasting(s batch.Step) {
+	if s.Lasting() {
+		p.lasting += s.Reserved().Accelerators()
+	}
 }
--- a/internal/placement/preempt.go
+++ b/internal/placement/preempt.go
@@ -97,6 +97,9 @@
 		if room() >= len(u.indexes) {
 			break
 		}
+		if !p.mayMiss(h, victims) {
+			continue
+		}
 		free[h.place] = free[h.place].Plus(h.step.Reserved())
 		victims = append(victims, h)
 	}
@@ -134,9 +137,12 @@
 }
 
 func (p *planner) mayStop(u *unit, h *holding) bool {
-	if h.stopping || h.sure || h.step.Lasting() || h.id.Run() == 0 {
+	if h.stopping || h.sure || h.id.Run() == 0 {
 		return false
 	}
+	if h.step.Lasting() {
+		return u.sure
+	}
 	// Declared times are often wrong, so a guarantee does not wait for a run that seems about to end.
 	if u.sure {
 		return true
--- a/internal/placement/unit.go
+++ b/internal/placement/unit.go
@@ -52,6 +52,10 @@
 			}
 			u.slack = begin.Add(objective).Sub(now.Add(p.needed(j, i)))
 			u.next = u.slack
+			if s.Lasting() {
+				// Each moment that such a task is away counts, however long that has been.
+				u.slack, u.next = max(u.slack, 0), max(u.slack, 0)
+			}
 			if u.slack < 0 {
 				u.next += 2 * objective
 			}
--- a/internal/placement/view.go
+++ b/internal/placement/view.go
@@ -128,6 +128,9 @@
 	if h.stopping {
 		return v.now.Add(stopAllowance), false
 	}
+	if h.step.Lasting() {
+		return v.now.Add(lasting), true
+	}
 	if at, shown = v.forecast.ends[h.id]; shown {
 		return at, true
 	}
--- a/internal/run/order.go
+++ b/internal/run/order.go
@@ -23,6 +23,12 @@
 // Stop ends a run, or keeps a late start of it from running.
 type Stop struct{ id ID }
 
+// Pace has a run work at a share of its speed.
+type Pace struct {
+	id      ID
+	percent int
+}
+
 // Hold extends the lease of all that the worker runs, and acknowledges its ends up to a number.
 type Hold struct {
 	life         batch.Life
@@ -33,6 +39,7 @@
 
 func (Start) order() {}
 func (Stop) order()  {}
+func (Pace) order()  {}
 func (Hold) order()  {}
 
 // ID names one run of a task.
@@ -77,6 +84,15 @@
 // ID returns the run.
 func (o Stop) ID() ID { return o.id }
 
+// NewPace returns the order to have a run work at a share of its speed, 0 to 100 percent.
+func NewPace(id ID, percent int) Pace { return Pace{id: id, percent: percent} }
+
+// ID returns the run.
+func (o Pace) ID() ID { return o.id }
+
+// Percent returns the share of its speed.
+func (o Pace) Percent() int { return o.percent }
+
 // NewHold returns the order to extend the lease until a time of the worker's clock, or not at all if that is 0, and to
 // acknowledge ends; look asks for a list of the runs at once.
 func NewHold(life batch.Life, lease time.Duration, acknowledged int64, look bool) Hold {
--- a/internal/runner/loop.go
+++ b/internal/runner/loop.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"rosemarywind.example/rosemarywind/internal/batch"
@@ -32,6 +33,7 @@
 	hold     run.Hold
 	held     bool
 	starts   map[run.ID]context.CancelFunc
+	paces    map[run.ID]context.CancelFunc
 	settled  map[run.ID]time.Time
 	list     run.List
 	told     map[run.ID]told
@@ -44,7 +46,10 @@
 }
 
 func newLoop(r *Runner) *loop {
-	return &loop{Runner: r, starts: map[run.ID]context.CancelFunc{}, settled: map[run.ID]time.Time{}}
+	return &loop{
+		Runner: r, starts: map[run.ID]context.CancelFunc{}, paces: map[run.ID]context.CancelFunc{},
+		settled: map[run.ID]time.Time{},
+	}
 }
 
 func (l *loop) run(ctx context.Context) error {
@@ -81,6 +86,7 @@
 		delete(l.starts, id)
 	}
 	clear(l.settled)
+	clear(l.paces)
 	if l.cancel != nil {
 		l.cancel()
 	}
@@ -123,6 +129,8 @@
 		l.start(ctx, now, o)
 	case run.Stop:
 		l.stop(ctx, o)
+	case run.Pace:
+		l.pace(ctx, o)
 	case run.Hold:
 		if o.Life() != l.life {
 			return
@@ -222,6 +230,22 @@
 	}()
 }
 
+// pace passes a run's share on; the leader repeats it, and a later one replaces one that is not answered yet.
+func (l *loop) pace(ctx context.Context, o run.Pace) {
+	if cancel := l.paces[o.ID()]; cancel != nil {
+		cancel()
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	l.paces[o.ID()] = cancel
+	life, fence := l.life, l.fence
+	go func() {
+		defer cancel()
+		if err := l.worker.Pace(ctx, life, fence, o.ID(), o.Percent()); err != nil && !errors.Is(err, context.Canceled) {
+			l.logger.Info("pace not answered", "task", o.ID().Task().String(), "run", o.ID().Run(), "percent", o.Percent(), "error", err)
+		}
+	}()
+}
+
 // nextPoll returns how long to wait until the next list is due.
 func (l *loop) nextPoll(now time.Time) (wait time.Duration, due bool) {
 	if !l.held || l.listing {
@@ -298,6 +322,11 @@
 		}
 	}
 	list := run.NewList(in.list.Life(), in.list.Fence(), in.list.Clock(), in.list.Running(), in.list.Finished(), settled)
+	for id := range l.paces {
+		if !slices.ContainsFunc(list.Running(), func(r run.Running) bool { return r.ID() == id }) {
+			delete(l.paces, id)
+		}
+	}
 	changed := !sameList(l.list, list)
 	l.list = list
 	if l.unacknowledged() {
--- a/internal/runner/loop_test.go
+++ b/internal/runner/loop_test.go
@@ -33,6 +33,11 @@
 	return ctx.Err()
 }
 
+func (silentWorker) Pace(ctx context.Context, _ batch.Life, _ uint64, _ run.ID, _ int) error {
+	<-ctx.Done()
+	return ctx.Err()
+}
+
 func (silentWorker) List(
 	ctx context.Context, _ batch.Life, _ uint64, _ time.Duration, _ int64, _ time.Duration,
 ) (run.List, error) {
--- a/internal/wire/batch_test.go
+++ b/internal/wire/batch_test.go
@@ -95,6 +95,7 @@
 	for name, o := range map[string]run.Order{
 		"start": run.NewStart(id, aLife, "payload", "c", time.Minute),
 		"stop":  run.NewStop(id),
+		"pace":  run.NewPace(id, 40),
 		"hold":  run.NewHold(aLife, time.Minute, 57, true),
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/wire/run.go
+++ b/internal/wire/run.go
@@ -13,6 +13,7 @@
 const (
 	runStart = "start"
 	runStop  = "stop"
+	runPace  = "pace"
 	runHold  = "hold"
 )
 
@@ -36,6 +37,7 @@
 	Lease      int64      `cbor:"7,keyasint,omitempty"`
 	Ack        int64      `cbor:"8,keyasint,omitempty"`
 	Look       bool       `cbor:"9,keyasint,omitempty"`
+	Percent    int        `cbor:"10,keyasint,omitempty"`
 }
 
 // WriteRunOrder writes an order about runs.
@@ -48,6 +50,9 @@
 	case run.Stop:
 		id := newRunIDForm(o.ID())
 		f.Kind, f.ID = runStop, &id
+	case run.Pace:
+		id := newRunIDForm(o.ID())
+		f.Kind, f.ID, f.Percent = runPace, &id, o.Percent()
 	case run.Hold:
 		life := newLifeForm(o.Life())
 		f.Kind, f.Life, f.Lease, f.Ack, f.Look = runHold, &life, int64(o.Lease()), o.Acknowledged(), o.Look()
@@ -67,6 +72,8 @@
 		return run.NewEnvelope(f.Fence, run.NewStart(f.ID.id(), f.Life.life(), f.Payload, f.Checkpoint, time.Duration(f.Lease))), nil
 	case f.Kind == runStop && f.ID != nil:
 		return run.NewEnvelope(f.Fence, run.NewStop(f.ID.id())), nil
+	case f.Kind == runPace && f.ID != nil:
+		return run.NewEnvelope(f.Fence, run.NewPace(f.ID.id(), f.Percent)), nil
 	case f.Kind == runHold && f.Life != nil:
 		return run.NewEnvelope(f.Fence, run.NewHold(f.Life.life(), time.Duration(f.Lease), f.Ack, f.Look)), nil
 	}
