Give a start again that was lost with its agent's session, and doubt a silent leader twice

Reading the code for what can keep a placed run from running that long found one case: a start order that is lost with the agent's session waited 2.5 s until it was stopped, and a list that waits for an end came up to 1 s later. Change: the leader orders such a start again as soon as the agent has another session; a stop that was answered asks for a list at once. Agents ask twice before they give a session up, a connection is replaced only after two unanswered pings, and the watch on a session ends with it.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -28,6 +28,7 @@
 // ordered is a run that this leader gave orders about.
 type ordered struct {
 	started time.Time
+	session uint64 // of the agent when the run was ordered to start
 	stopped time.Time
 	saved   time.Time
 	refused bool
@@ -218,7 +219,8 @@
 		if t.Phase() != batch.Placed || t.Run() != id.Run() || !here || !h.usable(now, c.fence) {
 			continue
 		}
-		c.note(id).started = now
+		o := c.note(id)
+		o.started, o.session = now, h.session
 		lease := h.grant(now, c.timing.lease)
 		h.held = now
 		a.orders = append(a.orders, Addressed{h.agent, run.NewStart(id, t.Worker(), j.Spec().Payload(), j.Checkpoint(id.Task()), lease)})
--- a/internal/dispatch/resolve.go
+++ b/internal/dispatch/resolve.go
@@ -70,6 +70,10 @@
 			return lost("not listed under this leader's fencing token", h)
 		case h.settled(id):
 			return lost("answered and not listed", h)
+		case o.stopped.IsZero() && o.session != h.session:
+			// The order may have been lost with the agent's earlier session; a start that was carried out is not repeated.
+			c.fresh[id] = true
+			c.decide(h, now, id, "start again", "the agent has another session")
 		case now.Sub(o.started) > unanswered:
 			c.stop(now, id, h, "its start was not answered", a)
 		}
--- a/internal/leader/client.go
+++ b/internal/leader/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -29,6 +30,7 @@
 	pool     *link.Pool
 	known    atomic.Pointer[known]
 	searches singleflight.Group
+	silent   sync.Map // the addresses whose latest ping was not answered
 }
 
 // known is what a client knows of the control hosts; it is immutable.
--- a/internal/leader/exchange.go
+++ b/internal/leader/exchange.go
@@ -68,9 +68,13 @@
 	return r, true, nil
 }
 
-// Confirm asks all control hosts who leads, and reports whether the one at address does.
+// Confirm asks all control hosts who leads, and reports whether the one at address does. It asks again before it takes
+// silence for an answer.
 func (c *Client) Confirm(ctx context.Context, address string) bool {
 	f := c.find(ctx)
+	if f.leader == "" && ctx.Err() == nil {
+		f = c.find(ctx)
+	}
 	return f.leader == address || ctx.Err() != nil
 }
 
@@ -110,17 +114,21 @@
 	return f
 }
 
-// ping asks one host whether it leads. A connection on which it does not answer is replaced, since it may have gone
-// silent while new ones work.
+// ping asks one host whether it leads. A connection on which it has not answered twice in a row is replaced, since it may
+// have gone silent while new ones work.
 func (c *Client) ping(ctx context.Context, address string) found {
 	r, sent, err := c.exchange(ctx, ctx, address, "", call.Ping{})
 	if err != nil {
 		if sent && ctx.Err() == context.DeadlineExceeded {
-			c.pool.Forget(address)
+			if _, before := c.silent.LoadOrStore(address, true); before {
+				c.silent.Delete(address)
+				c.pool.Forget(address)
+			}
 		}
 		c.forget(address)
 		return found{}
 	}
+	c.silent.Delete(address)
 	if r.Outcome() == call.NotLeader {
 		c.forget(address)
 		c.learn(r.WithHosts("", r.Hosts()))
--- a/internal/runner/loop.go
+++ b/internal/runner/loop.go
@@ -103,7 +103,8 @@
 	case stoppedInput:
 		if in.life == l.life {
 			l.settle(in.id, in.at)
-			l.nextList = now
+			// A list that waits for an end would not come for a run that is not there.
+			l.nextList, l.look = now, true
 		}
 	case listedInput:
 		l.listed(now, in)
--- a/internal/runner/session.go
+++ b/internal/runner/session.go
@@ -6,6 +6,7 @@
 
 	"rosemarywind.example/rosemarywind/internal/call"
 	"rosemarywind.example/rosemarywind/internal/clock"
+	"rosemarywind.example/rosemarywind/internal/link"
 	"rosemarywind.example/rosemarywind/internal/run"
 	"rosemarywind.example/rosemarywind/internal/wire"
 )
@@ -65,23 +66,19 @@
 	r.tell(ctx, sessionInput{})
 	ended := make(chan error, 1)
 	go func() {
-		var silence *time.Timer
-		silence = time.AfterFunc(orderSilence, func() {
-			if r.client.Confirm(ctx, address) {
-				silence.Reset(orderSilence)
-				return
-			}
-			r.logger.Info("no orders, and the leader does not answer", "address", address)
-			s.Cancel()
-		})
-		defer silence.Stop()
+		heard := make(chan struct{}, 1)
+		defer close(heard)
+		go r.watchSilence(ctx, address, s, heard)
 		for {
 			e, err := wire.ReadRunOrder(s)
 			if err != nil {
 				ended <- err
 				return
 			}
-			silence.Reset(orderSilence)
+			select {
+			case heard <- struct{}{}:
+			default:
+			}
 			r.tell(ctx, orderInput{envelope: e})
 		}
 	}()
@@ -90,6 +87,29 @@
 	}, ended)
 }
 
+// watchSilence gives up a session whose leader falls silent and does not lead any more, until heard is closed.
+func (r *Runner) watchSilence(ctx context.Context, address string, s *link.Stream, heard <-chan struct{}) {
+	timer := time.NewTimer(orderSilence)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case _, open := <-heard:
+			if !open {
+				return
+			}
+		case <-timer.C:
+			if !r.client.Confirm(ctx, address) {
+				r.logger.Info("no orders, and the leader does not answer", "address", address)
+				s.Cancel()
+				return
+			}
+		}
+		timer.Reset(orderSilence)
+	}
+}
+
 // report sends what the loop reports and what the worker announces.
 func (r *Runner) report(ctx context.Context, send func(run.Report) error, ended <-chan error) error {
 	_, changed := r.announced.Watch()
