Ask the advisor before a step of an advised queue begins

Cause: the platform's queues may have advice; the types knew nothing of it, and a start without a ticket is refused, so that such a queue would never be served. Change: the plan begins such steps on approved workers only, and names an inquiry about the best workers that were not asked, two for each waiting task and 30 at most. The leader has one inquiry under way at a time, keeps verdicts for the life of a worker, renews tickets before they expire, sends them with the start, and forgets one that a worker refuses. platform/ has the client. Ruled out: asking for each start, which costs the decision time each time. TestAdvice in placement and dispatch, TestAdvisor in platform.

--- a/internal/batch/declaration.go
+++ b/internal/batch/declaration.go
@@ -19,6 +19,7 @@
 	aim      time.Duration
 	timeout  time.Duration
 	open     bool
+	advised  bool
 }
 
 // NewQueue returns a queue that callers reach at a host and path prefix.
@@ -44,6 +45,15 @@
 	return q
 }
 
+// WithAdvice returns the queue whose steps run only on workers that the advisor approves.
+func (q Queue) WithAdvice(needed bool) Queue {
+	q.advised = needed
+	return q
+}
+
+// Advised reports whether steps run only on workers that the advisor approves.
+func (q Queue) Advised() bool { return q.advised }
+
 // Name returns the queue's name.
 func (q Queue) Name() string { return q.name }
 
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -20,6 +20,7 @@
 	fresh    map[run.ID]bool
 	progress map[run.ID]*progress
 	lengths  map[placement.StepKey]time.Duration
+	advice   advice
 	forgot   time.Time
 	saved    time.Time
 	log      []Decision
@@ -41,6 +42,7 @@
 		timing: t, fence: fence, elected: now, forgot: now,
 		hosts: map[string]*host{}, ordered: map[run.ID]*ordered{}, fresh: map[run.ID]bool{},
 		progress: map[run.ID]*progress{}, lengths: map[placement.StepKey]time.Duration{},
+		advice: advice{verdicts: map[batch.TaskID]map[batch.Life]verdict{}},
 	}
 }
 
@@ -49,6 +51,8 @@
 	ends      []batch.End
 	forget    time.Time
 	marks     []batch.Mark
+	inquiry   placement.Inquiry
+	inquires  bool
 	groups    []batch.Group
 	orders    []Addressed
 	decisions []Decision
@@ -64,6 +68,9 @@
 // Marks returns the checkpoints to commit.
 func (a Actions) Marks() []batch.Mark { return a.marks }
 
+// Inquiry returns what to ask the advisor; Advised or Unadvised is to be called when that has ended.
+func (a Actions) Inquiry() (i placement.Inquiry, ok bool) { return a.inquiry, a.inquires }
+
 // Groups returns the runs to commit as begun; Begun is to be called for those that were.
 func (a Actions) Groups() []batch.Group { return a.groups }
 
@@ -133,8 +140,11 @@
 	}
 	for _, e := range r.Refused() {
 		c.note(e.ID()).refused = true
-		if e.Reason() == Unhealthy {
+		switch e.Reason() {
+		case Unhealthy:
 			h.health.failed(now)
+		case badTicket:
+			c.rejectTicket(e.ID().Task(), h)
 		}
 		c.decide(h, now, e.ID(), "start refused", e.Reason())
 	}
@@ -219,11 +229,17 @@
 		if t.Phase() != batch.Placed || t.Run() != id.Run() || !here || !h.usable(now, c.fence) {
 			continue
 		}
+		ticket, permitted := c.ticket(now, s, j, id.Task(), t.Worker())
+		if !permitted {
+			c.decide(h, now, id, "not started", "its ticket has expired")
+			continue
+		}
 		o := c.note(id)
 		o.started, o.session = now, h.session
 		lease := h.grant(now, c.timing.lease)
 		h.held = now
-		a.orders = append(a.orders, Addressed{h.agent, run.NewStart(id, t.Worker(), j.Spec().Payload(), j.Checkpoint(id.Task()), lease)})
+		start := run.NewStart(id, t.Worker(), j.Spec().Payload(), j.Checkpoint(id.Task()), lease).WithTicket(ticket)
+		a.orders = append(a.orders, Addressed{h.agent, start})
 		c.decide(h, now, id, "start", "placed")
 	}
 }
@@ -240,7 +256,9 @@
 	if len(workers) == 0 {
 		return
 	}
-	p := placement.Decide(placement.NewView(now, s, workers, stopping, c.timing.far).WithForecast(c.forecast(now, s)))
+	v := placement.NewView(now, s, workers, stopping, c.timing.far)
+	p := placement.Decide(v.WithForecast(c.forecast(now, s)).WithVerdicts(c.verdicts(now)))
+	c.inquire(now, p, a)
 	a.groups = p.Groups()
 	for _, id := range p.Stops() {
 		j, _ := s.Job(id.Task().Job())
@@ -320,6 +338,7 @@
 			delete(c.ordered, id)
 		}
 	}
+	c.forgetAdvice(s)
 	for key := range c.lengths {
 		if j, known := s.Job(key.Job()); !known || !j.Live() {
 			delete(c.lengths, key)
--- a/internal/dispatch/save_test.go
+++ b/internal/dispatch/save_test.go
@@ -28,11 +28,14 @@
 	t.Helper()
 	d, err := batch.NewDeclaration(1, []batch.Queue{
 		batch.NewQueue("q", "h", "/q/", "s").WithPolicy(1, attempts).WithObjective(3, time.Second, time.Second),
+		batch.NewQueue("advised", "h", "/a/", "s").WithPolicy(1, attempts).WithObjective(3, time.Second, time.Second).WithAdvice(true),
 	}, []batch.Service{batch.NewService("s", false, false)}, nil)
 	require.NoError(t, err)
 	spec, err := batch.NewSpec("j", "", batch.NewStep(tasks, batch.NewResources(1, 1, 0), time.Second, batch.WithCheckpoints(true)))
 	require.NoError(t, err)
-	decoder := &specs{declaration: d, specs: map[string]batch.Spec{"j": spec, "other": spec}}
+	other, err := batch.NewSpec("other", "", batch.NewStep(1, batch.NewResources(1, 1, 0), time.Second))
+	require.NoError(t, err)
+	decoder := &specs{declaration: d, specs: map[string]batch.Spec{"j": spec, "other": other}}
 	b := &bench{
 		t: t, decoder: decoder, now: epoch, core: dispatch.NewCore(dispatch.DefaultTiming(), 1, epoch), life: batch.NewLife("h", "w", 1),
 		state: batch.NewState(decoder),
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -50,7 +50,9 @@
 	}
 	order(units)
 	for _, u := range units {
+		begun := len(p.plan.groups)
 		p.try(u)
+		p.inquire(u, u.waitingAfter(p.plan.groups[begun:]))
 	}
 	return p.plan
 }
@@ -209,7 +211,7 @@
 func (p *planner) eligible(u *unit) (list []*place) {
 	var near []*place
 	for _, e := range p.places {
-		if e.service != u.queue.Service() || u.step.Label() != "" && !slices.Contains(e.labels, u.step.Label()) {
+		if !p.matches(u, e) || !p.permits(u, e) {
 			continue
 		}
 		list = append(list, e)
@@ -229,6 +231,11 @@
 	return list
 }
 
+// matches reports whether a worker is of the unit's service and has the label that it needs.
+func (p *planner) matches(u *unit, e *place) bool {
+	return e.service == u.queue.Service() && (u.step.Label() == "" || slices.Contains(e.labels, u.step.Label()))
+}
+
 // couldHold reports whether the workers could run all tasks of the unit if they ran nothing else.
 func (p *planner) couldHold(u *unit, set []*place) bool {
 	room := 0
--- a/internal/placement/setup_test.go
+++ b/internal/placement/setup_test.go
@@ -43,6 +43,7 @@
 	urgent  = "urgent"
 	patient = "patient"
 	scans   = "scans"
+	advised = "advised"
 )
 
 const guaranteed = 16
@@ -53,6 +54,7 @@
 		batch.NewQueue(urgent, "h", "/u/", "s").WithPolicy(0, 2).WithObjective(1.5, 250*time.Millisecond, time.Second),
 		batch.NewQueue(patient, "h", "/p/", "s").WithPolicy(1, 3).WithObjective(3, time.Second, time.Second),
 		batch.NewQueue(scans, "h", "/s/", "s").WithPolicy(2, 3).WithObjective(3, 3*time.Second, time.Second),
+		batch.NewQueue(advised, "h", "/a/", "s").WithPolicy(1, 3).WithObjective(3, time.Second, time.Second).WithAdvice(true),
 	}, []batch.Service{batch.NewService("s", false, false)}, []batch.Workspace{
 		batch.NewWorkspace("a", guaranteed, "ka"), batch.NewWorkspace("b", guaranteed, "kb"),
 	})
--- a/internal/placement/unit.go
+++ b/internal/placement/unit.go
@@ -65,6 +65,15 @@
 	return list
 }
 
+// waitingAfter returns how many of the unit's tasks wait after some of them have begun.
+func (u *unit) waitingAfter(begun []batch.Group) int {
+	count := len(u.indexes)
+	for _, g := range begun {
+		count -= len(g.Members())
+	}
+	return count
+}
+
 func waiting(tasks []batch.Task) (indexes []int) {
 	for n, t := range tasks {
 		if t.Phase() == batch.Waiting {
--- a/internal/placement/view.go
+++ b/internal/placement/view.go
@@ -28,6 +28,7 @@
 	stopping map[run.ID]bool
 	far      float64
 	forecast Forecast
+	verdicts Verdicts
 }
 
 // NewView returns the view at a time: the replicated state, the workers that can take runs, and the runs that were
@@ -38,10 +39,14 @@
 
 // Plan is what is to be done.
 type Plan struct {
-	groups []batch.Group
-	stops  []run.ID
+	groups  []batch.Group
+	stops   []run.ID
+	inquiry Inquiry
 }
 
+// Inquiry returns what to ask the advisor; ok is false if nothing waits for its advice.
+func (p Plan) Inquiry() (i Inquiry, ok bool) { return p.inquiry, len(p.inquiry.workers) > 0 }
+
 // Groups returns the runs to begin.
 func (p Plan) Groups() []batch.Group { return p.groups }
 
--- a/internal/run/order.go
+++ b/internal/run/order.go
@@ -18,6 +18,7 @@
 	payload    string
 	checkpoint string
 	lease      time.Duration
+	ticket     string
 }
 
 // Stop ends a run, or keeps a late start of it from running.
@@ -75,6 +76,15 @@
 // Checkpoint returns where the run resumes, or an empty string.
 func (o Start) Checkpoint() string { return o.checkpoint }
 
+// WithTicket returns the order with the advisor's approval of the worker.
+func (o Start) WithTicket(ticket string) Start {
+	o.ticket = ticket
+	return o
+}
+
+// Ticket returns the advisor's approval of the worker, or an empty string.
+func (o Start) Ticket() string { return o.ticket }
+
 // Lease returns when the lease ends on the worker's clock.
 func (o Start) Lease() time.Duration { return o.lease }
 
--- a/internal/scheduler/director.go
+++ b/internal/scheduler/director.go
@@ -77,7 +77,7 @@
 		e.session.cancel()
 	case reported:
 		e.session.cancel()
-	case closed:
+	case closed, advised:
 	}
 }
 
@@ -115,25 +115,25 @@
 		case <-changed:
 		case <-applied:
 		case e := <-d.events:
-			d.take(core, e)
-			d.drain(core)
+			d.take(core, term, e)
+			d.drain(core, term)
 		}
 	}
 }
 
 // drain takes the events that have come meanwhile.
-func (d *director) drain(core *dispatch.Core) {
+func (d *director) drain(core *dispatch.Core, term uint64) {
 	for {
 		select {
 		case e := <-d.events:
-			d.take(core, e)
+			d.take(core, term, e)
 		default:
 			return
 		}
 	}
 }
 
-func (d *director) take(core *dispatch.Core, e event) {
+func (d *director) take(core *dispatch.Core, term uint64, e event) {
 	switch e := e.(type) {
 	case opened:
 		if old := d.sessions[e.session.agent]; old != nil {
@@ -152,6 +152,8 @@
 			core.Disconnect(e.session.agent, e.session.number)
 			d.logger.Info("agent lost", "agent", e.session.agent)
 		}
+	case advised:
+		d.takeAdvice(core, term, e)
 	}
 }
 
@@ -164,6 +166,9 @@
 	for _, o := range a.Orders() {
 		d.order(o, term)
 	}
+	if i, ok := a.Inquiry(); ok {
+		d.inquire(ctx, term, i)
+	}
 	if len(a.Ends()) > 0 {
 		d.meters.ends.Inc(int64(len(a.Ends())))
 		d.commit(ctx, batch.NewFinish(begun, a.Ends()...))
--- a/internal/scheduler/options.go
+++ b/internal/scheduler/options.go
@@ -22,6 +22,7 @@
 	client   *tls.Config
 	ledger   []driver.Option
 	timing   dispatch.Timing
+	advisor  Advisor
 	grace    time.Duration
 }
 
@@ -51,6 +52,9 @@
 // WithTiming sets the durations that the leader keeps to.
 func WithTiming(t dispatch.Timing) Option { return func(o *options) { o.timing = t } }
 
+// WithAdvisor sets who approves workers for the steps of queues that ask for it; without one such steps wait.
+func WithAdvisor(a Advisor) Option { return func(o *options) { o.advisor = a } }
+
 // WithGrace sets how long a stop may take.
 func WithGrace(d time.Duration) Option { return func(o *options) { o.grace = d } }
 
--- a/internal/wire/batch_test.go
+++ b/internal/wire/batch_test.go
@@ -93,7 +93,7 @@
 func TestRuns(t *testing.T) {
 	id := run.NewID(aTask, 2)
 	for name, o := range map[string]run.Order{
-		"start": run.NewStart(id, aLife, "payload", "c", time.Minute),
+		"start": run.NewStart(id, aLife, "payload", "c", time.Minute).WithTicket("t"),
 		"stop":  run.NewStop(id),
 		"pace":  run.NewPace(id, 40),
 		"hold":  run.NewHold(aLife, time.Minute, 57, true),
--- a/internal/wire/run.go
+++ b/internal/wire/run.go
@@ -38,6 +38,7 @@
 	Ack        int64      `cbor:"8,keyasint,omitempty"`
 	Look       bool       `cbor:"9,keyasint,omitempty"`
 	Percent    int        `cbor:"10,keyasint,omitempty"`
+	Ticket     string     `cbor:"11,keyasint,omitempty"`
 }
 
 // WriteRunOrder writes an order about runs.
@@ -47,6 +48,7 @@
 	case run.Start:
 		id, life := newRunIDForm(o.ID()), newLifeForm(o.Life())
 		f.Kind, f.ID, f.Life, f.Payload, f.Checkpoint, f.Lease = runStart, &id, &life, o.Payload(), o.Checkpoint(), int64(o.Lease())
+		f.Ticket = o.Ticket()
 	case run.Stop:
 		id := newRunIDForm(o.ID())
 		f.Kind, f.ID = runStop, &id
@@ -69,7 +71,8 @@
 	}
 	switch {
 	case f.Kind == runStart && f.ID != nil && f.Life != nil:
-		return run.NewEnvelope(f.Fence, run.NewStart(f.ID.id(), f.Life.life(), f.Payload, f.Checkpoint, time.Duration(f.Lease))), nil
+		o := run.NewStart(f.ID.id(), f.Life.life(), f.Payload, f.Checkpoint, time.Duration(f.Lease))
+		return run.NewEnvelope(f.Fence, o.WithTicket(f.Ticket)), nil
 	case f.Kind == runStop && f.ID != nil:
 		return run.NewEnvelope(f.Fence, run.NewStop(f.ID.id())), nil
 	case f.Kind == runPace && f.ID != nil:
