Take machines down for maintenance in waves

Cause: the operator's calls that begin a wave and read it were answered 404, and nothing emptied a machine for its maintenance. Change: waves are replicated with their machines; the leader empties as many at a time as a wave bears, begins nothing new there, stops runs with checkpoints at once, services as far as they bear, and others when their share of the wave's time or 10 s are over, and then has the platform take the machine down under its fencing token. That is committed when the platform has answered; a machine counts as down until it has another worker, also for the next leader, which repeats what it does not know of. A machine that is gone is skipped. Ruled out: committing before the call, which would call a wave complete whose last call was lost. Moves between pools are not built.

--- a/internal/batch/state.go
+++ b/internal/batch/state.go
@@ -70,6 +70,7 @@
 	declaration Declaration
 	document    []byte
 	jobs        board.Table[*Job]
+	waves       map[int64]Wave
 }
 
 // NewState returns the empty state.
@@ -132,6 +133,10 @@
 			return j.Live() || !j.ended.Before(c.before) || j.HasPlaced()
 		})
 		return s, Applied{}
+	case StartWave:
+		return s.startWave(c), Applied{}
+	case Maintain:
+		return s.maintain(c), Applied{}
 	case Barrier:
 		return s, Applied{}
 	}
--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -1,5 +1,7 @@
 package call
 
+import "rosemarywind.example/rosemarywind/internal/batch"
+
 // Call is what a caller or an operator asks.
 //
 //sumtype:decl
@@ -42,6 +44,12 @@
 // ReadDeclaration asks for the newest declaration.
 type ReadDeclaration struct{}
 
+// StartWave begins a wave of maintenance.
+type StartWave struct{ wave batch.Wave }
+
+// ReadWave asks how far a wave is.
+type ReadWave struct{ number int64 }
+
 // Ping asks for nothing; its reply names the control hosts.
 type Ping struct{}
 
@@ -50,8 +58,22 @@
 func (Cancel) call()          {}
 func (Declare) call()         {}
 func (ReadDeclaration) call() {}
+func (StartWave) call()       {}
+func (ReadWave) call()        {}
 func (Ping) call()            {}
 
+// NewStartWave returns the call that begins a wave of maintenance.
+func NewStartWave(w batch.Wave) StartWave { return StartWave{wave: w} }
+
+// Wave returns the wave.
+func (c StartWave) Wave() batch.Wave { return c.wave }
+
+// NewReadWave returns the call that asks how far the wave of a number is.
+func NewReadWave(number int64) ReadWave { return ReadWave{number: number} }
+
+// Number returns the number of the wave.
+func (c ReadWave) Number() int64 { return c.number }
+
 // NewSubmit returns the call that hands in a job.
 func NewSubmit(p Place, document []byte) Submit { return Submit{place: p, document: document} }
 
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -21,9 +21,11 @@
 	progress map[run.ID]*progress
 	lengths  map[placement.StepKey]time.Duration
 	advice   advice
-	forgot   time.Time
-	saved    time.Time
-	log      []Decision
+	// clearings holds the machines that are being emptied for their maintenance, by name.
+	clearings map[string]*clearing
+	forgot    time.Time
+	saved     time.Time
+	log       []Decision
 }
 
 // ordered is a run that this leader gave orders about.
@@ -42,21 +44,24 @@
 		timing: t, fence: fence, elected: now, forgot: now,
 		hosts: map[string]*host{}, ordered: map[run.ID]*ordered{}, fresh: map[run.ID]bool{},
 		progress: map[run.ID]*progress{}, lengths: map[placement.StepKey]time.Duration{},
-		advice: advice{verdicts: map[batch.TaskID]map[batch.Life]verdict{}},
+		advice:    advice{verdicts: map[batch.TaskID]map[batch.Life]verdict{}},
+		clearings: map[string]*clearing{},
 	}
 }
 
 // Actions is what a step wants done.
 type Actions struct {
-	ends      []batch.End
-	forget    time.Time
-	marks     []batch.Mark
-	inquiry   placement.Inquiry
-	inquires  bool
-	groups    []batch.Group
-	orders    []Addressed
-	decisions []Decision
-	wake      time.Time
+	ends     []batch.End
+	forget   time.Time
+	marks    []batch.Mark
+	inquiry  placement.Inquiry
+	inquires bool
+
+	maintenance []Maintenance
+	groups      []batch.Group
+	orders      []Addressed
+	decisions   []Decision
+	wake        time.Time
 }
 
 // Ends returns the ends of runs to commit.
@@ -68,6 +73,10 @@
 // Marks returns the checkpoints to commit.
 func (a Actions) Marks() []batch.Mark { return a.marks }
 
+// Maintenance returns the machines to take down; Maintain or NewSkip is to be committed when that was done, and
+// MaintenanceFailed called when not.
+func (a Actions) Maintenance() []Maintenance { return a.maintenance }
+
 // Inquiry returns what to ask the advisor; Advised or Unadvised is to be called when that has ended.
 func (a Actions) Inquiry() (i placement.Inquiry, ok bool) { return a.inquiry, a.inquires }
 
@@ -188,6 +197,7 @@
 	lives := c.lives()
 	c.begin(now, s, lives, &a)
 	stopping := c.resolve(now, s, lives, &a)
+	c.maintain(now, s, lives, &a)
 	if len(a.ends) == 0 {
 		c.place(now, s, stopping, lives, &a)
 	}
@@ -249,7 +259,7 @@
 	var workers []placement.Worker
 	still, slow := c.ailing(now, s)
 	for _, h := range c.hosts {
-		if h.usable(now, c.fence) && !h.health.suspect(now) && !still[h.agent] {
+		if h.usable(now, c.fence) && !c.cleared(h) && !h.health.suspect(now) && !still[h.agent] {
 			workers = append(workers, placement.NewWorker(h.announcement, h.health.failures > 0 || slow[h.agent]))
 		}
 	}
--- a/internal/run/report.go
+++ b/internal/run/report.go
@@ -18,6 +18,7 @@
 	remaining time.Duration
 	sequence  int64
 	clock     time.Duration
+	machine   string
 }
 
 // NewAnnouncement returns the announcement of a worker of a service with the given sequence number.
@@ -49,6 +50,15 @@
 	return a
 }
 
+// WithMachine returns the announcement of a worker on a machine, which outlives it.
+func (a Announcement) WithMachine(machine string) Announcement {
+	a.machine = machine
+	return a
+}
+
+// Machine returns the name of the machine, or an empty string.
+func (a Announcement) Machine() string { return a.machine }
+
 // Life returns the worker's id and birth.
 func (a Announcement) Life() batch.Life { return a.life }
 
--- a/internal/scheduler/calls.go
+++ b/internal/scheduler/calls.go
@@ -56,6 +56,10 @@
 		return s.declare(ctx, c)
 	case call.ReadDeclaration:
 		return s.readDeclaration(ctx)
+	case call.StartWave:
+		return s.startWave(ctx, c)
+	case call.ReadWave:
+		return s.readWave(ctx, c)
 	case call.Ping:
 		return call.NewReply(call.OK, "")
 	}
@@ -170,6 +174,37 @@
 	return call.NewReply(call.OK, "").WithDocument(document)
 }
 
+func (s *Scheduler) startWave(ctx context.Context, c call.StartWave) call.Reply {
+	if c.Wave().Most() < 1 || len(c.Wave().Machines()) == 0 {
+		return call.NewReply(call.Invalid, "a wave needs a machine, and must let one be down")
+	}
+	if _, err := s.propose(ctx, batch.NewStartWave(c.Wave())); err != nil {
+		return s.failure(err)
+	}
+	return call.NewReply(call.OK, "")
+}
+
+// The states of a wave.
+const (
+	waveRunning   = "running"
+	waveCompleted = "completed"
+)
+
+// readWave commits a barrier first, so that a leader that was replaced without noticing answers nothing old.
+func (s *Scheduler) readWave(ctx context.Context, c call.ReadWave) call.Reply {
+	if _, err := s.propose(ctx, batch.Barrier{}); err != nil {
+		return s.failure(err)
+	}
+	w, known := s.state.Load().Wave(c.Number())
+	switch {
+	case !known:
+		return call.NewReply(call.NoQueue, "no such wave")
+	case w.Completed():
+		return call.NewReply(call.OK, "").WithState(waveCompleted)
+	}
+	return call.NewReply(call.OK, "").WithState(waveRunning)
+}
+
 // failure returns the reply for a command that was perhaps not committed.
 func (s *Scheduler) failure(err error) call.Reply {
 	var unknown *driver.UnknownOutcomeError
@@ -202,6 +237,10 @@
 		}
 	case call.ReadDeclaration:
 		s.logger.Info("declaration read", fields...)
+	case call.StartWave:
+		s.logger.Info("wave", append(fields, "wave", c.Wave().Number(), "machines", len(c.Wave().Machines()), "most", c.Wave().Most())...)
+	case call.ReadWave:
+		s.logger.Info("wave read", append(fields, "wave", c.Number(), "state", r.State())...)
 	case call.Ping:
 	}
 }
--- a/internal/scheduler/director.go
+++ b/internal/scheduler/director.go
@@ -77,7 +77,7 @@
 		e.session.cancel()
 	case reported:
 		e.session.cancel()
-	case closed, advised:
+	case closed, advised, maintained:
 	}
 }
 
@@ -115,25 +115,25 @@
 		case <-changed:
 		case <-applied:
 		case e := <-d.events:
-			d.take(core, term, e)
-			d.drain(core, term)
+			d.take(ctx, core, term, e)
+			d.drain(ctx, core, term)
 		}
 	}
 }
 
 // drain takes the events that have come meanwhile.
-func (d *director) drain(core *dispatch.Core, term uint64) {
+func (d *director) drain(ctx context.Context, core *dispatch.Core, term uint64) {
 	for {
 		select {
 		case e := <-d.events:
-			d.take(core, term, e)
+			d.take(ctx, core, term, e)
 		default:
 			return
 		}
 	}
 }
 
-func (d *director) take(core *dispatch.Core, term uint64, e event) {
+func (d *director) take(ctx context.Context, core *dispatch.Core, term uint64, e event) {
 	switch e := e.(type) {
 	case opened:
 		if old := d.sessions[e.session.agent]; old != nil {
@@ -154,6 +154,8 @@
 		}
 	case advised:
 		d.takeAdvice(core, term, e)
+	case maintained:
+		d.takeMaintenance(ctx, core, term, e)
 	}
 }
 
@@ -169,6 +171,9 @@
 	if i, ok := a.Inquiry(); ok {
 		d.inquire(ctx, term, i)
 	}
+	for _, m := range a.Maintenance() {
+		d.maintain(ctx, term, m)
+	}
 	if len(a.Ends()) > 0 {
 		d.meters.ends.Inc(int64(len(a.Ends())))
 		d.commit(ctx, batch.NewFinish(begun, a.Ends()...))
--- a/internal/scheduler/options.go
+++ b/internal/scheduler/options.go
@@ -15,15 +15,16 @@
 )
 
 type options struct {
-	logger   hclog.Logger
-	registry *telemetry.Registry
-	decoder  batch.Decoder
-	server   *link.Server
-	client   *tls.Config
-	ledger   []driver.Option
-	timing   dispatch.Timing
-	advisor  Advisor
-	grace    time.Duration
+	logger    hclog.Logger
+	registry  *telemetry.Registry
+	decoder   batch.Decoder
+	server    *link.Server
+	client    *tls.Config
+	ledger    []driver.Option
+	timing    dispatch.Timing
+	advisor   Advisor
+	caretaker Caretaker
+	grace     time.Duration
 }
 
 // Option sets one property of a Scheduler.
@@ -55,6 +56,9 @@
 // WithAdvisor sets who approves workers for the steps of queues that ask for it; without one such steps wait.
 func WithAdvisor(a Advisor) Option { return func(o *options) { o.advisor = a } }
 
+// WithCaretaker sets who takes machines down for maintenance; without one waves wait.
+func WithCaretaker(c Caretaker) Option { return func(o *options) { o.caretaker = c } }
+
 // WithGrace sets how long a stop may take.
 func WithGrace(d time.Duration) Option { return func(o *options) { o.grace = d } }
 
--- a/internal/wire/batch.go
+++ b/internal/wire/batch.go
@@ -18,6 +18,8 @@
 	batchFinish  = "finish"
 	batchSave    = "save"
 	batchForget  = "forget"
+	batchWave    = "wave"
+	batchUpkeep  = "maintain"
 	batchBarrier = "barrier"
 )
 
@@ -31,6 +33,8 @@
 	Groups    []groupForm `cbor:"7,keyasint,omitempty"`
 	Ends      []endForm   `cbor:"8,keyasint,omitempty"`
 	Marks     []markForm  `cbor:"9,keyasint,omitempty"`
+	Wave      *waveForm   `cbor:"10,keyasint,omitempty"`
+	Upkeep    *upkeepForm `cbor:"11,keyasint,omitempty"`
 }
 
 type taskForm struct {
@@ -76,6 +80,54 @@
 	Checkpoint string
 }
 
+type waveForm struct {
+	Number   int64               `cbor:"1,keyasint"`
+	Machines []string            `cbor:"2,keyasint"`
+	Most     int                 `cbor:"3,keyasint"`
+	Ends     int64               `cbor:"4,keyasint"`
+	Begun    map[string]lifeForm `cbor:"5,keyasint,omitempty"`
+	Skipped  map[string]bool     `cbor:"6,keyasint,omitempty"`
+}
+
+type upkeepForm struct {
+	_       struct{} `cbor:",toarray"`
+	Wave    int64
+	Machine string
+	Worker  lifeForm
+	Skipped bool
+}
+
+func newWaveForm(w batch.Wave) waveForm {
+	f := waveForm{Number: w.Number(), Machines: w.Machines(), Most: w.Most(), Ends: toNanos(w.Ends())}
+	for _, m := range w.Machines() {
+		if life, begun := w.Begun(m); begun {
+			if f.Begun == nil {
+				f.Begun = map[string]lifeForm{}
+			}
+			f.Begun[m] = newLifeForm(life)
+		}
+		if w.Skipped(m) {
+			if f.Skipped == nil {
+				f.Skipped = map[string]bool{}
+			}
+			f.Skipped[m] = true
+		}
+	}
+	return f
+}
+
+func (f waveForm) wave() batch.Wave {
+	w := batch.NewWave(f.Number, f.Machines, f.Most, fromNanos(f.Ends))
+	if len(f.Begun) == 0 && len(f.Skipped) == 0 {
+		return w
+	}
+	begun := make(map[string]batch.Life, len(f.Begun))
+	for m, life := range f.Begun {
+		begun[m] = life.life()
+	}
+	return batch.RestoreWave(w, begun, f.Skipped)
+}
+
 func newTaskForm(t batch.TaskID) taskForm {
 	return taskForm{Job: t.Job(), Occurrence: t.Occurrence(), Step: t.Step(), Index: t.Index()}
 }
@@ -138,6 +190,13 @@
 		for _, m := range c.Marks() {
 			f.Marks = append(f.Marks, markForm{Task: newTaskForm(m.Task()), Run: m.Run(), Checkpoint: m.Checkpoint()})
 		}
+	case batch.StartWave:
+		w := newWaveForm(c.Wave())
+		f = batchForm{Kind: batchWave, Wave: &w}
+	case batch.Maintain:
+		f = batchForm{Kind: batchUpkeep, Upkeep: &upkeepForm{
+			Wave: c.Wave(), Machine: c.Machine(), Worker: newLifeForm(c.Worker()), Skipped: c.Skipped(),
+		}}
 	case batch.Forget:
 		f = batchForm{Kind: batchForget, At: toNanos(c.Before())}
 	case batch.Barrier:
@@ -163,6 +222,14 @@
 	if err = cbor.Unmarshal(data, &f); err != nil {
 		return nil, err
 	}
+	switch {
+	case f.Kind == batchWave && f.Wave != nil:
+		return batch.NewStartWave(f.Wave.wave()), nil
+	case f.Kind == batchUpkeep && f.Upkeep != nil && f.Upkeep.Skipped:
+		return batch.NewSkip(f.Upkeep.Wave, f.Upkeep.Machine), nil
+	case f.Kind == batchUpkeep && f.Upkeep != nil:
+		return batch.NewMaintain(f.Upkeep.Wave, f.Upkeep.Machine, f.Upkeep.Worker.life()), nil
+	}
 	switch f.Kind {
 	case batchDeclare:
 		return batch.NewDeclare(f.Document), nil
@@ -199,6 +266,7 @@
 type batchStateForm struct {
 	Document []byte         `cbor:"1,keyasint"`
 	Jobs     []batchJobForm `cbor:"2,keyasint"`
+	Waves    []waveForm     `cbor:"3,keyasint,omitempty"`
 }
 
 type batchJobForm struct {
@@ -236,6 +304,9 @@
 func EncodeBatchState(s batch.State) (data []byte, err error) {
 	defer annotate("encode state", &err)
 	f := batchStateForm{Document: s.Document()}
+	for _, w := range s.Waves() {
+		f.Waves = append(f.Waves, newWaveForm(w))
+	}
 	for _, j := range s.Jobs().All() {
 		r := batch.NewRestored(j)
 		q := r.Queue()
@@ -272,7 +343,14 @@
 				return batch.RestoreTask(batch.Phase(t.Phase), t.Run, t.Worker.life(), fromNanos(t.Since), t.Failures, t.FailedRun, t.Checkpoint)
 			}))
 	}
-	return batch.Restore(d, f.Document, jobs)
+	if s, err = batch.Restore(d, f.Document, jobs); err != nil {
+		return s, err
+	}
+	waves := make([]batch.Wave, len(f.Waves))
+	for i, w := range f.Waves {
+		waves[i] = w.wave()
+	}
+	return s.WithWaves(waves), nil
 }
 
 // convertTasks converts the tasks of a job, which are kept by occurrence, step and index.
--- a/internal/wire/batch_test.go
+++ b/internal/wire/batch_test.go
@@ -32,6 +32,9 @@
 		"save":    batch.NewSave(batch.NewMark(aTask, 2, "c")),
 		"forget":  batch.NewForget(batchTime),
 		"barrier": batch.Barrier{},
+		"wave":    batch.NewStartWave(batch.NewWave(3, []string{"m1", "m2"}, 1, batchTime)),
+		"upkeep":  batch.NewMaintain(3, "m1", aLife),
+		"skip":    batch.NewSkip(3, "m2"),
 	} {
 		t.Run(name, func(t *testing.T) {
 			data, err := wire.EncodeBatch(c)
@@ -68,6 +71,9 @@
 		batch.NewCancel("other", batchTime),
 		batch.NewBegin(batchTime, batch.NewGroup(first, batch.NewMember(0, 1, aLife), batch.NewMember(1, 4, aLife))),
 		batch.NewFinish(batchTime, batch.NewEnd(first, 1, batch.Failed, "c")),
+		batch.NewStartWave(batch.NewWave(3, []string{"m1", "m2", "m3"}, 1, batchTime)),
+		batch.NewMaintain(3, "m1", aLife),
+		batch.NewSkip(3, "m2"),
 	} {
 		s, _ = s.Apply(c)
 	}
@@ -78,6 +84,7 @@
 	assert.Equal(t, s.Document(), read.Document())
 	assert.Equal(t, s.Declaration(), read.Declaration())
 	assert.Equal(t, s.Jobs().Len(), read.Jobs().Len())
+	assert.Equal(t, s.Waves(), read.Waves())
 	for id, j := range s.Jobs().All() {
 		o, known := read.Job(id)
 		require.True(t, known)
@@ -110,7 +117,7 @@
 	t.Run("report", func(t *testing.T) {
 		var b bytes.Buffer
 		r := run.NewReport("h").WithAnnouncement(run.NewAnnouncement(aLife, "s", "z", 3).WithPlace("r", []string{"a", "r"}).
-			WithCapacity(batch.NewResources(1, 2, 3)).WithClock(time.Hour).WithDraining(time.Second)).
+			WithCapacity(batch.NewResources(1, 2, 3)).WithClock(time.Hour).WithMachine("m").WithDraining(time.Second)).
 			WithList(run.NewList(aLife, 9, time.Hour, []run.Running{run.NewRunning(id, "c", 100, 5)},
 				[]run.Finished{run.NewFinished(58, anEnd)}, []run.ID{id})).
 			WithRefused([]run.Refusal{run.NewRefusal(id, "late")}).WithGone()
@@ -127,6 +134,7 @@
 	for name, c := range map[string]call.Call{
 		"submit": call.NewSubmit(place, []byte("job")), "read": call.NewRead(place), "cancel": call.NewCancel(place),
 		"declare": call.NewDeclare([]byte("d")), "read declaration": call.ReadDeclaration{}, "ping": call.Ping{},
+		"start wave": call.NewStartWave(batch.NewWave(3, []string{"m"}, 1, batchTime)), "read wave": call.NewReadWave(3),
 	} {
 		t.Run(name, func(t *testing.T) {
 			var b bytes.Buffer
--- a/internal/wire/call.go
+++ b/internal/wire/call.go
@@ -15,15 +15,18 @@
 	callCancel          = "cancel"
 	callDeclare         = "declare"
 	callReadDeclaration = "read-declaration"
+	callStartWave       = "start-wave"
+	callReadWave        = "read-wave"
 	callPing            = "ping"
 )
 
 type callForm struct {
-	Kind     string `cbor:"1,keyasint"`
-	Host     string `cbor:"2,keyasint,omitempty"`
-	Path     string `cbor:"3,keyasint,omitempty"`
-	Key      string `cbor:"4,keyasint,omitempty"`
-	Document []byte `cbor:"5,keyasint,omitempty"`
+	Kind     string    `cbor:"1,keyasint"`
+	Host     string    `cbor:"2,keyasint,omitempty"`
+	Path     string    `cbor:"3,keyasint,omitempty"`
+	Key      string    `cbor:"4,keyasint,omitempty"`
+	Document []byte    `cbor:"5,keyasint,omitempty"`
+	Wave     *waveForm `cbor:"6,keyasint,omitempty"`
 }
 
 func placedForm(kind string, p call.Place, document []byte) callForm {
@@ -44,6 +47,11 @@
 		f = callForm{Kind: callDeclare, Document: c.Document()}
 	case call.ReadDeclaration:
 		f = callForm{Kind: callReadDeclaration}
+	case call.StartWave:
+		w := newWaveForm(c.Wave())
+		f = callForm{Kind: callStartWave, Wave: &w}
+	case call.ReadWave:
+		f = callForm{Kind: callReadWave, Wave: &waveForm{Number: c.Number()}}
 	case call.Ping:
 		f = callForm{Kind: callPing}
 	}
@@ -58,6 +66,12 @@
 		return nil, err
 	}
 	place := call.NewPlace(f.Host, f.Path, f.Key)
+	switch {
+	case f.Kind == callStartWave && f.Wave != nil:
+		return call.NewStartWave(f.Wave.wave()), nil
+	case f.Kind == callReadWave && f.Wave != nil:
+		return call.NewReadWave(f.Wave.Number), nil
+	}
 	switch f.Kind {
 	case callSubmit:
 		return call.NewSubmit(place, f.Document), nil
--- a/internal/wire/run.go
+++ b/internal/wire/run.go
@@ -97,6 +97,7 @@
 	Remaining    int64
 	Sequence     int64
 	Clock        int64
+	Machine      string
 }
 
 type runningForm struct {
@@ -143,12 +144,14 @@
 		Life: newLifeForm(a.Life()), Service: a.Service(), Zone: a.Zone(), Rack: a.Rack(), Labels: a.Labels(),
 		Millicores: c.Millicores(), MemoryMB: c.MemoryMB(), Accelerators: c.Accelerators(),
 		Draining: a.Draining(), Remaining: int64(a.Remaining()), Sequence: a.Sequence(), Clock: int64(a.Clock()),
+		Machine: a.Machine(),
 	}
 }
 
 func (f runWorkerForm) announcement() run.Announcement {
 	a := run.NewAnnouncement(f.Life.life(), f.Service, f.Zone, f.Sequence).WithPlace(f.Rack, f.Labels).
-		WithCapacity(batch.NewResources(f.Millicores, f.MemoryMB, f.Accelerators)).WithClock(time.Duration(f.Clock))
+		WithCapacity(batch.NewResources(f.Millicores, f.MemoryMB, f.Accelerators)).WithClock(time.Duration(f.Clock)).
+		WithMachine(f.Machine)
 	if f.Draining {
 		a = a.WithDraining(time.Duration(f.Remaining))
 	}
