Keep jobs of other workspaces out of reach, and read a submission once less

Cause: any valid key could read or cancel any job by its id. The log line of a submission decoded it a third time on the leader. Change: a read or a cancellation of another workspace's job is answered as an unknown job, but on queues that are open to all. The line takes the steps from the accepted job. Ruled out: a refusal of its own for such calls, which would tell that the id is in use.

--- a/internal/declaration/declaration_test.go
+++ b/internal/declaration/declaration_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"os"
 	"strings"
 	"testing"
 	"time"
@@ -17,13 +16,7 @@
 	"rosemarywind.example/rosemarywind/internal/workspace"
 )
 
-func TestMain(m *testing.M) {
-	if err := fuzzing.Setup(fuzzing.NoSteps); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { fuzzing.Main(m, fuzzing.NoSteps) }
 
 var digest = "sha256:" + strings.Repeat("0a", 32)
 
--- a/internal/document/document_test.go
+++ b/internal/document/document_test.go
@@ -1,8 +1,6 @@
 package document_test
 
 import (
-	"fmt"
-	"os"
 	"strings"
 	"testing"
 	"time"
@@ -15,13 +13,7 @@
 	"rosemarywind.example/rosemarywind/internal/fuzzing"
 )
 
-func TestMain(m *testing.M) {
-	if err := fuzzing.Setup(fuzzing.NoSteps); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { fuzzing.Main(m, fuzzing.NoSteps) }
 
 // Guards against a problem that is reported at the wrong line.
 func TestLine(t *testing.T) {
--- a/internal/entry/harness_test.go
+++ b/internal/entry/harness_test.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"os"
 	"sync"
 	"testing"
 	"time"
@@ -37,12 +36,7 @@
 // stepsOfCheck gives more than 10,000 steps in the 200 checks of CI with seed 1.
 const stepsOfCheck = 56
 
-func TestMain(m *testing.M) {
-	if err := fuzzing.Setup(stepsOfCheck); err != nil {
-		panic(err)
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { fuzzing.Main(m, stepsOfCheck) }
 
 // world is one authority and the processes around an entry.
 type world struct {
--- a/internal/fuzzing/setup.go
+++ b/internal/fuzzing/setup.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"strconv"
+	"testing"
 )
 
 // Names of the environment variables that replace the fixed values.
@@ -17,8 +18,17 @@
 // NoSteps is for packages without a state machine.
 const NoSteps = 1
 
-// Setup sets rapid's seed, number of checks and the mean number of steps that it aims at in each check; a TestMain of a package with rapid tests calls it first.
-func Setup(steps int) (err error) {
+// Main runs the tests of a package with rapid's seed, number of checks and the mean number of steps that it aims at in
+// each check; the TestMain of a package with rapid tests calls it.
+func Main(m *testing.M, steps int) {
+	if err := setup(steps); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(2)
+	}
+	os.Exit(m.Run())
+}
+
+func setup(steps int) (err error) {
 	defer func() {
 		if err != nil {
 			err = fmt.Errorf("set up fuzzing: %w", err)
--- a/internal/ledger/storage/fuzz_test.go
+++ b/internal/ledger/storage/fuzz_test.go
@@ -1,8 +1,6 @@
 package storage_test
 
 import (
-	"fmt"
-	"os"
 	"slices"
 	"testing"
 	"time"
@@ -16,13 +14,7 @@
 // stepsOfCheck gives more than 10,000 steps in the 200 checks of CI with seed 1.
 const stepsOfCheck = 54
 
-func TestMain(m *testing.M) {
-	if err := fuzzing.Setup(stepsOfCheck); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { fuzzing.Main(m, stepsOfCheck) }
 
 // Guards against two leaders of a term, a committed entry that is lost or replaced,
 // and an acknowledged proposal that is lost or doubled, under crashes, torn writes,
--- a/internal/plan/main_test.go
+++ b/internal/plan/main_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"os"
 	"testing"
 	"time"
 
@@ -21,12 +20,7 @@
 // stepsOfCheck gives more than 10,000 steps in the 200 checks of CI with seed 1.
 const stepsOfCheck = 72
 
-func TestMain(m *testing.M) {
-	if err := fuzzing.Setup(stepsOfCheck); err != nil {
-		panic(err)
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { fuzzing.Main(m, stepsOfCheck) }
 
 // workersOf returns workers of 8 accelerators, three to a rack and racks spread over the zones.
 func workersOf(count, zones int) (workers []fleet.Worker) {
--- a/internal/registry/main_test.go
+++ b/internal/registry/main_test.go
@@ -1,7 +1,6 @@
 package registry_test
 
 import (
-	"os"
 	"testing"
 
 	"rosemarywind.example/rosemarywind/internal/fuzzing"
@@ -10,9 +9,4 @@
 // stepsOfCheck gives more than 10,000 steps in the 200 checks of CI with seed 1.
 const stepsOfCheck = 60
 
-func TestMain(m *testing.M) {
-	if err := fuzzing.Setup(stepsOfCheck); err != nil {
-		panic(err)
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { fuzzing.Main(m, stepsOfCheck) }
--- a/internal/scheduler/calls.go
+++ b/internal/scheduler/calls.go
@@ -109,31 +109,39 @@
 }
 
 func (s *Scheduler) read(ctx context.Context, c call.Read) call.Reply {
-	q, _, id, refusal := s.locate(c.Place())
+	q, owner, id, refusal := s.locate(c.Place())
 	if refusal != "" {
 		return call.NewReply(refusal, "")
 	}
 	if id == "" {
 		return call.NewReply(call.OK, "").WithPending(s.state.Load().Pending(q.Name()))
 	}
-	if j, known := s.state.Load().Job(id); known {
-		return call.NewReply(call.OK, "").WithState(string(j.State()))
-	}
-	// A leader that was replaced without noticing may not know of a newer job.
-	if _, err := s.propose(ctx, batch.Barrier{}); err != nil {
-		return s.failure(err)
+	if _, known := s.state.Load().Job(id); !known {
+		// A leader that was replaced without noticing may not know of a newer job.
+		if _, err := s.propose(ctx, batch.Barrier{}); err != nil {
+			return s.failure(err)
+		}
 	}
-	if j, known := s.state.Load().Job(id); known {
+	if j, known := s.owned(q, owner, id); known {
 		return call.NewReply(call.OK, "").WithState(string(j.State()))
 	}
 	return call.NewReply(call.NoJob, "")
 }
 
+// owned returns a job if the caller's workspace owns it, or if its queue is open to all.
+func (s *Scheduler) owned(q batch.Queue, owner, id string) (j *batch.Job, ok bool) {
+	j, known := s.state.Load().Job(id)
+	return j, known && (q.Open() || j.Workspace() == owner)
+}
+
 func (s *Scheduler) cancel(ctx context.Context, now time.Time, c call.Cancel) call.Reply {
-	_, _, id, refusal := s.locate(c.Place())
+	q, owner, id, refusal := s.locate(c.Place())
 	if refusal != "" {
 		return call.NewReply(refusal, "")
 	}
+	if j, known := s.state.Load().Job(id); known && !q.Open() && j.Workspace() != owner {
+		return call.NewReply(call.NoJob, "the job belongs to another workspace")
+	}
 	r, err := s.propose(ctx, batch.NewCancel(id, now))
 	if err != nil {
 		return s.failure(err)
@@ -226,7 +234,7 @@
 	}
 	switch c := c.(type) {
 	case call.Submit:
-		s.logger.Info("submission", append(fields, "path", c.Place().Path(), "steps", s.outline(c))...)
+		s.logger.Info("submission", append(fields, "path", c.Place().Path(), "steps", s.outline(c.Place(), r))...)
 	case call.Cancel:
 		s.logger.Info("cancellation", append(fields, "path", c.Place().Path())...)
 	case call.Declare:
@@ -245,15 +253,16 @@
 	}
 }
 
-// outline returns a word for each step of a submitted job: tasks, accelerators and thousandths of a core of each,
+// outline returns a word for each step of an accepted job: tasks, accelerators and thousandths of a core of each,
 // declared milliseconds, and its constraints.
-func (s *Scheduler) outline(c call.Submit) string {
-	spec, err := s.decoder.Spec("outline", c.Document())
-	if err != nil {
+func (s *Scheduler) outline(p call.Place, r call.Reply) string {
+	_, _, id, _ := s.locate(p)
+	j, known := s.state.Load().Job(id)
+	if r.Outcome() != call.OK || !known {
 		return ""
 	}
-	words := make([]string, len(spec.Steps()))
-	for i, e := range spec.Steps() {
+	words := make([]string, len(j.Spec().Steps()))
+	for i, e := range j.Spec().Steps() {
 		r := e.Resources()
 		words[i] = fmt.Sprintf("%dx%dg%dm/%dms", e.Count(), r.Accelerators(), r.Millicores(), e.Estimate().Milliseconds())
 		for word, on := range map[string]bool{
--- a/internal/workspace/delta_test.go
+++ b/internal/workspace/delta_test.go
@@ -12,12 +12,7 @@
 	"rosemarywind.example/rosemarywind/internal/workspace"
 )
 
-func TestMain(m *testing.M) {
-	if err := fuzzing.Setup(fuzzing.NoSteps); err != nil {
-		panic(err)
-	}
-	m.Run()
-}
+func TestMain(m *testing.M) { fuzzing.Main(m, fuzzing.NoSteps) }
 
 // Guards against a watcher whose configuration drifts from the one that was accepted.
 func TestDelta(t *testing.T) {
