Bound the share of a core that decisions take, and plan only while something waits

Change: after a decision the leader rests for twice its duration, a second at most, in which reports gather; the plan is left out when no job waits.

--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -109,10 +109,15 @@
 }
 
 // HasPlaced reports whether a run is placed.
-func (j *Job) HasPlaced() bool {
+func (j *Job) HasPlaced() bool { return j.has(Placed) }
+
+// Waits reports whether the job lives and a task is not placed yet, its turn come or not.
+func (j *Job) Waits() bool { return j.Live() && j.has(Waiting) }
+
+func (j *Job) has(p Phase) bool {
 	for _, steps := range j.tasks {
 		for _, tasks := range steps {
-			if slices.ContainsFunc(tasks, func(t Task) bool { return t.phase == Placed }) {
+			if slices.ContainsFunc(tasks, func(t Task) bool { return t.phase == p }) {
 				return true
 			}
 		}
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -117,9 +117,9 @@
 func (c *Core) Step(now time.Time, s batch.State) (a Actions) {
 	lives := c.lives()
 	c.begin(now, s, lives, &a)
-	stopping := c.resolve(now, s, lives, &a)
+	stopping, waits := c.resolve(now, s, lives, &a)
 	c.maintain(now, s, lives, &a)
-	if len(a.ends) == 0 {
+	if waits && len(a.ends) == 0 {
 		c.place(now, s, stopping, lives, &a)
 	}
 	c.pace(now, s, &a)
--- a/internal/dispatch/resolve.go
+++ b/internal/dispatch/resolve.go
@@ -7,10 +7,14 @@
 	"rosemarywind.example/rosemarywind/internal/run"
 )
 
-// resolve ends the runs that have ended, and stops those that must. It returns the runs that were told to stop.
-func (c *Core) resolve(now time.Time, s batch.State, lives map[batch.Life]*host, a *Actions) (stopping map[run.ID]bool) {
+// resolve ends the runs that have ended, and stops those that must. It returns the runs that were told to stop, and
+// whether a job waits for workers.
+func (c *Core) resolve(
+	now time.Time, s batch.State, lives map[batch.Life]*host, a *Actions,
+) (stopping map[run.ID]bool, waits bool) {
 	stopping = map[run.ID]bool{}
 	for _, j := range s.Jobs().All() {
+		waits = waits || j.Waits()
 		eachPlaced(j, func(id run.ID, t batch.Task) {
 			if c.fresh[id] {
 				return
@@ -35,7 +39,7 @@
 		})
 	}
 	c.stopStrays(now, s, a)
-	return stopping
+	return stopping, waits
 }
 
 // fate returns the end of a placed run, if it is known. The table in docs/platform.md lists the cases.
--- a/internal/scheduler/director.go
+++ b/internal/scheduler/director.go
@@ -81,8 +81,15 @@
 	}
 }
 
-// batchWindow is how long the loop waits for more events before it decides.
-const batchWindow = 3 * time.Millisecond
+const (
+	// readyPause is how long a leader that may not decide now waits until it looks again.
+	readyPause = 3 * time.Millisecond
+	// restShare is for how many times its duration a decision is followed by a rest, in which events gather; it bounds
+	// the share of a core that decisions take as the fleet grows.
+	restShare = 2
+	// longestRest bounds the rest.
+	longestRest = time.Second
+)
 
 // lead decides for one term.
 func (d *director) lead(ctx context.Context, term uint64) {
@@ -97,16 +104,23 @@
 	}()
 	timer := time.NewTimer(0)
 	defer timer.Stop()
+	var rested time.Time // when the rest after the latest decision ends
 	for {
 		status, changed := d.node.Status().Watch()
 		if ctx.Err() != nil || status.Term() != term || !status.Leading() {
 			return
 		}
 		_, applied := d.state.Watch()
-		if status.Ready(time.Now()) {
-			timer.Reset(time.Until(d.step(ctx, core, term)))
-		} else {
-			timer.Reset(batchWindow)
+		now := time.Now()
+		switch {
+		case !status.Ready(now):
+			timer.Reset(readyPause)
+		case now.Before(rested):
+			timer.Reset(rested.Sub(now))
+		default:
+			next, took := d.step(ctx, core, term)
+			rested = time.Now().Add(min(restShare*took, longestRest))
+			timer.Reset(time.Until(next))
 		}
 		select {
 		case <-ctx.Done():
@@ -159,11 +173,12 @@
 	}
 }
 
-// step decides once and carries the decision out; it returns when the next one is due.
-func (d *director) step(ctx context.Context, core *dispatch.Core, term uint64) time.Time {
+// step decides once and carries the decision out; it returns when the next one is due, and how long deciding took.
+func (d *director) step(ctx context.Context, core *dispatch.Core, term uint64) (next time.Time, took time.Duration) {
 	begun := time.Now()
 	a := core.Step(begun, d.state.Load())
-	d.meters.decision.Update(time.Since(begun).Microseconds())
+	took = time.Since(begun)
+	d.meters.decision.Update(took.Microseconds())
 	d.logDecisions(a.Decisions())
 	for _, o := range a.Orders() {
 		d.order(o, term)
@@ -177,7 +192,7 @@
 	if len(a.Ends()) > 0 {
 		d.meters.ends.Inc(int64(len(a.Ends())))
 		d.commit(ctx, batch.NewFinish(begun, a.Ends()...))
-		return time.Now()
+		return time.Now(), took
 	}
 	if len(a.Marks()) > 0 {
 		d.commit(ctx, batch.NewSave(a.Marks()...))
@@ -187,9 +202,9 @@
 	}
 	if len(a.Groups()) > 0 {
 		d.begin(ctx, core, begun, a.Groups())
-		return time.Now()
+		return time.Now(), took
 	}
-	return a.Wake()
+	return a.Wake(), took
 }
 
 // begin commits the start of runs; the next step orders those that were committed.
