Count suspended time in the leader's lease

Cause: time.Now's steady clock stands still while a machine is suspended, so that a leader that wakes took its lease for valid for up to its length, although another one may lead. Change: the ledger's members and those who ask whether one may serve go by clock.Now, which reads the clock that counts suspensions. Grants to others last longer by it, which is safe. Ruled out: the time of day, which steps.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -9,6 +9,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"rosemarywind.example/rosemarywind/internal/clock"
 	"rosemarywind.example/rosemarywind/internal/ledger/driver"
 	"rosemarywind.example/rosemarywind/internal/ledger/transport"
 	"rosemarywind.example/rosemarywind/internal/link"
@@ -111,7 +112,7 @@
 	ctx, cancel := context.WithTimeout(ctx, c.grace)
 	defer cancel()
 	_ = api.Shutdown(ctx)
-	if c.node.Status().Load().Ready(time.Now()) {
+	if c.node.Status().Load().Ready(clock.Now()) {
 		ctx, cancel := context.WithTimeout(ctx, transferTimeout)
 		defer cancel()
 		if err := c.node.Transfer(ctx); err != nil {
@@ -162,7 +163,7 @@
 // leading returns nil if this process may speak for the ledger, else the status for the peer.
 func (c *Control) leading() *wire.StatusError {
 	s := c.node.Status().Load()
-	if s.Ready(time.Now()) {
+	if s.Ready(clock.Now()) {
 		return nil
 	}
 	return wire.NewStatusError(wire.NotLeader, s.LeaderAddress(), "this control host is not the leader")
--- a/internal/control/gangs.go
+++ b/internal/control/gangs.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"rosemarywind.example/rosemarywind/internal/board"
+	"rosemarywind.example/rosemarywind/internal/clock"
 	"rosemarywind.example/rosemarywind/internal/gang"
 	"rosemarywind.example/rosemarywind/internal/job"
 	"rosemarywind.example/rosemarywind/internal/lease"
@@ -72,7 +73,7 @@
 		next := followerCheck
 		// The time is taken before the check, so that a lease that an order grants counts from a moment
 		// at which this process led even if it is frozen in between.
-		if now, status := time.Now(), g.control.node.Status().Load(); status.Ready(now) {
+		if now, status := time.Now(), g.control.node.Status().Load(); status.Ready(clock.Now()) {
 			next = g.pass(ctx, status.Term(), now)
 		}
 		timer.Reset(next)
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -1,8 +1,7 @@
 package control
 
 import (
-	"time"
-
+	"rosemarywind.example/rosemarywind/internal/clock"
 	"rosemarywind.example/rosemarywind/internal/job"
 	"rosemarywind.example/rosemarywind/internal/ledger/driver"
 	"rosemarywind.example/rosemarywind/internal/telemetry"
@@ -30,7 +29,7 @@
 // register adds gauges that are computed when they are read; a follower has no endpoints.
 func (c *Control) register(r *telemetry.Registry) {
 	r.GaugeFunc(LeadsMetric, func() (leads int64) {
-		if c.Status().Ready(time.Now()) {
+		if c.Status().Ready(clock.Now()) {
 			leads = 1
 		}
 		return leads
@@ -48,7 +47,7 @@
 	r.GaugeFunc(RevisionMetric, func() int64 { return int64(c.board.state.Load().Config().Revision()) })
 	r.GaugeFunc(EndpointsMetric, func() int64 { return int64(len(c.board.roster.Load().snapshot.All())) })
 	r.GaugeFunc(ShortMetric, func() (short int64) {
-		if c.Status().Ready(time.Now()) {
+		if c.Status().Ready(clock.Now()) {
 			short = int64(c.board.short.Load().Len())
 		}
 		return short
--- a/internal/ledger/driver/loop.go
+++ b/internal/ledger/driver/loop.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"rosemarywind.example/rosemarywind/internal/clock"
 	"rosemarywind.example/rosemarywind/internal/ledger"
 )
 
@@ -38,7 +39,7 @@
 func newLoop[R any](n *Node[R], saved ledger.Saved) *loop[R] {
 	return &loop[R]{
 		node:      n,
-		core:      ledger.NewCore(saved, n.options.address, n.options.timing, time.Now(), n.options.random),
+		core:      ledger.NewCore(saved, n.options.address, n.options.timing, clock.Now(), n.options.random),
 		applied:   saved.Snapshot().Index(),
 		begun:     map[uint64]call[R]{},
 		waiting:   map[uint64]call[R]{},
@@ -56,7 +57,7 @@
 	defer timer.Stop()
 	for {
 		l.publish()
-		now := time.Now()
+		now := clock.Now()
 		timer.Reset(l.core.Wake().Sub(now))
 		// A send to a nil channel never proceeds, so that a case without work stays out of the select.
 		var toStorage chan []ledger.Persist
@@ -115,7 +116,7 @@
 }
 
 func (l *loop[R]) step(in ledger.Input) {
-	for _, e := range l.core.Step(time.Now(), l.node.options.random, in) {
+	for _, e := range l.core.Step(clock.Now(), l.node.options.random, in) {
 		l.carryOut(e)
 	}
 }
--- a/internal/ledger/driver/status.go
+++ b/internal/ledger/driver/status.go
@@ -45,7 +45,7 @@
 // term. It may serve while, besides, the present time is before LeaseEnds.
 func (s Status) Leading() bool { return s.leading }
 
-// Ready reports whether the member may serve as the leader at the given time.
+// Ready reports whether the member may serve as the leader at a time of clock.Now, which counts suspended time.
 func (s Status) Ready(now time.Time) bool { return s.leading && now.Before(s.leaseEnds) }
 
 // LeaseEnds returns until when no other member can lead; it is zero on a member that does not lead.
--- a/internal/scheduler/calls.go
+++ b/internal/scheduler/calls.go
@@ -9,6 +9,7 @@
 
 	"rosemarywind.example/rosemarywind/internal/batch"
 	"rosemarywind.example/rosemarywind/internal/call"
+	"rosemarywind.example/rosemarywind/internal/clock"
 	"rosemarywind.example/rosemarywind/internal/ledger/driver"
 	"rosemarywind.example/rosemarywind/internal/link"
 	"rosemarywind.example/rosemarywind/internal/wire"
@@ -42,7 +43,7 @@
 
 // decide answers a call if this host leads.
 func (s *Scheduler) decide(ctx context.Context, now time.Time, c call.Call) call.Reply {
-	if !s.node.Status().Load().Ready(now) {
+	if !s.node.Status().Load().Ready(clock.Now()) {
 		return call.NewReply(call.NotLeader, "this control host does not lead")
 	}
 	switch c := c.(type) {
--- a/internal/scheduler/director.go
+++ b/internal/scheduler/director.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"rosemarywind.example/rosemarywind/internal/batch"
+	"rosemarywind.example/rosemarywind/internal/clock"
 	"rosemarywind.example/rosemarywind/internal/dispatch"
 	"rosemarywind.example/rosemarywind/internal/ledger"
 	"rosemarywind.example/rosemarywind/internal/run"
@@ -56,7 +57,7 @@
 func (d *director) run(ctx context.Context) error {
 	for ctx.Err() == nil {
 		status, changed := d.node.Status().Watch()
-		if status.Ready(time.Now()) {
+		if status.Ready(clock.Now()) {
 			d.lead(ctx, status.Term())
 			continue
 		}
@@ -113,7 +114,7 @@
 		_, applied := d.state.Watch()
 		now := time.Now()
 		switch {
-		case !status.Ready(now):
+		case !status.Ready(clock.Now()):
 			timer.Reset(readyPause)
 		case now.Before(rested):
 			timer.Reset(rested.Sub(now))
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -104,7 +104,7 @@
 	defer cancel()
 	for ctx.Err() == nil && !s.led() {
 		status, changed := s.node.Status().Watch()
-		if status.Ready(time.Now()) {
+		if status.Ready(clock.Now()) {
 			attempt, done := context.WithTimeout(ctx, transferTimeout)
 			err := s.node.Transfer(attempt)
 			done()
--- a/internal/scheduler/sessions.go
+++ b/internal/scheduler/sessions.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"sync/atomic"
-	"time"
 
+	"rosemarywind.example/rosemarywind/internal/clock"
 	"rosemarywind.example/rosemarywind/internal/link"
 	"rosemarywind.example/rosemarywind/internal/run"
 	"rosemarywind.example/rosemarywind/internal/wire"
@@ -47,7 +47,7 @@
 // attend serves the stream of an agent while this host leads.
 func (s *Scheduler) attend(ctx context.Context, st *link.Stream) {
 	first, err := wire.ReadRunReport(st)
-	if err != nil || !s.node.Status().Load().Ready(time.Now()) {
+	if err != nil || !s.node.Status().Load().Ready(clock.Now()) {
 		st.Refuse()
 		return
 	}
