Let no job wait on a mostly idle fleet, and log why steps wait

Each of up to four waiting gangs books the rack that it can have first; with a long run in each rack all free workers were booked, and whoever does not end before then waits. Room kept for urgent work, the rack of the data and one rack for a gang can do the same. Change: while less than half of a service is in use, a job of which nothing runs takes booked and kept room after 1 s, and any rack after 2 s. The leader logs why a step waits, once for each reason. Seen red: TestBookingsOfAnIdleFleet, case "booked for gangs".

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -21,6 +21,7 @@
 	progress map[run.ID]*progress
 	lengths  map[placement.StepKey]time.Duration
 	advice   advice
+	waits    map[batch.TaskID]placement.Reason // as logged last, by the key of the step's occurrence
 	// clearings holds the machines that are being emptied for their maintenance, by name.
 	clearings map[string]*clearing
 	forgot    time.Time
@@ -45,7 +46,7 @@
 		hosts: map[string]*host{}, ordered: map[run.ID]*ordered{}, fresh: map[run.ID]bool{},
 		progress: map[run.ID]*progress{}, lengths: map[placement.StepKey]time.Duration{},
 		advice:    advice{verdicts: map[batch.TaskID]map[batch.Life]verdict{}},
-		clearings: map[string]*clearing{},
+		clearings: map[string]*clearing{}, waits: map[batch.TaskID]placement.Reason{},
 	}
 }
 
@@ -190,6 +191,7 @@
 	v := placement.NewView(now, s, workers, stopping, c.timing.far)
 	p := placement.Decide(v.WithForecast(c.forecast(now, s)).WithVerdicts(c.verdicts(now)))
 	c.inquire(now, p, a)
+	c.noteWaits(now, p)
 	a.groups = p.Groups()
 	for _, id := range p.Stops() {
 		j, _ := s.Job(id.Task().Job())
@@ -198,6 +200,18 @@
 	}
 }
 
+// noteWaits logs for each step that waits why it does, once for each reason.
+func (c *Core) noteWaits(now time.Time, p placement.Plan) {
+	waits := make(map[batch.TaskID]placement.Reason, len(p.Waits()))
+	for _, w := range p.Waits() {
+		waits[w.Step()] = w.Reason()
+		if c.waits[w.Step()] != w.Reason() {
+			c.decide(nil, now, run.NewID(w.Step(), 0), "waits", string(w.Reason()))
+		}
+	}
+	c.waits = waits
+}
+
 // stop orders the end of a run, again after a while.
 func (c *Core) stop(now time.Time, id run.ID, h *host, why string, a *Actions) {
 	o := c.note(id)
--- a/internal/placement/headroom.go
+++ b/internal/placement/headroom.go
@@ -14,7 +14,7 @@
 // leavesRoom reports whether urgent work still finds a rack with room after a unit has begun. It is true for urgent
 // units, for those whose time is running out or that were held back for long, and while no urgent work comes.
 func (p *planner) leavesRoom(u *unit, places ...*place) bool {
-	if p.headroom == 0 || u.queue.Priority() == 0 || u.slack < patientSlack || p.view.now.Sub(u.ready) > longestWait {
+	if p.headroom == 0 || u.waits != full || u.queue.Priority() == 0 || u.slack < patientSlack || p.view.now.Sub(u.ready) > longestWait {
 		return true
 	}
 	taken := map[string]int{}
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -1,6 +1,7 @@
 package placement_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -8,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"rosemarywind.example/rosemarywind/internal/batch"
+	"rosemarywind.example/rosemarywind/internal/placement"
 )
 
 // Guards against guaranteed work that waits for runs whose declared times were far too short, so that they always
@@ -143,3 +145,109 @@
 	}
 	w.assertPlaced("urgent", 2)
 }
+
+// Guards against a fleet that stands mostly idle while a job waits, because every rack is booked for gangs that need a
+// whole one, or kept free for urgent work.
+func TestBookingsOfAnIdleFleet(t *testing.T) {
+	occupied := func(t *testing.T) *world {
+		w := newWorld(t)
+		// One task of four accelerators in each rack, for long.
+		for rack := range 3 {
+			w.submit(fmt.Sprintf("busy-%d", rack), scans, "a",
+				batch.NewStep(1, gpus(4), time.Hour, batch.WithLabel(fmt.Sprintf("r%d", rack))))
+		}
+		w.decide()
+		return w
+	}
+	t.Run("booked for gangs", func(t *testing.T) {
+		w := occupied(t)
+		for n := range 3 {
+			w.submit(fmt.Sprintf("gang-%d", n), patient, "a", gang(2, 8, time.Second))
+		}
+		w.submit("waits", scans, "b", batch.NewStep(1, gpus(8), 2*time.Hour))
+		w.decide()
+		w.pass(1500 * time.Millisecond)
+		w.decide()
+		w.assertPlaced("waits", 1)
+	})
+	t.Run("booked for urgent gangs", func(t *testing.T) {
+		w := occupied(t)
+		for n := range 3 {
+			w.submit(fmt.Sprintf("gang-%d", n), urgent, "c", gang(2, 8, time.Second))
+		}
+		w.submit("waits", scans, "b", batch.NewStep(1, gpus(8), 2*time.Hour))
+		w.pass(1500 * time.Millisecond)
+		w.state, _ = w.state.Apply(batch.NewCancel("gang-0", w.now))
+		w.decide()
+		w.assertPlaced("waits", 1)
+	})
+	t.Run("the rack of the data is full", func(t *testing.T) {
+		w := newWorld(t)
+		w.submit("busy", scans, "a", batch.NewStep(2, gpus(8), time.Hour, batch.WithLabel("r0")))
+		w.decide()
+		w.submit("waits", scans, "b", batch.NewStep(1, gpus(8), time.Minute, batch.WithRack("r0")))
+		w.pass(500 * time.Millisecond)
+		w.decide()
+		w.assertPlaced("waits", 0)
+		w.pass(2 * time.Second)
+		w.decide()
+		w.assertPlaced("waits", 1)
+	})
+	t.Run("no rack has room for all of a gang", func(t *testing.T) {
+		w := occupied(t)
+		w.submit("waits", patient, "b", gang(2, 8, time.Minute))
+		w.pass(500 * time.Millisecond)
+		w.decide()
+		w.assertPlaced("waits", 0)
+		w.pass(2 * time.Second)
+		w.decide()
+		w.assertPlaced("waits", 2)
+	})
+	t.Run("busy fleets keep their bookings", func(t *testing.T) {
+		w := newWorld(t)
+		w.submit("first", scans, "a", batch.NewStep(6, gpus(5), 2*time.Second))
+		w.decide()
+		w.submit("gang", patient, "a", gang(2, 8, time.Second))
+		w.submit("long", scans, "a", batch.NewStep(18, gpus(1), time.Minute))
+		w.pass(1500 * time.Millisecond)
+		w.decide()
+		assert.Less(t, len(w.racks("long")), 18)
+	})
+}
+
+// Guards against jobs that wait without a word on why.
+func TestReasons(t *testing.T) {
+	assertReason := func(t *testing.T, w *world, want placement.Reason) {
+		t.Helper()
+		waits := w.decide().Waits()
+		require.Len(t, waits, 1)
+		assert.Equal(t, want, waits[0].Reason())
+		assert.Positive(t, waits[0].Tasks())
+	}
+	full := func(t *testing.T) *world {
+		w := newWorld(t)
+		w.submit("full", scans, "b", batch.NewStep(6, gpus(8), time.Minute))
+		assert.Empty(t, w.decide().Waits())
+		return w
+	}
+	t.Run("full", func(t *testing.T) {
+		w := full(t)
+		w.submit("j", patient, "a", batch.NewStep(1, gpus(1), time.Second))
+		assertReason(t, w, placement.NoRoom)
+	})
+	t.Run("others are stopped", func(t *testing.T) {
+		w := full(t)
+		w.submit("j", urgent, "a", batch.NewStep(1, gpus(8), time.Second))
+		assertReason(t, w, placement.RoomComes)
+	})
+	t.Run("nobody has so much", func(t *testing.T) {
+		w := newWorld(t)
+		w.submit("j", patient, "a", batch.NewStep(1, gpus(9), time.Second))
+		assertReason(t, w, placement.NoSuchWorker)
+	})
+	t.Run("no advice yet", func(t *testing.T) {
+		w := newWorld(t)
+		w.submit("j", advised, "a", batch.NewStep(1, gpus(1), time.Second))
+		assertReason(t, w, placement.NotApproved)
+	})
+}
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -23,13 +23,17 @@
 	accelerators int // of all workers
 	lasting      int // accelerators of tasks that last and are not within a guarantee
 	rooms        map[roomKey]float64
+	idles        map[string]bool // by service
 	plan         Plan
 	stopped      map[run.ID]bool
 }
 
 // Decide returns what is to be done now.
 func Decide(v View) Plan {
-	p := &planner{view: v, racks: map[string][]*place{}, stopped: map[run.ID]bool{}, rooms: map[roomKey]float64{}}
+	p := &planner{
+		view: v, racks: map[string][]*place{}, stopped: map[run.ID]bool{}, rooms: map[roomKey]float64{},
+		idles: map[string]bool{},
+	}
 	var byLife map[batch.Life]*place
 	p.places, byLife = v.places()
 	for _, e := range p.places {
@@ -51,8 +55,11 @@
 	order(units)
 	for _, u := range units {
 		begun := len(p.plan.groups)
+		u.waits = p.patienceOf(u)
 		p.try(u)
-		p.inquire(u, u.waitingAfter(p.plan.groups[begun:]))
+		waiting := u.waitingAfter(p.plan.groups[begun:])
+		p.inquire(u, waiting)
+		p.wait(u, waiting)
 	}
 	return p.plan
 }
@@ -108,7 +115,7 @@
 	for _, n := range u.indexes {
 		e := p.choose(u, g, eligible)
 		if e != nil && (!p.leavesRoom(u, e) || !p.keepsGuarantees(u, 1)) {
-			heldBack = true
+			heldBack, u.reason = true, RoomKept
 			break
 		}
 		if e == nil {
@@ -136,7 +143,9 @@
 	rest.indexes = indexes
 	set := p.eligible(&rest)
 	if u.queue.Priority() == 0 {
-		p.preempt(&rest, [][]*place{set}, worthStopping*rest.work())
+		if p.preempt(&rest, [][]*place{set}, worthStopping*rest.work()) != nil {
+			u.reason = RoomComes
+		}
 	}
 	for _, n := range indexes {
 		rest.indexes = []int{n}
@@ -164,8 +173,12 @@
 			best = g
 		}
 	}
+	if best == nil && u.waits == none {
+		best = p.gather(u, p.eligible(u))
+	}
 	if best != nil {
 		if !p.leavesRoom(u, best.places...) || !p.keepsGuarantees(u, len(u.indexes)) {
+			u.reason = RoomKept
 			return
 		}
 		for _, e := range best.places {
@@ -176,7 +189,7 @@
 	}
 	if u.queue.Priority() == 0 {
 		if set := p.preempt(u, sets, worthStopping*u.work()); set != nil {
-			sets = [][]*place{set}
+			sets, u.reason = [][]*place{set}, RoomComes
 		}
 	}
 	if p.reservations < maxReservations {
@@ -219,18 +232,22 @@
 			near = append(near, e)
 		}
 	}
-	least := u
-	if !u.step.Gang() {
-		one := *u
-		one.indexes = one.indexes[:1]
-		least = &one
-	}
-	if u.step.Rack() != "" && p.couldHold(least, near) {
+	least := u.least()
+	if u.step.Rack() != "" && p.couldHold(least, near) && (u.waits != none || p.hasRoom(least, near)) {
 		return near
 	}
 	return list
 }
 
+// hasRoom reports whether a set of workers has room for the unit now.
+func (p *planner) hasRoom(u *unit, set []*place) bool {
+	room := 0
+	for _, e := range set {
+		room += u.most(e.free)
+	}
+	return room >= len(u.indexes)
+}
+
 // matches reports whether a worker is of the unit's service and has the label that it needs.
 func (p *planner) matches(u *unit, e *place) bool {
 	return e.service == u.queue.Service() && (u.step.Label() == "" || slices.Contains(e.labels, u.step.Label()))
@@ -296,6 +313,9 @@
 	if m := u.step.MaxPerWorker(); m > 0 && g.counts[e]+p.already(u, e) >= m {
 		return false
 	}
+	if u.waits != full {
+		return true
+	}
 	ends := p.view.now.Add(u.length)
 	for _, b := range e.booked {
 		if (b.strict || ends.After(b.from)) && !needs.Plus(b.needs).Fits(free.Plus(freed(e, b.from, declared))) {
--- a/internal/placement/preempt.go
+++ b/internal/placement/preempt.go
@@ -8,8 +8,8 @@
 	"rosemarywind.example/rosemarywind/internal/batch"
 )
 
-// patience is how long an urgent unit rather waits for a run to end than has one stopped.
-const patience = 600 * time.Millisecond
+// shortWait is how long an urgent unit rather waits for a run to end than has one stopped.
+const shortWait = 600 * time.Millisecond
 
 // preempt stops runs so that an urgent unit fits into one of the sets; it returns that set, or nil if the unit will not
 // fit soon. A unit within its workspace's guarantee may stop anything that is not within one; another unit may only stop
@@ -54,7 +54,7 @@
 
 // worthWaiting reports whether a set has room for the unit soon, or in time by ends that its runs have shown.
 func (p *planner) worthWaiting(u *unit, set []*place) bool {
-	if at, ok := p.earliest(u, set, declared); ok && at.Sub(p.view.now) <= patience {
+	if at, ok := p.earliest(u, set, declared); ok && at.Sub(p.view.now) <= shortWait {
 		return true
 	}
 	at, ok := p.earliest(u, set, shown)
@@ -148,7 +148,7 @@
 		return true
 	}
 	urgent := p.view.state.QueueOf(h.job).Priority() == 0
-	return !urgent && u.slack >= 0 && h.ends.After(p.view.now.Add(patience))
+	return !urgent && u.slack >= 0 && h.ends.After(p.view.now.Add(shortWait))
 }
 
 // price returns the work that stopping a run throws away, for each accelerator that it frees.
--- a/internal/placement/unit.go
+++ b/internal/placement/unit.go
@@ -19,6 +19,8 @@
 	slack   time.Duration // until it must begin to meet its objective
 	next    time.Duration // until it must begin to meet its objective, or three times that
 	sure    bool
+	waits   patience
+	reason  Reason    // why it was not placed, if that is known
 	ready   time.Time // since when the unit could begin, as far as its tasks tell
 }
 
@@ -65,6 +67,16 @@
 	return list
 }
 
+// least returns the part of the unit that can begin without the rest: a gang, or one task.
+func (u *unit) least() *unit {
+	if u.step.Gang() {
+		return u
+	}
+	one := *u
+	one.indexes = one.indexes[:1]
+	return &one
+}
+
 // waitingAfter returns how many of the unit's tasks wait after some of them have begun.
 func (u *unit) waitingAfter(begun []batch.Group) int {
 	count := len(u.indexes)
--- a/internal/placement/view.go
+++ b/internal/placement/view.go
@@ -42,6 +42,7 @@
 	groups  []batch.Group
 	stops   []run.ID
 	inquiry Inquiry
+	waits   []Wait
 }
 
 // Inquiry returns what to ask the advisor; ok is false if nothing waits for its advice.
