--- a/internal/dispatch/machine_test.go
+++ b/internal/dispatch/machine_test.go
@@ -204,6 +204,7 @@
 		id := o.ID()
 		c.stop = &id
 		m.calls = append(m.calls, c)
+	case run.Pace:
 	case run.Hold:
 		if o.Life() == m.life {
 			m.hold, m.held = o, true
