Ask for a list at once only where a stopped run is not listed

Cause: reading the change: each answered stop cancelled the list that waits for an end, and the next one came 0.1 s later. Change: only where the stopped run is in no list; a list that was cancelled is asked for again without a pause.

--- a/internal/runner/loop.go
+++ b/internal/runner/loop.go
@@ -103,8 +103,9 @@
 	case stoppedInput:
 		if in.life == l.life {
 			l.settle(in.id, in.at)
+			l.nextList = now
 			// A list that waits for an end would not come for a run that is not there.
-			l.nextList, l.look = now, true
+			l.look = l.look || !l.runs(in.id)
 		}
 	case listedInput:
 		l.listed(now, in)
@@ -268,6 +269,13 @@
 	return len(l.settled) > len(l.list.Settled())
 }
 
+// runs reports whether the latest list has a run at work.
+func (l *loop) runs(id run.ID) bool { return runs(l.list, id) }
+
+func runs(list run.List, id run.ID) bool {
+	return slices.ContainsFunc(list.Running(), func(r run.Running) bool { return r.ID() == id })
+}
+
 func (l *loop) unacknowledged() bool {
 	n := len(l.list.Finished())
 	return n > 0 && l.list.Finished()[n-1].Number() > l.hold.Acknowledged()
@@ -305,11 +313,12 @@
 		return
 	}
 	if in.err != nil {
+		l.look = true
+		l.nextList = now
 		if !errors.Is(in.err, context.Canceled) {
 			l.logger.Info("worker does not list", "error", in.err)
+			l.nextList = now.Add(callPause)
 		}
-		l.look = true
-		l.nextList = now.Add(callPause)
 		return
 	}
 	var settled []run.ID
@@ -324,7 +333,7 @@
 	}
 	list := run.NewList(in.list.Life(), in.list.Fence(), in.list.Clock(), in.list.Running(), in.list.Finished(), settled)
 	for id := range l.paces {
-		if !slices.ContainsFunc(list.Running(), func(r run.Running) bool { return r.ID() == id }) {
+		if !runs(list, id) {
 			delete(l.paces, id)
 		}
 	}
