Keep the number of voters odd

Change: a member that joins stands by without a vote while one more voter would make an odd number of three or more even; two that join become voters together. A voter that falls silent gives its vote to it, as before. Three of four voters bear the loss of one, as four do, and one half has a majority.

--- a/internal/ledger/join.go
+++ b/internal/ledger/join.go
@@ -65,7 +65,7 @@
 	// deadAfter is how long a voter is silent before it loses its vote to one that joins, or where the ledger bears more
 	// losses without it. It keeps its place as a non-voter, and gets a vote back when it returns.
 	deadAfter = 2500 * time.Millisecond
-	// fewVoters is the number of voters up to which a silent one keeps its vote.
+	// fewVoters is the number of voters up to which a silent one keeps its vote, and from which on their number stays odd.
 	fewVoters = 3
 )
 
@@ -103,11 +103,32 @@
 				c.changeTo(0, c.membership.with(NewMember(dead.id, dead.address, false)))
 				return
 			}
+			if c.staysOdd() {
+				continue
+			}
 			c.changeTo(0, c.membership.with(NewMember(id, address, true)))
 		}
 	}
 }
 
+// staysOdd reports whether one more voter would make an odd number of voters even for good. An even number bears no more
+// losses than one less, and has no majority when it is split into halves; the member without a vote stands by.
+func (c *Core) staysOdd() bool {
+	voters := c.membership.Voters()
+	return voters >= fewVoters && voters%2 == 1 && c.candidates() < 2
+}
+
+// candidates counts the joining members that could become voters now.
+func (c *Core) candidates() (count int) {
+	for id := range c.joining {
+		e, known := c.membership.Find(id)
+		if p := c.peers[id]; known && !e.voter && p != nil && p.match >= c.commit && c.answers(id) {
+			count++
+		}
+	}
+	return count
+}
+
 // demote takes the vote of a silent member where an even number of voters becomes an odd one, which bears as many
 // further losses with one member less.
 func (c *Core) demote() {
--- a/internal/ledger/join_test.go
+++ b/internal/ledger/join_test.go
@@ -79,3 +79,40 @@
 	require.True(t, known, "member %s", id)
 	assert.Equal(t, want, m.Voter(), "member %s", id)
 }
+
+// meet lets a leader of a, b and c hear from its members and from those who join for some seconds.
+func meet(t *testing.T, joining ...ledger.MemberID) *led {
+	t.Helper()
+	l := newLeader(t)
+	l.step(ledger.NewMatched(l.core.Term(), 2, 0, 2))
+	for n := range 60 {
+		l.now = l.now.Add(100 * time.Millisecond)
+		l.core.Step(l.now, l.random, ledger.NewPersisted(uint64(3+n)))
+		for _, id := range joining {
+			l.core.Step(l.now, l.random, ledger.NewReceive(id, ledger.NewJoin(string(id))))
+		}
+		for _, from := range append([]ledger.MemberID{"b", "c"}, joining...) {
+			matched := ledger.NewMatched(l.core.Term(), uint64(3+n), l.now.Sub(l.epoch), l.core.LastIndex())
+			l.core.Step(l.now, l.random, ledger.NewReceive(from, matched))
+		}
+	}
+	require.Equal(t, ledger.Leader, l.core.Role())
+	return l
+}
+
+// Guards against an even number of voters, which has no majority when the hosts are split into halves.
+func TestOddVoters(t *testing.T) {
+	t.Run("a fourth host stands by", func(t *testing.T) {
+		l := meet(t, "d")
+		assertVoter(t, l, "d", false)
+		assert.Equal(t, 3, l.core.Membership().Voters())
+	})
+	t.Run("two more become voters", func(t *testing.T) {
+		l := meet(t, "d", "e")
+		assertVoter(t, l, "d", true)
+		assertVoter(t, l, "e", true)
+	})
+	t.Run("of three more one stands by", func(t *testing.T) {
+		assert.Equal(t, 5, meet(t, "d", "e", "f").core.Membership().Voters())
+	})
+}
