Forget the progress of runs whose jobs are gone

Cause: reading the change: progress of a run that a worker lists and the state does not have was kept for the length of the term. Figures: TestProgressForgotten fails without it.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -241,6 +241,11 @@
 		}
 	}
 	c.forgetAdvice(s)
+	for id := range c.progress {
+		if j, known := s.Job(id.Task().Job()); !known || !j.HasPlaced() {
+			delete(c.progress, id)
+		}
+	}
 	for key := range c.lengths {
 		if j, known := s.Job(key.Job()); !known || !j.Live() {
 			delete(c.lengths, key)
--- a/internal/dispatch/progress.go
+++ b/internal/dispatch/progress.go
@@ -87,7 +87,6 @@
 			c.progress[r.ID()] = p
 		}
 		p.observe(now, r.Percent())
-		// How far a lasting task is says nothing of its length, which nobody asks for.
 		if d, ok := p.length(); ok {
 			c.learn(r.ID().Task(), d)
 		}
--- a/internal/dispatch/progress_test.go
+++ b/internal/dispatch/progress_test.go
@@ -5,6 +5,9 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+
+	"rosemarywind.example/rosemarywind/internal/batch"
+	"rosemarywind.example/rosemarywind/internal/run"
 )
 
 var start = time.Unix(1_800_000_000, 0)
@@ -39,3 +42,13 @@
 		assert.False(t, ok)
 	})
 }
+
+// Guards against progress that is kept for good of runs whose jobs are gone.
+func TestProgressForgotten(t *testing.T) {
+	c := NewCore(DefaultTiming(), 1, start)
+	c.progress[run.NewID(batch.NewTaskID("gone", 0, 0, 0), 1)] = watched(0, 10)
+	c.Step(start.Add(time.Second), batch.NewState(nil))
+	assert.Len(t, c.progress, 1)
+	c.Step(start.Add(forgetInterval+time.Second), batch.NewState(nil))
+	assert.Empty(t, c.progress)
+}
