Bar a run before its refusal is believed, and repeat a stop that a busy worker refused

Reading the agent for what lets a run be taken for gone that is not: a start that was not answered may be carried out later, and a refusal of its repetition as busy, which says nothing of the first call, counted as the end of both; a stop that was refused as busy, which has done nothing, counted as answered. Change: a start that is refused, but not for good (old, late, fence, another life), is barred by a stop before the leader is told; a stop is repeated until the worker has taken it. Ruled out: leases (the workers that were cut off had none left), the longer reach of leases to idle workers, and the order to start again, which names the same run.

--- a/internal/runner/loop.go
+++ b/internal/runner/loop.go
@@ -156,7 +156,7 @@
 	a := l.announced.Load()
 	switch {
 	case l.life != o.Life():
-		l.started(startedInput{id: o.ID(), life: l.life, refusal: "another life", at: now})
+		l.started(startedInput{id: o.ID(), life: l.life, refusal: anotherLife, at: now})
 		return
 	case a.announcement.Draining() || a.gone:
 		l.started(startedInput{id: o.ID(), life: l.life, refusal: "draining", at: now})
@@ -177,6 +177,9 @@
 				l.tell(ctx, startedInput{id: o.ID(), life: o.Life(), at: time.Now()})
 				return
 			case errors.As(err, &refused):
+				if !refused.Final() && !l.bar(ctx, o.Life(), fence, o.ID()) {
+					return
+				}
 				l.tell(ctx, startedInput{id: o.ID(), life: o.Life(), refusal: refused.Reason(), at: time.Now()})
 				return
 			}
@@ -214,24 +217,32 @@
 	}
 	life, fence := l.life, l.fence
 	go func() {
-		for range stopTries {
-			attempt, done := context.WithTimeout(ctx, callTimeout)
-			err := l.worker.Stop(attempt, life, fence, o.ID())
-			done()
-			var refused *RefusedError
-			if err == nil || errors.As(err, &refused) {
-				l.logger.Info("stop answered", "task", o.ID().Task().String(), "run", o.ID().Run(), "refused", err != nil)
-				l.tell(ctx, stoppedInput{id: o.ID(), life: life, at: time.Now()})
-				return
-			}
-			l.logger.Info("stop not answered", "task", o.ID().Task().String(), "run", o.ID().Run(), "error", err)
-			if !clock.Pause(ctx, callPause) {
-				return
-			}
+		if l.bar(ctx, life, fence, o.ID()) {
+			l.tell(ctx, stoppedInput{id: o.ID(), life: life, at: time.Now()})
 		}
 	}()
 }
 
+// bar stops a run, and keeps a late start of it from running; it reports whether the worker has done so. A worker that
+// refuses because it is busy has done nothing.
+func (l *loop) bar(ctx context.Context, life batch.Life, fence uint64, id run.ID) bool {
+	for range stopTries {
+		attempt, done := context.WithTimeout(ctx, callTimeout)
+		err := l.worker.Stop(attempt, life, fence, id)
+		done()
+		var refused *RefusedError
+		if err == nil || errors.As(err, &refused) && refused.Final() {
+			l.logger.Info("stop answered", "task", id.Task().String(), "run", id.Run(), "refused", err != nil)
+			return true
+		}
+		l.logger.Info("stop not answered", "task", id.Task().String(), "run", id.Run(), "error", err)
+		if !clock.Pause(ctx, callPause) {
+			return false
+		}
+	}
+	return false
+}
+
 // pace passes a run's share on; the leader repeats it, and a later one replaces one that is not answered yet.
 func (l *loop) pace(ctx context.Context, o run.Pace) {
 	if cancel := l.paces[o.ID()]; cancel != nil {
--- a/internal/runner/worker.go
+++ b/internal/runner/worker.go
@@ -32,3 +32,21 @@
 
 // Reason returns the worker's reason.
 func (e *RefusedError) Reason() string { return e.reason }
+
+// The reasons with which a worker refuses a run for good in its life.
+const (
+	tooOld      = "old"
+	tooLate     = "late"
+	lowerFence  = "fence"
+	anotherLife = "another life"
+)
+
+// Final reports whether no call for the same run that is still under way can be carried out after this refusal. A worker
+// that is only busy may carry out an earlier call that it has not answered.
+func (e *RefusedError) Final() bool {
+	switch e.reason {
+	case tooOld, tooLate, lowerFence, anotherLife:
+		return true
+	}
+	return false
+}
