--- a/cmd/rosemarywind/load_test.go
+++ b/cmd/rosemarywind/load_test.go
@@ -42,6 +42,12 @@
 // answer is true and belongs to its request, and each outcome is ran, not-run, unsent or one of the ALLOWED. The
 // outcomes of a key are not restricted if claimUnconfirmed.
 func (j *journal) audit(args []string) error {
+	var least int
+	if _, err := fmt.Sscan(args[0], &least); err != nil {
+		return err
+	}
+	// The load waits for its answers, so a busy machine needs longer for the same number of keys.
+	_ = eventually(func() error { return j.checkRan(least) })
 	j.stopLoad()
 	j.workers.Wait()
 	allowed := append([]string{string(outcome.Ran), string(outcome.NotRun), string(unsent)}, args[1:]...)
@@ -69,16 +75,28 @@
 			return err
 		}
 	}
-	var least int
-	if _, err := fmt.Sscan(args[0], &least); err != nil {
-		return err
-	}
 	if ran < least {
 		return fmt.Errorf("only %d of %d keys ran", ran, len(byKey))
 	}
 	return nil
 }
 
+// checkRan returns an error while fewer than least requests were answered with the outcome ran.
+func (j *journal) checkRan(least int) error {
+	j.mutex.Lock()
+	defer j.mutex.Unlock()
+	ran := 0
+	for _, a := range j.attempts {
+		if a.outcome == outcome.Ran {
+			ran++
+		}
+	}
+	if ran < least {
+		return fmt.Errorf("only %d requests ran", ran)
+	}
+	return nil
+}
+
 // claimUnconfirmed reports whether the first attempt with a key was refused because the entry host did not learn
 // whether the claim was committed. That refusal is true, and a resend is answered with may-have-run (section 7.10 of
 // the design page).
--- a/internal/agent/prober.go
+++ b/internal/agent/prober.go
@@ -45,18 +45,15 @@
 	}
 }
 
-// nextDelay returns the time until the next probe, which is shorter after a first failure: with the full interval and
-// the default settings, an endpoint that hung right after a probe was found silent after 3.0 s, which is the bound.
+// nextDelay returns the time until the next probe. After a first failure it is 0, since the endpoint must be found
+// silent within 3 s: with the default settings that takes one interval and the time for two probes, 2.5 s.
 func (p *prober) nextDelay(state fleet.EndpointState) time.Duration {
 	if state == fleet.Silent && p.failures < silentAfterFailures {
-		return p.agent.probeInterval / retryDivisor
+		return 0
 	}
 	return p.agent.probeInterval
 }
 
-// retryDivisor divides the probe interval to give the delay after a first failed probe.
-const retryDivisor = 5
-
 // publish updates the section only when the state changed, since each update is announced to the leader.
 func (p *prober) publish(state fleet.EndpointState) {
 	section := p.agent.board.probedState
--- a/internal/telemetry/bounded.go
+++ b/internal/telemetry/bounded.go
@@ -71,10 +71,12 @@
 	}
 }
 
-// write writes a line; it ignores errors, because the log itself is where they would be reported.
+// write writes a line; it ignores errors, because the log itself is where they would be reported. Dropped lines count
+// until their warning is written, since a blocked reader has not seen it.
 func (b *BoundedWriter) write(w io.Writer, line []byte) {
-	if n := b.dropped.Swap(0); n > 0 {
+	if n := b.dropped.Load(); n > 0 {
 		_, _ = fmt.Fprintf(w, "{\"@level\":\"warn\",\"@message\":\"log lines dropped\",\"count\":%d}\n", n)
+		b.dropped.Add(-n)
 	}
 	_, _ = w.Write(line)
 }
--- a/internal/telemetry/bounded_test.go
+++ b/internal/telemetry/bounded_test.go
@@ -54,6 +54,35 @@
 	assert.Less(t, strings.Count(blocked.String(), "\n"), lines/2)
 }
 
+// stepWriter is a writer each of whose writes announces itself on begun and then waits for a value in steps.
+type stepWriter struct{ begun, steps chan struct{} }
+
+func (w *stepWriter) Write(p []byte) (int, error) {
+	w.begun <- struct{}{}
+	<-w.steps
+	return len(p), nil
+}
+
+// Guards against a count of dropped lines that is reset before their warning has been read: the count is what tells
+// that a reader of the log is stuck.
+func TestDroppedUntilWarningIsWritten(t *testing.T) {
+	const dropped = 10
+	s := &stepWriter{begun: make(chan struct{}), steps: make(chan struct{})}
+	w := telemetry.NewBoundedWriter(s)
+	_, _ = w.Write([]byte("first\n"))
+	<-s.begun
+	for w.Dropped() < dropped {
+		_, _ = w.Write([]byte("line\n"))
+	}
+	s.steps <- struct{}{}
+	<-s.begun // of the warning
+	assert.EqualValues(t, dropped, w.Dropped())
+	s.steps <- struct{}{}
+	<-s.begun // of the second line
+	assert.Zero(t, w.Dropped())
+	s.steps <- struct{}{}
+}
+
 // Guards against counters and histograms that are missing in the plain text form of the metrics.
 func TestTextMetrics(t *testing.T) {
 	r := telemetry.NewRegistry()
--- a/pkg/client/client_test.go
+++ b/pkg/client/client_test.go
@@ -123,6 +123,15 @@
 		assert.Equal(t, outcome.NotRun, r.Outcome())
 		assert.Equal(t, http.StatusUnauthorized, r.Status())
 	})
+	t.Run("refusal before an attempt that the timeout cuts short", func(t *testing.T) {
+		h := newHost(t, answerMisdirected(""), func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
+		o, err := client.NewOperator([]string{h.url()}, client.WithTimeout(300*time.Millisecond))
+		require.NoError(t, err)
+		t.Cleanup(o.Close)
+		_, err = o.Endpoints(t.Context())
+		assertFailure[*client.Refusal](t, err)
+		assert.Len(t, h.received(), 2)
+	})
 	t.Run("refusal that is not JSON", func(t *testing.T) {
 		h := newHost(t, answer(http.StatusBadGateway, strings.Repeat("x", 10000)))
 		_, err := operator(t, h.url()).Jobs(t.Context())
--- a/pkg/client/operator.go
+++ b/pkg/client/operator.go
@@ -47,14 +47,19 @@
 	ctx, cancel := context.WithTimeout(ctx, o.options.timeout)
 	defer cancel()
 	delivered := false
+	var last error
 	for wait := initialPause; ; wait = min(2*wait, maxPause) {
 		r, sent, err := o.tryHosts(ctx, m)
 		if err == nil {
 			return r, nil
 		}
 		delivered = delivered || sent
+		// A round that the timeout cut short says nothing about the hosts, so the failure of the round before it counts.
+		if last == nil || ctx.Err() == nil {
+			last = err
+		}
 		if !pause(ctx, wait) {
-			return reply{}, newDeliveryFailure(m, delivered, err)
+			return reply{}, newDeliveryFailure(m, delivered, last)
 		}
 	}
 }
