Agents report the crash of their worker and the runs under it

The log could not tell a worker that crashed from one that left or lost power: each run ended as lost with the reason "another worker runs on its host". Nor did it show whether the run had begun and for how long it had run.

The agent now follows which runs its worker has begun and since when it does not answer. When the next incarnation announces itself and the previous one had neither drained nor announced its termination, the agent logs "worker crashed" and reports the crash in the message that carries the new announcement, and again at the start of each session. The leader logs a decision "worker crashed" for each run, with its age, and counts scheduler.crashes. An agent that restarted itself, as after a loss of power, reports nothing. No decision depends on this yet.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -70,6 +70,7 @@
 	if h.update(now, r) {
 		c.observeProgress(now, h.list)
 	}
+	c.observeCrashes(now, h, r.Crashes())
 	for _, e := range r.Refused() {
 		c.ordersOf(e.ID()).refused = true
 		switch e.Reason() {
--- a/internal/dispatch/host.go
+++ b/internal/dispatch/host.go
@@ -29,6 +29,7 @@
 	listRequested    bool
 	leavingSince     time.Time
 	health           health
+	crashes          []run.Crash // of earlier incarnations, as the agent reported them last
 }
 
 // update takes in a report, and reports whether it contained a list of the current incarnation.
--- a/internal/run/report.go
+++ b/internal/run/report.go
@@ -187,6 +187,7 @@
 	list         *List
 	refused      []Refusal
 	terminating  bool
+	crashes      []Crash
 }
 
 // Refusal is a start order that the worker refused.
@@ -231,6 +232,12 @@
 	return r
 }
 
+// WithCrashes returns a copy with the latest crashes of the agent's worker, oldest first.
+func (r Report) WithCrashes(crashes []Crash) Report {
+	r.crashes = crashes
+	return r
+}
+
 // Agent returns the name of the agent that made the report.
 func (r Report) Agent() string { return r.agent }
 
@@ -253,5 +260,9 @@
 // Refused returns the refused start orders, nil if the report has none.
 func (r Report) Refused() []Refusal { return r.refused }
 
+// Crashes returns the crashes of the worker's earlier incarnations that the agent has seen; each session of the agent
+// reports them again.
+func (r Report) Crashes() []Crash { return r.crashes }
+
 // Terminating reports whether the worker has announced its termination.
 func (r Report) Terminating() bool { return r.terminating }
--- /dev/null
+++ b/internal/runner/crash.go
@@ -0,0 +1,99 @@
+package runner
+
+import (
+	"cmp"
+	"slices"
+	"strconv"
+	"time"
+
+	"rosemarywind.example/rosemarywind/internal/batch"
+	"rosemarywind.example/rosemarywind/internal/run"
+)
+
+// maxReportedCrashes bounds the crashes that each new session reports again. A leader needs only those of the time
+// since the previous leader's last commit.
+const maxReportedCrashes = 4
+
+// maxLoggedRuns bounds the runs that the log line of a crash names.
+const maxLoggedRuns = 16
+
+// crashWatch follows which runs the current incarnation of the worker has begun and since when it does not answer.
+type crashWatch struct {
+	begun       map[run.ID]time.Time // when the start call was sent that the worker has carried out, or may have
+	silentSince time.Time            // time of the first failed call since the latest answer; zero if none failed
+	leaving     bool                 // the worker drains or has announced its termination
+}
+
+func newCrashWatch() crashWatch { return crashWatch{begun: map[run.ID]time.Time{}} }
+
+// recordBegun records a run that the worker has begun, or may have begun, on a call that was sent at the given time.
+func (w *crashWatch) recordBegun(id run.ID, sentAt time.Time) { w.begun[id] = sentAt }
+
+// recordAnswer records that the worker has answered a call.
+func (w *crashWatch) recordAnswer() { w.silentSince = time.Time{} }
+
+// recordSilence records that a call failed without an answer.
+func (w *crashWatch) recordSilence(at time.Time) {
+	if w.silentSince.IsZero() {
+		w.silentSince = at
+	}
+}
+
+// forgetEnded drops the runs that a list shows to have ended: those that are settled and no longer running.
+func (w *crashWatch) forgetEnded(list run.List) {
+	for _, id := range list.Settled() {
+		if !isListed(list, id) {
+			delete(w.begun, id)
+		}
+	}
+}
+
+// crash returns the crash of the worker, once its next incarnation is known; ok is false if it had announced that it
+// leaves. A start that was sent after the worker had stopped answering did not reach it.
+func (w *crashWatch) crash(now time.Time, worker batch.Incarnation) (c run.Crash, ok bool) {
+	if worker == (batch.Incarnation{}) || w.leaving {
+		return c, false
+	}
+	at := now
+	if !w.silentSince.IsZero() {
+		at = w.silentSince
+	}
+	var runs []run.CrashedRun
+	for id, sentAt := range w.begun {
+		if !sentAt.After(at) {
+			runs = append(runs, run.NewCrashedRun(id, at.Sub(sentAt)))
+		}
+	}
+	slices.SortFunc(runs, func(a, b run.CrashedRun) int { return cmp.Compare(a.Age(), b.Age()) })
+	return run.NewCrash(worker, runs...), true
+}
+
+// observeWorker follows the worker's announcements: it notes the crash of the previous incarnation, and publishes the
+// announcement for the sessions together with the crashes, so that the leader never learns of a new incarnation
+// before it learns how the previous one ended.
+func (l *loop) observeWorker(now time.Time, a workerState, version uint64) {
+	if !a.known || version == l.observed {
+		return
+	}
+	l.observed = version
+	if latest := a.announcement.Incarnation(); latest != l.incarnation {
+		if c, crashed := l.watch.crash(now, l.incarnation); crashed {
+			l.logCrash(c)
+			l.crashes = append(l.crashes[max(0, len(l.crashes)-maxReportedCrashes+1):len(l.crashes):len(l.crashes)], c)
+			l.crashCount++
+		}
+		l.watch = newCrashWatch()
+		l.resetIncarnation(latest)
+	}
+	l.watch.leaving = a.announcement.Draining() || a.terminating
+	l.outgoing.Publish(outgoingState{worker: a, crashes: l.crashes, crashCount: l.crashCount})
+}
+
+func (l *loop) logCrash(c run.Crash) {
+	runs := make([]string, 0, len(c.Runs()))
+	for _, r := range c.Runs()[:min(len(c.Runs()), maxLoggedRuns)] {
+		runs = append(runs, r.ID().Task().String()+"/"+strconv.Itoa(r.ID().Run())+" after "+r.Age().String())
+	}
+	l.logger.Info("worker crashed", "worker", c.Worker().ID(), "born", c.Worker().StartUnixMS(), "count", len(c.Runs()),
+		"runs", runs)
+}
--- /dev/null
+++ b/internal/runner/crash_test.go
@@ -0,0 +1,129 @@
+package runner
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"rosemarywind.example/rosemarywind/internal/batch"
+	"rosemarywind.example/rosemarywind/internal/run"
+)
+
+var (
+	other        = run.NewID(batch.NewTaskID("j", 0, 0, 1), 1)
+	errNoAnswer  = errors.New("connection reset")
+	reincarnated = batch.NewIncarnation("h", "w2", 3)
+)
+
+// startAt tells the loop that the worker has begun a run on a call sent at the given time after epoch.
+func startAt(t *testing.T, l *loop, id run.ID, at time.Duration) {
+	t.Helper()
+	l.handle(t.Context(), epoch, startedInput{id: id, incarnation: l.incarnation, sentAt: epoch.Add(at), at: epoch.Add(at)})
+}
+
+// listAt tells the loop the result of a list that was requested at the given time after epoch.
+func listAt(t *testing.T, l *loop, at time.Duration, err error, running ...run.ID) {
+	t.Helper()
+	var list []run.Running
+	for _, id := range running {
+		list = append(list, run.NewRunning(id, "", 0, 0))
+	}
+	l.handle(t.Context(), epoch.Add(at), listedInput{
+		incarnation: l.incarnation, requestedAt: epoch.Add(at), err: err, list: run.NewList(l.incarnation, 1, time.Second, list, nil, nil),
+	})
+}
+
+// announce passes an announcement to the loop and returns what the sessions report after it.
+func announce(l *loop, at time.Duration, a run.Announcement) outgoingState {
+	l.announced.Publish(workerState{announcement: a, known: true})
+	l.observeWorker(epoch.Add(at), l.announced.Load(), l.announced.Version())
+	return l.outgoing.Load()
+}
+
+func announced(worker batch.Incarnation) run.Announcement {
+	return run.NewAnnouncement(worker, "s", "z", 9)
+}
+
+// assertCrash checks that the sessions report one crash of the first incarnation, under the given runs.
+func assertCrash(t *testing.T, out outgoingState, want ...run.CrashedRun) {
+	t.Helper()
+	require.Len(t, out.crashes, 1)
+	assert.Equal(t, first, out.crashes[0].Worker())
+	assert.Equal(t, want, out.crashes[0].Runs())
+	assert.Equal(t, 1, out.crashCount)
+}
+
+// Guards against the crash of a worker that the leader cannot tell from a worker that left, and against a run that is
+// blamed for a crash under which it had not begun or had ended.
+func TestCrashReported(t *testing.T) {
+	t.Run("with the age of the runs when the worker fell silent", func(t *testing.T) {
+		l := newTestLoop(first)
+		startAt(t, l, task, 0)
+		startAt(t, l, other, time.Second)
+		listAt(t, l, 1010*time.Millisecond, errNoAnswer)
+		listAt(t, l, 2*time.Second, errNoAnswer)
+		assertCrash(t, announce(l, 4*time.Second, announced(reincarnated)),
+			run.NewCrashedRun(other, 10*time.Millisecond), run.NewCrashedRun(task, 1010*time.Millisecond))
+	})
+	t.Run("of an incarnation that keeps its id", func(t *testing.T) {
+		l := newTestLoop(first)
+		startAt(t, l, task, 0)
+		listAt(t, l, 10*time.Millisecond, errNoAnswer)
+		assertCrash(t, announce(l, time.Second, announced(second)), run.NewCrashedRun(task, 10*time.Millisecond))
+	})
+	t.Run("without a run that had ended", func(t *testing.T) {
+		l := newTestLoop(first)
+		startAt(t, l, task, 0)
+		startAt(t, l, other, 0)
+		listAt(t, l, time.Second, nil, other)
+		listAt(t, l, 2*time.Second, errNoAnswer)
+		assertCrash(t, announce(l, 4*time.Second, announced(second)), run.NewCrashedRun(other, 2*time.Second))
+	})
+	t.Run("without a start that found no worker", func(t *testing.T) {
+		l := newTestLoop(first)
+		listAt(t, l, 0, errNoAnswer)
+		unanswered := unansweredInput{id: task, incarnation: first, sentAt: epoch.Add(time.Second), at: epoch.Add(time.Second)}
+		l.handle(t.Context(), epoch, unanswered)
+		unanswered.delivered = true
+		l.handle(t.Context(), epoch, unanswered)
+		assertCrash(t, announce(l, 4*time.Second, announced(second)))
+	})
+	t.Run("with a start whose answer was lost in the crash", func(t *testing.T) {
+		l := newTestLoop(first)
+		l.handle(t.Context(), epoch, unansweredInput{
+			id: task, incarnation: first, delivered: true, sentAt: epoch, at: epoch.Add(10 * time.Millisecond),
+		})
+		assertCrash(t, announce(l, 4*time.Second, announced(second)), run.NewCrashedRun(task, 10*time.Millisecond))
+	})
+	t.Run("again in later sessions, a few at most", func(t *testing.T) {
+		l := newTestLoop(first)
+		for n := range 2 * maxReportedCrashes {
+			announce(l, time.Second, announced(batch.NewIncarnation("h", "w", int64(n+2))))
+		}
+		assert.Len(t, l.outgoing.Load().crashes, maxReportedCrashes)
+		assert.Equal(t, 2*maxReportedCrashes, l.outgoing.Load().crashCount)
+	})
+}
+
+// Guards against a worker that left as announced and is reported as crashed.
+func TestDepartureIsNoCrash(t *testing.T) {
+	t.Run("draining", func(t *testing.T) {
+		l := newTestLoop(first)
+		startAt(t, l, task, 0)
+		announce(l, time.Second, announced(first).WithDraining(time.Second))
+		assert.Empty(t, announce(l, 2*time.Second, announced(second)).crashes)
+	})
+	t.Run("terminating", func(t *testing.T) {
+		l := newTestLoop(first)
+		l.announced.Publish(workerState{announcement: announced(first), known: true, terminating: true})
+		l.observeWorker(epoch, l.announced.Load(), l.announced.Version())
+		assert.Empty(t, announce(l, 2*time.Second, announced(second)).crashes)
+	})
+	t.Run("first worker after the start of the agent, as after a loss of power", func(t *testing.T) {
+		l := newTestLoop(batch.Incarnation{})
+		assert.Empty(t, announce(l, time.Second, announced(first)).crashes)
+	})
+}
--- a/internal/runner/loop.go
+++ b/internal/runner/loop.go
@@ -43,12 +43,16 @@
 	nextList     time.Time
 	incarnation  batch.Incarnation
 	resendList   bool // report the next list even without news
+	watch        crashWatch
+	crashes      []run.Crash // of earlier incarnations, oldest first
+	crashCount   int
+	observed     uint64 // version of the announcement that was published last
 }
 
 func newLoop(r *Runner) *loop {
 	return &loop{
 		Runner: r, starts: map[run.ID]context.CancelFunc{}, paces: map[run.ID]context.CancelFunc{},
-		settled: map[run.ID]time.Time{},
+		settled: map[run.ID]time.Time{}, watch: newCrashWatch(),
 	}
 }
 
@@ -58,10 +62,9 @@
 	defer timer.Stop()
 	for {
 		now := time.Now()
+		version := l.announced.Version()
 		a, changed := l.announced.Watch()
-		if latest := a.announcement.Incarnation(); latest != l.incarnation {
-			l.resetIncarnation(latest)
-		}
+		l.observeWorker(now, a, version)
 		l.poll(ctx, now)
 		if wait, due := l.nextPoll(now); due {
 			timer.Reset(wait)
@@ -101,6 +104,13 @@
 		l.handleOrder(ctx, now, in.envelope)
 	case startedInput:
 		l.handleStarted(in)
+	case unansweredInput:
+		if in.incarnation == l.incarnation {
+			if in.delivered {
+				l.watch.recordBegun(in.id, in.sentAt)
+			}
+			l.watch.recordSilence(in.at)
+		}
 	case stoppedInput:
 		if in.incarnation == l.incarnation {
 			l.settle(in.id, in.at)
@@ -170,21 +180,25 @@
 		defer cancel()
 		for {
 			attempt, done := context.WithTimeout(ctx, callTimeout)
+			sentAt := time.Now()
 			err := l.worker.Start(attempt, fencingToken, o)
 			done()
 			var refused *RefusedError
 			switch {
 			case err == nil:
-				l.enqueue(ctx, startedInput{id: o.ID(), incarnation: o.Incarnation(), at: time.Now()})
+				l.enqueue(ctx, startedInput{id: o.ID(), incarnation: o.Incarnation(), sentAt: sentAt, at: time.Now()})
 				return
 			case errors.As(err, &refused):
 				if !refused.Final() && !l.ensureStopped(ctx, o.Incarnation(), fencingToken, o.ID()) {
 					return
 				}
-				l.enqueue(ctx, startedInput{id: o.ID(), incarnation: o.Incarnation(), refusal: refused.Reason(), at: time.Now()})
+				l.enqueue(ctx, startedInput{id: o.ID(), incarnation: o.Incarnation(), refusal: refused.Reason(), sentAt: sentAt, at: time.Now()})
 				return
 			}
 			l.logger.Info("start not answered", "task", o.ID().Task().String(), "run", o.ID().Run(), "error", err)
+			l.enqueue(ctx, unansweredInput{
+				id: o.ID(), incarnation: o.Incarnation(), delivered: !errors.Is(err, ErrNoConnection), sentAt: sentAt, at: time.Now(),
+			})
 			if !clock.Pause(ctx, callRetryDelay) {
 				return
 			}
@@ -202,7 +216,11 @@
 		delete(l.starts, in.id)
 	}
 	l.settle(in.id, in.at)
+	if !in.sentAt.IsZero() {
+		l.watch.recordAnswer()
+	}
 	if in.refusal == "" {
+		l.watch.recordBegun(in.id, in.sentAt)
 		return
 	}
 	l.logger.Info("start refused", "task", in.id.Task().String(), "run", in.id.Run(), "reason", in.refusal)
@@ -337,6 +355,7 @@
 		l.nextList = now
 		if !errors.Is(in.err, context.Canceled) {
 			l.logger.Info("list not answered", "error", in.err)
+			l.watch.recordSilence(now)
 			l.nextList = now.Add(callRetryDelay)
 		}
 		return
@@ -360,6 +379,8 @@
 	}
 	changed := !sameList(l.list, list)
 	l.list = list
+	l.watch.recordAnswer()
+	l.watch.forgetEnded(list)
 	if l.hasUnacknowledged() {
 		l.nextList = now.Add(unacknowledgedListDelay)
 	} else {
--- a/internal/runner/refusal_test.go
+++ b/internal/runner/refusal_test.go
@@ -44,6 +44,22 @@
 	return w.next("stop", &w.stops)
 }
 
+// awaitResult waits for the input that ends an order; the inputs for its unanswered attempts come before.
+func awaitResult(t *testing.T, l *loop) {
+	t.Helper()
+	timeout := time.After(5 * time.Second)
+	for {
+		select {
+		case in := <-l.inputs:
+			if _, unanswered := in.(unansweredInput); !unanswered {
+				return
+			}
+		case <-timeout:
+			require.Fail(t, "the loop received no input")
+		}
+	}
+}
+
 // assertCalls gives an order to the loop, waits for the result of its call, and checks the calls to the worker.
 func assertCalls(t *testing.T, w *busyWorker, o run.Order, want ...string) {
 	t.Helper()
@@ -51,11 +67,7 @@
 	l.announced.Publish(workerState{announcement: run.NewAnnouncement(first, "s", "z", 1), known: true})
 	l.resetIncarnation(first)
 	l.handle(t.Context(), epoch, orderInput{envelope: run.NewEnvelope(1, o)})
-	select {
-	case <-l.inputs:
-	case <-time.After(5 * time.Second):
-		require.Fail(t, "the loop received no input")
-	}
+	awaitResult(t, l)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	assert.Equal(t, want, slices.Clone(w.calls))
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -23,6 +23,7 @@
 	client    *leader.Client
 	logger    hclog.Logger
 	announced *board.Section[workerState]
+	outgoing  *board.Section[outgoingState]
 	inputs    chan input
 	reports   chan run.Report
 }
@@ -34,6 +35,13 @@
 	terminating  bool
 }
 
+// outgoingState is what the sessions report of the worker.
+type outgoingState struct {
+	worker     workerState
+	crashes    []run.Crash // the latest ones, oldest first
+	crashCount int         // of all crashes, also those that are no longer among the latest
+}
+
 // input is an event that the loop handles.
 //
 //sumtype:decl
@@ -45,6 +53,16 @@
 	id          run.ID
 	incarnation batch.Incarnation
 	refusal     string
+	sentAt      time.Time // when the call was sent; zero if the agent refused the start itself
+	at          time.Time
+}
+
+// unansweredInput is a start call that failed without an answer.
+type unansweredInput struct {
+	id          run.ID
+	incarnation batch.Incarnation
+	delivered   bool // the worker may have carried it out
+	sentAt      time.Time
 	at          time.Time
 }
 
@@ -63,11 +81,12 @@
 
 type sessionInput struct{}
 
-func (orderInput) input()   {}
-func (startedInput) input() {}
-func (stoppedInput) input() {}
-func (listedInput) input()  {}
-func (sessionInput) input() {}
+func (orderInput) input()      {}
+func (startedInput) input()    {}
+func (unansweredInput) input() {}
+func (stoppedInput) input()    {}
+func (listedInput) input()     {}
+func (sessionInput) input()    {}
 
 const (
 	inputBuffer  = 256
@@ -78,8 +97,8 @@
 func New(name string, w Worker, p *link.Pool, c *leader.Client, l hclog.Logger) *Runner {
 	return &Runner{
 		name: name, worker: w, pool: p, client: c, logger: l,
-		announced: board.NewSection(workerState{}),
-		inputs:    make(chan input, inputBuffer), reports: make(chan run.Report, reportBuffer),
+		announced: board.NewSection(workerState{}), outgoing: board.NewSection(outgoingState{}),
+		inputs: make(chan input, inputBuffer), reports: make(chan run.Report, reportBuffer),
 	}
 }
 
--- a/internal/runner/session.go
+++ b/internal/runner/session.go
@@ -57,8 +57,9 @@
 		return err
 	}
 	first := run.NewReport(r.name)
-	if a := r.announced.Load(); a.known {
-		first = first.WithAnnouncement(a.announcement)
+	out, changed := r.outgoing.Watch()
+	if out.worker.known {
+		first = first.WithAnnouncement(out.worker.announcement).WithCrashes(out.crashes)
 	}
 	if err = wire.WriteRunReport(s, first); err != nil {
 		return err
@@ -83,7 +84,7 @@
 			r.enqueue(ctx, orderInput{envelope: e})
 		}
 	}()
-	return r.sendReports(ctx, func(report run.Report) error {
+	return r.sendReports(ctx, out, changed, func(report run.Report) error {
 		return wire.WriteRunReport(s, report)
 	}, ended)
 }
@@ -112,9 +113,11 @@
 	}
 }
 
-// sendReports sends the reports of the loop and the worker's announcements until a send fails or the session ends.
-func (r *Runner) sendReports(ctx context.Context, send func(run.Report) error, ended <-chan error) error {
-	_, changed := r.announced.Watch()
+// sendReports sends the reports of the loop and the worker's announcements until a send fails or the session ends. The
+// session has begun with sent, of which changed gives notice.
+func (r *Runner) sendReports(
+	ctx context.Context, sent outgoingState, changed <-chan struct{}, send func(run.Report) error, ended <-chan error,
+) error {
 	for {
 		var next run.Report
 		select {
@@ -124,12 +127,16 @@
 			return err
 		case next = <-r.reports:
 		case <-changed:
-			var a workerState
-			a, changed = r.announced.Watch()
-			next = run.NewReport(r.name).WithAnnouncement(a.announcement)
-			if a.terminating {
+			var out outgoingState
+			out, changed = r.outgoing.Watch()
+			next = run.NewReport(r.name).WithAnnouncement(out.worker.announcement)
+			if out.worker.terminating {
 				next = next.WithTerminating()
 			}
+			if out.crashCount != sent.crashCount {
+				next = next.WithCrashes(out.crashes)
+			}
+			sent = out
 		}
 		if err := send(next); err != nil {
 			return err
--- a/internal/runner/worker.go
+++ b/internal/runner/worker.go
@@ -2,14 +2,19 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"rosemarywind.example/rosemarywind/internal/batch"
 	"rosemarywind.example/rosemarywind/internal/run"
 )
 
-// Worker is the interface to the worker beside the agent. After an error other than a RefusedError it is unknown
-// whether the call took effect.
+// ErrNoConnection is wrapped by the error of a call that had no effect because no connection to the worker could be
+// opened.
+var ErrNoConnection = errors.New("no connection to the worker")
+
+// Worker is the interface to the worker beside the agent. After an error other than a RefusedError or ErrNoConnection
+// it is unknown whether the call took effect.
 type Worker interface {
 	// Start starts a run; it is no error if the run exists already.
 	Start(ctx context.Context, fencingToken uint64, o run.Start) error
--- a/internal/scheduler/leader_loop.go
+++ b/internal/scheduler/leader_loop.go
@@ -269,6 +269,8 @@
 		switch e.Kind() {
 		case "lost":
 			l.metrics.lost.Inc(1)
+		case dispatch.WorkerCrashed:
+			l.metrics.crashes.Inc(1)
 		case "stop":
 			l.metrics.stops.Inc(1)
 		}
--- a/internal/scheduler/metrics.go
+++ b/internal/scheduler/metrics.go
@@ -14,6 +14,7 @@
 	ends      gometrics.Counter
 	stops     gometrics.Counter
 	lost      gometrics.Counter
+	crashes   gometrics.Counter
 	commit    gometrics.Histogram
 	decision  gometrics.Histogram
 	answering gometrics.Histogram
@@ -24,7 +25,8 @@
 		calls: r.Counter("scheduler.calls"), refused: r.Counter("scheduler.refused"),
 		starts: r.Counter("scheduler.starts"), ends: r.Counter("scheduler.ends"),
 		stops: r.Counter("scheduler.stops"), lost: r.Counter("scheduler.lost"),
-		commit: r.Histogram("scheduler.commit"), decision: r.Histogram("scheduler.decision"),
+		crashes: r.Counter("scheduler.crashes"),
+		commit:  r.Histogram("scheduler.commit"), decision: r.Histogram("scheduler.decision"),
 		answering: r.Histogram("scheduler.answering"),
 	}
 }
--- a/internal/wire/run.go
+++ b/internal/wire/run.go
@@ -130,12 +130,25 @@
 	Reason string
 }
 
+type crashForm struct {
+	_      struct{} `cbor:",toarray"`
+	Worker incarnationForm
+	Runs   []crashedRunForm
+}
+
+type crashedRunForm struct {
+	_   struct{} `cbor:",toarray"`
+	ID  runIDForm
+	Age int64
+}
+
 type runReportForm struct {
 	Agent        string               `cbor:"1,keyasint"`
 	Announcement *runAnnouncementForm `cbor:"2,keyasint,omitempty"`
 	List         *listForm            `cbor:"3,keyasint,omitempty"`
 	Refused      []refusalForm        `cbor:"4,keyasint,omitempty"`
 	Terminating  bool                 `cbor:"5,keyasint,omitempty"`
+	Crashes      []crashForm          `cbor:"6,keyasint,omitempty"`
 }
 
 func newRunAnnouncementForm(a run.Announcement) *runAnnouncementForm {
@@ -200,9 +213,28 @@
 	for _, e := range r.Refused() {
 		f.Refused = append(f.Refused, refusalForm{ID: newRunIDForm(e.ID()), Reason: e.Reason()})
 	}
+	for _, c := range r.Crashes() {
+		f.Crashes = append(f.Crashes, newCrashForm(c))
+	}
 	return writeFrame(w, f)
 }
 
+func newCrashForm(c run.Crash) crashForm {
+	f := crashForm{Worker: newIncarnationForm(c.Worker())}
+	for _, r := range c.Runs() {
+		f.Runs = append(f.Runs, crashedRunForm{ID: newRunIDForm(r.ID()), Age: int64(r.Age())})
+	}
+	return f
+}
+
+func (f crashForm) crash() run.Crash {
+	runs := make([]run.CrashedRun, len(f.Runs))
+	for i, r := range f.Runs {
+		runs[i] = run.NewCrashedRun(r.ID.id(), time.Duration(r.Age))
+	}
+	return run.NewCrash(f.Worker.incarnation(), runs...)
+}
+
 // ReadRunReport reads an agent's report.
 func ReadRunReport(r io.Reader) (report run.Report, err error) {
 	defer annotate("read report", &err)
@@ -225,5 +257,10 @@
 	if f.Terminating {
 		report = report.WithTerminating()
 	}
+	var crashes []run.Crash
+	for _, c := range f.Crashes {
+		crashes = append(crashes, c.crash())
+	}
+	report = report.WithCrashes(crashes)
 	return report, nil
 }
