Give up a task under which workers crash again and again

Cause: the leader ends the run of a crashed worker as lost, like one that lost power or left. A lost run counts as no attempt, rightly, since the task is seldom the cause, but nothing else bounds the starts. Ruled out: starts that the leader does not know of (each start has its decision), and a count that a change of leader forgets (there was none).

Change: the crashes that agents report are counted in the replicated state, by task, by gang for the members together, a run once. A crash within 1.5 s of a start points to what started there lately; other runs on that worker are not blamed. A job fails after three crashes, two of them confirmed: with nothing of another job started there lately, on another host than the crash before. It fails after four of any kind. A task whose checkpoint moves on between crashes starts from one again; a long-running task that was at work is not blamed.

TestCrashingTaskStops plays it with a change of leader after each report. TestTaskNotGivenUp lists the unlucky cases.

The record "crash" is new in the ledger; a control host of an earlier build rejects it, so such hosts count nothing until they are replaced.

--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -27,7 +27,8 @@
 	result    JobState // empty until the job ends
 	ended     time.Time
 	started   bool
-	tasks     [][][]Task // by occurrence, step and index
+	tasks     [][][]Task             // by occurrence, step and index
+	crashes   map[TaskID]CrashRecord // of the tasks under which a worker crashed; of a gang under its first task
 }
 
 func newJob(spec Spec, document []byte, queue Queue, workspace string, accepted time.Time) *Job {
@@ -180,12 +181,18 @@
 	return next, true
 }
 
-// sharedTask returns the task that holds the checkpoint and failure count: the first of a gang, else the task itself.
+// sharedTask returns the task that holds the checkpoint and failure count of a task.
 func (j *Job) sharedTask(id TaskID) *Task {
+	return &j.tasks[id.occurrence][id.step][j.sharedID(id).index]
+}
+
+// sharedID returns the id of the task that holds what the tasks of a gang share: the first of a gang, else the task
+// itself.
+func (j *Job) sharedID(id TaskID) TaskID {
 	if j.spec.steps[id.step].gang {
-		return &j.tasks[id.occurrence][id.step][0]
+		return id.StepKey()
 	}
-	return &j.tasks[id.occurrence][id.step][id.index]
+	return id
 }
 
 // endRun records the end of a run; the job fails once a task or gang has attempts failed runs.
--- a/internal/batch/state.go
+++ b/internal/batch/state.go
@@ -128,6 +128,8 @@
 			s = s.saveCheckpoint(cp)
 		}
 		return s, Applied{}
+	case RecordCrashes:
+		return s.recordCrashes(c)
 	case PruneJobs:
 		s.jobs = s.jobs.Filter(func(_ string, j *Job) bool {
 			return j.Active() || !j.ended.Before(c.before) || j.HasPlaced()
@@ -222,13 +224,14 @@
 	ended   time.Time
 	started bool
 	tasks   [][][]Task
+	crashes map[TaskID]CrashRecord
 }
 
 // SnapshotJob returns the form of a job to store in a snapshot.
 func SnapshotJob(j *Job) JobSnapshot {
 	return JobSnapshot{
 		submit: NewSubmit(j.spec.id, j.queue.name, j.workspace, j.document, j.accepted),
-		queue:  j.queue, result: j.result, ended: j.ended, started: j.started, tasks: j.tasks,
+		queue:  j.queue, result: j.result, ended: j.ended, started: j.started, tasks: j.tasks, crashes: j.crashes,
 	}
 }
 
@@ -237,6 +240,15 @@
 	return JobSnapshot{submit: c, queue: q, result: result, ended: ended, started: started, tasks: tasks}
 }
 
+// WithCrashes returns a copy with the records of the tasks under which workers crashed.
+func (r JobSnapshot) WithCrashes(crashes map[TaskID]CrashRecord) JobSnapshot {
+	r.crashes = crashes
+	return r
+}
+
+// Crashes returns the records of the tasks under which workers crashed; of a gang, under the id of its first task.
+func (r JobSnapshot) Crashes() map[TaskID]CrashRecord { return r.crashes }
+
 // Submit returns the command that accepted the job, which includes the specification as submitted.
 func (r JobSnapshot) Submit() Submit { return r.submit }
 
@@ -276,7 +288,7 @@
 		}
 		s.jobs = s.jobs.With(spec.id, &Job{
 			spec: spec, document: r.submit.document, queue: r.queue, workspace: r.submit.workspace,
-			accepted: r.submit.at, result: r.result, ended: r.ended, started: r.started, tasks: r.tasks,
+			accepted: r.submit.at, result: r.result, ended: r.ended, started: r.started, tasks: r.tasks, crashes: r.crashes,
 		})
 	}
 	return s, nil
--- a/internal/dispatch/actions.go
+++ b/internal/dispatch/actions.go
@@ -10,6 +10,7 @@
 
 // Actions is the outcome of one step, which the caller carries out.
 type Actions struct {
+	crashes      []batch.RunCrash
 	ends         []batch.End
 	forgetBefore time.Time
 	checkpoints  []batch.RunCheckpoint
@@ -23,6 +24,10 @@
 	wake        time.Time
 }
 
+// Crashes returns the runs to commit under which workers crashed. They are committed before the ends, so that no run
+// of a task that is given up is placed again.
+func (a Actions) Crashes() []batch.RunCrash { return a.crashes }
+
 // Ends returns the run ends to commit.
 func (a Actions) Ends() []batch.End { return a.ends }
 
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -25,6 +25,7 @@
 	loggedWaits  map[batch.TaskID]placement.Reason // the reason logged last, by the key of the step's occurrence
 	// drains holds the machines that are being drained for maintenance, by name.
 	drains     map[string]*machineDrain
+	uncounted  []batch.RunCrash // reported crashes that the state may not count yet
 	lastForget time.Time
 	lastSave   time.Time
 	decisions  []Decision
@@ -119,10 +120,11 @@
 // Step decides what to do at the given time in the given state.
 func (c *Core) Step(now time.Time, s batch.State) (a Actions) {
 	hosts := c.hostsByIncarnation()
+	c.countCrashes(s, &a)
 	c.orderStarts(now, s, hosts, &a)
 	stopping, waits := c.resolve(now, s, hosts, &a)
 	c.maintain(now, s, hosts, &a)
-	if waits && len(a.ends) == 0 {
+	if waits && len(a.ends) == 0 && len(a.crashes) == 0 {
 		c.place(now, s, stopping, hosts, &a)
 	}
 	c.adjustPaces(now, s, &a)
--- a/internal/run/crash.go
+++ b/internal/run/crash.go
@@ -14,7 +14,9 @@
 }
 
 // NewCrash returns the crash of a worker under the runs that it had begun, or may have begun.
-func NewCrash(worker batch.Incarnation, runs ...CrashedRun) Crash { return Crash{worker: worker, runs: runs} }
+func NewCrash(worker batch.Incarnation, runs ...CrashedRun) Crash {
+	return Crash{worker: worker, runs: runs}
+}
 
 // Worker returns the incarnation that crashed.
 func (c Crash) Worker() batch.Incarnation { return c.worker }
--- a/internal/scheduler/leader_loop.go
+++ b/internal/scheduler/leader_loop.go
@@ -194,9 +194,12 @@
 	for _, m := range a.Maintenance() {
 		l.requestMaintenance(ctx, term, m)
 	}
+	l.commitCrashes(ctx, startedAt, a.Crashes())
 	if len(a.Ends()) > 0 {
 		l.metrics.ends.Inc(int64(len(a.Ends())))
 		l.commit(ctx, batch.NewEndRuns(startedAt, a.Ends()...))
+	}
+	if len(a.Crashes()) > 0 || len(a.Ends()) > 0 {
 		return time.Now(), took
 	}
 	l.commitCheckpoints(ctx, a.Checkpoints())
@@ -222,6 +225,27 @@
 	}()
 }
 
+// commitCrashes commits the crashes of workers under runs, and logs each job that fails because of them.
+func (l *leaderLoop) commitCrashes(ctx context.Context, now time.Time, crashes []batch.RunCrash) {
+	if len(crashes) == 0 {
+		return
+	}
+	r, ok := l.commit(ctx, batch.NewRecordCrashes(now, crashes...)).(batch.CrashesRecorded)
+	if !ok {
+		return
+	}
+	for _, id := range r.GivenUp() {
+		j, known := l.state.Load().Job(id.Job())
+		if !known {
+			continue
+		}
+		l.metrics.givenUp.Inc(1)
+		record := j.Crashes(id)
+		l.logger.Warn("job given up", "task", id.String(), "run", record.Run(), "reason", "workers crashed under the task",
+			"crashes", record.Crashes(), "confirmed", record.Confirmed())
+	}
+}
+
 // commitStarts commits the start of runs; the next step orders the ones that were placed.
 func (l *leaderLoop) commitStarts(ctx context.Context, core *dispatch.Core, now time.Time, groups []batch.Group) {
 	r, ok := l.commit(ctx, batch.NewPlaceRuns(now, groups...)).(batch.RunsPlaced)
--- a/internal/scheduler/metrics.go
+++ b/internal/scheduler/metrics.go
@@ -15,6 +15,7 @@
 	stops     gometrics.Counter
 	lost      gometrics.Counter
 	crashes   gometrics.Counter
+	givenUp   gometrics.Counter
 	commit    gometrics.Histogram
 	decision  gometrics.Histogram
 	answering gometrics.Histogram
@@ -25,8 +26,8 @@
 		calls: r.Counter("scheduler.calls"), refused: r.Counter("scheduler.refused"),
 		starts: r.Counter("scheduler.starts"), ends: r.Counter("scheduler.ends"),
 		stops: r.Counter("scheduler.stops"), lost: r.Counter("scheduler.lost"),
-		crashes: r.Counter("scheduler.crashes"),
-		commit:  r.Histogram("scheduler.commit"), decision: r.Histogram("scheduler.decision"),
+		crashes: r.Counter("scheduler.crashes"), givenUp: r.Counter("scheduler.given_up"),
+		commit: r.Histogram("scheduler.commit"), decision: r.Histogram("scheduler.decision"),
 		answering: r.Histogram("scheduler.answering"),
 	}
 }
--- a/internal/wire/batch.go
+++ b/internal/wire/batch.go
@@ -17,6 +17,7 @@
 	batchPlaceRuns       = "begin"
 	batchEndRuns         = "finish"
 	batchSaveCheckpoints = "save"
+	batchRecordCrashes   = "crash"
 	batchPruneJobs       = "forget"
 	batchStartWave       = "wave"
 	batchMaintenance     = "maintain"
@@ -35,6 +36,7 @@
 	Checkpoints []checkpointForm `cbor:"9,keyasint,omitempty"`
 	Wave        *waveForm        `cbor:"10,keyasint,omitempty"`
 	Maintenance *maintenanceForm `cbor:"11,keyasint,omitempty"`
+	Crashes     []runCrashForm   `cbor:"12,keyasint,omitempty"`
 }
 
 type taskForm struct {
@@ -194,6 +196,11 @@
 		for _, cp := range c.Checkpoints() {
 			f.Checkpoints = append(f.Checkpoints, checkpointForm{Task: newTaskForm(cp.Task()), Run: cp.Run(), Checkpoint: cp.Checkpoint()})
 		}
+	case batch.RecordCrashes:
+		f = batchForm{Kind: batchRecordCrashes, At: toNanos(c.At())}
+		for _, crash := range c.Crashes() {
+			f.Crashes = append(f.Crashes, newRunCrashForm(crash))
+		}
 	case batch.StartWave:
 		w := newWaveForm(c.Wave())
 		f = batchForm{Kind: batchStartWave, Wave: &w}
@@ -259,6 +266,12 @@
 			checkpoints[i] = batch.NewRunCheckpoint(cp.Task.task(), cp.Run, cp.Checkpoint)
 		}
 		return batch.NewSaveCheckpoints(checkpoints...), nil
+	case batchRecordCrashes:
+		crashes := make([]batch.RunCrash, len(f.Crashes))
+		for i, crash := range f.Crashes {
+			crashes[i] = crash.crash()
+		}
+		return batch.NewRecordCrashes(fromNanos(f.At), crashes...), nil
 	case batchPruneJobs:
 		return batch.NewPruneJobs(fromNanos(f.At)), nil
 	case batchBarrier:
@@ -280,6 +293,7 @@
 	Ended   int64               `cbor:"4,keyasint,omitempty"`
 	Started bool                `cbor:"5,keyasint,omitempty"`
 	Tasks   [][][]batchTaskForm `cbor:"6,keyasint"`
+	Crashes []crashRecordForm   `cbor:"7,keyasint,omitempty"`
 }
 
 type queueForm struct {
@@ -320,6 +334,7 @@
 				Name: q.Name(), Service: q.Service(), Priority: q.Priority(), Attempts: q.Attempts(),
 				Slowdown: q.Slowdown(), TargetLatency: int64(q.TargetLatency()), Public: q.Public(),
 			},
+			Crashes: newCrashRecordForms(r.Crashes()),
 			Tasks: convertTasks(r.Tasks(), func(t batch.Task) batchTaskForm {
 				return batchTaskForm{
 					Phase: string(t.Phase()), Run: t.Run(), Worker: newIncarnationForm(t.Worker()), PhaseSince: toNanos(t.PhaseSince()),
@@ -345,7 +360,7 @@
 		jobs[i] = batch.NewJobSnapshot(j.Submit.submit(), q, batch.JobState(j.Result), fromNanos(j.Ended), j.Started,
 			convertTasks(j.Tasks, func(t batchTaskForm) batch.Task {
 				return batch.RestoreTask(batch.Phase(t.Phase), t.Run, t.Worker.incarnation(), fromNanos(t.PhaseSince), t.Failures, t.FailedRun, t.Checkpoint)
-			}))
+			})).WithCrashes(crashRecords(j.Crashes))
 	}
 	if s, err = batch.RestoreState(d, f.Document, jobs); err != nil {
 		return s, err
--- a/internal/wire/batch_test.go
+++ b/internal/wire/batch_test.go
@@ -30,6 +30,7 @@
 		"begin":       batch.NewPlaceRuns(testTime, batch.NewGroup(testTask.StepKey(), batch.NewMember(3, 2, testIncarnation))),
 		"finish":      batch.NewEndRuns(testTime, testEnd),
 		"save":        batch.NewSaveCheckpoints(batch.NewRunCheckpoint(testTask, 2, "c")),
+		"crash":       batch.NewRecordCrashes(testTime, batch.NewRunCrash(testTask, 2, "h", batch.CrashedAlone)),
 		"forget":      batch.NewPruneJobs(testTime),
 		"barrier":     batch.Barrier{},
 		"wave":        batch.NewStartWave(batch.NewWave(3, []string{"m1", "m2"}, 1, testTime)),
@@ -71,6 +72,7 @@
 		batch.NewCancel("other", testTime),
 		batch.NewPlaceRuns(testTime, batch.NewGroup(first, batch.NewMember(0, 1, testIncarnation), batch.NewMember(1, 4, testIncarnation))),
 		batch.NewEndRuns(testTime, batch.NewEnd(first, 1, batch.Failed, "c")),
+		batch.NewRecordCrashes(testTime, batch.NewRunCrash(first, 1, "h", batch.CrashedAlone), batch.NewRunCrash(batch.NewTaskID("j", 0, 0, 1), 4, "h", batch.CrashedLater)),
 		batch.NewStartWave(batch.NewWave(3, []string{"m1", "m2", "m3"}, 1, testTime)),
 		batch.NewRecordMaintenance(3, "m1", testIncarnation),
 		batch.NewSkipMachine(3, "m2"),
@@ -93,6 +95,11 @@
 		assert.True(t, j.Accepted().Equal(o.Accepted()))
 		assert.True(t, j.EndedAt().Equal(o.EndedAt()))
 		assert.Equal(t, j.Tasks(0, 0), o.Tasks(0, 0))
+		assert.Equal(t, j.HasCrashes(), o.HasCrashes())
+		for n := range j.Tasks(0, 0) {
+			id := batch.NewTaskID(id, 0, 0, n)
+			assert.Equal(t, j.Crashes(id), o.Crashes(id))
+		}
 	}
 }
 
