Try a task apart from other jobs after a worker has crashed under it

Cause: after a crash the tasks of that worker wait together, and the next worker with capacity gets them together, often in one decision.

Change: for 1.5 s after its start, a task under which a worker crashed shares its worker with no other job's start, before or after; a further crash then points to one job. It waits for such a worker for 2 s at most. It prefers another host than that of the crash, so that a failing host is not taken for a failing task, and the worker with the fewest runs, which are lost with it. From the second crash a job tries one worker at a time.

--- a/internal/placement/assignment.go
+++ b/internal/placement/assignment.go
@@ -41,7 +41,7 @@
 	as := newAssignment(u)
 	sorted := slices.Clone(set)
 	slices.SortStableFunc(sorted, func(a, b *workerState) int {
-		return cmp.Or(compareBool(a.suspect, b.suspect), cmp.Compare(p.leftover(u, a), p.leftover(u, b)))
+		return cmp.Or(compareBool(u.avoids(a), u.avoids(b)), cmp.Compare(p.leftover(u, a), p.leftover(u, b)))
 	})
 	left := u.indexes
 	for _, w := range sorted {
@@ -53,7 +53,7 @@
 		}
 		if as.counts[w] > 0 {
 			as.cost += free.Accelerators()*leftoverWeight + p.rackFree(w.rack)
-			if w.suspect {
+			if u.avoids(w) {
 				as.cost += suspectCost
 			}
 		}
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -26,6 +26,7 @@
 	idleServices      map[string]bool      // results of idle, by service
 	plan              Plan
 	stopped           map[run.ID]bool // by this decision
+	suspects          bool            // whether a worker has crashed under an active job
 }
 
 // Decide returns the starts, preemptions and advisor inquiry that a view calls for. It does not modify the view.
@@ -44,6 +45,7 @@
 	guaranteed := v.guaranteedJobs()
 	var units []*unit
 	for id, j := range v.state.Jobs().All() {
+		p.suspects = p.suspects || j.Active() && j.HasCrashes()
 		v.addRuns(j, byIncarnation, guaranteed[id])
 		units = append(units, p.units(j, guaranteed[id])...)
 	}
@@ -294,11 +296,14 @@
 	return best
 }
 
-// better reports whether worker a suits a task of the unit better than b: not suspect, then in the fuller rack, then
-// with less free capacity.
+// better reports whether worker a suits a task of the unit better than b: not one that the unit avoids, then with fewer
+// runs to lose if the unit is under suspicion, then in the fuller rack, then with less free capacity.
 func (p *planner) better(u *unit, a, b *workerState) bool {
-	if a.suspect != b.suspect {
-		return b.suspect
+	if x, y := u.avoids(a), u.avoids(b); x != y {
+		return y
+	}
+	if u.suspicion.any() && len(a.runs) != len(b.runs) {
+		return len(a.runs) < len(b.runs)
 	}
 	if x, y := p.rackFree(a.rack), p.rackFree(b.rack); x != y {
 		return x < y
@@ -313,7 +318,7 @@
 // and beside reservations. A task that ends before a reservation starts may backfill it if the reservation allows.
 func (p *planner) fits(u *unit, as *assignment, w *workerState, free batch.Resources) bool {
 	needs := u.step.Reserved()
-	if !needs.Fits(free) {
+	if !needs.Fits(free) || !p.isolated(u, w) {
 		return false
 	}
 	if m := u.step.MaxPerWorker(); m > 0 && as.counts[w]+p.countPlaced(u, w) >= m {
@@ -359,7 +364,7 @@
 	w.free = w.free.Minus(u.step.Reserved())
 	r := &placedRun{
 		id: run.NewID(u.key, 0), job: u.job, step: u.step, worker: w, started: p.view.now,
-		ends: p.view.now.Add(u.duration), guaranteed: true,
+		ends: p.view.now.Add(u.duration), guaranteed: true, suspect: u.suspicion.any(),
 	}
 	w.runs = append(w.runs, r)
 	if !u.guaranteed {
--- a/internal/placement/unit.go
+++ b/internal/placement/unit.go
@@ -21,7 +21,8 @@
 	nextSlack  time.Duration // like slack, but for three times the objective once slack is negative
 	guaranteed bool          // whether the workspace's guarantee covers the job
 	waitPolicy waitPolicy
-	reason     Reason    // why tasks were not placed; empty if not known
+	reason     Reason // why tasks were not placed; empty if not known
+	suspicion  suspicion
 	readySince time.Time // the latest of acceptance, due time and the times since which its tasks wait
 }
 
@@ -66,7 +67,7 @@
 			if u.slack < 0 {
 				u.nextSlack += 2 * objective
 			}
-			list = append(list, u)
+			list = append(list, u.splitBySuspicion()...)
 		}
 	}
 	return list
--- a/internal/placement/view.go
+++ b/internal/placement/view.go
@@ -79,6 +79,7 @@
 	stopping   bool // ordered to stop, preempted, or of an ended job
 	guaranteed bool // within its workspace's guarantee, or placed by this decision
 	observed   bool // whether its end is derived from its progress
+	suspect    bool // a worker has crashed under its task before
 }
 
 // reservation is an amount of a worker's resources that a unit needs from a time on. Where noBackfill is set, tasks
@@ -125,6 +126,7 @@
 				r := &placedRun{
 					id: id, job: j, step: s, worker: ws, started: t.PhaseSince(),
 					stopping: v.stopping[id] || !j.Active(), guaranteed: guaranteed,
+					suspect: j.HasCrashes() && j.Crashes(id.Task()).Crashes() > 0,
 				}
 				r.ends, r.observed = v.expectedEnd(r)
 				ws.runs = append(ws.runs, r)
--- a/internal/placement/wait.go
+++ b/internal/placement/wait.go
@@ -11,6 +11,7 @@
 	CapacityPending  Reason = "capacity becomes free in time, or runs are stopped for it"
 	CapacityReserved Reason = "capacity is kept for urgent or guaranteed work"
 	NotApproved      Reason = "no worker is approved yet"
+	NotIsolated      Reason = "a worker crashed under it, and other jobs' runs have just started where it fits"
 	NoMatchingWorker Reason = "too few workers of the service have the required label and capacity"
 )
 
@@ -39,7 +40,11 @@
 		return
 	}
 	reason := u.reason
-	if reason == "" {
+	switch {
+	case reason != "":
+	case u.suspicion.any() && p.fitsNow(u.smallestStart(), p.eligible(u)):
+		reason = NotIsolated
+	default:
 		reason = NoCapacity
 	}
 	if !p.couldRun(u.smallestStart(), p.eligible(u)) {
