Start no run beyond a capacity that has shrunk since its placement

A worker's capacity may shrink and grow again while it runs. Placements followed the latest announcement already, also where it is below what runs there, and a run that is being stopped counted until its end was committed. But a start order was given as placed, however late: after the loss of the agent's session the leader orders it again, seconds after the capacity may have shrunk, and the start brought the worker over it.

The leader now compares the runs placed on a worker with its announced capacity before each start order.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -25,7 +25,9 @@
 	loggedWaits  map[batch.TaskID]placement.Reason // the reason logged last, by the key of the step's occurrence
 	// drains holds the machines that are being drained for maintenance, by name.
 	drains     map[string]*machineDrain
-	uncounted  []batch.RunCrash // reported crashes that the state may not count yet
+	uncounted  []batch.RunCrash                      // reported crashes that the state may not count yet
+	state      batch.State                           // of the current step
+	used       map[batch.Incarnation]batch.Resources // in that state, once it is needed
 	lastForget time.Time
 	lastSave   time.Time
 	decisions  []Decision
@@ -119,6 +121,7 @@
 
 // Step decides what to do at the given time in the given state.
 func (c *Core) Step(now time.Time, s batch.State) (a Actions) {
+	c.state, c.used = s, nil
 	hosts := c.hostsByIncarnation()
 	c.countCrashes(s, &a)
 	c.orderStarts(now, s, hosts, &a)
@@ -165,6 +168,10 @@
 		if t.Phase() != batch.Placed || t.Run() != id.Run() || !here || !h.usable(now, c.fencingToken) {
 			continue
 		}
+		if c.overcommitted(h) {
+			c.logDecision(h, now, id, "not started", "its worker's capacity has shrunk")
+			continue
+		}
 		ticket, permitted := c.ticket(now, s, j, id.Task(), t.Worker())
 		if !permitted {
 			c.logDecision(h, now, id, "not started", "its ticket has expired")
--- a/internal/dispatch/resolve.go
+++ b/internal/dispatch/resolve.go
@@ -74,6 +74,8 @@
 			return lost("not listed under this leader's fencing token", h)
 		case h.listsSettled(id):
 			return lost("its start or stop was answered and the worker does not list it", h)
+		case o.stopOrderedAt.IsZero() && o.startSession != h.session && c.overcommitted(h):
+			c.stop(now, id, h, "its worker's capacity has shrunk", a)
 		case o.stopOrderedAt.IsZero() && o.startSession != h.session:
 			// The order may have been lost with the agent's earlier session. Workers do not repeat a start that they have
 			// carried out.
--- a/internal/dispatch/session_test.go
+++ b/internal/dispatch/session_test.go
@@ -25,7 +25,7 @@
 func (f *fixture) reconnect(session uint64, settled ...run.ID) {
 	f.core.Connect("h", session)
 	f.core.Report(f.now, run.NewReport("h").WithAnnouncement(run.NewAnnouncement(f.incarnation, "s", "z", f.now.UnixMilli()).
-		WithClock(f.now.Sub(epoch))).WithList(run.NewList(f.incarnation, 1, f.now.Sub(epoch), nil, nil, settled)))
+		WithCapacity(batch.NewResources(1000, 1000, 8)).WithClock(f.now.Sub(epoch))).WithList(run.NewList(f.incarnation, 1, f.now.Sub(epoch), nil, nil, settled)))
 }
 
 // Guards against a run that waits for seconds because its start order was lost with the agent's session.
