Place nothing on a worker that accepts no connection

The agent knows at once that its worker accepts no connection, the leader only after 3.2 s of silence.

The agent now tells the leader once when a call finds no connection, and sends a list as soon as one succeeds; the leader places nothing there in between. Runs that are already there are decided as before: only the next incarnation, the lease or a list ends them.

--- a/internal/dispatch/capacity_test.go
+++ b/internal/dispatch/capacity_test.go
@@ -109,3 +109,15 @@
 	}
 	assert.Fail(f.t, "the run is not stopped", "run %v", id)
 }
+
+// Guards against runs that are placed on a worker that is known to be down, where they wait until it is back.
+func TestUnreachableWorker(t *testing.T) {
+	f := newFixture(t, 1)
+	running := run.NewID(batch.NewTaskID("j", 0, 0, 0), 1)
+	f.announce(1, 1000, running)
+	f.apply(batch.NewSubmit("other", "q", "", nil, f.now))
+	f.core.Report(f.now, run.NewReport("h").WithUnreachable())
+	f.assertPlaces(false)
+	f.announce(1, 1000, running)
+	f.assertPlaces(true)
+}
--- a/internal/dispatch/host.go
+++ b/internal/dispatch/host.go
@@ -28,6 +28,7 @@
 	acknowledged     int64
 	listRequested    bool
 	leavingSince     time.Time
+	unreachable      bool // the agent cannot connect to the worker
 	health           health
 	crashes          []run.Crash // of earlier incarnations, as the agent reported them last
 }
@@ -44,10 +45,13 @@
 	}
 	if l, ok := r.List(); ok && l.Incarnation() == h.announcement.Incarnation() {
 		h.reportedAt = now
-		h.list, h.listed, h.listedAt = l, true, now
+		h.list, h.listed, h.listedAt, h.unreachable = l, true, now, false
 		h.recordClock(now, l.Incarnation(), l.Clock())
 		listed = true
 	}
+	if r.Unreachable() {
+		h.unreachable = true
+	}
 	if r.Terminating() && h.leavingSince.IsZero() {
 		h.leavingSince = now
 	}
@@ -56,7 +60,7 @@
 
 // resetIncarnation drops what is known of the earlier incarnation, except its lease, which may still be running.
 func (h *host) resetIncarnation() {
-	h.listed, h.list = false, run.List{}
+	h.listed, h.list, h.unreachable = false, run.List{}, false
 	h.acknowledged, h.listRequested = 0, false
 	h.leavingSince = time.Time{}
 	h.health = health{}
@@ -81,7 +85,7 @@
 
 // usable reports whether the worker may get new runs from a leader with the given fencing token.
 func (h *host) usable(now time.Time, fencingToken uint64) bool {
-	return h.connected && h.announced && !h.announcement.Draining() && h.leavingSince.IsZero() &&
+	return h.connected && h.announced && !h.unreachable && !h.announcement.Draining() && h.leavingSince.IsZero() &&
 		h.hasCurrentList(fencingToken) && h.clockIncarnation == h.announcement.Incarnation() && h.responsive(now)
 }
 
--- a/internal/run/report.go
+++ b/internal/run/report.go
@@ -188,6 +188,7 @@
 	refused      []Refusal
 	terminating  bool
 	crashes      []Crash
+	unreachable  bool
 }
 
 // Refusal is a start order that the worker refused.
@@ -264,5 +265,14 @@
 // reports them again.
 func (r Report) Crashes() []Crash { return r.crashes }
 
+// WithUnreachable returns a copy that says that the worker accepts no connection.
+func (r Report) WithUnreachable() Report {
+	r.unreachable = true
+	return r
+}
+
+// Unreachable reports whether the worker accepts no connection. The agent reports a list once it accepts one again.
+func (r Report) Unreachable() bool { return r.unreachable }
+
 // Terminating reports whether the worker has announced its termination.
 func (r Report) Terminating() bool { return r.terminating }
--- a/internal/runner/crash_test.go
+++ b/internal/runner/crash_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"testing"
 	"time"
 
@@ -127,3 +128,41 @@
 		assert.Empty(t, announce(l, time.Second, announced(first)).crashes)
 	})
 }
+
+// reportsUnreachable takes the queued reports and returns how many say that the worker accepts no connection.
+func reportsUnreachable(l *loop) (count int) {
+	for len(l.reports) > 0 {
+		if r := <-l.reports; r.Unreachable() {
+			count++
+		}
+	}
+	return count
+}
+
+// Guards against starts that are ordered to a worker that is known to be down.
+func TestUnreachableWorker(t *testing.T) {
+	refused := fmt.Errorf("%w: connection refused", ErrNoConnection)
+	t.Run("reported once", func(t *testing.T) {
+		l := newTestLoop(first)
+		listAt(t, l, 0, refused)
+		listAt(t, l, time.Second, refused)
+		l.handle(t.Context(), epoch, unansweredInput{id: task, incarnation: first, sentAt: epoch, at: epoch})
+		assert.Equal(t, 1, reportsUnreachable(l))
+	})
+	t.Run("not after a call without an answer", func(t *testing.T) {
+		l := newTestLoop(first)
+		listAt(t, l, 0, errNoAnswer)
+		assert.Zero(t, reportsUnreachable(l))
+	})
+	t.Run("a list follows once it is reachable", func(t *testing.T) {
+		l := newTestLoop(first)
+		listAt(t, l, 0, nil)
+		listAt(t, l, time.Second, refused)
+		reportsUnreachable(l)
+		listAt(t, l, 2*time.Second, nil)
+		_, listed := (<-l.reports).List()
+		assert.True(t, listed)
+		listAt(t, l, 3*time.Second, refused)
+		assert.Equal(t, 1, reportsUnreachable(l))
+	})
+}
--- a/internal/runner/loop.go
+++ b/internal/runner/loop.go
@@ -43,6 +43,7 @@
 	nextList     time.Time
 	incarnation  batch.Incarnation
 	resendList   bool // report the next list even without news
+	unreachable  bool // the worker accepts no connection, and the leader was told
 	watch        crashWatch
 	crashes      []run.Crash // of earlier incarnations, oldest first
 	crashCount   int
@@ -84,7 +85,7 @@
 
 // resetIncarnation discards the calls and lists of an earlier incarnation of the worker.
 func (l *loop) resetIncarnation(incarnation batch.Incarnation) {
-	l.incarnation, l.renewed, l.list = incarnation, false, run.List{}
+	l.incarnation, l.renewed, l.list, l.unreachable = incarnation, false, run.List{}, false
 	for id, cancel := range l.starts {
 		cancel()
 		delete(l.starts, id)
@@ -110,6 +111,9 @@
 				l.watch.recordBegun(in.id, in.sentAt)
 			}
 			l.watch.recordSilence(in.at)
+			if !in.delivered {
+				l.reportUnreachable()
+			}
 		}
 	case stoppedInput:
 		if in.incarnation == l.incarnation {
@@ -356,6 +360,9 @@
 		if !errors.Is(in.err, context.Canceled) {
 			l.logger.Info("list not answered", "error", in.err)
 			l.watch.recordSilence(now)
+			if errors.Is(in.err, ErrNoConnection) {
+				l.reportUnreachable()
+			}
 			l.nextList = now.Add(callRetryDelay)
 		}
 		return
@@ -386,6 +393,9 @@
 	} else {
 		l.nextList = now
 	}
+	if l.unreachable {
+		l.unreachable, l.resendList = false, true
+	}
 	if changed || l.resendList || l.progressDeviates(now, list) {
 		l.resendList = false
 		l.recordProgress(now, list)
@@ -413,6 +423,14 @@
 	return true
 }
 
+// reportUnreachable tells the leader once that the worker accepts no connection, so that it places nothing there.
+func (l *loop) reportUnreachable() {
+	if !l.unreachable {
+		l.unreachable = true
+		l.send(run.NewReport(l.name).WithUnreachable())
+	}
+}
+
 // send queues a report for the session. If the queue is full, it drops the report; a session begins with a new list.
 func (l *loop) send(r run.Report) {
 	select {
--- a/internal/wire/run.go
+++ b/internal/wire/run.go
@@ -149,6 +149,7 @@
 	Refused      []refusalForm        `cbor:"4,keyasint,omitempty"`
 	Terminating  bool                 `cbor:"5,keyasint,omitempty"`
 	Crashes      []crashForm          `cbor:"6,keyasint,omitempty"`
+	Unreachable  bool                 `cbor:"7,keyasint,omitempty"`
 }
 
 func newRunAnnouncementForm(a run.Announcement) *runAnnouncementForm {
@@ -203,7 +204,7 @@
 
 // WriteRunReport writes an agent's report.
 func WriteRunReport(w io.Writer, r run.Report) error {
-	f := runReportForm{Agent: r.Agent(), Terminating: r.Terminating()}
+	f := runReportForm{Agent: r.Agent(), Terminating: r.Terminating(), Unreachable: r.Unreachable()}
 	if a, ok := r.Announcement(); ok {
 		f.Announcement = newRunAnnouncementForm(a)
 	}
@@ -257,6 +258,9 @@
 	if f.Terminating {
 		report = report.WithTerminating()
 	}
+	if f.Unreachable {
+		report = report.WithUnreachable()
+	}
 	var crashes []run.Crash
 	for _, c := range f.Crashes {
 		crashes = append(crashes, c.crash())
