Play crashes of workers in the stateful tests

TestStateFuzz records crashes under any run and checks that only the latest run counts, once, and that no job is given up before three crashes.

--- a/internal/batch/fuzz_test.go
+++ b/internal/batch/fuzz_test.go
@@ -134,6 +134,31 @@
 	}
 }
 
+// crash records the crash of a worker under a run that need not be the latest.
+func (m *model) crash(t *rapid.T) {
+	id, j, ok := m.draw(t)
+	if !ok {
+		return
+	}
+	old, _ := j.Task(id)
+	run := max(old.Run()+rapid.IntRange(-1, 1).Draw(t, "run"), 1)
+	phase := []batch.CrashPhase{
+		batch.CrashedAlone, batch.CrashedAmongOthers, batch.CrashedLater,
+	}[rapid.IntRange(0, 2).Draw(t, "phase")]
+	host := []string{"a", "b"}[rapid.IntRange(0, 1).Draw(t, "host")]
+	m.state, _ = m.state.Apply(batch.NewRecordCrashes(epoch, batch.NewRunCrash(id, run, host, phase)))
+	after, _ := m.state.Job(id.Job())
+	if !j.Active() || run > old.Run() || run <= j.Crashes(id).Run() {
+		require.Same(t, j, after, "a crash under another run changed %s", id)
+		return
+	}
+	require.Equal(t, run, after.Crashes(id).Run())
+	if !after.Active() {
+		require.Equal(t, batch.JobFailed, after.State())
+		require.GreaterOrEqual(t, after.Crashes(id).Crashes(), 3, "%s was given up", id)
+	}
+}
+
 // sharedTask returns the task that holds the checkpoint of a task: in a gang the first.
 func (m *model) sharedTask(j *batch.Job, id batch.TaskID) batch.TaskID {
 	if j.Spec().Steps()[id.Step()].Gang() {
@@ -172,7 +197,7 @@
 
 // TestStateFuzz guards against an older declaration that replaces a newer one, a job that leaves its final state, a
 // task that is placed after it was done or under a used run number, a checkpoint that is replaced by that of another
-// run, and an end that is recorded for another run.
+// run, an end or a crash that is recorded for another run, and a job that is given up before three workers crashed.
 func TestStateFuzz(t *testing.T) {
 	steps := fuzzing.NewCounter(t)
 	rapid.Check(t, func(t *rapid.T) {
@@ -183,6 +208,7 @@
 			"begin":   m.begin,
 			"end":     m.end,
 			"save":    m.save,
+			"crash":   m.crash,
 			"cancel": func(t *rapid.T) {
 				id := fmt.Sprintf("j%d", rapid.IntRange(0, 4*modelJobs).Draw(t, "job"))
 				m.state, _ = m.state.Apply(batch.NewCancel(id, epoch))
--- a/internal/dispatch/fuzz_test.go
+++ b/internal/dispatch/fuzz_test.go
@@ -127,6 +127,9 @@
 			w.order(run.NewEnvelope(s.term, o.Order()))
 		}
 	}
+	if len(a.Crashes()) > 0 {
+		s.apply(batch.NewRecordCrashes(s.now, a.Crashes()...))
+	}
 	if len(a.Ends()) > 0 {
 		s.apply(batch.NewEndRuns(s.now, a.Ends()...))
 	}
--- a/internal/dispatch/worker_test.go
+++ b/internal/dispatch/worker_test.go
@@ -28,6 +28,7 @@
 	finished     []run.Finished
 	number       int64
 	stoppedRuns  map[batch.TaskID]int
+	begun        map[run.ID]time.Time // when each run in progress began
 
 	// State of the agent.
 	session     uint64
@@ -35,6 +36,7 @@
 	leaderToken uint64
 	renewal     run.RenewLease
 	hasRenewal  bool
+	crashes     []run.Crash
 	settled     map[run.ID]time.Time
 	calls       []call
 }
@@ -61,7 +63,7 @@
 	w.incarnation = batch.NewIncarnation(w.name, id, w.sim.incarnations)
 	w.startedAt, w.dead, w.draining, w.sequence = w.sim.now, false, false, 0
 	w.fencingToken, w.leaseEnd, w.running, w.finished, w.number = 0, 0, map[run.ID]time.Time{}, nil, 0
-	w.stoppedRuns = map[batch.TaskID]int{}
+	w.stoppedRuns, w.begun = map[batch.TaskID]int{}, map[run.ID]time.Time{}
 	w.hasRenewal, w.settled = false, map[run.ID]time.Time{}
 }
 
@@ -73,6 +75,9 @@
 // crash ends the worker's incarnation; the next one may have the same ID.
 func (w *worker) crash(sameID bool) {
 	w.dead = true
+	if !w.draining {
+		w.crashes = append(w.crashes, w.crashReport())
+	}
 	w.running = map[run.ID]time.Time{}
 	id := w.incarnation.ID()
 	if !sameID {
@@ -81,6 +86,15 @@
 	w.restart(id)
 }
 
+// crashReport returns the agent's report of a crash of the worker now.
+func (w *worker) crashReport() run.Crash {
+	var runs []run.CrashedRun
+	for id := range w.running {
+		runs = append(runs, run.NewCrashedRun(id, w.sim.now.Sub(w.begun[id])))
+	}
+	return run.NewCrash(w.incarnation, runs...)
+}
+
 // tick carries out the calls that are due and sends the agent's reports.
 func (w *worker) tick() {
 	w.expire()
@@ -156,6 +170,7 @@
 	}
 	w.leaseEnd = max(w.leaseEnd, min(o.Lease(), w.clock()+maxLease))
 	w.running[o.ID()] = w.sim.now.Add(w.sim.runDuration)
+	w.begun[o.ID()] = w.sim.now
 	w.sim.checkStart(w, o)
 	return ""
 }
@@ -223,7 +238,7 @@
 	if w.draining {
 		a = a.WithDraining(0)
 	}
-	w.send(run.NewReport(w.name).WithAnnouncement(a))
+	w.send(run.NewReport(w.name).WithAnnouncement(a).WithCrashes(w.crashes))
 }
 
 // list passes the leader's latest lease renewal to the worker and reports the worker's list.
