--- a/internal/scheduler/calls.go
+++ b/internal/scheduler/calls.go
@@ -104,7 +104,7 @@
 		return call.NewReply(call.OK, "")
 	case batch.Rejected:
 		return call.NewReply(call.NoQueue, r.Reason())
-	case batch.Declared, batch.Cancelled, batch.RunsPlaced, batch.Applied:
+	case batch.Declared, batch.Cancelled, batch.RunsPlaced, batch.CrashesRecorded, batch.Applied:
 	}
 	return call.NewReply(call.Uncertain, "unexpected result of a submission")
 }
@@ -166,7 +166,7 @@
 		return call.NewReply(call.OK, "")
 	case batch.Rejected:
 		return call.NewReply(call.Invalid, r.Reason())
-	case batch.Accepted, batch.Cancelled, batch.RunsPlaced, batch.Applied:
+	case batch.Accepted, batch.Cancelled, batch.RunsPlaced, batch.CrashesRecorded, batch.Applied:
 	}
 	return call.NewReply(call.Uncertain, "unexpected result of a declaration")
 }
