--- a/internal/dispatch/crash.go
+++ b/internal/dispatch/crash.go
@@ -24,8 +24,10 @@
 			continue
 		}
 		for _, r := range crash.Runs() {
-			c.logDecision(h, now, r.ID(), WorkerCrashed,
-				strconv.FormatInt(r.Age().Milliseconds(), 10)+" ms after the start, under "+strconv.Itoa(len(crash.Runs()))+" runs")
+			c.decisions = append(c.decisions, Decision{
+				id: r.ID(), kind: WorkerCrashed, worker: crash.Worker().ID(), reportAge: now.Sub(h.reportedAt),
+				reason: strconv.FormatInt(r.Age().Milliseconds(), 10) + " ms after the start, under " + strconv.Itoa(len(crash.Runs())) + " runs",
+			})
 		}
 		c.uncounted = append(c.uncounted, runCrashes(crash)...)
 	}
