Blame no run for the crash of a worker that was silent before

A worker that is cut off from its agent and crashes behind the cut falls silent first: its calls time out. The age of its runs at the crash was taken from the first time-out, so a run that had started shortly before the cut was blamed for the crash. Such a crash is reported without runs now. A worker that a task crashes ends its connections at once, which is no time-out. TestCrashReported has both cases.

--- a/internal/runner/crash.go
+++ b/internal/runner/crash.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"context"
+	"errors"
 	"slices"
 	"strconv"
 	"time"
@@ -21,6 +23,7 @@
 type crashWatch struct {
 	begun       map[run.ID]time.Time // when the start call was sent that the worker has carried out, or may have
 	silentSince time.Time            // time of the first failed call since the latest answer; zero if none failed
+	timedOut    bool                 // that call timed out, so the crash may have been at any time after it
 	leaving     bool                 // the worker drains or has announced its termination
 }
 
@@ -30,15 +33,20 @@
 func (w *crashWatch) recordBegun(id run.ID, sentAt time.Time) { w.begun[id] = sentAt }
 
 // recordAnswer records that the worker has answered a call.
-func (w *crashWatch) recordAnswer() { w.silentSince = time.Time{} }
+func (w *crashWatch) recordAnswer() { w.silentSince, w.timedOut = time.Time{}, false }
 
 // recordSilence records that a call failed without an answer.
-func (w *crashWatch) recordSilence(at time.Time) {
+func (w *crashWatch) recordSilence(at time.Time, err error) {
 	if w.silentSince.IsZero() {
-		w.silentSince = at
+		w.silentSince, w.timedOut = at, isTimeout(err)
 	}
 }
 
+func isTimeout(err error) bool {
+	var timeout interface{ Timeout() bool }
+	return errors.Is(err, context.DeadlineExceeded) || errors.As(err, &timeout) && timeout.Timeout()
+}
+
 // forgetEnded drops the runs that a list shows to have ended: those that are settled and no longer running.
 func (w *crashWatch) forgetEnded(list run.List) {
 	for _, id := range list.Settled() {
@@ -49,11 +57,15 @@
 }
 
 // crash returns the crash of the worker, once its next incarnation is known; ok is false if it had announced that it
-// leaves. A start that was sent after the worker had stopped answering did not reach it.
+// leaves. A start that was sent after the worker had stopped answering did not reach it. The crash of a worker that was
+// silent before, as behind a partition, has no runs, since their age at the crash is not known.
 func (w *crashWatch) crash(now time.Time, worker batch.Incarnation) (c run.Crash, ok bool) {
 	if worker == (batch.Incarnation{}) || w.leaving {
 		return c, false
 	}
+	if w.timedOut {
+		return run.NewCrash(worker), true
+	}
 	at := now
 	if !w.silentSince.IsZero() {
 		at = w.silentSince
--- a/internal/runner/crash_test.go
+++ b/internal/runner/crash_test.go
@@ -1,8 +1,10 @@
 package runner
 
 import (
+	"context"
 	"errors"
 	"fmt"
+	"os"
 	"testing"
 	"time"
 
@@ -86,19 +88,41 @@
 	t.Run("without a start that found no worker", func(t *testing.T) {
 		l := newTestLoop(first)
 		listAt(t, l, 0, errNoAnswer)
-		unanswered := unansweredInput{id: task, incarnation: first, sentAt: epoch.Add(time.Second), at: epoch.Add(time.Second)}
+		unanswered := unansweredInput{id: task, incarnation: first, err: ErrNoConnection, sentAt: epoch.Add(time.Second), at: epoch.Add(time.Second)}
 		l.handle(t.Context(), epoch, unanswered)
-		unanswered.delivered = true
+		unanswered.err = errNoAnswer
 		l.handle(t.Context(), epoch, unanswered)
 		assertCrash(t, announce(l, 4*time.Second, announced(second)))
 	})
 	t.Run("with a start whose answer was lost in the crash", func(t *testing.T) {
 		l := newTestLoop(first)
 		l.handle(t.Context(), epoch, unansweredInput{
-			id: task, incarnation: first, delivered: true, sentAt: epoch, at: epoch.Add(10 * time.Millisecond),
+			id: task, incarnation: first, err: errNoAnswer, sentAt: epoch, at: epoch.Add(10 * time.Millisecond),
 		})
 		assertCrash(t, announce(l, 4*time.Second, announced(second)), run.NewCrashedRun(task, 10*time.Millisecond))
 	})
+	t.Run("without the runs of a worker that was silent before", func(t *testing.T) {
+		for name, silence := range map[string]error{
+			"call":       context.DeadlineExceeded,
+			"connection": fmt.Errorf("%w: %w", ErrNoConnection, os.ErrDeadlineExceeded),
+		} {
+			t.Run(name, func(t *testing.T) {
+				l := newTestLoop(first)
+				startAt(t, l, task, 0)
+				listAt(t, l, time.Second, silence)
+				listAt(t, l, 2*time.Second, errNoAnswer)
+				assertCrash(t, announce(l, 4*time.Second, announced(second)))
+			})
+		}
+	})
+	t.Run("with the runs of a worker that answered again", func(t *testing.T) {
+		l := newTestLoop(first)
+		startAt(t, l, task, 0)
+		listAt(t, l, time.Second, context.DeadlineExceeded)
+		listAt(t, l, 2*time.Second, nil, task)
+		listAt(t, l, 3*time.Second, errNoAnswer)
+		assertCrash(t, announce(l, 4*time.Second, announced(second)), run.NewCrashedRun(task, 3*time.Second))
+	})
 	t.Run("again in later sessions, a few at most", func(t *testing.T) {
 		l := newTestLoop(first)
 		for n := range 2 * maxReportedCrashes {
@@ -146,7 +170,7 @@
 		l := newTestLoop(first)
 		listAt(t, l, 0, refused)
 		listAt(t, l, time.Second, refused)
-		l.handle(t.Context(), epoch, unansweredInput{id: task, incarnation: first, sentAt: epoch, at: epoch})
+		l.handle(t.Context(), epoch, unansweredInput{id: task, incarnation: first, err: refused, sentAt: epoch, at: epoch})
 		assert.Equal(t, 1, reportsUnreachable(l))
 	})
 	t.Run("not after a call without an answer", func(t *testing.T) {
--- a/internal/runner/loop.go
+++ b/internal/runner/loop.go
@@ -107,12 +107,11 @@
 		l.handleStarted(in)
 	case unansweredInput:
 		if in.incarnation == l.incarnation {
-			if in.delivered {
-				l.watch.recordBegun(in.id, in.sentAt)
-			}
-			l.watch.recordSilence(in.at)
-			if !in.delivered {
+			l.watch.recordSilence(in.at, in.err)
+			if errors.Is(in.err, ErrNoConnection) {
 				l.reportUnreachable()
+			} else {
+				l.watch.recordBegun(in.id, in.sentAt)
 			}
 		}
 	case stoppedInput:
@@ -201,7 +200,7 @@
 			}
 			l.logger.Info("start not answered", "task", o.ID().Task().String(), "run", o.ID().Run(), "error", err)
 			l.enqueue(ctx, unansweredInput{
-				id: o.ID(), incarnation: o.Incarnation(), delivered: !errors.Is(err, ErrNoConnection), sentAt: sentAt, at: time.Now(),
+				id: o.ID(), incarnation: o.Incarnation(), err: err, sentAt: sentAt, at: time.Now(),
 			})
 			if !clock.Pause(ctx, callRetryDelay) {
 				return
@@ -359,7 +358,7 @@
 		l.nextList = now
 		if !errors.Is(in.err, context.Canceled) {
 			l.logger.Info("list not answered", "error", in.err)
-			l.watch.recordSilence(now)
+			l.watch.recordSilence(now, in.err)
 			if errors.Is(in.err, ErrNoConnection) {
 				l.reportUnreachable()
 			}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -61,7 +61,7 @@
 type unansweredInput struct {
 	id          run.ID
 	incarnation batch.Incarnation
-	delivered   bool // the worker may have carried it out
+	err         error
 	sentAt      time.Time
 	at          time.Time
 }
