Do not repeat a start to a worker that accepts no connection

Found by reading: an agent repeated a start without an answer every 100 ms until the leader ordered a stop 2.5 s later. A worker that crashes under a start before it answers may be back by then under the same id, and carried out the repeated call, so that a task that crashes its workers was started again without an order or a record of the leader.

The agent gives up after a refused connection, and the leader decides: the next incarnation ends the run, or a stop that is answered. A connection that times out is tried again as before. TestStartNotRepeatedAfterCrash: two of three cases fail before.

--- a/internal/batch/crash.go
+++ b/internal/batch/crash.go
@@ -50,7 +50,7 @@
 	return r.crashes >= maxCrashes || r.crashes >= maxCrashesIfConfirmed && r.confirmed >= minConfirmedCrashes
 }
 
-// CrashPhase says how far a run had come when its worker crashed.
+// CrashPhase says how far a run had come when its worker crashed, and whether others had just started there.
 type CrashPhase string
 
 // The phases of a run at the crash of its worker.
--- a/internal/placement/isolation.go
+++ b/internal/placement/isolation.go
@@ -69,12 +69,12 @@
 	if !p.suspects {
 		return true
 	}
-	patient := p.view.now.Sub(u.readySince) < isolationWait
+	mayWait := p.view.now.Sub(u.readySince) < isolationWait
 	for _, r := range w.runs {
 		if r.job == u.job || !p.starting(r) {
 			continue
 		}
-		if r.suspect || u.suspicion.any() && patient {
+		if r.suspect || u.suspicion.any() && mayWait {
 			return false
 		}
 	}
--- a/internal/runner/crash_test.go
+++ b/internal/runner/crash_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
@@ -153,6 +154,55 @@
 	})
 }
 
+// startResults orders a start to a worker that answers start calls with the given errors in order, and returns the
+// loop after it has handled the results of n calls.
+func startResults(t *testing.T, n int, results ...error) (*loop, *busyWorker) {
+	t.Helper()
+	w := &busyWorker{starts: results}
+	l := newLoop(New("h", w, nil, nil, hclog.NewNullLogger()))
+	l.announced.Publish(workerState{announcement: announced(first), known: true})
+	l.resetIncarnation(first)
+	l.handle(t.Context(), epoch, orderInput{envelope: run.NewEnvelope(1, run.NewStart(task, first, "", "", time.Second))})
+	for range n {
+		select {
+		case in := <-l.inputs:
+			l.handle(t.Context(), time.Now(), in)
+		case <-time.After(5 * time.Second):
+			require.Fail(t, "the loop received no input")
+		}
+	}
+	return l, w
+}
+
+// assertNoMoreCalls checks that the worker gets no start beyond the given number.
+func assertNoMoreCalls(t *testing.T, l *loop, w *busyWorker, want int) {
+	t.Helper()
+	time.Sleep(3 * callRetryDelay)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	assert.Len(t, w.calls, want)
+	assert.Empty(t, l.starts)
+	assert.Empty(t, l.settled, "the run may have begun")
+}
+
+// Guards against a start that is repeated until the next incarnation of the worker, which may have the same id, carries
+// it out: a task that crashes its workers would be started without an order of the leader.
+func TestStartNotRepeatedAfterCrash(t *testing.T) {
+	refused := fmt.Errorf("%w: connection refused", ErrNoConnection)
+	t.Run("crash before the answer", func(t *testing.T) {
+		l, w := startResults(t, 2, errNoAnswer, refused, nil)
+		assertNoMoreCalls(t, l, w, 2)
+	})
+	t.Run("worker that was down before", func(t *testing.T) {
+		l, w := startResults(t, 1, refused, nil)
+		assertNoMoreCalls(t, l, w, 1)
+	})
+	t.Run("worker that is slow to connect: repeated", func(t *testing.T) {
+		l, _ := startResults(t, 2, fmt.Errorf("%w: %w", ErrNoConnection, os.ErrDeadlineExceeded), nil)
+		assert.Contains(t, l.watch.begun, task)
+	})
+}
+
 // reportsUnreachable takes the queued reports and returns how many say that the worker accepts no connection.
 func reportsUnreachable(l *loop) (count int) {
 	for len(l.reports) > 0 {
--- a/internal/runner/loop.go
+++ b/internal/runner/loop.go
@@ -107,12 +107,7 @@
 		l.handleStarted(in)
 	case unansweredInput:
 		if in.incarnation == l.incarnation {
-			l.watch.recordSilence(in.at, in.err)
-			if errors.Is(in.err, ErrNoConnection) {
-				l.reportUnreachable()
-			} else {
-				l.watch.recordBegun(in.id, in.sentAt)
-			}
+			l.handleUnanswered(in)
 		}
 	case stoppedInput:
 		if in.incarnation == l.incarnation {
@@ -199,10 +194,13 @@
 				return
 			}
 			l.logger.Info("start not answered", "task", o.ID().Task().String(), "run", o.ID().Run(), "error", err)
+			unreachable := errors.Is(err, ErrNoConnection) && !isTimeout(err)
 			l.enqueue(ctx, unansweredInput{
 				id: o.ID(), incarnation: o.Incarnation(), err: err, sentAt: sentAt, at: time.Now(),
 			})
-			if !clock.Pause(ctx, callRetryDelay) {
+			// The worker's next incarnation may have the same id and would carry out the start of a run that this one has
+			// crashed under.
+			if unreachable || !clock.Pause(ctx, callRetryDelay) {
 				return
 			}
 		}
@@ -422,10 +420,24 @@
 	return true
 }
 
+// handleUnanswered records a start call without an answer. After one that found no worker the start is not repeated;
+// the leader decides about the run.
+func (l *loop) handleUnanswered(in unansweredInput) {
+	l.watch.recordSilence(in.at, in.err)
+	if !errors.Is(in.err, ErrNoConnection) {
+		l.watch.recordBegun(in.id, in.sentAt)
+		return
+	}
+	l.reportUnreachable()
+	if !isTimeout(in.err) {
+		delete(l.starts, in.id)
+	}
+}
+
 // reportUnreachable tells the leader once that the worker accepts no connection, so that it places nothing there.
 func (l *loop) reportUnreachable() {
 	if !l.unreachable {
-		l.unreachable = true
+		l.unreachable, l.listNow = true, true
 		l.send(run.NewReport(l.name).WithUnreachable())
 	}
 }
