--- a/internal/runner/loop.go
+++ b/internal/runner/loop.go
@@ -157,79 +157,6 @@
 	}
 }
 
-// start starts a run in the background; it repeats the call until the worker answers or the leader orders a stop.
-func (l *loop) start(ctx context.Context, now time.Time, o run.Start) {
-	if _, pending := l.starts[o.ID()]; pending {
-		return
-	}
-	a := l.announced.Load()
-	switch {
-	case l.incarnation != o.Incarnation():
-		l.handleStarted(startedInput{id: o.ID(), incarnation: l.incarnation, refusal: anotherIncarnation, at: now})
-		return
-	case a.announcement.Draining() || a.terminating:
-		l.handleStarted(startedInput{id: o.ID(), incarnation: l.incarnation, refusal: "draining", at: now})
-		return
-	}
-	ctx, cancel := context.WithCancel(ctx)
-	l.starts[o.ID()] = cancel
-	fencingToken := l.fencingToken
-	go func() {
-		defer cancel()
-		for {
-			attempt, done := context.WithTimeout(ctx, callTimeout)
-			sentAt := time.Now()
-			err := l.worker.Start(attempt, fencingToken, o)
-			done()
-			var refused *RefusedError
-			switch {
-			case err == nil:
-				l.enqueue(ctx, startedInput{id: o.ID(), incarnation: o.Incarnation(), sentAt: sentAt, at: time.Now()})
-				return
-			case errors.As(err, &refused):
-				if !refused.Final() && !l.ensureStopped(ctx, o.Incarnation(), fencingToken, o.ID()) {
-					return
-				}
-				l.enqueue(ctx, startedInput{id: o.ID(), incarnation: o.Incarnation(), refusal: refused.Reason(), sentAt: sentAt, at: time.Now()})
-				return
-			}
-			l.logger.Info("start not answered", "task", o.ID().Task().String(), "run", o.ID().Run(), "error", err)
-			unreachable := errors.Is(err, ErrNoConnection) && !isTimeout(err)
-			l.enqueue(ctx, unansweredInput{
-				id: o.ID(), incarnation: o.Incarnation(), err: err, sentAt: sentAt, at: time.Now(),
-			})
-			// The worker's next incarnation may have the same id and would carry out the start of a run that this one has
-			// crashed under.
-			if unreachable || !clock.Pause(ctx, callRetryDelay) {
-				return
-			}
-		}
-	}()
-}
-
-// handleStarted records the answer to a start and reports a refusal to the leader.
-func (l *loop) handleStarted(in startedInput) {
-	if in.incarnation != l.incarnation {
-		return
-	}
-	if cancel := l.starts[in.id]; cancel != nil {
-		cancel()
-		delete(l.starts, in.id)
-	}
-	l.settle(in.id, in.at)
-	if !in.sentAt.IsZero() {
-		l.watch.recordAnswer()
-	}
-	if in.refusal == "" {
-		l.watch.recordBegun(in.id, in.sentAt)
-		return
-	}
-	l.logger.Info("start refused", "task", in.id.Task().String(), "run", in.id.Run(), "reason", in.refusal)
-	l.nextList = in.at
-	l.listNow = true
-	l.send(run.NewReport(l.name).WithRefused([]run.Refusal{run.NewRefusal(in.id, in.refusal)}))
-}
-
 // stop cancels a pending start and stops the run in the background.
 func (l *loop) stop(ctx context.Context, o run.Stop) {
 	if cancel := l.starts[o.ID()]; cancel != nil {
@@ -420,28 +347,6 @@
 	return true
 }
 
-// handleUnanswered records a start call without an answer. After one that found no worker the start is not repeated;
-// the leader decides about the run.
-func (l *loop) handleUnanswered(in unansweredInput) {
-	l.watch.recordSilence(in.at, in.err)
-	if !errors.Is(in.err, ErrNoConnection) {
-		l.watch.recordBegun(in.id, in.sentAt)
-		return
-	}
-	l.reportUnreachable()
-	if !isTimeout(in.err) {
-		delete(l.starts, in.id)
-	}
-}
-
-// reportUnreachable tells the leader once that the worker accepts no connection, so that it places nothing there.
-func (l *loop) reportUnreachable() {
-	if !l.unreachable {
-		l.unreachable, l.listNow = true, true
-		l.send(run.NewReport(l.name).WithUnreachable())
-	}
-}
-
 // send queues a report for the session. If the queue is full, it drops the report; a session begins with a new list.
 func (l *loop) send(r run.Report) {
 	select {
