Keep the limit per worker over both parts of a step

Cause: a step is placed in two units since tasks with crashes start apart, and the count of the step's tasks on a worker passed over those that the same decision had placed for the other unit. Each unit counts the runs of the other now. The new case of TestIsolation placed two tasks where one is allowed.

--- a/internal/placement/isolation_test.go
+++ b/internal/placement/isolation_test.go
@@ -109,6 +109,16 @@
 		f.decide()
 		f.assertPlaced("suspect", 1)
 	})
+	t.Run("the limit per worker counts tasks with and without crashes", func(t *testing.T) {
+		f := newFixture(t)
+		f.workers = f.workers[:1]
+		f.submit("suspect", patient, "a", batch.NewStep(3, batch.NewResources(1000, 1000, 1), time.Minute, batch.WithMaxPerWorker(1)))
+		f.decide()
+		f.assertPlaced("suspect", 1)
+		f.crash(suspect)
+		f.decide()
+		f.assertPlaced("suspect", 1)
+	})
 	t.Run("a gang as a whole", func(t *testing.T) {
 		f := newFixture(t)
 		f.submit("suspect", patient, "a", batch.NewStep(3, batch.NewResources(1000, 1000, 4), time.Minute, batch.WithGang(true, false)))
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -337,10 +337,11 @@
 	return true
 }
 
-// countPlaced returns the number of tasks of the unit's step that were placed on a worker before this decision.
+// countPlaced returns the number of tasks of the unit's step that were placed on a worker before this unit: earlier, or
+// by this decision for another unit of the step.
 func (p *planner) countPlaced(u *unit, w *workerState) (count int) {
 	for _, r := range w.runs {
-		if r.id.Run() > 0 && r.id.Task().StepKey() == u.key {
+		if r.unit != u && r.id.Task().StepKey() == u.key {
 			count++
 		}
 	}
@@ -364,7 +365,7 @@
 	w.free = w.free.Minus(u.step.Reserved())
 	r := &placedRun{
 		id: run.NewID(u.key, 0), job: u.job, step: u.step, worker: w, started: p.view.now,
-		ends: p.view.now.Add(u.duration), guaranteed: true, suspect: u.suspicion.any(),
+		ends: p.view.now.Add(u.duration), guaranteed: true, suspect: u.suspicion.any(), unit: u,
 	}
 	w.runs = append(w.runs, r)
 	if !u.guaranteed {
--- a/internal/placement/view.go
+++ b/internal/placement/view.go
@@ -76,10 +76,11 @@
 	worker     *workerState
 	ends       time.Time // expected
 	started    time.Time
-	stopping   bool // ordered to stop, preempted, or of an ended job
-	guaranteed bool // within its workspace's guarantee, or placed by this decision
-	observed   bool // whether its end is derived from its progress
-	suspect    bool // a worker has crashed under its task before
+	stopping   bool  // ordered to stop, preempted, or of an ended job
+	guaranteed bool  // within its workspace's guarantee, or placed by this decision
+	observed   bool  // whether its end is derived from its progress
+	suspect    bool  // a worker has crashed under its task before
+	unit       *unit // that this decision placed it for; nil for an earlier run
 }
 
 // reservation is an amount of a worker's resources that a unit needs from a time on. Where noBackfill is set, tasks
