--- a/review/_harness/case_work.go
+++ b/review/_harness/case_work.go
@@ -232,10 +232,58 @@
 	return held
 }
 
+// runSameID hands in jobs under one id to two queues of a tenant.
+func runSameID(r *recorder, trouble bool) verdict {
+	c := newCluster(r, 3, 3)
+	ran := newRunning(c)
+	c.start(config(1, 0))
+	id := newJobID()
+	other := id
+	if !trouble {
+		other = newJobID()
+	}
+	if !c.submit(clientPrefix, id, `{"spec":"ms 500","steps":[{"count":1,"cpu":1000,"memMb":256,"estimateMs":500}]}`) ||
+		!c.submit(lastingPrefix, other, `{"spec":"ms 600","steps":[{"count":3,"cpu":2000,"memMb":256,"estimateMs":600}]}`) {
+		return cannotRun
+	}
+	time.Sleep(10 * time.Second)
+	r.add("client: GET %s%s -> %s", clientPrefix, id, c.call("GET", clientPrefix+id, ""))
+	r.add("client: GET %s%s -> %s", lastingPrefix, other, c.call("GET", lastingPrefix+other, ""))
+	ran.mu.Lock()
+	defer ran.mu.Unlock()
+	if ran.starts < 4 {
+		r.add("MIXED: the second job is shown as completed, and none of its tasks has run: %d of 4 tasks have", ran.starts)
+		return broken
+	}
+	return held
+}
+
+// runLostUpkeepAnswer lets the answer to the order of an upkeep get lost, though it is carried out.
+func runLostUpkeepAnswer(r *recorder, trouble bool) verdict {
+	c := newCluster(r, 3, 3)
+	s := newCloud(c)
+	if trouble {
+		s.loseAnswers = 1
+	}
+	c.start(config(1, 0))
+	s.startWave(1, []string{"m-0", "m-1"}, 20, 1)
+	time.Sleep(40 * time.Second)
+	r.add("operator: GET /-/wave-get/1 -> %s", c.operate("GET", "/-/wave-get/1", ""))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.done["1 m-1"] {
+		r.add("the upkeep of m-1 has not begun, 40 s after the start of a wave of 20 s")
+		return broken
+	}
+	return held
+}
+
 // running follows which tasks run.
 type running struct {
 	mu    sync.Mutex
 	tasks map[string]string // worker by task
+	// starts counts all starts.
+	starts int
 }
 
 func newRunning(c *cluster) *running {
@@ -245,6 +293,7 @@
 			s.mu.Lock()
 			defer s.mu.Unlock()
 			s.tasks[e.task] = e.worker
+			s.starts++
 		}
 		w.endedAt = func(e runEvent) {
 			s.mu.Lock()
--- a/review/_harness/cloud.go
+++ b/review/_harness/cloud.go
@@ -34,6 +34,8 @@
 	down  map[string]int   // by machine that is down: the wave of its upkeep
 	done  map[string]bool  // upkeeps that were carried out, as "wave machine"
 	begun func(wave int, machine string, down map[string]int)
+	// loseAnswers is the number of answers that still get lost.
+	loseAnswers int
 }
 
 func newCloud(c *cluster) *cloud {
@@ -57,6 +59,17 @@
 	status, reason := s.begin(f.Wave, f.Machine)
 	s.c.r.add("machine service: upkeep of %s for wave %d, holder %s, token %s -> %d %s", f.Machine, f.Wave,
 		r.Header.Get("Duty-Holder"), r.Header.Get("Fencing-Token"), status, reason)
+	s.mu.Lock()
+	lost := s.loseAnswers > 0 && status == http.StatusOK
+	if lost {
+		s.loseAnswers--
+	}
+	s.mu.Unlock()
+	if lost {
+		s.c.r.add("machine service: that answer is lost")
+		<-r.Context().Done()
+		return
+	}
 	rw.WriteHeader(status)
 	_, _ = fmt.Fprintf(rw, `{"reason":%q}`, reason)
 }
--- a/review/_harness/main.go
+++ b/review/_harness/main.go
@@ -30,8 +30,10 @@
 	"reborn-worker":    runRebornWorker,
 	"two-waves":        runTwoWaves,
 	// Findings beyond the five cases.
-	"big-config": runBigConfig,
-	"lasting":    runLasting,
+	"big-config":  runBigConfig,
+	"lasting":     runLasting,
+	"same-id":     runSameID,
+	"lost-answer": runLostUpkeepAnswer,
 }
 
 // caseTimeout bounds a case; the processes are ended then.
