--- a/review/_harness/main.go
+++ b/review/_harness/main.go
@@ -30,10 +30,14 @@
 	"reborn-worker":    runRebornWorker,
 	"two-waves":        runTwoWaves,
 	// Findings beyond the five cases.
-	"big-config":  runBigConfig,
-	"lasting":     runLasting,
-	"same-id":     runSameID,
-	"lost-answer": runLostUpkeepAnswer,
+	"big-config":      runBigConfig,
+	"lasting":         runLasting,
+	"same-id":         runSameID,
+	"lost-answer":     runLostUpkeepAnswer,
+	"failing-tasks":   runFailingTasks,
+	"many-tasks":      runManyTasks,
+	"silent-crash":    runSilentCrash,
+	"advised-restart": runAdvisedRestart,
 }
 
 // caseTimeout bounds a case; the processes are ended then.
