--- a/review/_harness/worker.go
+++ b/review/_harness/worker.go
@@ -245,8 +245,10 @@
 	default:
 		l.token = c.FencingToken
 		l.extend(c.DeadlineMs)
-		l.running[c.Task] = &taskRun{run: c.Run, begun: time.Now(), takes: duration(c.Spec), checkpoint: c.Checkpoint,
-			fails: strings.HasPrefix(c.Spec, failingSpec)}
+		l.running[c.Task] = &taskRun{
+			run: c.Run, begun: time.Now(), takes: duration(c.Spec), checkpoint: c.Checkpoint,
+			fails: strings.HasPrefix(c.Spec, failingSpec),
+		}
 		w.r.add("%s (%s): task %s run %d starts", w.name, l.id, c.Task, c.Run)
 		w.startedAt(runEvent{time.Now(), w.name, c.Task, c.Run, ""})
 		l.ok(rw)
