--- a/review/_harness/case_failing.go
+++ b/review/_harness/case_failing.go
@@ -7,7 +7,7 @@
 // runFailingTasks hands in a job with tasks that last and fail by themselves after a second, and ordinary jobs beside
 // it, and reports how long these and the failing tasks wait on idle workers.
 func runFailingTasks(r *recorder, trouble bool) verdict {
-	c := newCluster(r, 3, 4)
+	c := newCluster(r, mill, 3, 4)
 	s := newRunning(c)
 	c.start(config(1, 0))
 	spec := "lasts"
--- a/review/_harness/case_many.go
+++ b/review/_harness/case_many.go
@@ -9,7 +9,7 @@
 
 // runManyTasks hands in a job of more small tasks than the workers hold at once, and an ordinary job after it.
 func runManyTasks(r *recorder, trouble bool) verdict {
-	c := newCluster(r, 3, 3)
+	c := newCluster(r, mill, 3, 3)
 	var mu sync.Mutex
 	starts := map[string]int{}
 	for _, w := range c.workers {
