dispatch: the simulation judges a missing checkpoint by when its start was ordered

TestRunsFuzz asks that no run starts without its committed checkpoint, and exempted each worker that was late at the moment of the start. The exemption was wrong in both directions. And a late worker could start from nothing by an order that was sent after the commit, which the check did not see.

The call now records whether a checkpoint was committed when its order was sent, and no worker is exempt.

--- a/internal/dispatch/fuzz_test.go
+++ b/internal/dispatch/fuzz_test.go
@@ -226,13 +226,13 @@
 	}
 }
 
-// checkStart records a start and checks that it is permitted.
-func (s *simulation) checkStart(w *worker, o run.Start) {
+// checkStart records a start and checks that it is permitted; committed reports whether a checkpoint of the run was
+// committed when the start was ordered.
+func (s *simulation) checkStart(w *worker, o run.Start, committed bool) {
 	id, from := o.ID(), s.checkpointOwner(o.ID().Task())
 	s.starts[id]++
 	require.True(s.t, o.Checkpoint() == "" || s.saved[from][o.Checkpoint()], "%s resumes from %q", id.Task(), o.Checkpoint())
-	// A late worker is exempt: it may carry out an order that was sent before the checkpoint was committed.
-	require.False(s.t, o.Checkpoint() == "" && s.committed[from] && !w.late, "%s restarts without its committed checkpoint", id.Task())
+	require.False(s.t, o.Checkpoint() == "" && committed, "%s restarts without its committed checkpoint", id.Task())
 	require.Equal(s.t, 1, s.starts[id], "run %d of %s started again", id.Run(), id.Task())
 	require.False(s.t, s.ended[id.Task()], "%s started after it was done", id.Task())
 	for _, other := range s.workers {
--- a/internal/dispatch/worker_test.go
+++ b/internal/dispatch/worker_test.go
@@ -49,6 +49,7 @@
 	start        *run.Start
 	stop         *run.ID
 	answered     bool
+	committed    bool // whether a checkpoint of the run to start was committed when the call was sent
 }
 
 func newWorker(sim *simulation, name string, rate float64) *worker {
@@ -153,12 +154,13 @@
 		}
 		w.answered(c, "")
 	case c.start != nil:
-		w.answered(c, w.start(*c.start))
+		w.answered(c, w.start(*c.start, c.committed))
 	}
 }
 
-// start begins a run, or returns the reason for refusing it.
-func (w *worker) start(o run.Start) string {
+// start begins a run, or returns the reason for refusing it; committed reports whether a checkpoint of it was committed
+// when the start was ordered.
+func (w *worker) start(o run.Start, committed bool) string {
 	_, runs := w.running[o.ID()]
 	switch {
 	case runs:
@@ -171,7 +173,7 @@
 	w.leaseEnd = max(w.leaseEnd, min(o.Lease(), w.clock()+maxLease))
 	w.running[o.ID()] = w.sim.now.Add(w.sim.runDuration)
 	w.begun[o.ID()] = w.sim.now
-	w.sim.checkStart(w, o)
+	w.sim.checkStart(w, o, committed)
 	return ""
 }
 
@@ -213,7 +215,7 @@
 			w.send(run.NewReport(w.name).WithRefused([]run.Refusal{run.NewRefusal(o.ID(), "another incarnation")}))
 			return
 		}
-		c.start = &o
+		c.start, c.committed = &o, w.sim.committed[w.sim.checkpointOwner(o.ID().Task())]
 		w.calls = append(w.calls, c)
 	case run.Stop:
 		id := o.ID()
