runner: an acknowledgement is sent until the worker has dropped the ends, and not after that

A worker that crashes may come back under its ID, and takes the calls that are meant for its earlier incarnation until its first heartbeat, 1.5 s later. Each list call carried the number of the last end that was acknowledged to the earlier incarnation. The new one numbers its ends from 1, so it would drop ends that nobody has seen, and the leader would start a task again that has run.

The other way round, an idle worker did not get the number at all: the agent asked for no list once the leader had acknowledged the last end, until something else made it ask.

Change: the number goes out as long as the worker's latest list shows an end that it covers, with the usual delay between two calls, and 0 after that. A list that still shows such an end keeps the agent asking.

Evidence: TestAcknowledgement failed in all three subtests before the change: no call was due after the acknowledgement.

Left: a call that is on its way when the worker crashes can still reach the new incarnation, within 0.1 s of its start.

--- a/internal/runner/loop.go
+++ b/internal/runner/loop.go
@@ -18,7 +18,8 @@
 	callRetryDelay = 100 * time.Millisecond
 	// listWait is how long a list call waits at the worker for a run to end.
 	listWait = time.Second
-	// unacknowledgedListDelay is the delay before the next list while the leader has not acknowledged the listed ends.
+	// unacknowledgedListDelay is the delay before the next list while the leader has not acknowledged the listed ends, or
+	// the worker has not dropped them.
 	unacknowledgedListDelay = 400 * time.Millisecond
 	// maxStopAttempts bounds the calls for one stop order; the leader repeats the order.
 	maxStopAttempts = 10
@@ -222,9 +223,10 @@
 	return max(l.nextList.Sub(now), 0), true
 }
 
-// busy reports whether the worker may have runs, or ends and settled calls that are still to be reported.
+// busy reports whether the worker may have runs, ends that are still to be reported or dropped, or settled calls that
+// are still to be reported.
 func (l *loop) busy() bool {
-	return len(l.list.Running()) > 0 || len(l.starts) > 0 || l.hasUnacknowledged() || l.hasUnlistedSettled()
+	return len(l.list.Running()) > 0 || len(l.starts) > 0 || len(l.list.Finished()) > 0 || l.hasUnlistedSettled()
 }
 
 // hasUnlistedSettled reports whether a call was answered after the latest list was requested.
@@ -245,6 +247,17 @@
 	return n > 0 && l.list.Finished()[n-1].Number() > l.renewal.Acknowledged()
 }
 
+// acknowledgement returns the number of the last end that the worker is to drop, or 0 if its latest list shows none to
+// drop. Each incarnation numbers its ends from 1 and calls reach a new one with the same ID before it is announced, so a
+// number that has served its purpose is not sent again: the new incarnation would drop its own ends before they are
+// reported.
+func (l *loop) acknowledgement() int64 {
+	if n := l.list.Finished(); len(n) == 0 || n[0].Number() > l.renewal.Acknowledged() {
+		return 0
+	}
+	return l.renewal.Acknowledged()
+}
+
 // poll starts a list call if one is due. The call does not wait at the worker while ends are not acknowledged.
 func (l *loop) poll(ctx context.Context, now time.Time) {
 	if l.listNow && l.listing && l.cancelList != nil {
@@ -260,14 +273,14 @@
 		wait = 0
 	}
 	l.listNow = false
-	renewal, fencingToken := l.renewal, l.fencingToken
+	renewal, fencingToken, acknowledgement := l.renewal, l.fencingToken, l.acknowledgement()
 	ctx, l.cancelList = context.WithTimeout(ctx, callTimeout+wait)
 	cancel := l.cancelList
 	go func() {
 		defer cancel()
-		list, err := l.worker.List(ctx, renewal.Incarnation(), fencingToken, renewal.Lease(), renewal.Acknowledged(), wait)
+		list, err := l.worker.List(ctx, renewal.Incarnation(), fencingToken, renewal.Lease(), acknowledgement, wait)
 		l.enqueue(context.WithoutCancel(ctx), listedInput{
-			incarnation: renewal.Incarnation(), list: list, requestedAt: now, err: err,
+			incarnation: renewal.Incarnation(), list: list, requestedAt: now, acknowledged: acknowledgement, err: err,
 		})
 	}()
 }
@@ -312,7 +325,7 @@
 	l.list = list
 	l.watch.recordAnswer()
 	l.watch.forgetEnded(list)
-	if l.hasUnacknowledged() {
+	if n := l.acknowledgement(); l.hasUnacknowledged() || n > 0 && n == in.acknowledged {
 		l.nextList = now.Add(unacknowledgedListDelay)
 	} else {
 		l.nextList = now
--- a/internal/runner/loop_test.go
+++ b/internal/runner/loop_test.go
@@ -147,3 +147,74 @@
 	wait, due = l.nextPoll(epoch)
 	assert.False(t, due && wait > 0)
 }
+
+// acknowledgedBy returns the number that the next list call acknowledges, and whether such a call is due.
+func acknowledgedBy(t *testing.T, l *loop, w *recordingWorker) (number int64, due bool) {
+	t.Helper()
+	if wait, due := l.nextPoll(epoch); !due || wait > 0 {
+		return 0, false
+	}
+	l.poll(t.Context(), epoch)
+	number = <-w.acknowledged
+	l.handle(t.Context(), epoch, (<-l.inputs).(listedInput))
+	return number, true
+}
+
+// recordingWorker answers each list call with the prepared list and passes on the number that the call acknowledges.
+type recordingWorker struct {
+	silentWorker
+	list         run.List
+	acknowledged chan int64
+}
+
+func (w *recordingWorker) List(
+	_ context.Context, _ batch.Incarnation, _ uint64, _ time.Duration, acknowledged int64, _ time.Duration,
+) (run.List, error) {
+	w.acknowledged <- acknowledged
+	return w.list, nil
+}
+
+// Guards against ends of a new incarnation with the same ID that are acknowledged before they are reported, by the
+// number of an end of the earlier incarnation, and against an acknowledgement that an idle worker never gets.
+func TestAcknowledgement(t *testing.T) {
+	ended := run.NewFinished(3, batch.NewEnd(task.Task(), 1, batch.Done, ""))
+	newListed := func(t *testing.T) (*loop, *recordingWorker) {
+		w := &recordingWorker{acknowledged: make(chan int64, 1)}
+		l := newTestLoop(first)
+		l.worker = w
+		l.handle(t.Context(), epoch, renewal(first, 1, 0))
+		l.handle(t.Context(), epoch, listedInput{
+			incarnation: first, requestedAt: epoch, list: run.NewList(first, 1, time.Second, nil, []run.Finished{ended}, nil),
+		})
+		return l, w
+	}
+	assertAcknowledges := func(t *testing.T, l *loop, w *recordingWorker, want int64) {
+		t.Helper()
+		number, due := acknowledgedBy(t, l, w)
+		assert.True(t, due)
+		assert.Equal(t, want, number)
+	}
+	t.Run("sent to an idle worker", func(t *testing.T) {
+		l, w := newListed(t)
+		l.handle(t.Context(), epoch, renewal(first, 1, 3))
+		assertAcknowledges(t, l, w, 3)
+	})
+	t.Run("repeated until the worker has dropped the end", func(t *testing.T) {
+		l, w := newListed(t)
+		l.handle(t.Context(), epoch, renewal(first, 1, 3))
+		w.list = run.NewList(first, 1, time.Second, nil, []run.Finished{ended}, nil)
+		assertAcknowledges(t, l, w, 3)
+		wait, due := l.nextPoll(epoch)
+		assert.True(t, due)
+		assert.Equal(t, unacknowledgedListDelay, wait)
+		l.nextList = epoch
+		assertAcknowledges(t, l, w, 3)
+	})
+	t.Run("not repeated after that", func(t *testing.T) {
+		l, w := newListed(t)
+		l.handle(t.Context(), epoch, renewal(first, 1, 3))
+		w.list = run.NewList(first, 1, time.Second, []run.Running{run.NewRunning(task, "", 0, 0)}, nil, nil)
+		assertAcknowledges(t, l, w, 3)
+		assertAcknowledges(t, l, w, 0)
+	})
+}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -73,10 +73,11 @@
 }
 
 type listedInput struct {
-	incarnation batch.Incarnation
-	list        run.List
-	requestedAt time.Time
-	err         error
+	incarnation  batch.Incarnation
+	list         run.List
+	requestedAt  time.Time
+	acknowledged int64 // the number that the call acknowledged
+	err          error
 }
 
 type sessionInput struct{}
