dispatch: an end that a restarted worker lists counts for a run of its earlier incarnation

Cause: a worker that crashes may be back under its ID, and takes calls for its earlier incarnation until its first heartbeat. runEndElsewhere gave a run that was placed on the earlier incarnation up without looking for its end in the list of the new one, and acknowledge let the worker drop that end.

Ruled out: a repeated start by the agent (the second start has a run number of its own); an end that the leader had not seen (it acknowledges it in the same step).

Change: an end that the new incarnation lists is recorded, whatever its outcome, and an end is acknowledged only once its run is no longer placed on that host. The simulation's agent now learns of a restart by the announcement, as the real one does, runs may take 0.2 s, and no task may start after its end was acknowledged, unless the lease has ended in between.

--- a/internal/dispatch/fuzz_test.go
+++ b/internal/dispatch/fuzz_test.go
@@ -51,6 +51,7 @@
 	workers      []*worker
 	starts       map[run.ID]int
 	ended        map[batch.TaskID]bool            // the tasks in phase Ended, whatever their outcome
+	noted        map[batch.TaskID]bool            // the tasks of which an end Done was acknowledged to the worker
 	saved        map[batch.TaskID]map[string]bool // the checkpoints made by the runs of a task or gang
 	committed    map[batch.TaskID]bool            // whether a checkpoint of the task or gang was committed
 }
@@ -65,7 +66,7 @@
 	s := &simulation{
 		t: t, now: epoch, runDuration: 2 * time.Second, callDelay: 3 * time.Second,
 		decoder: &stubDecoder{declaration: d, byJob: map[string]batch.Spec{}},
-		starts:  map[run.ID]int{}, ended: map[batch.TaskID]bool{},
+		starts:  map[run.ID]int{}, ended: map[batch.TaskID]bool{}, noted: map[batch.TaskID]bool{},
 		saved: map[batch.TaskID]map[string]bool{}, committed: map[batch.TaskID]bool{},
 	}
 	s.state, _ = batch.NewState(s.decoder).Apply(batch.NewDeclare(nil))
@@ -226,6 +227,14 @@
 	}
 }
 
+// acknowledged records that the end of a run was acknowledged to the worker. The end of a run whose lease has ended
+// since does not count, since the run may have been given up by then.
+func (s *simulation) acknowledged(e batch.End, lapsed bool) {
+	if e.Outcome() == batch.Done && !lapsed {
+		s.noted[e.Task()] = true
+	}
+}
+
 // checkStart records a start and checks that it is permitted; committed reports whether a checkpoint of the run was
 // committed when the start was ordered.
 func (s *simulation) checkStart(w *worker, o run.Start, committed bool) {
@@ -235,6 +244,7 @@
 	require.False(s.t, o.Checkpoint() == "" && committed, "%s restarts without its committed checkpoint", id.Task())
 	require.Equal(s.t, 1, s.starts[id], "run %d of %s started again", id.Run(), id.Task())
 	require.False(s.t, s.ended[id.Task()], "%s started after it was done", id.Task())
+	require.False(s.t, s.noted[id.Task()], "%s started after its end was acknowledged", id.Task())
 	for _, other := range s.workers {
 		for running := range other.running {
 			require.False(s.t, other != w && running.Task() == id.Task(), "%s runs on %s and %s", id.Task(), other.name, w.name)
@@ -305,6 +315,8 @@
 	steps := fuzzing.NewCounter(t)
 	rapid.Check(t, func(t *rapid.T) {
 		s := newSimulation(t)
+		// A short run can end on a new incarnation of its worker before that incarnation is announced.
+		s.runDuration = rapid.SampledFrom([]time.Duration{2 * time.Second, 200 * time.Millisecond}).Draw(t, "run duration")
 		s.advance(2 * time.Second)
 		// rapid sorts the actions by name, so another name changes what a seed does.
 		t.Repeat(steps.CountActions(map[string]func(*rapid.T){
--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -32,7 +32,8 @@
 	}
 }
 
-// acknowledge returns the number up to which all listed ends are committed.
+// acknowledge returns the number up to which all listed ends are committed. An end is listed by the worker's current
+// incarnation even if its run was placed on an earlier one of the same ID.
 func (c *Core) acknowledge(h *host, s batch.State) int64 {
 	ack := h.acknowledged
 	for _, f := range h.list.Finished() {
@@ -41,7 +42,7 @@
 		}
 		if j, known := s.Job(f.End().Task().Job()); known {
 			t, _ := j.Task(f.End().Task())
-			if t.Phase() == batch.Placed && t.Run() == f.End().Run() && t.Worker() == h.list.Incarnation() {
+			if t.Phase() == batch.Placed && t.Run() == f.End().Run() && t.Worker().Host() == h.agent {
 				return ack
 			}
 		}
--- a/internal/dispatch/resolve.go
+++ b/internal/dispatch/resolve.go
@@ -20,7 +20,7 @@
 				return
 			}
 			if e, ended := c.runEnd(now, id, t, hosts, a); ended {
-				c.recordEnd(now, e, hosts[t.Worker()], a)
+				c.recordEnd(now, e, c.hosts[t.Worker().Host()], a)
 				return
 			}
 			reason := stopReason(j, id)
@@ -105,7 +105,11 @@
 	if h.announcement.Incarnation().ID() != t.Worker().ID() {
 		return lost("another worker runs on its host", h)
 	}
-	// A late start of the run could reach the new incarnation with the same ID, so the run is stopped there first.
+	// The start can have reached the new incarnation, which has the same ID, before that incarnation announced itself.
+	if f, ok := h.listedEnd(id); ok && h.listed {
+		return f.End(), true
+	}
+	// A late start of the run could still reach it, so the run is stopped there first.
 	if h.connected && h.hasCurrentList(c.fencingToken) && h.listsSettled(id) && !h.listsRunning(id) {
 		return lost("the worker has a new incarnation", h)
 	}
--- a/internal/dispatch/worker_test.go
+++ b/internal/dispatch/worker_test.go
@@ -27,10 +27,12 @@
 	running      map[run.ID]time.Time // completion time of the work of each run
 	finished     []run.Finished
 	number       int64
+	lapsed       int64 // the ends up to this number were listed before the lease ended
 	stoppedRuns  map[batch.TaskID]int
 	begun        map[run.ID]time.Time // when each run in progress began
 
 	// State of the agent.
+	known       batch.Incarnation // the one announced last; calls reach a later one with the same ID
 	session     uint64
 	connected   bool
 	leaderToken uint64
@@ -53,7 +55,7 @@
 }
 
 func newWorker(sim *simulation, name string, rate float64) *worker {
-	w := &worker{sim: sim, name: name, rate: rate}
+	w := &worker{sim: sim, name: name, rate: rate, settled: map[run.ID]time.Time{}}
 	w.restart("w-" + name)
 	return w
 }
@@ -63,9 +65,8 @@
 	w.sim.incarnations++
 	w.incarnation = batch.NewIncarnation(w.name, id, w.sim.incarnations)
 	w.startedAt, w.dead, w.draining, w.sequence = w.sim.now, false, false, 0
-	w.fencingToken, w.leaseEnd, w.running, w.finished, w.number = 0, 0, map[run.ID]time.Time{}, nil, 0
+	w.fencingToken, w.leaseEnd, w.running, w.finished, w.number, w.lapsed = 0, 0, map[run.ID]time.Time{}, nil, 0, 0
 	w.stoppedRuns, w.begun = map[batch.TaskID]int{}, map[run.ID]time.Time{}
-	w.hasRenewal, w.settled = false, map[run.ID]time.Time{}
 }
 
 // clock returns the time on the worker's clock.
@@ -114,7 +115,8 @@
 
 // expire ends runs whose lease has ended or whose work is complete.
 func (w *worker) expire() {
-	if len(w.running) > 0 && w.clock() > w.leaseEnd {
+	if w.clock() > w.leaseEnd {
+		w.lapsed = w.number
 		for id := range w.running {
 			w.end(id, batch.Lapsed)
 		}
@@ -182,7 +184,7 @@
 
 // answered passes the worker's answer to the agent if the answer is not lost and the incarnation is the same.
 func (w *worker) answered(c call, refusal string) {
-	if !c.answered || c.incarnation != w.incarnation {
+	if !c.answered || c.incarnation != w.known {
 		return
 	}
 	id := c.stop
@@ -204,13 +206,13 @@
 		return
 	}
 	w.leaderToken = e.FencingToken()
-	c := call{at: w.sim.now, incarnation: w.incarnation, fencingToken: e.FencingToken(), answered: !w.late}
+	c := call{at: w.sim.now, incarnation: w.known, fencingToken: e.FencingToken(), answered: !w.late}
 	if w.late {
 		c.at = w.sim.now.Add(w.sim.callDelay)
 	}
 	switch o := e.Order().(type) {
 	case run.Start:
-		if o.Incarnation() != w.incarnation || w.draining {
+		if o.Incarnation() != w.known || w.draining {
 			w.settled[o.ID()] = w.sim.now
 			w.send(run.NewReport(w.name).WithRefused([]run.Refusal{run.NewRefusal(o.ID(), "another incarnation")}))
 			return
@@ -223,7 +225,7 @@
 		w.calls = append(w.calls, c)
 	case run.Pace:
 	case run.RenewLease:
-		if o.Incarnation() == w.incarnation {
+		if o.Incarnation() == w.known {
 			w.renewal, w.hasRenewal = o, true
 		}
 	}
@@ -235,6 +237,9 @@
 		return
 	}
 	w.sequence++
+	if w.known != w.incarnation {
+		w.known, w.hasRenewal, w.settled = w.incarnation, false, map[run.ID]time.Time{}
+	}
 	a := run.NewAnnouncement(w.incarnation, "s", "z", w.sequence).WithRack("r", []string{"a", "r"}).
 		WithCapacity(batch.NewResources(8000, 8000, capacity)).WithClock(w.clock())
 	if w.draining {
@@ -245,18 +250,23 @@
 
 // list passes the leader's latest lease renewal to the worker and reports the worker's list.
 func (w *worker) list() {
-	if !w.hasRenewal || w.late || w.leaderToken < w.fencingToken {
+	if !w.hasRenewal || w.late || w.leaderToken < w.fencingToken || w.known.ID() != w.incarnation.ID() {
 		return
 	}
 	w.fencingToken = w.leaderToken
 	if w.renewal.Lease() > 0 {
 		w.leaseEnd = max(w.leaseEnd, min(w.renewal.Lease(), w.clock()+maxLease))
 	}
+	if w.known != w.incarnation {
+		return
+	}
 	var finished []run.Finished
 	for _, f := range w.finished {
 		if f.Number() > w.renewal.Acknowledged() {
 			finished = append(finished, f)
+			continue
 		}
+		w.sim.acknowledged(f.End(), f.Number() <= w.lapsed)
 	}
 	w.finished = finished
 	var running []run.Running
