batch: a job holds only the occurrences that are under way

Cause: newJob allocated all tasks of all occurrences when the record of the job was applied, and nothing bounded their number.

Ruled out: decoding of the record; the panic is in newJob.

The planner adds the next ones that are due.

Evidence: on the code before, submitting such a job to the state panics with 'makeslice: len out of range', and placing a group for a missing occurrence with 'index out of range'.

--- a/internal/batch/crash.go
+++ b/internal/batch/crash.go
@@ -148,6 +148,13 @@
 	return known && j.Active() && c.run <= t.run && c.run > j.Crashes(c.task).run
 }
 
+// withoutOccurrence returns the records without those of an occurrence.
+func withoutOccurrence(records map[TaskID]CrashRecord, occurrence int) map[TaskID]CrashRecord {
+	kept := maps.Clone(records)
+	maps.DeleteFunc(kept, func(id TaskID, _ CrashRecord) bool { return id.occurrence == occurrence })
+	return kept
+}
+
 // recordCrash counts a crash. A task that has come further than at the crash before makes progress in spite of the
 // crashes, so its count begins again; a long-running task that was at work has shown that its start is harmless.
 func (j *Job) recordCrash(c RunCrash, at time.Time) (next *Job, ok bool) {
--- a/internal/batch/fuzz_test.go
+++ b/internal/batch/fuzz_test.go
@@ -61,6 +61,9 @@
 		first := step(rapid.IntRange(1, 3).Draw(t, "tasks"), batch.WithGang(rapid.Bool().Draw(t, "gang"), false))
 		s, err := batch.NewSpec(id, "", first, step(2, batch.WithAfter(0)))
 		require.NoError(t, err)
+		if n := rapid.IntRange(1, 3).Draw(t, "occurrences"); n > 1 {
+			s = s.WithSchedule(n, epoch, time.Second)
+		}
 		m.decoder.specs[id] = s
 	}
 	_, before := m.state.Job(id)
@@ -79,7 +82,8 @@
 	}
 	n := rapid.IntRange(0, 1).Draw(t, "step")
 	index := rapid.IntRange(0, j.Spec().Steps()[n].Count()-1).Draw(t, "task")
-	return batch.NewTaskID(j.Spec().ID(), 0, n, index), j, true
+	occurrence := rapid.IntRange(0, j.Spec().Occurrences()-1).Draw(t, "occurrence")
+	return batch.NewTaskID(j.Spec().ID(), occurrence, n, index), j, true
 }
 
 func (m *model) begin(t *rapid.T) {
@@ -179,15 +183,8 @@
 			m.final[id] = j.State()
 		}
 		all := true
-		for n, s := range j.Spec().Steps() {
-			for i := range s.Count() {
-				task := batch.NewTaskID(id, 0, n, i)
-				progress, _ := j.Task(task)
-				require.False(t, m.done[task] && progress.Phase() != batch.Ended, "%s is no longer done", task)
-				m.done[task] = progress.Phase() == batch.Ended
-				require.Equal(t, m.saved[m.sharedTask(j, task)], j.Checkpoint(task), "checkpoint of %s", task)
-				all = all && m.done[task]
-			}
+		for k := range j.Spec().Occurrences() {
+			all = m.checkOccurrence(t, j, k) && all
 		}
 		if j.State() == batch.Completed {
 			require.True(t, all, "job %s is completed although a task is not done", id)
@@ -195,6 +192,29 @@
 	}
 }
 
+// checkOccurrence compares the tasks of an occurrence with the expected values and reports whether all are done.
+func (m *model) checkOccurrence(t *rapid.T, j *batch.Job, occurrence int) (done bool) {
+	done = true
+	var tasks []batch.TaskID
+	for n, s := range j.Spec().Steps() {
+		for i := range s.Count() {
+			task := batch.NewTaskID(j.Spec().ID(), occurrence, n, i)
+			progress, _ := j.Task(task)
+			require.False(t, m.done[task] && progress.Phase() != batch.Ended, "%s is no longer done", task)
+			m.done[task] = progress.Phase() == batch.Ended
+			tasks, done = append(tasks, task), done && m.done[task]
+		}
+	}
+	for _, task := range tasks {
+		if done && j.Spec().Occurrences() > 1 {
+			// A job with a schedule forgets the checkpoints of an occurrence that is done.
+			delete(m.saved, task)
+		}
+		require.Equal(t, m.saved[m.sharedTask(j, task)], j.Checkpoint(task), "checkpoint of %s", task)
+	}
+	return done
+}
+
 // TestStateFuzz guards against an older declaration that replaces a newer one, a job that leaves its final state, a
 // task that is placed after it was done or under a used run number, a checkpoint that is replaced by that of another
 // run, an end or a crash that is recorded for another run, and a job that is given up before three workers crashed.
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -27,20 +27,16 @@
 	result    JobState // empty until the job ends
 	ended     time.Time
 	started   bool
-	tasks     [][][]Task             // by occurrence, step and index
+	next      int                    // the first occurrence of which no task has been placed
+	open      []occurrence           // those before next that are not done, by ascending number
+	fresh     occurrence             // the progress of each occurrence from next on
 	crashes   map[TaskID]CrashRecord // of the tasks under which a worker crashed; of a gang under its first task
 }
 
 func newJob(spec Spec, document []byte, queue Queue, workspace string, accepted time.Time) *Job {
-	j := &Job{spec: spec, document: document, queue: queue, workspace: workspace, accepted: accepted}
-	j.tasks = make([][][]Task, spec.occurrences)
-	for k := range j.tasks {
-		j.tasks[k] = make([][]Task, len(spec.steps))
-		for i, s := range spec.steps {
-			j.tasks[k][i] = slices.Repeat([]Task{{phase: Waiting}}, s.count)
-		}
+	return &Job{
+		spec: spec, document: document, queue: queue, workspace: workspace, accepted: accepted, fresh: newOccurrence(spec.steps),
 	}
-	return j
 }
 
 // Spec returns the parsed specification.
@@ -81,69 +77,48 @@
 
 // Task returns the progress of a task and reports whether the job has that task.
 func (j *Job) Task(id TaskID) (t Task, ok bool) {
-	if id.occurrence >= len(j.tasks) || id.step >= len(j.spec.steps) || id.index >= j.spec.steps[id.step].count {
+	if id.occurrence >= j.spec.occurrences || id.step >= len(j.spec.steps) || id.index >= j.spec.steps[id.step].count {
 		return Task{}, false
 	}
-	return j.tasks[id.occurrence][id.step][id.index], true
+	return j.occurrence(id.occurrence).tasks[id.step][id.index], true
 }
 
 // Tasks returns the tasks of a step in an occurrence, which the caller must not modify.
-func (j *Job) Tasks(occurrence, step int) []Task { return j.tasks[occurrence][step] }
+func (j *Job) Tasks(occurrence, step int) []Task { return j.occurrence(occurrence).tasks[step] }
 
 // Ready reports whether all steps that the given step depends on are done in that occurrence.
 func (j *Job) Ready(occurrence, step int) bool {
-	for _, a := range j.spec.steps[step].after {
-		if !j.stepDone(occurrence, a) {
-			return false
-		}
-	}
-	return true
+	o := j.occurrence(occurrence)
+	return !slices.ContainsFunc(j.spec.steps[step].after, func(earlier int) bool { return o.unfinished[earlier] > 0 })
 }
 
 // Checkpoint returns the checkpoint from which the next run of a task resumes; the tasks of a gang share one.
 func (j *Job) Checkpoint(id TaskID) string {
-	return j.sharedTask(id).checkpoint
-}
-
-func (j *Job) stepDone(occurrence, step int) bool {
-	return !slices.ContainsFunc(j.tasks[occurrence][step], func(t Task) bool { return t.phase != Ended })
+	return j.Tasks(id.occurrence, id.step)[j.sharedID(id).index].checkpoint
 }
 
 // HasPlaced reports whether any task has a placed run.
-func (j *Job) HasPlaced() bool { return j.hasPhase(Placed) }
+func (j *Job) HasPlaced() bool { return j.hasOpen(Placed) }
 
 // HasWaiting reports whether the job is active and a task waits for placement, even if its step is not ready.
-func (j *Job) HasWaiting() bool { return j.Active() && j.hasPhase(Waiting) }
-
-func (j *Job) hasPhase(p Phase) bool {
-	for _, steps := range j.tasks {
-		for _, tasks := range steps {
-			if slices.ContainsFunc(tasks, func(t Task) bool { return t.phase == p }) {
-				return true
-			}
-		}
-	}
-	return false
+func (j *Job) HasWaiting() bool {
+	return j.Active() && (j.next < j.spec.occurrences || j.hasOpen(Waiting))
+}
+
+func (j *Job) hasOpen(p Phase) bool {
+	return slices.ContainsFunc(j.open, func(o occurrence) bool { return o.has(p) })
 }
 
 func (j *Job) allDone() bool {
-	for k := range j.tasks {
-		for i := range j.tasks[k] {
-			if !j.stepDone(k, i) {
-				return false
-			}
-		}
-	}
-	return true
+	return j.next == j.spec.occurrences && !slices.ContainsFunc(j.open, func(o occurrence) bool { return !o.done() })
 }
 
-// withStepCopy returns a copy of the job in which the tasks of one step may be modified.
-func (j *Job) withStepCopy(occurrence, step int) *Job {
-	next := *j
-	next.tasks = slices.Clone(j.tasks)
-	next.tasks[occurrence] = slices.Clone(j.tasks[occurrence])
-	next.tasks[occurrence][step] = slices.Clone(j.tasks[occurrence][step])
-	return &next
+// withStepCopy returns a copy of the job in which the tasks of one step of an occurrence may be modified, and that
+// occurrence's position.
+func (j *Job) withStepCopy(occurrence, step int) (next *Job, position int) {
+	next, position = j.withOpen(occurrence)
+	next.open[position] = next.open[position].withStepCopy(step)
+	return next, position
 }
 
 func (j *Job) finish(result JobState, at time.Time) *Job {
@@ -154,13 +129,16 @@
 
 // place places all runs of a group, or none if a task does not wait or a run number is not new.
 func (j *Job) place(g Group, at time.Time) (next *Job, ok bool) {
-	if !j.Active() {
+	if !j.Active() || !j.mayOpen(g.occurrence) || g.step >= len(j.spec.steps) {
 		return j, false
 	}
-	next = j.withStepCopy(g.occurrence, g.step)
+	next, position := j.withStepCopy(g.occurrence, g.step)
 	next.started = true
-	tasks := next.tasks[g.occurrence][g.step]
+	tasks := next.open[position].tasks[g.step]
 	for _, m := range g.members {
+		if m.index >= len(tasks) {
+			return j, false
+		}
 		t := &tasks[m.index]
 		if t.phase != Waiting || m.run <= t.run {
 			return j, false
@@ -176,16 +154,11 @@
 	if !known || !j.Active() || t.phase != Placed || t.run != c.run || c.checkpoint == "" {
 		return j, false
 	}
-	next = j.withStepCopy(c.task.occurrence, c.task.step)
-	next.sharedTask(c.task).checkpoint = c.checkpoint
+	next, position := j.withStepCopy(c.task.occurrence, c.task.step)
+	next.open[position].tasks[c.task.step][j.sharedID(c.task).index].checkpoint = c.checkpoint
 	return next, true
 }
 
-// sharedTask returns the task that holds the checkpoint and failure count of a task.
-func (j *Job) sharedTask(id TaskID) *Task {
-	return &j.tasks[id.occurrence][id.step][j.sharedID(id).index]
-}
-
 // sharedID returns the id of the task that holds what the tasks of a gang share: the first of a gang, else the task
 // itself.
 func (j *Job) sharedID(id TaskID) TaskID {
@@ -201,11 +174,10 @@
 	if !known || t.phase != Placed || t.run != e.run {
 		return j, false
 	}
-	next = j.withStepCopy(e.task.occurrence, e.task.step)
+	next, position := j.withStepCopy(e.task.occurrence, e.task.step)
 	step := j.spec.steps[e.task.step]
-	tasks := next.tasks[e.task.occurrence][e.task.step]
-	ended := &tasks[e.task.index]
-	shared := next.sharedTask(e.task)
+	tasks := next.open[position].tasks[e.task.step]
+	ended, shared := &tasks[e.task.index], &tasks[j.sharedID(e.task).index]
 	if e.checkpoint != "" {
 		shared.checkpoint = e.checkpoint
 	}
@@ -226,6 +198,8 @@
 		}
 	case Stopped, Lapsed, Broken, Alone, Lost:
 	}
+	next.open[position].unfinished[e.task.step] = countUnfinished(tasks)
+	next.closeDone(position)
 	if next.Active() && next.allDone() {
 		next = next.finish(Completed, at)
 	}
--- a/internal/batch/state.go
+++ b/internal/batch/state.go
@@ -223,21 +223,35 @@
 	result  JobState
 	ended   time.Time
 	started bool
+	numbers []int
 	tasks   [][][]Task
+	next    int
 	crashes map[TaskID]CrashRecord
 }
 
 // SnapshotJob returns the form of a job to store in a snapshot.
 func SnapshotJob(j *Job) JobSnapshot {
-	return JobSnapshot{
+	r := JobSnapshot{
 		submit: NewSubmit(j.spec.id, j.queue.name, j.workspace, j.document, j.accepted),
-		queue:  j.queue, result: j.result, ended: j.ended, started: j.started, tasks: j.tasks, crashes: j.crashes,
+		queue:  j.queue, result: j.result, ended: j.ended, started: j.started, next: j.next, crashes: j.crashes,
 	}
+	for _, o := range j.open {
+		r.numbers = append(r.numbers, o.number)
+		r.tasks = append(r.tasks, o.tasks)
+	}
+	return r
+}
+
+// NewJobSnapshot returns a job as decoded from a snapshot, without the progress of its tasks.
+func NewJobSnapshot(c Submit, q Queue, result JobState, ended time.Time, started bool) JobSnapshot {
+	return JobSnapshot{submit: c, queue: q, result: result, ended: ended, started: started}
 }
 
-// NewJobSnapshot returns a job as decoded from a snapshot.
-func NewJobSnapshot(c Submit, q Queue, result JobState, ended time.Time, started bool, tasks [][][]Task) JobSnapshot {
-	return JobSnapshot{submit: c, queue: q, result: result, ended: ended, started: started, tasks: tasks}
+// WithTasks returns a copy with the tasks of occurrences of the given ascending numbers. All other occurrences before
+// next are done, and those from next on have not begun.
+func (r JobSnapshot) WithTasks(numbers []int, tasks [][][]Task, next int) JobSnapshot {
+	r.numbers, r.tasks, r.next = numbers, tasks, next
+	return r
 }
 
 // WithCrashes returns a copy with the records of the tasks under which workers crashed.
@@ -264,9 +278,15 @@
 // Started reports whether any task has been placed.
 func (r JobSnapshot) Started() bool { return r.started }
 
-// Tasks returns the progress of the tasks by occurrence, step and index.
+// Tasks returns the progress of the tasks by occurrence, step and index; Numbers has the numbers of the occurrences.
 func (r JobSnapshot) Tasks() [][][]Task { return r.tasks }
 
+// Numbers returns the numbers of the occurrences in Tasks, in ascending order.
+func (r JobSnapshot) Numbers() []int { return r.numbers }
+
+// Next returns the number of the first occurrence of which no task has been placed.
+func (r JobSnapshot) Next() int { return r.next }
+
 // RestoreState returns the state of a snapshot without its waves; it fails on a document that d cannot parse.
 func RestoreState(d Decoder, document []byte, jobs []JobSnapshot) (s State, err error) {
 	defer func() {
@@ -286,10 +306,10 @@
 		if err != nil {
 			return s, err
 		}
-		s.jobs = s.jobs.With(spec.id, &Job{
-			spec: spec, document: r.submit.document, queue: r.queue, workspace: r.submit.workspace,
-			accepted: r.submit.at, result: r.result, ended: r.ended, started: r.started, tasks: r.tasks, crashes: r.crashes,
-		})
+		j := newJob(spec, r.submit.document, r.queue, r.submit.workspace, r.submit.at)
+		j.result, j.ended, j.started, j.crashes = r.result, r.ended, r.started, r.crashes
+		j.restoreOccurrences(r.numbers, r.tasks, r.next)
+		s.jobs = s.jobs.With(spec.id, j)
 	}
 	return s, nil
 }
--- a/internal/batch/step.go
+++ b/internal/batch/step.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"slices"
 	"time"
 )
@@ -140,8 +141,12 @@
 	interval    time.Duration
 }
 
-// NewSpec returns the specification of a job that runs once; it fails without a step, on a step without tasks and on a
-// step that depends on one that is not an earlier step.
+// maxTasks bounds the tasks of all steps of a job together, which take about 120 B each in every control host. The whole
+// fleet that the scheduler is designed for runs fewer.
+const maxTasks = 50_000
+
+// NewSpec returns the specification of a job that runs once; it fails without a step, on a step without tasks, on more
+// than maxTasks tasks and on a step that depends on one that is not an earlier step.
 func NewSpec(id, payload string, steps ...Step) (s Spec, err error) {
 	defer func() {
 		if err != nil {
@@ -151,10 +156,14 @@
 	if len(steps) == 0 {
 		return s, errors.New("a job needs a step")
 	}
+	remaining := maxTasks
 	for i, st := range steps {
 		if st.count < 1 {
 			return s, fmt.Errorf("step %d has %d tasks", i, st.count)
 		}
+		if remaining -= min(st.count, remaining+1); remaining < 0 {
+			return s, fmt.Errorf("more than %d tasks in all steps up to %d", maxTasks, i)
+		}
 		for _, a := range st.after {
 			if a < 0 || a >= i {
 				return s, fmt.Errorf("step %d depends on step %d, which is not an earlier one", i, a)
@@ -164,7 +173,8 @@
 	return Spec{id: id, payload: payload, steps: steps, occurrences: 1}, nil
 }
 
-// WithSchedule returns a copy that runs a number of times, the first time at first and then once each interval.
+// WithSchedule returns a copy that runs a number of times, the first time at first and then once each interval, which is
+// not negative.
 func (s Spec) WithSchedule(occurrences int, first time.Time, interval time.Duration) Spec {
 	s.occurrences, s.first, s.interval = occurrences, first, interval
 	return s
@@ -190,6 +200,9 @@
 	if s.first.IsZero() {
 		return time.Time{}
 	}
+	if s.interval > 0 && time.Duration(occurrence) > math.MaxInt64/s.interval {
+		return s.first.Add(math.MaxInt64)
+	}
 	return s.first.Add(time.Duration(occurrence) * s.interval)
 }
 
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -289,7 +289,7 @@
 
 // eachPlaced calls f for each placed run of a job.
 func eachPlaced(j *batch.Job, f func(run.ID, batch.Task)) {
-	for k := range j.Spec().Occurrences() {
+	for k := range j.Open() {
 		for i := range j.Spec().Steps() {
 			for n, t := range j.Tasks(k, i) {
 				if t.Phase() == batch.Placed {
--- a/internal/placement/setup_test.go
+++ b/internal/placement/setup_test.go
@@ -125,7 +125,7 @@
 	f.t.Helper()
 	used := map[batch.Incarnation]batch.Resources{}
 	for _, j := range f.state.Jobs().All() {
-		for k := range j.Spec().Occurrences() {
+		for k := range j.Open() {
 			for i, s := range j.Spec().Steps() {
 				placed := 0
 				for _, t := range j.Tasks(k, i) {
--- a/internal/placement/unit.go
+++ b/internal/placement/unit.go
@@ -34,12 +34,9 @@
 	q := p.view.state.CurrentQueue(j)
 	spec, now := j.Spec(), p.view.now
 	objective := p.objective(j)
-	for k := range spec.Occurrences() {
+	for k := range j.Due(now) {
 		begin := j.Accepted()
 		if due := spec.Due(k); !due.IsZero() {
-			if now.Before(due) {
-				continue
-			}
 			begin = due
 		}
 		for i, s := range spec.Steps() {
--- a/internal/placement/view.go
+++ b/internal/placement/view.go
@@ -113,7 +113,7 @@
 // addRuns adds the placed runs of a job to the states of their workers. It skips runs on workers outside the view.
 func (v View) addRuns(j *batch.Job, byIncarnation map[batch.Incarnation]*workerState, guaranteed bool) {
 	steps := j.Spec().Steps()
-	for k := range j.Spec().Occurrences() {
+	for k := range j.Open() {
 		for i, s := range steps {
 			for n, t := range j.Tasks(k, i) {
 				if t.Phase() != batch.Placed {
--- a/internal/wire/batch.go
+++ b/internal/wire/batch.go
@@ -294,6 +294,9 @@
 	Started bool                `cbor:"5,keyasint,omitempty"`
 	Tasks   [][][]batchTaskForm `cbor:"6,keyasint"`
 	Crashes []crashRecordForm   `cbor:"7,keyasint,omitempty"`
+	Numbers []int               `cbor:"8,keyasint,omitempty"`  // of the occurrences in Tasks
+	Next    int                 `cbor:"9,keyasint,omitempty"`  // the first occurrence that has not begun
+	Sparse  bool                `cbor:"10,keyasint,omitempty"` // whether Numbers and Next are set; false in older snapshots
 }
 
 type queueForm struct {
@@ -334,13 +337,8 @@
 				Name: q.Name(), Service: q.Service(), Priority: q.Priority(), Attempts: q.Attempts(),
 				Slowdown: q.Slowdown(), TargetLatency: int64(q.TargetLatency()), Public: q.Public(),
 			},
-			Crashes: newCrashRecordForms(r.Crashes()),
-			Tasks: convertTasks(r.Tasks(), func(t batch.Task) batchTaskForm {
-				return batchTaskForm{
-					Phase: string(t.Phase()), Run: t.Run(), Worker: newIncarnationForm(t.Worker()), PhaseSince: toNanos(t.PhaseSince()),
-					Failures: t.Failures(), FailedRun: t.FailedRun(), Checkpoint: t.Checkpoint(),
-				}
-			}),
+			Crashes: newCrashRecordForms(r.Crashes()), Numbers: r.Numbers(), Next: r.Next(), Sparse: true,
+			Tasks: convertTasks(r.Tasks(), newBatchTaskForm),
 		})
 	}
 	return cbor.Marshal(f)
@@ -357,10 +355,12 @@
 	for i, j := range f.Jobs {
 		q := batch.NewQueue(j.Queue.Name, "", "", j.Queue.Service).WithPolicy(j.Queue.Priority, j.Queue.Attempts).
 			WithObjective(j.Queue.Slowdown, time.Duration(j.Queue.TargetLatency), 0).WithPublic(j.Queue.Public)
-		jobs[i] = batch.NewJobSnapshot(j.Submit.submit(), q, batch.JobState(j.Result), fromNanos(j.Ended), j.Started,
-			convertTasks(j.Tasks, func(t batchTaskForm) batch.Task {
-				return batch.RestoreTask(batch.Phase(t.Phase), t.Run, t.Worker.incarnation(), fromNanos(t.PhaseSince), t.Failures, t.FailedRun, t.Checkpoint)
-			})).WithCrashes(crashRecords(j.Crashes))
+		numbers, next := j.occurrences()
+		if len(numbers) != len(j.Tasks) {
+			return s, fmt.Errorf("job %s has %d numbers for the tasks of %d occurrences", j.Submit.ID, len(numbers), len(j.Tasks))
+		}
+		jobs[i] = batch.NewJobSnapshot(j.Submit.submit(), q, batch.JobState(j.Result), fromNanos(j.Ended), j.Started).
+			WithTasks(numbers, convertTasks(j.Tasks, batchTaskForm.task), next).WithCrashes(crashRecords(j.Crashes))
 	}
 	if s, err = batch.RestoreState(d, f.Document, jobs); err != nil {
 		return s, err
@@ -372,6 +372,31 @@
 	return s.WithWaves(waves), nil
 }
 
+// occurrences returns the numbers of the occurrences in Tasks and that of the first one that has not begun. Older
+// snapshots list the tasks of all occurrences and no numbers.
+func (f batchJobForm) occurrences() (numbers []int, next int) {
+	if f.Sparse {
+		return f.Numbers, f.Next
+	}
+	for k := range f.Tasks {
+		numbers = append(numbers, k)
+	}
+	return numbers, len(f.Tasks)
+}
+
+func newBatchTaskForm(t batch.Task) batchTaskForm {
+	return batchTaskForm{
+		Phase: string(t.Phase()), Run: t.Run(), Worker: newIncarnationForm(t.Worker()), PhaseSince: toNanos(t.PhaseSince()),
+		Failures: t.Failures(), FailedRun: t.FailedRun(), Checkpoint: t.Checkpoint(),
+	}
+}
+
+func (f batchTaskForm) task() batch.Task {
+	return batch.RestoreTask(
+		batch.Phase(f.Phase), f.Run, f.Worker.incarnation(), fromNanos(f.PhaseSince), f.Failures, f.FailedRun, f.Checkpoint,
+	)
+}
+
 // convertTasks converts the tasks of a job, which are indexed by occurrence, step and index.
 func convertTasks[A, B any](from [][][]A, convert func(A) B) [][][]B {
 	to := make([][][]B, len(from))
--- /dev/null
+++ b/internal/wire/snapshot_test.go
@@ -0,0 +1,97 @@
+package wire
+
+import (
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"rosemarywind.example/rosemarywind/internal/batch"
+)
+
+// scheduleDecoder decodes each job as one that runs five times, once a second.
+type scheduleDecoder struct{}
+
+var scheduleStart = time.Unix(1_800_000_000, 0)
+
+func (scheduleDecoder) Declaration([]byte) (batch.Declaration, error) {
+	return batch.NewDeclaration(1, []batch.Queue{
+		batch.NewQueue("q", "h", "/q/", "s").WithPolicy(1, 2).WithObjective(2, time.Second, time.Second),
+	}, []batch.Service{batch.NewService("s", false, false)}, nil)
+}
+
+func (scheduleDecoder) Spec(id string, _ []byte) (batch.Spec, error) {
+	s, err := batch.NewSpec(id, "", batch.NewStep(2, batch.NewResources(1, 1, 0), time.Second))
+	return s.WithSchedule(5, scheduleStart, time.Second), err
+}
+
+// newScheduledState returns a state with a job of which occurrence 0 is done, 1 has not begun and 2 runs.
+func newScheduledState() batch.State {
+	s := batch.NewState(scheduleDecoder{})
+	at, worker := scheduleStart, batch.NewIncarnation("h", "w", 1)
+	for _, c := range []batch.Command{
+		batch.NewDeclare([]byte("d")),
+		batch.NewSubmit("j", "q", "", nil, at),
+		batch.NewPlaceRuns(at, batch.NewGroup(batch.NewTaskID("j", 0, 0, 0), batch.NewMember(0, 1, worker), batch.NewMember(1, 1, worker))),
+		batch.NewEndRuns(at, batch.NewEnd(batch.NewTaskID("j", 0, 0, 0), 1, batch.Done, ""), batch.NewEnd(batch.NewTaskID("j", 0, 0, 1), 1, batch.Done, "")),
+		batch.NewPlaceRuns(at, batch.NewGroup(batch.NewTaskID("j", 2, 0, 0), batch.NewMember(1, 3, worker))),
+	} {
+		s, _ = s.Apply(c)
+	}
+	return s
+}
+
+// assertSameProgress checks that the tasks of a job and the occurrences that may run are the same in two states.
+func assertSameProgress(t *testing.T, want, got batch.State) {
+	t.Helper()
+	a, _ := want.Job("j")
+	b, known := got.Job("j")
+	require.True(t, known)
+	for k := range a.Spec().Occurrences() {
+		assert.Equal(t, a.Tasks(k, 0), b.Tasks(k, 0), "occurrence %d", k)
+	}
+	assert.Equal(t, batch.SnapshotJob(a).Numbers(), batch.SnapshotJob(b).Numbers())
+	assert.Equal(t, batch.SnapshotJob(a).Next(), batch.SnapshotJob(b).Next())
+}
+
+// Guards against occurrences that are lost or run again after a restart from a snapshot, also one that an earlier
+// version has written.
+func TestScheduleSnapshot(t *testing.T) {
+	s := newScheduledState()
+	data, err := EncodeBatchState(s)
+	require.NoError(t, err)
+	t.Run("of this version", func(t *testing.T) {
+		read, err := DecodeBatchState(scheduleDecoder{}, data)
+		require.NoError(t, err)
+		assertSameProgress(t, s, read)
+	})
+	var f batchStateForm
+	require.NoError(t, cbor.Unmarshal(data, &f))
+	t.Run("of an earlier version, with all occurrences", func(t *testing.T) {
+		older := f
+		older.Jobs = []batchJobForm{f.Jobs[0]}
+		j, _ := s.Job("j")
+		var all [][][]batch.Task
+		for k := range j.Spec().Occurrences() {
+			all = append(all, [][]batch.Task{j.Tasks(k, 0)})
+		}
+		older.Jobs[0].Tasks = convertTasks(all, newBatchTaskForm)
+		older.Jobs[0].Sparse, older.Jobs[0].Numbers, older.Jobs[0].Next = false, nil, 0
+		data, err := cbor.Marshal(older)
+		require.NoError(t, err)
+		read, err := DecodeBatchState(scheduleDecoder{}, data)
+		require.NoError(t, err)
+		assertSameProgress(t, s, read)
+	})
+	t.Run("numbers missing", func(t *testing.T) {
+		broken := f
+		broken.Jobs = []batchJobForm{f.Jobs[0]}
+		broken.Jobs[0].Numbers = nil
+		data, err := cbor.Marshal(broken)
+		require.NoError(t, err)
+		_, err = DecodeBatchState(scheduleDecoder{}, data)
+		assert.Error(t, err)
+	})
+}
