placement: the critical path takes time by the number of dependencies

Cause: Spec.CriticalPathFrom followed each chain of dependent steps by itself, and the number of chains doubles with each step that depends on all earlier ones. The planner asks for the path for the objective and the remaining time of each waiting step, in the one goroutine of the leader's loop.

Ruled out: the number of steps (with one dependency each the same job is served); a wait for the ledger (reads and submissions are answered).

Change: Spec.CriticalPaths computes the longest chain from every step in one pass. The planner asks for it once for each job and decision, and looks at a step's tasks only once the steps that it depends on are done.

The value from each step is checked in TestSpecs.

--- a/internal/batch/batch_test.go
+++ b/internal/batch/batch_test.go
@@ -250,6 +250,11 @@
 		require.NoError(t, err)
 		assert.Equal(t, 5*time.Second, s.CriticalPath(func(i int) time.Duration { return time.Duration(i+1) * time.Second }))
 	})
+	t.Run("critical path from each step", func(t *testing.T) {
+		s, err := batch.NewSpec("j", "", step(1), step(1, batch.WithAfter(0)), step(1), step(1, batch.WithAfter(1, 2)))
+		require.NoError(t, err)
+		assert.Equal(t, []time.Duration{7, 6, 7, 4}, s.CriticalPaths(func(i int) time.Duration { return time.Duration(i + 1) }))
+	})
 	t.Run("task id round trip", func(t *testing.T) {
 		id := batch.NewTaskID("5c0e", 1, 2, 17)
 		read, err := batch.ParseTaskID(id.String())
--- a/internal/batch/step.go
+++ b/internal/batch/step.go
@@ -206,23 +206,21 @@
 	return s.first.Add(time.Duration(occurrence) * s.interval)
 }
 
-// CriticalPathFrom returns the duration of the longest chain of dependent steps that starts with the given step; length
-// returns the duration of one step.
-func (s Spec) CriticalPathFrom(from int, length func(step int) time.Duration) time.Duration {
-	longest := time.Duration(0)
-	for i := from + 1; i < len(s.steps); i++ {
-		if slices.Contains(s.steps[i].after, from) {
-			longest = max(longest, s.CriticalPathFrom(i, length))
+// CriticalPaths returns, for each step, the duration of the longest chain of dependent steps that starts with it; length
+// returns the duration of one step. The time that it takes grows with the number of dependencies, not with that of the
+// chains, which doubles with each step that depends on all earlier ones.
+func (s Spec) CriticalPaths(length func(step int) time.Duration) []time.Duration {
+	paths := make([]time.Duration, len(s.steps))
+	for i := len(s.steps) - 1; i >= 0; i-- {
+		paths[i] += length(i)
+		for _, earlier := range s.steps[i].after {
+			paths[earlier] = max(paths[earlier], paths[i])
 		}
 	}
-	return length(from) + longest
+	return paths
 }
 
 // CriticalPath returns the duration of the longest chain of dependent steps; length returns the duration of one step.
 func (s Spec) CriticalPath(length func(step int) time.Duration) time.Duration {
-	longest := time.Duration(0)
-	for i := range s.steps {
-		longest = max(longest, s.CriticalPathFrom(i, length))
-	}
-	return longest
+	return slices.Max(s.CriticalPaths(length))
 }
--- a/internal/placement/objective.go
+++ b/internal/placement/objective.go
@@ -29,10 +29,10 @@
 	return p.view.taskDuration(j, step) * time.Duration(waves(s, slots))
 }
 
-// remainingTime returns how long a job takes from the given step on if it can use all workers of its service.
-func (p *planner) remainingTime(j *batch.Job, from int) time.Duration {
+// remainingTimes returns, for each step, how long a job takes from that step on if it can use all workers of its service.
+func (p *planner) remainingTimes(j *batch.Job) []time.Duration {
 	q := p.view.state.CurrentQueue(j)
-	return j.Spec().CriticalPathFrom(from, func(i int) time.Duration {
+	return j.Spec().CriticalPaths(func(i int) time.Duration {
 		return p.stepDuration(j, i, p.slots(q, j.Spec().Steps()[i]))
 	})
 }
--- a/internal/placement/preempt.go
+++ b/internal/placement/preempt.go
@@ -195,7 +195,7 @@
 		begin = due
 	}
 	until := begin.Add(p.objective(r.job))
-	left := p.remainingTime(r.job, r.id.Task().Step())
+	left := p.remainingTimes(r.job)[r.id.Task().Step()]
 	if r.step.Checkpoints() {
 		left -= p.view.now.Sub(r.started)
 	}
--- a/internal/placement/unit.go
+++ b/internal/placement/unit.go
@@ -34,18 +34,22 @@
 	q := p.view.state.CurrentQueue(j)
 	spec, now := j.Spec(), p.view.now
 	objective := p.objective(j)
+	var remaining []time.Duration // by step; set once a step is ready
 	for k := range j.Due(now) {
 		begin := j.Accepted()
 		if due := spec.Due(k); !due.IsZero() {
 			begin = due
 		}
 		for i, s := range spec.Steps() {
+			if !j.Ready(k, i) {
+				continue
+			}
 			u := &unit{
 				job: j, queue: q, step: s, key: batch.NewTaskID(spec.ID(), k, i, 0), guaranteed: guaranteed,
 				duration: p.view.taskDuration(j, i),
 			}
 			u.indexes = waitingIndexes(j.Tasks(k, i))
-			if len(u.indexes) == 0 || s.Gang() && len(u.indexes) < s.Count() || !j.Ready(k, i) {
+			if len(u.indexes) == 0 || s.Gang() && len(u.indexes) < s.Count() {
 				continue
 			}
 			u.readySince = begin
@@ -54,7 +58,10 @@
 					u.readySince = t.PhaseSince()
 				}
 			}
-			u.slack = begin.Add(objective).Sub(now.Add(p.remainingTime(j, i)))
+			if remaining == nil {
+				remaining = p.remainingTimes(j)
+			}
+			u.slack = begin.Add(objective).Sub(now.Add(remaining[i]))
 			u.nextSlack = u.slack
 			if s.LongRunning() {
 				// Every moment in which a long-running task does not run counts, so it is never late, however long it
