--- a/internal/ledger/core_test.go
+++ b/internal/ledger/core_test.go
@@ -37,6 +37,32 @@
 	})
 }
 
+// Guards against a log that stays in memory after a snapshot because its entries are few, though they are large.
+func TestTrailingEntries(t *testing.T) {
+	for name, c := range map[string]struct {
+		trailing ledger.Trailing
+		want     uint64
+	}{
+		"all within the bounds":    {ledger.NewTrailing(100, 10_000), 1},
+		"bounded by number":        {ledger.NewTrailing(3, 10_000), 10},
+		"bounded by bytes":         {ledger.NewTrailing(100, 250), 11},
+		"no entry is small enough": {ledger.NewTrailing(100, 99), 13},
+		"none":                     {ledger.Trailing{}, 13},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := newLeader(t)
+			for range 10 {
+				l.core.Step(l.now, l.random, ledger.NewPropose(ledger.NewProposal(1, make([]byte, 100))))
+			}
+			l.core.Step(l.now, l.random, ledger.NewPersisted(100))
+			l.step(ledger.NewMatchReply(l.core.Term(), 2, 0, 12))
+			assert.Equal(t, uint64(12), l.core.Commit())
+			l.core.Step(l.now, l.random, ledger.NewCompact(12, nil, c.trailing))
+			assert.Equal(t, c.want, l.core.FirstIndex())
+		})
+	}
+}
+
 // testLeader is the leader of term 3. Its log starts with an entry of term 1 that no other voter has acknowledged.
 type testLeader struct {
 	core   *ledger.Core
--- a/internal/ledger/driver/apply.go
+++ b/internal/ledger/driver/apply.go
@@ -29,7 +29,7 @@
 	snapshot []byte
 }
 
-// apply runs the tasks of the application until ctx is done, and takes a snapshot whenever the threshold is reached.
+// apply runs the tasks of the application until ctx is done, and takes a snapshot whenever one is due.
 func (l *loop[R]) apply(ctx context.Context, s ledger.Snapshot) (err error) {
 	defer annotate(&err, "apply")
 	if s.Index() > 0 {
@@ -37,7 +37,8 @@
 			return fmt.Errorf("restore snapshot %d: %w", s.Index(), err)
 		}
 	}
-	p, snapshotIndex := progress{applied: s.Index()}, s.Index()
+	p := progress{applied: s.Index()}
+	log := appliedLog{snapshotIndex: s.Index(), snapshotBytes: len(s.Data())}
 	for {
 		var tasks []task
 		select {
@@ -49,19 +50,21 @@
 			switch t := t.(type) {
 			case applyTask[R]:
 				p.applied = l.applyEntries(t)
+				log.add(t.entries)
 			case restoreTask:
 				if err = l.node.applier.Restore(t.snapshot.Data()); err != nil {
 					return fmt.Errorf("restore snapshot %d: %w", t.snapshot.Index(), err)
 				}
-				p.applied, snapshotIndex = t.snapshot.Index(), t.snapshot.Index()
+				p.applied = t.snapshot.Index()
+				log = appliedLog{snapshotIndex: p.applied, snapshotBytes: len(t.snapshot.Data())}
 			}
 		}
 		p.snapshot = nil
-		if p.applied-snapshotIndex >= l.node.options.snapshotThreshold {
+		if log.snapshotDue(p.applied, l.node.options) {
 			if p.snapshot, err = l.node.applier.Snapshot(); err != nil {
 				return fmt.Errorf("snapshot at %d: %w", p.applied, err)
 			}
-			snapshotIndex = p.applied
+			log = appliedLog{snapshotIndex: p.applied, snapshotBytes: len(p.snapshot)}
 		}
 		select {
 		case <-ctx.Done():
@@ -71,6 +74,24 @@
 	}
 }
 
+// appliedLog measures the entries that were applied since the latest snapshot.
+type appliedLog struct {
+	snapshotIndex uint64
+	snapshotBytes int
+	bytes         int
+}
+
+func (a *appliedLog) add(entries []ledger.Entry) {
+	for _, e := range entries {
+		a.bytes += len(e.Data())
+	}
+}
+
+// snapshotDue reports whether the entries up to the applied index are to be replaced by a snapshot.
+func (a *appliedLog) snapshotDue(applied uint64, o options) bool {
+	return applied-a.snapshotIndex >= o.snapshotThreshold || a.bytes >= max(o.snapshotBytes, a.snapshotBytes)
+}
+
 // applyEntries applies entries, completes their calls and returns the last index.
 func (l *loop[R]) applyEntries(t applyTask[R]) (last uint64) {
 	for i, e := range t.entries {
--- a/internal/ledger/driver/bench_test.go
+++ b/internal/ledger/driver/bench_test.go
@@ -64,7 +64,7 @@
 	folder := b.TempDir()
 	writeChanges(b, folder, 24_000)
 	for b.Loop() {
-		m := startMember(b, folder, nil, "a", driver.WithSnapshotThreshold(1<<40))
+		m := startMember(b, folder, nil, "a", driver.WithSnapshotThreshold(1<<40), driver.WithSnapshotBytes(1<<40))
 		requireLeading(b, m)
 		require.GreaterOrEqual(b, len(m.recorder.lines()), 24_000)
 		b.StopTimer()
--- a/internal/ledger/driver/loop.go
+++ b/internal/ledger/driver/loop.go
@@ -15,6 +15,9 @@
 // and a member that restarts and lacks no more than these needs no snapshot.
 const trailingEntries = 2048
 
+// trailingBytes bounds the data of these entries, since one entry may hold a configuration of several 100 kB.
+const trailingBytes = 4 << 20
+
 // loop owns the core. Only the goroutine of run uses its fields, except for the channels.
 type loop[R any] struct {
 	node           *Node[R]
@@ -189,7 +192,7 @@
 func (l *loop[R]) onProgress(p progress) {
 	l.applied = p.applied
 	if p.snapshot != nil {
-		l.step(ledger.NewCompact(p.applied, p.snapshot, trailingEntries))
+		l.step(ledger.NewCompact(p.applied, p.snapshot, ledger.NewTrailing(trailingEntries, trailingBytes)))
 	}
 }
 
--- a/internal/ledger/driver/node_test.go
+++ b/internal/ledger/driver/node_test.go
@@ -1,9 +1,11 @@
 package driver_test
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
+	"os"
 	"slices"
 	"sync"
 	"testing"
@@ -53,6 +55,79 @@
 	})
 }
 
+// latest is an application that keeps the data applied last.
+type latest struct{ data []byte }
+
+func (a *latest) Apply(_ uint64, data []byte) int {
+	a.data = data
+	return len(data)
+}
+
+func (a *latest) Snapshot() ([]byte, error) { return a.data, nil }
+
+func (a *latest) Restore(data []byte) error {
+	a.data = data
+	return nil
+}
+
+// folderBytes returns the size of all files in a folder.
+func folderBytes(t *testing.T, folder string) (sum int64) {
+	t.Helper()
+	files, err := os.ReadDir(folder)
+	require.NoError(t, err)
+	for _, f := range files {
+		if i, err := f.Info(); err == nil {
+			sum += i.Size()
+		}
+	}
+	return sum
+}
+
+// Guards against a disk and a memory that fill up with few large changes, such as configurations with many routes, long
+// before their number makes a snapshot due.
+func TestLargeChanges(t *testing.T) {
+	const size, changes, maxBytes = 300 << 10, 200, 32 << 20
+	folder := t.TempDir()
+	disk, err := storage.OpenFolder(folder)
+	require.NoError(t, err)
+	s, saved, err := storage.Open(disk)
+	require.NoError(t, err)
+	app := &latest{}
+	m := member{}
+	m.node, err = driver.NewNode(app, driver.WithMember("a", "a"), driver.WithStorage(s, saved),
+		driver.WithInitialMembers(map[ledger.MemberID]string{"a": "a"}))
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- m.node.Run(ctx) }()
+	requireLeading(t, m)
+	most := int64(0)
+	for i := range changes {
+		_, err := m.node.Propose(t.Context(), bytes.Repeat([]byte{byte(i)}, size))
+		require.NoError(t, err)
+		most = max(most, folderBytes(t, folder))
+	}
+	cancel()
+	require.NoError(t, <-ended)
+	require.NoError(t, disk.Close())
+	assert.Less(t, most, int64(maxBytes), "bytes on the disk")
+	t.Run("all recovered", func(t *testing.T) {
+		disk, err := storage.OpenFolder(folder)
+		require.NoError(t, err)
+		_, saved, err := storage.Open(disk)
+		require.NoError(t, err)
+		entries := saved.Entries()
+		last := saved.Snapshot().Data()
+		for _, e := range entries {
+			if e.Kind() == ledger.Data {
+				last = e.Data()
+			}
+		}
+		assert.Equal(t, bytes.Repeat([]byte{changes - 1}, size), last)
+		require.NoError(t, disk.Close())
+	})
+}
+
 // recorder is an application that records the applied data.
 type recorder struct {
 	mutex   sync.Mutex
--- a/internal/ledger/driver/options.go
+++ b/internal/ledger/driver/options.go
@@ -10,6 +10,9 @@
 // defaultSnapshotThreshold bounds the number of entries that a restart replays; 10,000 entries of 300 B are 3 MB.
 const defaultSnapshotThreshold = 10_000
 
+// defaultSnapshotBytes bounds the data of these entries, which are in memory and on the disk until the next snapshot.
+const defaultSnapshotBytes = 8 << 20
+
 // Transport sends encoded messages to other members.
 type Transport interface {
 	// Send must not block. It may drop the message.
@@ -34,6 +37,7 @@
 	random            ledger.Random
 	timing            ledger.Timing
 	snapshotThreshold uint64
+	snapshotBytes     int
 	firstStart        bool
 }
 
@@ -84,12 +88,19 @@
 	return func(o *options) { o.snapshotThreshold = entries }
 }
 
+// WithSnapshotBytes sets the bytes of applied data after which a snapshot replaces the entries in the log. After a larger
+// snapshot it takes as many bytes as that has, so that the snapshots written stay in proportion to the data.
+func WithSnapshotBytes(bytes int) Option {
+	return func(o *options) { o.snapshotBytes = bytes }
+}
+
 func newOptions(opts []Option) options {
 	o := options{
 		transport:         noTransport{},
 		random:            rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		timing:            ledger.DefaultTiming(),
 		snapshotThreshold: defaultSnapshotThreshold,
+		snapshotBytes:     defaultSnapshotBytes,
 	}
 	for _, set := range opts {
 		set(&o)
--- a/internal/ledger/follow.go
+++ b/internal/ledger/follow.go
@@ -65,7 +65,7 @@
 	}
 	if s.index > c.commitIndex {
 		if t, ok := c.log.term(s.index); ok && t == s.term {
-			c.log.compact(s, 0)
+			c.log.compact(s, Trailing{})
 		} else {
 			c.log = newLog(s, nil)
 			c.writes.durableIndex = min(c.writes.durableIndex, s.index)
--- a/internal/ledger/input.go
+++ b/internal/ledger/input.go
@@ -35,9 +35,18 @@
 type Compact struct {
 	index    uint64
 	data     []byte
-	trailing uint64
+	trailing Trailing
 }
 
+// Trailing bounds the entries covered by a snapshot that stay in memory, by their number and by the bytes of their data.
+type Trailing struct {
+	entries uint64
+	bytes   int
+}
+
+// NewTrailing returns the bounds of the entries that stay in memory.
+func NewTrailing(entries uint64, bytes int) Trailing { return Trailing{entries: entries, bytes: bytes} }
+
 func (Tick) input()             {}
 func (Receive) input()          {}
 func (Propose) input()          {}
@@ -59,8 +68,8 @@
 func NewPersisted(sequence uint64) Persisted { return Persisted{sequence: sequence} }
 
 // NewCompact returns the input for a snapshot that the application took after it had applied the entry at
-// index. Up to trailing entries that the snapshot covers stay in memory.
-func NewCompact(index uint64, data []byte, trailing uint64) Compact {
+// index. Of the entries that the snapshot covers, the latest ones within the bounds stay in memory.
+func NewCompact(index uint64, data []byte, trailing Trailing) Compact {
 	return Compact{index: index, data: data, trailing: trailing}
 }
 
--- a/internal/ledger/log.go
+++ b/internal/ledger/log.go
@@ -94,14 +94,26 @@
 	return l.snapshot.membership, l.snapshot.index
 }
 
-// compact replaces the entries covered by s, except for up to trailing ones, which stay in memory.
-func (l *log) compact(s Snapshot, trailing uint64) {
+// compact replaces the entries covered by s, except for the latest ones within the bounds, which stay in memory.
+func (l *log) compact(s Snapshot, t Trailing) {
 	l.snapshot = s
-	if s.index < trailing || s.index-trailing < l.firstIndex {
+	first := l.trailingFrom(s.index, t)
+	if first <= l.firstIndex {
 		return
 	}
-	first := s.index - trailing + 1
 	l.baseTerm, _ = l.term(first - 1)
 	l.entries = slices.Clone(l.entries[first-l.firstIndex:])
 	l.firstIndex = first
 }
+
+// trailingFrom returns the lowest index in memory from which the entries up to the given one are within the bounds.
+func (l *log) trailingFrom(last uint64, t Trailing) (first uint64) {
+	bytes := 0
+	for first = last + 1; first > l.firstIndex && last+1-first < t.entries; first-- {
+		bytes += len(l.entries[first-1-l.firstIndex].data)
+		if bytes > t.bytes {
+			return first
+		}
+	}
+	return first
+}
--- a/internal/ledger/storage/cluster_test.go
+++ b/internal/ledger/storage/cluster_test.go
@@ -245,7 +245,7 @@
 func (c *cluster) compact(h *host) {
 	if h.core != nil {
 		data, _ := json.Marshal(h.lines)
-		c.step(h, ledger.NewCompact(h.applied, data, uint64(c.random.IntN(6))))
+		c.step(h, ledger.NewCompact(h.applied, data, ledger.NewTrailing(uint64(c.random.IntN(6)), c.random.IntN(60))))
 	}
 }
 
