dispatch: a machine is drained for one wave at a time

Cause: the leader has one record of each draining machine, and a wave checked its limit only before it made that record. It took a machine that another wave was draining for its own, and the other wave never ordered its maintenance nor dropped the record.

Ruled out: a mix-up of the platform's answers; the test has no platform.

Change: a wave leaves a machine alone that is drained for another one, counts its own, and records are dropped for all waves before any wave decides.

Evidence: TestOverlappingWaves failed before in two of four subtests, one of them with the maintenance ordered for wave 1 in place of wave 2 beyond wave 1's limit; it passes now.

--- a/internal/dispatch/maintenance.go
+++ b/internal/dispatch/maintenance.go
@@ -46,7 +46,8 @@
 	}
 }
 
-// maintain drains machines of the running waves and takes them down, no more at once than each wave allows.
+// maintain drains machines of the running waves and takes them down, no more at once than each wave allows. A machine of
+// several waves is drained for one of them at a time.
 func (c *Core) maintain(now time.Time, s batch.State, hosts map[batch.Incarnation]*host, a *Actions) {
 	byMachine := map[string]*host{}
 	for _, h := range hosts {
@@ -54,17 +55,21 @@
 			byMachine[m] = h
 		}
 	}
-	for _, w := range s.Waves() {
+	waves := s.Waves()
+	for _, w := range waves {
 		c.dropDrains(w)
-		down := c.countDown(w, byMachine)
+	}
+	for _, w := range waves {
+		down := c.countDown(w, byMachine) + c.countDraining(w)
 		for _, m := range w.Pending() {
-			if c.drains[m] == nil {
-				if down >= w.MaxDown() {
-					continue
-				}
+			d := c.drains[m]
+			switch {
+			case d != nil && d.wave != w.Number(), d == nil && down >= w.MaxDown():
+				continue
+			case d == nil:
 				c.drains[m] = &machineDrain{wave: w.Number(), since: now}
+				down++
 			}
-			down++
 			c.drainMachine(now, s, w, m, byMachine[m], a)
 		}
 	}
@@ -79,6 +84,16 @@
 	}
 }
 
+// countDraining counts the machines that are drained for a wave.
+func (c *Core) countDraining(w batch.Wave) (count int) {
+	for _, d := range c.drains {
+		if d.wave == w.Number() {
+			count++
+		}
+	}
+	return count
+}
+
 // countDown counts the machines of a wave that have not yet returned with a new worker.
 func (c *Core) countDown(w batch.Wave, byMachine map[string]*host) (count int) {
 	for _, m := range w.Machines() {
--- a/internal/dispatch/maintenance_test.go
+++ b/internal/dispatch/maintenance_test.go
@@ -105,3 +105,61 @@
 		assert.Empty(t, f.stepLater(0).Groups())
 	})
 }
+
+// maintenanceOf returns the waves and machines of the maintenance that a step orders.
+func maintenanceOf(a dispatch.Actions) map[string]int64 {
+	list := map[string]int64{}
+	for _, m := range a.Maintenance() {
+		list[m.Machine()] = m.Wave()
+	}
+	return list
+}
+
+// Guards against a wave that takes down machines which are drained for another one, beyond its own limit, and against
+// machines of two waves that get no runs any more.
+func TestOverlappingWaves(t *testing.T) {
+	// Wave 1 is that of the fixture, with m1 and m2, one at a time.
+	newOverlapping := func(t *testing.T) maintenanceFixture {
+		f := newMaintenanceFixture(t)
+		assert.Equal(t, map[string]int64{"m1": 1}, maintenanceOf(f.stepLater(0)))
+		f.apply(batch.NewStartWave(batch.NewWave(2, []string{"m1", "m2", "m3"}, 3, f.now.Add(20*time.Second))))
+		return f
+	}
+	t.Run("each machine for one wave at a time", func(t *testing.T) {
+		f := newOverlapping(t)
+		assert.Equal(t, map[string]int64{"m2": 2, "m3": 2}, maintenanceOf(f.stepLater(0)))
+		f.apply(batch.NewRecordMaintenance(2, "m2", batch.Incarnation{}))
+		assert.Empty(t, maintenanceOf(f.stepLater(0)), "m1 is still down for wave 1")
+	})
+	t.Run("none beyond the limit of a wave that waits", func(t *testing.T) {
+		f := maintenanceFixture{newStepFixture(t, batch.NewStep(1, batch.NewResources(1, 1, 0), time.Minute))}
+		f.apply(batch.NewEndRuns(f.now, batch.NewEnd(batch.NewTaskID("j", 0, 0, 0), 1, batch.Done, "")))
+		f.apply(batch.NewStartWave(batch.NewWave(1, []string{"m2", "m1"}, 1, f.now.Add(20*time.Second))))
+		assert.Equal(t, map[string]int64{"m2": 1}, maintenanceOf(f.stepLater(1)))
+		f.apply(batch.NewStartWave(batch.NewWave(2, []string{"m1"}, 1, f.now.Add(20*time.Second))))
+		assert.Empty(t, maintenanceOf(f.stepLater(1)), "the run on m1 goes on")
+		f.apply(batch.NewEndRuns(f.now, batch.NewEnd(batch.NewTaskID("k", 0, 0, 0), 1, batch.Done, "")))
+		assert.Equal(t, map[string]int64{"m1": 2}, maintenanceOf(f.stepLater(0)))
+	})
+	t.Run("the other wave follows", func(t *testing.T) {
+		f := newOverlapping(t)
+		f.stepLater(0)
+		f.apply(batch.NewRecordMaintenance(1, "m1", f.incarnation))
+		f.incarnation = batch.NewIncarnation("h", "w2", 2)
+		assert.Equal(t, map[string]int64{"m1": 2}, maintenanceOf(f.stepLater(0)))
+		f.apply(batch.NewRecordMaintenance(2, "m1", f.incarnation))
+		f.apply(batch.NewRecordMaintenance(2, "m2", batch.Incarnation{}))
+		assert.Equal(t, map[string]int64{"m2": 1}, maintenanceOf(f.stepLater(0)))
+	})
+	t.Run("the machine gets runs after both", func(t *testing.T) {
+		f := newOverlapping(t)
+		f.stepLater(0)
+		for wave := int64(1); wave <= 2; wave++ {
+			f.apply(batch.NewRecordMaintenance(wave, "m1", f.incarnation))
+			f.incarnation = batch.NewIncarnation("h", "w", 2+wave)
+			f.stepLater(0)
+		}
+		f.apply(batch.NewSubmit("other", "q", "", nil, f.now))
+		assert.NotEmpty(t, f.stepLater(0).Groups())
+	})
+}
