--- a/internal/wire/batch.go
+++ b/internal/wire/batch.go
@@ -348,7 +348,7 @@
 func DecodeBatchState(d batch.Decoder, data []byte) (s batch.State, err error) {
 	defer annotate("decode state", &err)
 	var f batchStateForm
-	if err = cbor.Unmarshal(data, &f); err != nil {
+	if err = unmarshalState(data, &f); err != nil {
 		return s, err
 	}
 	jobs := make([]batch.JobSnapshot, len(f.Jobs))
--- a/internal/wire/snapshot_test.go
+++ b/internal/wire/snapshot_test.go
@@ -1,6 +1,8 @@
 package wire
 
 import (
+	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -11,8 +13,8 @@
 	"rosemarywind.example/rosemarywind/internal/batch"
 )
 
-// scheduleDecoder decodes each job as one that runs five times, once a second.
-type scheduleDecoder struct{}
+// scheduleDecoder decodes each job as one that runs a number of times, once a second.
+type scheduleDecoder struct{ occurrences int }
 
 var scheduleStart = time.Unix(1_800_000_000, 0)
 
@@ -22,14 +24,14 @@
 	}, []batch.Service{batch.NewService("s", false, false)}, nil)
 }
 
-func (scheduleDecoder) Spec(id string, _ []byte) (batch.Spec, error) {
+func (d scheduleDecoder) Spec(id string, _ []byte) (batch.Spec, error) {
 	s, err := batch.NewSpec(id, "", batch.NewStep(2, batch.NewResources(1, 1, 0), time.Second))
-	return s.WithSchedule(5, scheduleStart, time.Second), err
+	return s.WithSchedule(d.occurrences, scheduleStart, time.Second), err
 }
 
 // newScheduledState returns a state with a job of which occurrence 0 is done, 1 has not begun and 2 runs.
 func newScheduledState() batch.State {
-	s := batch.NewState(scheduleDecoder{})
+	s := batch.NewState(scheduleDecoder{occurrences: 5})
 	at, worker := scheduleStart, batch.NewIncarnation("h", "w", 1)
 	for _, c := range []batch.Command{
 		batch.NewDeclare([]byte("d")),
@@ -63,7 +65,7 @@
 	data, err := EncodeBatchState(s)
 	require.NoError(t, err)
 	t.Run("of this version", func(t *testing.T) {
-		read, err := DecodeBatchState(scheduleDecoder{}, data)
+		read, err := DecodeBatchState(scheduleDecoder{occurrences: 5}, data)
 		require.NoError(t, err)
 		assertSameProgress(t, s, read)
 	})
@@ -81,7 +83,7 @@
 		older.Jobs[0].Sparse, older.Jobs[0].Numbers, older.Jobs[0].Next = false, nil, 0
 		data, err := cbor.Marshal(older)
 		require.NoError(t, err)
-		read, err := DecodeBatchState(scheduleDecoder{}, data)
+		read, err := DecodeBatchState(scheduleDecoder{occurrences: 5}, data)
 		require.NoError(t, err)
 		assertSameProgress(t, s, read)
 	})
@@ -91,7 +93,43 @@
 		broken.Jobs[0].Numbers = nil
 		data, err := cbor.Marshal(broken)
 		require.NoError(t, err)
-		_, err = DecodeBatchState(scheduleDecoder{}, data)
+		_, err = DecodeBatchState(scheduleDecoder{occurrences: 5}, data)
 		assert.Error(t, err)
 	})
 }
+
+// Guards against a control host that cannot start again from its own snapshot, because an array in it is longer than the
+// codec allows by default.
+func TestLongSnapshot(t *testing.T) {
+	const long = 150_000 // the default limit is 131,072
+	t.Run("many jobs", func(t *testing.T) {
+		s := newScheduledState()
+		for n := range long {
+			s, _ = s.Apply(batch.NewSubmit(strconv.Itoa(n), "q", "", nil, scheduleStart))
+		}
+		data, err := EncodeBatchState(s)
+		require.NoError(t, err)
+		read, err := DecodeBatchState(scheduleDecoder{occurrences: 5}, data)
+		require.NoError(t, err)
+		assert.Equal(t, s.Jobs().Len(), read.Jobs().Len())
+	})
+	t.Run("all occurrences of a long schedule, from an earlier version", func(t *testing.T) {
+		d := scheduleDecoder{occurrences: long}
+		s := newScheduledState()
+		data, err := EncodeBatchState(s)
+		require.NoError(t, err)
+		var f batchStateForm
+		require.NoError(t, cbor.Unmarshal(data, &f))
+		waiting := batchTaskForm{Phase: string(batch.Waiting)}
+		f.Jobs[0].Sparse, f.Jobs[0].Numbers, f.Jobs[0].Next = false, nil, 0
+		f.Jobs[0].Tasks = slices.Repeat([][][]batchTaskForm{{{waiting, waiting}}}, long)
+		data, err = cbor.Marshal(f)
+		require.NoError(t, err)
+		read, err := DecodeBatchState(d, data)
+		require.NoError(t, err)
+		j, known := read.Job("j")
+		require.True(t, known)
+		assert.Zero(t, batch.SnapshotJob(j).Next())
+		assert.True(t, j.HasWaiting())
+	})
+}
--- a/internal/wire/state.go
+++ b/internal/wire/state.go
@@ -49,16 +49,20 @@
 	return cbor.Marshal(f)
 }
 
+// unmarshalState decodes a snapshot, which may have longer arrays and maps than the codec allows in messages.
+func unmarshalState(data []byte, f any) error {
+	mode, err := cbor.DecOptions{MaxArrayElements: maxStateElements, MaxMapPairs: maxStateElements}.DecMode()
+	if err != nil {
+		return err
+	}
+	return mode.Unmarshal(data, f)
+}
+
 // DecodeState restores the registry's state from a snapshot; it fails if the snapshot is malformed.
 func DecodeState(data []byte) (s registry.State, err error) {
 	defer annotate("decode state", &err)
-	options := cbor.DecOptions{MaxArrayElements: maxStateElements}
-	mode, err := options.DecMode()
-	if err != nil {
-		return registry.State{}, err
-	}
 	var f stateForm
-	if err = mode.Unmarshal(data, &f); err != nil {
+	if err = unmarshalState(data, &f); err != nil {
 		return registry.State{}, err
 	}
 	config, err := f.Config.config()
