--- a/internal/batch/declaration.go
+++ b/internal/batch/declaration.go
@@ -59,6 +59,15 @@
 // Name returns the name, which is unique in a declaration.
 func (q Queue) Name() string { return q.name }
 
+// Host returns the host name at which callers reach the queue.
+func (q Queue) Host() string { return q.host }
+
+// Prefix returns the path prefix at which callers reach the queue.
+func (q Queue) Prefix() string { return q.prefix }
+
+// Timeout returns the time after which a caller's request ends.
+func (q Queue) Timeout() time.Duration { return q.timeout }
+
 // Service returns the name of the service whose workers run the tasks.
 func (q Queue) Service() string { return q.service }
 
--- a/internal/wire/batch.go
+++ b/internal/wire/batch.go
@@ -287,16 +287,26 @@
 }
 
 type batchJobForm struct {
-	Submit  batchForm           `cbor:"1,keyasint"`
-	Queue   queueForm           `cbor:"2,keyasint"`
-	Result  string              `cbor:"3,keyasint,omitempty"`
-	Ended   int64               `cbor:"4,keyasint,omitempty"`
-	Started bool                `cbor:"5,keyasint,omitempty"`
-	Tasks   [][][]batchTaskForm `cbor:"6,keyasint"`
-	Crashes []crashRecordForm   `cbor:"7,keyasint,omitempty"`
-	Numbers []int               `cbor:"8,keyasint,omitempty"`  // of the occurrences in Tasks
-	Next    int                 `cbor:"9,keyasint,omitempty"`  // the first occurrence that has not begun
-	Sparse  bool                `cbor:"10,keyasint,omitempty"` // whether Numbers and Next are set; false in older snapshots
+	Submit    batchForm           `cbor:"1,keyasint"`
+	Queue     queueForm           `cbor:"2,keyasint"`
+	Result    string              `cbor:"3,keyasint,omitempty"`
+	Ended     int64               `cbor:"4,keyasint,omitempty"`
+	Started   bool                `cbor:"5,keyasint,omitempty"`
+	Tasks     [][][]batchTaskForm `cbor:"6,keyasint"`
+	Crashes   []crashRecordForm   `cbor:"7,keyasint,omitempty"`
+	Numbers   []int               `cbor:"8,keyasint,omitempty"`  // of the occurrences in Tasks
+	Next      int                 `cbor:"9,keyasint,omitempty"`  // the first occurrence that has not begun
+	Sparse    bool                `cbor:"10,keyasint,omitempty"` // whether Numbers and Next are set; false in older snapshots
+	QueuePath queuePathForm       `cbor:"11,keyasint"`
+}
+
+// queuePathForm holds the properties of a queue that older snapshots lack; queueForm cannot grow, since its fields are
+// encoded by position.
+type queuePathForm struct {
+	Host           string `cbor:"1,keyasint,omitempty"`
+	Prefix         string `cbor:"2,keyasint,omitempty"`
+	Timeout        int64  `cbor:"3,keyasint,omitempty"`
+	RequiresAdvice bool   `cbor:"4,keyasint,omitempty"`
 }
 
 type queueForm struct {
@@ -337,7 +347,8 @@
 				Name: q.Name(), Service: q.Service(), Priority: q.Priority(), Attempts: q.Attempts(),
 				Slowdown: q.Slowdown(), TargetLatency: int64(q.TargetLatency()), Public: q.Public(),
 			},
-			Crashes: newCrashRecordForms(r.Crashes()), Numbers: r.Numbers(), Next: r.Next(), Sparse: true,
+			QueuePath: queuePathForm{Host: q.Host(), Prefix: q.Prefix(), Timeout: int64(q.Timeout()), RequiresAdvice: q.RequiresAdvice()},
+			Crashes:   newCrashRecordForms(r.Crashes()), Numbers: r.Numbers(), Next: r.Next(), Sparse: true,
 			Tasks: convertTasks(r.Tasks(), newBatchTaskForm),
 		})
 	}
@@ -353,8 +364,9 @@
 	}
 	jobs := make([]batch.JobSnapshot, len(f.Jobs))
 	for i, j := range f.Jobs {
-		q := batch.NewQueue(j.Queue.Name, "", "", j.Queue.Service).WithPolicy(j.Queue.Priority, j.Queue.Attempts).
-			WithObjective(j.Queue.Slowdown, time.Duration(j.Queue.TargetLatency), 0).WithPublic(j.Queue.Public)
+		q := batch.NewQueue(j.Queue.Name, j.QueuePath.Host, j.QueuePath.Prefix, j.Queue.Service).
+			WithPolicy(j.Queue.Priority, j.Queue.Attempts).WithPublic(j.Queue.Public).WithRequiredAdvice(j.QueuePath.RequiresAdvice).
+			WithObjective(j.Queue.Slowdown, time.Duration(j.Queue.TargetLatency), time.Duration(j.QueuePath.Timeout))
 		numbers, next := j.occurrences()
 		if len(numbers) != len(j.Tasks) {
 			return s, fmt.Errorf("job %s has %d numbers for the tasks of %d occurrences", j.Submit.ID, len(numbers), len(j.Tasks))
--- a/internal/wire/snapshot_test.go
+++ b/internal/wire/snapshot_test.go
@@ -20,7 +20,7 @@
 
 func (scheduleDecoder) Declaration([]byte) (batch.Declaration, error) {
 	return batch.NewDeclaration(1, []batch.Queue{
-		batch.NewQueue("q", "h", "/q/", "s").WithPolicy(1, 2).WithObjective(2, time.Second, time.Second),
+		batch.NewQueue("q", "h", "/q/", "s").WithPolicy(1, 2).WithObjective(2, time.Second, time.Second).WithRequiredAdvice(true),
 	}, []batch.Service{batch.NewService("s", false, false)}, nil)
 }
 
@@ -133,3 +133,17 @@
 		assert.True(t, j.HasWaiting())
 	})
 }
+
+// Guards against a job whose rest never runs after a restart from a snapshot, because its queue has been removed since
+// the submission and the snapshot does not say that the queue requires advice.
+func TestQueueSnapshot(t *testing.T) {
+	s := newScheduledState()
+	data, err := EncodeBatchState(s)
+	require.NoError(t, err)
+	read, err := DecodeBatchState(scheduleDecoder{occurrences: 5}, data)
+	require.NoError(t, err)
+	before, _ := s.Job("j")
+	after, _ := read.Job("j")
+	require.True(t, before.Queue().RequiresAdvice())
+	assert.Equal(t, before.Queue(), after.Queue())
+}
