scheduler: a command on which the state panics is rejected

The state is immutable and a command's effect depends on it alone, so all replicas reject the command alike and keep the state as it was. The stack is logged. A rejected submission is answered 404 only if its queue has gone.

--- a/internal/scheduler/applier.go
+++ b/internal/scheduler/applier.go
@@ -1,6 +1,9 @@
 package scheduler
 
 import (
+	"fmt"
+	"runtime/debug"
+
 	"github.com/hashicorp/go-hclog"
 
 	"rosemarywind.example/rosemarywind/internal/batch"
@@ -15,17 +18,23 @@
 	logger  hclog.Logger
 }
 
-// Apply applies the command at the given index; one that cannot be decoded is rejected and leaves the state
-// unchanged.
-func (a *applier) Apply(index uint64, data []byte) batch.Result {
+// Apply applies the command at the given index; one that cannot be decoded, or on which the state panics, is rejected
+// and leaves the state unchanged. All replicas reject it alike, since what a command does depends on the state alone.
+func (a *applier) Apply(index uint64, data []byte) (result batch.Result) {
+	defer func() {
+		if r := recover(); r != nil {
+			a.logger.Error("a record of the ledger panics", "index", index, "panic", fmt.Sprint(r), "stack", string(debug.Stack()))
+			result = batch.NewRejected("internal error")
+		}
+	}()
 	c, err := wire.DecodeBatch(data)
 	if err != nil {
 		a.logger.Error("a record of the ledger cannot be read", "index", index, "error", err)
 		return batch.NewRejected(err.Error())
 	}
-	next, result := a.state.Load().Apply(c)
+	next, applied := a.state.Load().Apply(c)
 	a.state.Publish(next)
-	return result
+	return applied
 }
 
 // Snapshot returns the encoded state.
--- a/internal/scheduler/calls.go
+++ b/internal/scheduler/calls.go
@@ -103,6 +103,9 @@
 	case batch.Accepted:
 		return call.NewReply(call.OK, "")
 	case batch.Rejected:
+		if _, declared := s.state.Load().Declaration().Queue(q.Name()); declared {
+			return call.NewReply(call.Invalid, r.Reason())
+		}
 		return call.NewReply(call.NoQueue, r.Reason())
 	case batch.Declared, batch.Cancelled, batch.RunsPlaced, batch.CrashesRecorded, batch.Applied:
 	}
