batch: limits of a job hold for new submissions only

The limit on open occurrences was checked when runs are placed, so a replica of this version would have refused what a leader of an earlier one had placed.

The number of open occurrences is bounded in what the leader chooses; placing accepts more.

--- a/internal/batch/occurrence.go
+++ b/internal/batch/occurrence.go
@@ -7,9 +7,14 @@
 	"time"
 )
 
-// maxOpenOccurrences bounds the occurrences of a job that are under way at the same time. Later ones that are due begin
-// as these end, so that a job with an endless schedule takes bounded memory and time.
-const maxOpenOccurrences = 256
+const (
+	// maxOpenOccurrences bounds the occurrences of a job that the scheduler has under way at the same time. Later ones that
+	// are due begin as these end, so that a job with an endless schedule takes bounded memory and time.
+	maxOpenOccurrences = 256
+	// maxOpenedAtOnce bounds how far after the open occurrences a command may begin one. Leaders of earlier versions begin
+	// them in their order too, but without the bound on their number.
+	maxOpenedAtOnce = 1 << 20
+)
 
 // occurrence is the progress of one execution of a job's steps; it is immutable.
 type occurrence struct {
@@ -149,7 +154,7 @@
 	if _, open := j.find(number); open {
 		return true
 	}
-	return number >= j.next && number < j.spec.occurrences && number-j.next < maxOpenOccurrences-len(j.open)
+	return number >= j.next && number < j.spec.occurrences && number-j.next < maxOpenedAtOnce
 }
 
 // closeDone drops an open occurrence that is done from a job with a schedule, together with the records of its crashes.
--- a/internal/scheduler/calls.go
+++ b/internal/scheduler/calls.go
@@ -92,7 +92,12 @@
 	if id == "" || strings.ContainsAny(id, "/.") {
 		return call.NewReply(call.Invalid, "the path names no job")
 	}
-	if _, err := s.decoder.Spec(id, c.Document()); err != nil {
+	spec, err := s.decoder.Spec(id, c.Document())
+	// A job that was accepted before is acknowledged again.
+	if _, known := s.state.Load().Job(id); err == nil && !known {
+		err = spec.CheckSubmission()
+	}
+	if err != nil {
 		return call.NewReply(call.Invalid, err.Error())
 	}
 	r, err := s.propose(ctx, batch.NewSubmit(id, q.Name(), owner, c.Document(), now))
