--- a/internal/batch/occurrence.go
+++ b/internal/batch/occurrence.go
@@ -177,7 +177,7 @@
 			j.open = append(j.open, o)
 		}
 	}
-	// Older snapshots list all occurrences, those included that have not begun.
+	// Most snapshots have all occurrences, those included that have not begun.
 	for len(j.open) > 0 && j.open[len(j.open)-1].number == j.next-1 && !j.open[len(j.open)-1].begun() {
 		j.open = j.open[:len(j.open)-1]
 		j.next--
--- a/internal/batch/state.go
+++ b/internal/batch/state.go
@@ -226,6 +226,7 @@
 	numbers []int
 	tasks   [][][]Task
 	next    int
+	all     bool // whether tasks has all occurrences
 	crashes map[TaskID]CrashRecord
 }
 
@@ -235,13 +236,28 @@
 		submit: NewSubmit(j.spec.id, j.queue.name, j.workspace, j.document, j.accepted),
 		queue:  j.queue, result: j.result, ended: j.ended, started: j.started, next: j.next, crashes: j.crashes,
 	}
+	if r.all = j.spec.occurrences <= maxListedOccurrences; r.all {
+		r.next = j.spec.occurrences
+		for k := range j.spec.occurrences {
+			r.addOccurrence(j.occurrence(k))
+		}
+		return r
+	}
 	for _, o := range j.open {
-		r.numbers = append(r.numbers, o.number)
-		r.tasks = append(r.tasks, o.tasks)
+		r.addOccurrence(o)
 	}
 	return r
 }
 
+// maxListedOccurrences is the number of occurrences up to which a snapshot has all of them. Earlier versions read only
+// such snapshots, and nearly all jobs run once.
+const maxListedOccurrences = 64
+
+func (r *JobSnapshot) addOccurrence(o occurrence) {
+	r.numbers = append(r.numbers, o.number)
+	r.tasks = append(r.tasks, o.tasks)
+}
+
 // NewJobSnapshot returns a job as decoded from a snapshot, without the progress of its tasks.
 func NewJobSnapshot(c Submit, q Queue, result JobState, ended time.Time, started bool) JobSnapshot {
 	return JobSnapshot{submit: c, queue: q, result: result, ended: ended, started: started}
@@ -284,6 +300,9 @@
 // Numbers returns the numbers of the occurrences in Tasks, in ascending order.
 func (r JobSnapshot) Numbers() []int { return r.numbers }
 
+// All reports whether Tasks has all occurrences of the job, those included that are done or have not begun.
+func (r JobSnapshot) All() bool { return r.all }
+
 // Next returns the number of the first occurrence of which no task has been placed.
 func (r JobSnapshot) Next() int { return r.next }
 
--- a/internal/wire/batch.go
+++ b/internal/wire/batch.go
@@ -296,7 +296,7 @@
 	Crashes   []crashRecordForm   `cbor:"7,keyasint,omitempty"`
 	Numbers   []int               `cbor:"8,keyasint,omitempty"`  // of the occurrences in Tasks
 	Next      int                 `cbor:"9,keyasint,omitempty"`  // the first occurrence that has not begun
-	Sparse    bool                `cbor:"10,keyasint,omitempty"` // whether Numbers and Next are set; false in older snapshots
+	Sparse    bool                `cbor:"10,keyasint,omitempty"` // whether Numbers and Next are set; otherwise Tasks has all occurrences
 	QueuePath queuePathForm       `cbor:"11,keyasint"`
 }
 
@@ -341,16 +341,20 @@
 	for _, j := range s.Jobs().All() {
 		r := batch.SnapshotJob(j)
 		q := r.Queue()
-		f.Jobs = append(f.Jobs, batchJobForm{
+		job := batchJobForm{
 			Submit: submitForm(r.Submit()), Result: string(r.Result()), Ended: toNanos(r.Ended()), Started: r.Started(),
 			Queue: queueForm{
 				Name: q.Name(), Service: q.Service(), Priority: q.Priority(), Attempts: q.Attempts(),
 				Slowdown: q.Slowdown(), TargetLatency: int64(q.TargetLatency()), Public: q.Public(),
 			},
 			QueuePath: queuePathForm{Host: q.Host(), Prefix: q.Prefix(), Timeout: int64(q.Timeout()), RequiresAdvice: q.RequiresAdvice()},
-			Crashes:   newCrashRecordForms(r.Crashes()), Numbers: r.Numbers(), Next: r.Next(), Sparse: true,
-			Tasks: convertTasks(r.Tasks(), newBatchTaskForm),
-		})
+			Crashes:   newCrashRecordForms(r.Crashes()),
+			Tasks:     convertTasks(r.Tasks(), newBatchTaskForm),
+		}
+		if !r.All() {
+			job.Sparse, job.Numbers, job.Next = true, r.Numbers(), r.Next()
+		}
+		f.Jobs = append(f.Jobs, job)
 	}
 	return cbor.Marshal(f)
 }
@@ -384,8 +388,8 @@
 	return s.WithWaves(waves), nil
 }
 
-// occurrences returns the numbers of the occurrences in Tasks and that of the first one that has not begun. Older
-// snapshots list the tasks of all occurrences and no numbers.
+// occurrences returns the numbers of the occurrences in Tasks and that of the first one that has not begun. Where Tasks
+// has all occurrences, as always in older snapshots, there are no numbers.
 func (f batchJobForm) occurrences() (numbers []int, next int) {
 	if f.Sparse {
 		return f.Numbers, f.Next
--- a/internal/wire/snapshot_test.go
+++ b/internal/wire/snapshot_test.go
@@ -16,6 +16,9 @@
 // scheduleDecoder decodes each job as one that runs a number of times, once a second.
 type scheduleDecoder struct{ occurrences int }
 
+// many is a number of occurrences that a snapshot does not list one by one.
+const many = 1000
+
 var scheduleStart = time.Unix(1_800_000_000, 0)
 
 func (scheduleDecoder) Declaration([]byte) (batch.Declaration, error) {
@@ -30,8 +33,10 @@
 }
 
 // newScheduledState returns a state with a job of which occurrence 0 is done, 1 has not begun and 2 runs.
-func newScheduledState() batch.State {
-	s := batch.NewState(scheduleDecoder{occurrences: 5})
+func newScheduledState() batch.State { return newScheduledStateOf(many) }
+
+func newScheduledStateOf(occurrences int) batch.State {
+	s := batch.NewState(scheduleDecoder{occurrences: occurrences})
 	at, worker := scheduleStart, batch.NewIncarnation("h", "w", 1)
 	for _, c := range []batch.Command{
 		batch.NewDeclare([]byte("d")),
@@ -65,7 +70,7 @@
 	data, err := EncodeBatchState(s)
 	require.NoError(t, err)
 	t.Run("of this version", func(t *testing.T) {
-		read, err := DecodeBatchState(scheduleDecoder{occurrences: 5}, data)
+		read, err := DecodeBatchState(scheduleDecoder{occurrences: many}, data)
 		require.NoError(t, err)
 		assertSameProgress(t, s, read)
 	})
@@ -83,17 +88,29 @@
 		older.Jobs[0].Sparse, older.Jobs[0].Numbers, older.Jobs[0].Next = false, nil, 0
 		data, err := cbor.Marshal(older)
 		require.NoError(t, err)
-		read, err := DecodeBatchState(scheduleDecoder{occurrences: 5}, data)
+		read, err := DecodeBatchState(scheduleDecoder{occurrences: many}, data)
 		require.NoError(t, err)
 		assertSameProgress(t, s, read)
 	})
+	t.Run("of few occurrences, in the form of earlier versions", func(t *testing.T) {
+		few := newScheduledStateOf(5)
+		data, err := EncodeBatchState(few)
+		require.NoError(t, err)
+		var f batchStateForm
+		require.NoError(t, cbor.Unmarshal(data, &f))
+		assert.False(t, f.Jobs[0].Sparse)
+		assert.Len(t, f.Jobs[0].Tasks, 5)
+		read, err := DecodeBatchState(scheduleDecoder{occurrences: 5}, data)
+		require.NoError(t, err)
+		assertSameProgress(t, few, read)
+	})
 	t.Run("numbers missing", func(t *testing.T) {
 		broken := f
 		broken.Jobs = []batchJobForm{f.Jobs[0]}
 		broken.Jobs[0].Numbers = nil
 		data, err := cbor.Marshal(broken)
 		require.NoError(t, err)
-		_, err = DecodeBatchState(scheduleDecoder{occurrences: 5}, data)
+		_, err = DecodeBatchState(scheduleDecoder{occurrences: many}, data)
 		assert.Error(t, err)
 	})
 }
@@ -109,7 +126,7 @@
 		}
 		data, err := EncodeBatchState(s)
 		require.NoError(t, err)
-		read, err := DecodeBatchState(scheduleDecoder{occurrences: 5}, data)
+		read, err := DecodeBatchState(scheduleDecoder{occurrences: many}, data)
 		require.NoError(t, err)
 		assert.Equal(t, s.Jobs().Len(), read.Jobs().Len())
 	})
@@ -140,7 +157,7 @@
 	s := newScheduledState()
 	data, err := EncodeBatchState(s)
 	require.NoError(t, err)
-	read, err := DecodeBatchState(scheduleDecoder{occurrences: 5}, data)
+	read, err := DecodeBatchState(scheduleDecoder{occurrences: many}, data)
 	require.NoError(t, err)
 	before, _ := s.Job("j")
 	after, _ := read.Job("j")
