leader: a reply that has arrived counts although the write failed

Cause in the product: calls to the leader, claims, orders to agents and subscriptions gave up when the write failed, and discarded an answer that had arrived. A caller was told uncertain, or the call went out again. Only the exchange of an entry with an agent read on. All read on now, and name both errors if there is no answer.

Ruled out: the transport loses the answer (it is complete in all three orders).

--- a/internal/control/orders.go
+++ b/internal/control/orders.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"rosemarywind.example/rosemarywind/internal/task"
@@ -39,16 +40,18 @@
 	stop := s.CancelOnDone(ctx)
 	defer stop()
 	defer s.Cancel()
-	if err = wire.WriteOpening(s, wire.NewOpening(wire.KindOrders, "")); err != nil {
-		return nil, err
-	}
 	orders := make([]task.Order, len(b.orders))
 	for i, o := range b.orders {
 		orders[i] = o.order
 	}
-	if err = wire.WriteOrders(s, orders); err != nil {
-		return nil, err
+	// An agent that has replied stops reading, so replies may exist although the write failed.
+	writeErr := wire.WriteOpening(s, wire.NewOpening(wire.KindOrders, ""))
+	if writeErr == nil {
+		writeErr = wire.WriteOrders(s, orders)
 	}
 	s.CloseWrite()
-	return wire.ReadReplies(s, len(orders))
+	if replies, err = wire.ReadReplies(s, len(orders)); err != nil {
+		return nil, errors.Join(err, writeErr)
+	}
+	return replies, nil
 }
--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -185,17 +185,19 @@
 	stop := s.CancelOnDone(ctx)
 	defer stop()
 	defer s.Cancel()
-	if err = wire.WriteOpening(s, wire.NewOpening(wire.KindPropose, telemetry.Inject(ctx))); err != nil {
-		return nil, err
-	}
-	if err = wire.WriteCommand(s, c); err != nil {
-		return nil, err
+	// A host that has answered stops reading, so a result may exist although the write failed.
+	writeErr := wire.WriteOpening(s, wire.NewOpening(wire.KindPropose, telemetry.Inject(ctx)))
+	if writeErr == nil {
+		writeErr = wire.WriteCommand(s, c)
 	}
 	s.CloseWrite()
-	if err = wire.ReadStatus(s); err != nil {
-		return nil, err
+	if err = wire.ReadStatus(s); err == nil {
+		result, err = wire.ReadResult(s)
+	}
+	if err != nil {
+		return nil, errors.Join(err, writeErr)
 	}
-	return wire.ReadResult(s)
+	return result, nil
 }
 
 // awaitLeader waits until a leader other than previous is known and returns its address, or errNoLeader once ctx ends.
--- a/internal/entry/subscription.go
+++ b/internal/entry/subscription.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"rosemarywind.example/rosemarywind/internal/link"
@@ -21,13 +22,12 @@
 		s.Cancel()
 		stop()
 	}
-	if err = wire.WriteOpening(s, wire.NewOpening(k, "")); err == nil {
-		_ = s.SetReadDeadline(time.Now().Add(watchTimeout))
-		err = wire.ReadStatus(s)
-	}
-	if err != nil {
+	// A host that refuses stops reading, so its refusal may exist although the write failed.
+	writeErr := wire.WriteOpening(s, wire.NewOpening(k, ""))
+	_ = s.SetReadDeadline(time.Now().Add(watchTimeout))
+	if err = wire.ReadStatus(s); err != nil {
 		end()
-		return nil, nil, err
+		return nil, nil, errors.Join(err, writeErr)
 	}
 	return s, end, nil
 }
--- a/internal/leader/client_test.go
+++ b/internal/leader/client_test.go
@@ -20,6 +20,27 @@
 
 // host starts a control host that replies to each call with the result of answer; it does not reply if that is nil.
 func host(t *testing.T, answer func(call.Call) *call.Reply) (address string) {
+	t.Helper()
+	return serve(t, func(ctx context.Context, st *link.Stream) {
+		if _, err := wire.ReadOpening(st); err != nil {
+			return
+		}
+		c, err := wire.ReadCall(st)
+		if err != nil {
+			return
+		}
+		r := answer(c)
+		if r == nil {
+			<-ctx.Done()
+			return
+		}
+		_ = wire.WriteReply(st, *r)
+		st.Finish()
+	})
+}
+
+// serve starts a control host that serves its streams with handler.
+func serve(t *testing.T, handler link.Handler) (address string) {
 	t.Helper()
 	serverTLS, _, err := keys.Trusted.TLS(time.Now())
 	require.NoError(t, err)
@@ -29,22 +50,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		assert.NoError(t, s.Serve(ctx, func(ctx context.Context, st *link.Stream) {
-			if _, err := wire.ReadOpening(st); err != nil {
-				return
-			}
-			c, err := wire.ReadCall(st)
-			if err != nil {
-				return
-			}
-			r := answer(c)
-			if r == nil {
-				<-ctx.Done()
-				return
-			}
-			_ = wire.WriteReply(st, *r)
-			st.Finish()
-		}))
+		assert.NoError(t, s.Serve(ctx, handler))
 	}()
 	t.Cleanup(func() {
 		cancel()
@@ -88,6 +94,21 @@
 	return r, time.Since(startedAt)
 }
 
+// Guards against a caller that is told that the outcome is unknown although the leader's reply has arrived, because the
+// leader had stopped reading before the write returned.
+func TestReplyBeforeWriteReturns(t *testing.T) {
+	const documentBytes = 4 << 20 // above all flow-control windows
+	c := newClient(t, serve(t, func(_ context.Context, st *link.Stream) {
+		if _, err := wire.ReadOpening(st); err == nil {
+			_ = wire.WriteReply(st, *reply(call.OK))
+		}
+	}))
+	ctx, cancel := context.WithTimeout(t.Context(), callTimeout)
+	defer cancel()
+	r := c.Call(ctx, "", call.NewSubmit(call.NewTarget("h", "/q/j", "k"), make([]byte, documentBytes)), 0)
+	assert.Equal(t, call.OK, r.Outcome(), r.Reason())
+}
+
 // Guards against a call that waits until its deadline although there is no leader, and against the reply Unavailable to
 // a call that may have had an effect.
 func TestCall(t *testing.T) {
--- a/internal/leader/exchange.go
+++ b/internal/leader/exchange.go
@@ -56,12 +56,12 @@
 	}
 	stop := s.CancelOnDone(ctx)
 	defer stop()
-	if err = wire.WriteCall(s, trace, request); err == nil {
-		s.CloseWrite()
-		r, err = wire.ReadReply(s)
-	}
-	if err != nil {
+	// A host that has replied stops reading, so a reply may exist although the write failed.
+	writeErr := wire.WriteCall(s, trace, request)
+	s.CloseWrite()
+	if r, err = wire.ReadReply(s); err != nil {
 		s.Cancel()
+		err = errors.Join(err, writeErr)
 		return r, !link.NotServed(err), err
 	}
 	s.Finish()
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -63,18 +63,38 @@
 
 // Guards against a complete answer that is discarded because its sender stopped reading before this side had ended.
 func TestAnswerBeforeEnd(t *testing.T) {
+	written := make(chan struct{}, 1)
 	f := newFixture(t, func(_ context.Context, s *link.Stream) {
+		<-written
 		_, _ = io.ReadFull(s, make([]byte, 1))
 		_, _ = s.Write([]byte("answer"))
 	})
-	s := f.open(t)
-	_, err := s.Write([]byte("x"))
-	require.NoError(t, err)
-	require.Eventually(t, func() bool { return s.Context().Err() != nil }, testTimeout, time.Millisecond)
-	s.CloseWrite()
-	data, err := io.ReadAll(s)
-	require.NoError(t, err)
-	assert.Equal(t, "answer", string(data))
+	t.Run("the sender stopped reading after the last write", func(t *testing.T) {
+		s := f.open(t)
+		_, err := s.Write([]byte("x"))
+		require.NoError(t, err)
+		written <- struct{}{}
+		awaitStop(t, s)
+		s.CloseWrite()
+		assertAnswer(t, s)
+	})
+	t.Run("the sender stopped reading before the last write", func(t *testing.T) {
+		s := f.open(t)
+		written <- struct{}{}
+		awaitStop(t, s)
+		_, err := s.Write([]byte("x"))
+		require.Error(t, err)
+		s.CloseWrite()
+		assertAnswer(t, s)
+	})
+	t.Run("the sender stopped reading during the last write", func(t *testing.T) {
+		s := f.open(t)
+		time.AfterFunc(10*time.Millisecond, func() { written <- struct{}{} })
+		_, err := s.Write(make([]byte, 2<<20))
+		require.Error(t, err)
+		s.CloseWrite()
+		assertAnswer(t, s)
+	})
 }
 
 // Guards against a connection that accepts no new stream because the credit of ended streams was not returned.
@@ -268,6 +288,20 @@
 	return err
 }
 
+// awaitStop returns once the peer has stopped reading.
+func awaitStop(t *testing.T, s *link.Stream) {
+	t.Helper()
+	require.Eventually(t, func() bool { return s.Context().Err() != nil }, testTimeout, time.Millisecond)
+}
+
+// assertAnswer checks that the peer's complete answer can be read.
+func assertAnswer(t *testing.T, s *link.Stream) {
+	t.Helper()
+	data, err := io.ReadAll(s)
+	require.NoError(t, err)
+	assert.Equal(t, "answer", string(data))
+}
+
 // assertEchoes checks that the peer returns the byte that open wrote.
 func assertEchoes(t *testing.T, s *link.Stream) {
 	t.Helper()
