runner: runs of an earlier incarnation are stopped at the next one at once

A start for a worker that has restarted under the same ID reaches the new incarnation, where its lease is up to 6 s from the call; the leader counts 5.4 s from the order. If the host was cut off right after such a start, the leader could place the run again while it still ran: TWICE.

Cause: only the leader had such runs stopped, and it cannot reach a host that is cut off. The agent sees the new incarnation within a heartbeat and now stops there what it has started, or may have, for the previous one. A stop bars the run and lower ones only, so a new run of the same task is not affected.

Ruled out: a longer count by the leader, since a late call is not bounded by the time of its order.

--- a/internal/runner/crash.go
+++ b/internal/runner/crash.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"maps"
 	"slices"
 	"strconv"
 	"time"
@@ -82,8 +83,9 @@
 
 // observeWorker follows the worker's announcements: it notes the crash of the previous incarnation, and publishes the
 // announcement for the sessions together with the crashes, so that the leader never learns of a new incarnation
-// before it learns how the previous one ended.
-func (l *loop) observeWorker(now time.Time, a workerState, version uint64) {
+// before it learns how the previous one ended. Starts for the previous incarnation may have reached one with the same
+// ID, where their lease ends later than the leader counts, so they are stopped there at once.
+func (l *loop) observeWorker(ctx context.Context, now time.Time, a workerState, version uint64) {
 	if !a.known || version == l.observed {
 		return
 	}
@@ -94,13 +96,39 @@
 			l.crashes = append(l.crashes[max(0, len(l.crashes)-maxReportedCrashes+1):len(l.crashes):len(l.crashes)], c)
 			l.crashCount++
 		}
+		var inherited []run.ID
+		if latest.ID() == l.incarnation.ID() {
+			inherited = l.begunRuns()
+		}
 		l.watch = newCrashWatch()
 		l.resetIncarnation(latest)
+		go l.stopInherited(ctx, latest, l.fencingToken, inherited)
 	}
 	l.watch.leaving = a.announcement.Draining() || a.terminating
 	l.outgoing.Publish(outgoingState{worker: a, crashes: l.crashes, crashCount: l.crashCount})
 }
 
+// begunRuns returns the runs that the worker has begun, or may have begun, latest first.
+func (l *loop) begunRuns() []run.ID {
+	ids := slices.Collect(maps.Keys(l.watch.begun))
+	slices.SortFunc(ids, func(a, b run.ID) int { return l.watch.begun[b].Compare(l.watch.begun[a]) })
+	for id := range l.starts {
+		if _, begun := l.watch.begun[id]; !begun {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// stopInherited stops runs that were ordered for an earlier incarnation of the worker.
+func (l *loop) stopInherited(ctx context.Context, incarnation batch.Incarnation, fencingToken uint64, ids []run.ID) {
+	for _, id := range ids {
+		if l.ensureStopped(ctx, incarnation, fencingToken, id) {
+			l.enqueue(ctx, stoppedInput{id: id, incarnation: incarnation, at: time.Now()})
+		}
+	}
+}
+
 func (l *loop) logCrash(c run.Crash) {
 	runs := make([]string, 0, len(c.Runs()))
 	for _, r := range c.Runs()[:min(len(c.Runs()), maxLoggedRuns)] {
--- a/internal/runner/crash_test.go
+++ b/internal/runner/crash_test.go
@@ -43,7 +43,7 @@
 // announce passes an announcement to the loop and returns what the sessions report after it.
 func announce(l *loop, at time.Duration, a run.Announcement) outgoingState {
 	l.announced.Publish(workerState{announcement: a, known: true})
-	l.observeWorker(epoch.Add(at), l.announced.Load(), l.announced.Version())
+	l.observeWorker(context.Background(), epoch.Add(at), l.announced.Load(), l.announced.Version())
 	return l.outgoing.Load()
 }
 
@@ -145,7 +145,7 @@
 	t.Run("terminating", func(t *testing.T) {
 		l := newTestLoop(first)
 		l.announced.Publish(workerState{announcement: announced(first), known: true, terminating: true})
-		l.observeWorker(epoch, l.announced.Load(), l.announced.Version())
+		l.observeWorker(context.Background(), epoch, l.announced.Load(), l.announced.Version())
 		assert.Empty(t, announce(l, 2*time.Second, announced(second)).crashes)
 	})
 	t.Run("first worker after the start of the agent, as after a loss of power", func(t *testing.T) {
@@ -154,6 +154,74 @@
 	})
 }
 
+// stoppingWorker records the runs that it is told to stop.
+type stoppingWorker struct {
+	silentWorker
+	stopped chan run.ID
+}
+
+func (w *stoppingWorker) Stop(_ context.Context, incarnation batch.Incarnation, _ uint64, id run.ID) error {
+	if incarnation == second {
+		w.stopped <- id
+	}
+	return nil
+}
+
+// Guards against a task that runs twice: a start for an earlier incarnation of the worker can reach the next one with the
+// same ID, which holds it longer than the leader counts.
+func TestInheritedRunsStopped(t *testing.T) {
+	newStoppable := func() (*loop, *stoppingWorker) {
+		w := &stoppingWorker{stopped: make(chan run.ID, 2)}
+		l := newTestLoop(first)
+		l.worker = w
+		return l, w
+	}
+	assertStopped := func(t *testing.T, l *loop, w *stoppingWorker, want run.ID) {
+		t.Helper()
+		select {
+		case id := <-w.stopped:
+			assert.Equal(t, want, id)
+		case <-time.After(5 * time.Second):
+			require.Fail(t, "the run was not stopped")
+		}
+		for stopped := false; !stopped; {
+			in := <-l.inputs
+			_, stopped = in.(stoppedInput)
+			l.handle(t.Context(), epoch, in)
+		}
+		assert.Contains(t, l.settled, want)
+	}
+	t.Run("begun", func(t *testing.T) {
+		l, w := newStoppable()
+		startAt(t, l, task, 0)
+		announce(l, time.Second, announced(second))
+		assertStopped(t, l, w, task)
+	})
+	t.Run("not answered yet", func(t *testing.T) {
+		l, w := newStoppable()
+		l.handle(t.Context(), epoch, orderInput{envelope: run.NewEnvelope(1, run.NewStart(task, first, "", "", time.Second))})
+		announce(l, time.Second, announced(second))
+		assertStopped(t, l, w, task)
+	})
+	t.Run("not those that have ended", func(t *testing.T) {
+		l, w := newStoppable()
+		startAt(t, l, task, 0)
+		startAt(t, l, other, 0)
+		listAt(t, l, time.Second, nil, other)
+		announce(l, 2*time.Second, announced(second))
+		assertStopped(t, l, w, other)
+		assert.Empty(t, w.stopped)
+	})
+	t.Run("not at an incarnation with another id", func(t *testing.T) {
+		l, w := newStoppable()
+		startAt(t, l, task, 0)
+		announce(l, time.Second, announced(reincarnated))
+		time.Sleep(20 * time.Millisecond)
+		assert.Empty(t, w.stopped)
+		assert.Empty(t, l.inputs)
+	})
+}
+
 // startResults orders a start to a worker that answers start calls with the given errors in order, and returns the
 // loop after it has handled the results of n calls.
 func startResults(t *testing.T, n int, results ...error) (*loop, *busyWorker) {
--- a/internal/runner/loop.go
+++ b/internal/runner/loop.go
@@ -66,7 +66,7 @@
 		now := time.Now()
 		version := l.announced.Version()
 		a, changed := l.announced.Watch()
-		l.observeWorker(now, a, version)
+		l.observeWorker(ctx, now, a, version)
 		l.poll(ctx, now)
 		if wait, due := l.nextPoll(now); due {
 			timer.Reset(wait)
