runner: a worker that is silent before it crashes crashes under its runs

Cause: the crash of a worker that had not answered for a while was reported without runs, since their age at the crash is not known. The runs now have the age that they had at the worker's latest answer: what counts is when it fell silent.

Ruled out: that runs behind a partition are blamed. An agent and its worker share a machine; a connection that goes silent is replaced, and the answer on the new one ends the silence.

The case of TestCrashReported that expected no runs wanted the fault. It is replaced by one that wants each run with its age, which failed before (call and connection), and two for starts without an answer and workers that never answered.

Open: a task that hangs its worker before it answers the start.

--- a/internal/runner/crash.go
+++ b/internal/runner/crash.go
@@ -23,8 +23,9 @@
 // crashWatch follows which runs the current incarnation of the worker has begun and since when it does not answer.
 type crashWatch struct {
 	begun       map[run.ID]time.Time // when the start call was sent that the worker has carried out, or may have
+	answeredAt  time.Time            // time of the latest answer, zero if there was none
 	silentSince time.Time            // time of the first failed call since the latest answer; zero if none failed
-	timedOut    bool                 // that call timed out, so the crash may have been at any time after it
+	timedOut    bool                 // that call timed out, so the worker fell silent before it crashed
 	leaving     bool                 // the worker drains or has announced its termination
 }
 
@@ -34,7 +35,9 @@
 func (w *crashWatch) recordBegun(id run.ID, sentAt time.Time) { w.begun[id] = sentAt }
 
 // recordAnswer records that the worker has answered a call.
-func (w *crashWatch) recordAnswer() { w.silentSince, w.timedOut = time.Time{}, false }
+func (w *crashWatch) recordAnswer(at time.Time) {
+	w.answeredAt, w.silentSince, w.timedOut = at, time.Time{}, false
+}
 
 // recordSilence records that a call failed without an answer.
 func (w *crashWatch) recordSilence(at time.Time, err error) {
@@ -58,17 +61,17 @@
 }
 
 // crash returns the crash of the worker, once its next incarnation is known; ok is false if it had announced that it
-// leaves. A start that was sent after the worker had stopped answering did not reach it. The crash of a worker that was
-// silent before, as behind a partition, has no runs, since their age at the crash is not known.
+// leaves. A start that was sent after the worker had stopped answering did not reach it. For a worker that fell silent
+// first, the runs have the age that they had at its latest answer: a task may hang its worker before it crashes it.
 func (w *crashWatch) crash(now time.Time, worker batch.Incarnation) (c run.Crash, ok bool) {
 	if worker == (batch.Incarnation{}) || w.leaving {
 		return c, false
 	}
-	if w.timedOut {
-		return run.NewCrash(worker), true
-	}
 	at := now
-	if !w.silentSince.IsZero() {
+	switch {
+	case w.timedOut:
+		at = w.answeredAt
+	case !w.silentSince.IsZero():
 		at = w.silentSince
 	}
 	var runs []run.CrashedRun
--- a/internal/runner/crash_test.go
+++ b/internal/runner/crash_test.go
@@ -102,7 +102,7 @@
 		})
 		assertCrash(t, announce(l, 4*time.Second, announced(second)), run.NewCrashedRun(task, 10*time.Millisecond))
 	})
-	t.Run("without the runs of a worker that was silent before", func(t *testing.T) {
+	t.Run("with the age of the runs at the latest answer of a worker that was silent before", func(t *testing.T) {
 		for name, silence := range map[string]error{
 			"call":       context.DeadlineExceeded,
 			"connection": fmt.Errorf("%w: %w", ErrNoConnection, os.ErrDeadlineExceeded),
@@ -110,12 +110,28 @@
 			t.Run(name, func(t *testing.T) {
 				l := newTestLoop(first)
 				startAt(t, l, task, 0)
-				listAt(t, l, time.Second, silence)
-				listAt(t, l, 2*time.Second, errNoAnswer)
-				assertCrash(t, announce(l, 4*time.Second, announced(second)))
+				listAt(t, l, 2*time.Second, nil, task)
+				startAt(t, l, other, 2010*time.Millisecond)
+				listAt(t, l, 3*time.Second, silence)
+				listAt(t, l, 4*time.Second, errNoAnswer)
+				assertCrash(t, announce(l, 6*time.Second, announced(second)),
+					run.NewCrashedRun(other, 0), run.NewCrashedRun(task, 2010*time.Millisecond))
 			})
 		}
 	})
+	t.Run("without a start that a silent worker did not answer", func(t *testing.T) {
+		l := newTestLoop(first)
+		listAt(t, l, 0, nil)
+		l.handle(t.Context(), epoch, unansweredInput{
+			id: task, incarnation: first, err: context.DeadlineExceeded, sentAt: epoch.Add(time.Second), at: epoch.Add(2 * time.Second),
+		})
+		assertCrash(t, announce(l, 4*time.Second, announced(second)))
+	})
+	t.Run("without the runs of a worker that has never answered", func(t *testing.T) {
+		l := newTestLoop(first)
+		listAt(t, l, time.Second, context.DeadlineExceeded)
+		assertCrash(t, announce(l, 4*time.Second, announced(second)))
+	})
 	t.Run("with the runs of a worker that answered again", func(t *testing.T) {
 		l := newTestLoop(first)
 		startAt(t, l, task, 0)
--- a/internal/runner/loop.go
+++ b/internal/runner/loop.go
@@ -323,7 +323,7 @@
 	}
 	changed := !sameList(l.list, list)
 	l.list = list
-	l.watch.recordAnswer()
+	l.watch.recordAnswer(now)
 	l.watch.forgetEnded(list)
 	if n := l.acknowledgement(); l.hasUnacknowledged() || n > 0 && n == in.acknowledged {
 		l.nextList = now.Add(unacknowledgedListDelay)
--- a/internal/runner/start.go
+++ b/internal/runner/start.go
@@ -75,7 +75,7 @@
 	}
 	l.settle(in.id, in.at)
 	if !in.sentAt.IsZero() {
-		l.watch.recordAnswer()
+		l.watch.recordAnswer(in.at)
 	}
 	if in.refusal == "" {
 		l.watch.recordBegun(in.id, in.sentAt)
