dispatch: a new leader takes no machine down before its runs are known

A leader that has just been elected ordered the upkeep of a machine that no agent had reported to it yet, under the runs there: work thrown away, and AVAIL.

Cause: the runs on a machine are counted by the worker reported there, and without a report there were none. Now such a machine waits while a run is placed on a worker that nobody has reported to this leader.

Ruled out: that countDown errs as well; a machine without a report counts as down there, which is safe.

--- a/internal/dispatch/maintenance.go
+++ b/internal/dispatch/maintenance.go
@@ -105,10 +105,11 @@
 	return count
 }
 
-// drainMachine stops the runs on a machine when permitted, and orders its maintenance once none is left.
+// drainMachine stops the runs on a machine when permitted, and orders its maintenance once none is left. A machine that
+// no agent has reported to this leader may be that of any run on a worker that none has reported either.
 func (c *Core) drainMachine(now time.Time, s batch.State, w batch.Wave, machine string, h *host, a *Actions) {
 	d := c.drains[machine]
-	if d.ordered || now.Before(d.retryAt) {
+	if d.ordered || now.Before(d.retryAt) || h == nil && c.hasUnreportedRuns(s) {
 		return
 	}
 	remaining := 0
@@ -135,6 +136,18 @@
 	a.maintenance = append(a.maintenance, Maintenance{wave: w.Number(), machine: machine, worker: worker})
 }
 
+// hasUnreportedRuns reports whether a run is placed on a host whose agent has not reported to this leader. Such runs end
+// as lost once the lease of the earlier leader has ended.
+func (c *Core) hasUnreportedRuns(s batch.State) (found bool) {
+	for _, j := range s.Jobs().All() {
+		eachPlaced(j, func(_ run.ID, t batch.Task) {
+			h := c.hosts[t.Worker().Host()]
+			found = found || h == nil || !h.announced
+		})
+	}
+	return found
+}
+
 // mayStop reports whether a run may be stopped for maintenance now. A long-running task may stop while its step
 // tolerates one more missing task, a task that saves checkpoints at once, and any other when its share of the wave's
 // time or maxDrainTime has passed.
