placement: reservations for thousands of tasks take milliseconds

Cause: capacity is reserved for each waiting task in turn, and for each the runs of a worker were summed once for the end of each run. What the runs release is now kept in order with running sums until they change, and the earliest fit is found by bisection.

Ruled out: other decisions.

--- a/internal/placement/assignment.go
+++ b/internal/placement/assignment.go
@@ -22,9 +22,10 @@
 }
 
 func (as *assignment) add(index int, w *workerState) {
-	run := 1
-	for n, t := range as.unit.job.Tasks(as.unit.key.Occurrence(), as.unit.key.Step()) {
-		if as.unit.step.Gang() || n == index {
+	tasks := as.unit.job.Tasks(as.unit.key.Occurrence(), as.unit.key.Step())
+	run := tasks[index].Run() + 1
+	if as.unit.step.Gang() {
+		for _, t := range tasks {
 			run = max(run, t.Run()+1)
 		}
 	}
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"maps"
 	"slices"
-	"time"
 
 	"rosemarywind.example/rosemarywind/internal/batch"
 	"rosemarywind.example/rosemarywind/internal/run"
@@ -330,7 +329,7 @@
 	ends := p.view.now.Add(u.duration)
 	for _, rv := range w.reservations {
 		if (rv.noBackfill || ends.After(rv.from)) &&
-			!needs.Plus(rv.needs).Fits(free.Plus(releasedUntil(w, rv.from, declaredEnds))) {
+			!needs.Plus(rv.needs).Fits(free.Plus(p.releases(w, declaredEnds).until(rv.from))) {
 			return false
 		}
 	}
@@ -348,17 +347,6 @@
 	return count
 }
 
-// releasedUntil returns the resources that runs of a worker are expected to release until a time, by the ends that src
-// includes.
-func releasedUntil(w *workerState, until time.Time, src endSource) (sum batch.Resources) {
-	for _, r := range w.runs {
-		if src.includes(r) && !r.ends.After(until) {
-			sum = sum.Plus(r.step.Reserved())
-		}
-	}
-	return sum
-}
-
 // assign takes a task's resources from a worker. The new run counts as guaranteed, so that this decision cannot preempt
 // it.
 func (p *planner) assign(u *unit, w *workerState) {
@@ -368,6 +356,7 @@
 		ends: p.view.now.Add(u.duration), guaranteed: true, suspect: u.suspicion.any(), unit: u,
 	}
 	w.runs = append(w.runs, r)
+	w.runsChanged()
 	if !u.guaranteed {
 		p.countLongRunning(u.step)
 	}
--- a/internal/placement/preempt.go
+++ b/internal/placement/preempt.go
@@ -46,6 +46,7 @@
 		}
 		r.ends = p.view.now.Add(stopAllowance)
 		r.stopping = true
+		r.worker.runsChanged()
 	}
 	return bestSet
 }
--- a/internal/placement/reserve.go
+++ b/internal/placement/reserve.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"sort"
 	"time"
 
 	"rosemarywind.example/rosemarywind/internal/batch"
@@ -31,6 +32,7 @@
 				needs = needs.Plus(u.step.Reserved())
 			}
 			w.reservations = append(w.reservations, reservation{from: from, needs: needs, noBackfill: u.queue.Priority() == 0})
+			w.reserved = w.reserved.Plus(needs)
 		}
 	}
 	return true
@@ -50,34 +52,85 @@
 	return src == declaredEnds || r.observed || r.stopping
 }
 
-// earliestFit returns the earliest time at which a set of workers is expected to hold all tasks of the unit.
+// earliestFit returns the earliest time, now or the expected end of a run, at which a set of workers is expected to hold
+// all tasks of the unit. The free resources only grow with time, so it is found by bisection.
 func (p *planner) earliestFit(u *unit, set []*workerState, src endSource) (at time.Time, ok bool) {
 	times := []time.Time{p.view.now}
 	for _, w := range set {
-		for _, r := range w.runs {
-			if src.includes(r) {
-				times = append(times, r.ends)
-			}
+		if len(set) == 1 {
+			times = p.releases(w, src).times
+			break
 		}
+		times = append(times, p.releases(w, src).times...)
+	}
+	if len(set) > 1 {
+		slices.SortFunc(times, time.Time.Compare)
 	}
-	slices.SortFunc(times, time.Time.Compare)
-	for _, at = range times {
+	n := sort.Search(len(times), func(n int) bool {
 		fitting := 0
 		for _, w := range set {
-			fitting += u.maxTasks(p.availableAt(w, at, src))
-		}
-		if fitting >= len(u.indexes) {
-			return at, true
+			fitting += u.maxTasks(p.availableAt(w, times[n], src))
 		}
+		return fitting >= len(u.indexes)
+	})
+	if n == len(times) {
+		return at, false
 	}
-	return at, false
+	return times[n], true
 }
 
 // availableAt returns the resources of a worker that are expected to be free at a time, less the reserved ones.
 func (p *planner) availableAt(w *workerState, at time.Time, src endSource) batch.Resources {
-	free := w.free.Plus(releasedUntil(w, at, src))
-	for _, rv := range w.reservations {
-		free = free.Minus(rv.needs)
+	return w.free.Plus(p.releases(w, src).until(at)).Minus(w.reserved)
+}
+
+// releases are the resources that the runs of a worker are expected to release, by time.
+type releases struct {
+	times []time.Time       // now and the expected ends of runs, in order
+	sums  []batch.Resources // released until each of the times, with all runs listed so far
+}
+
+// until returns the resources that are released until a time, inclusive.
+func (r *releases) until(at time.Time) batch.Resources {
+	n := sort.Search(len(r.times), func(n int) bool { return r.times[n].After(at) })
+	if n == 0 {
+		return batch.Resources{}
 	}
-	return free
+	return r.sums[n-1]
 }
+
+// releases returns the releases of a worker's runs, by the ends that src includes. They are kept until its runs change,
+// since a step of thousands of tasks asks for them for each task.
+func (p *planner) releases(w *workerState, src endSource) *releases {
+	if r := w.released[src]; r != nil {
+		return r
+	}
+	var runs []*placedRun
+	for _, r := range w.runs {
+		if src.includes(r) {
+			runs = append(runs, r)
+		}
+	}
+	slices.SortFunc(runs, func(a, b *placedRun) int { return a.ends.Compare(b.ends) })
+	r, sum, passed := &releases{}, batch.Resources{}, false
+	add := func(at time.Time) { r.times, r.sums = append(r.times, at), append(r.sums, sum) }
+	for _, placed := range runs {
+		if !passed && placed.ends.After(p.view.now) {
+			passed = true
+			add(p.view.now)
+		}
+		sum = sum.Plus(placed.step.Reserved())
+		add(placed.ends)
+	}
+	if !passed {
+		add(p.view.now)
+	}
+	if w.released == nil {
+		w.released = map[endSource]*releases{}
+	}
+	w.released[src] = r
+	return r
+}
+
+// runsChanged drops what was derived from the worker's runs; call it after each change of a run or of their list.
+func (w *workerState) runsChanged() { clear(w.released) }
--- a/internal/placement/view.go
+++ b/internal/placement/view.go
@@ -66,6 +66,8 @@
 	suspect      bool
 	runs         []*placedRun
 	reservations []reservation
+	reserved     batch.Resources         // sum of the reservations
+	released     map[endSource]*releases // results of releases
 }
 
 // placedRun is a run that is placed on a worker, or that this decision places there, with run number 0.
@@ -131,6 +133,7 @@
 				}
 				r.ends, r.observed = v.expectedEnd(r)
 				ws.runs = append(ws.runs, r)
+				ws.runsChanged()
 				ws.free = ws.free.Minus(s.Reserved())
 			}
 		}
