--- a/internal/ledger/storage/cluster_test.go
+++ b/internal/ledger/storage/cluster_test.go
@@ -24,6 +24,7 @@
 	fromHost    string
 	fromAddress string
 	toAddress   string
+	due         time.Time // zero without a delay of links
 }
 
 // host is one host of the control plane. Its disk persists when its core crashes.
@@ -39,6 +40,7 @@
 	applied       uint64
 	lines         []string
 	accepted      map[uint64]string // accepted proposals by index
+	saveDue       time.Time         // end of the sync under way; zero if there is none
 }
 
 // cluster is a set of hosts with a simulated clock, network and disks.
@@ -54,6 +56,10 @@
 	lastToken      uint64
 	linesByToken   map[uint64]string
 	oracle         *oracle
+	// bootstrapState returns the initial state of a host with an empty disk that needs no probes; nil for none.
+	bootstrapState func(h *host, fresh ledger.MemberID) (saved ledger.PersistentState, ok bool)
+	delay          func(from, toAddress string) time.Duration // delay of a link; nil for none
+	promotionLag   time.Duration                              // age of the committed entries that a new voter may lack
 }
 
 func newCluster(t failer, size int, seed uint64) *cluster {
@@ -98,6 +104,12 @@
 	}
 	c.freshIDs++
 	fresh := ledger.FreshID(ledger.MemberID(h.name), int64(c.freshIDs))
+	if c.bootstrapState != nil {
+		if saved, ok := c.bootstrapState(h, fresh); ok {
+			c.saveInitial(h, saved)
+			return
+		}
+	}
 	h.bootstrap = ledger.NewBootstrap(ledger.MemberID(h.name), fresh, c.initialMembers())
 	c.bootstrap(h)
 }
@@ -111,6 +123,10 @@
 		}
 		return
 	}
+	c.saveInitial(h, saved)
+}
+
+func (c *cluster) saveInitial(h *host, saved ledger.PersistentState) {
 	snapshot := saved.Snapshot()
 	if h.store.Save([]ledger.Persist{ledger.NewPersist(saved.HardState(), &snapshot, nil)}) == nil {
 		c.startCore(h, saved)
@@ -120,7 +136,7 @@
 }
 
 func (c *cluster) startCore(h *host, saved ledger.PersistentState) {
-	h.bootstrap, h.writes, h.accepted = nil, nil, map[uint64]string{}
+	h.bootstrap, h.writes, h.accepted, h.saveDue = nil, nil, map[uint64]string{}, time.Time{}
 	h.core = ledger.NewCore(saved, h.address, ledger.DefaultTiming(), c.now, c.random)
 	h.lines, h.applied = nil, saved.Snapshot().Index()
 	if h.applied > 0 {
@@ -161,8 +177,12 @@
 	if !known {
 		to = s.Address()
 	}
-	c.packets = append(c.packets, packet{send: s, from: from, fromHost: h.name, fromAddress: h.address, toAddress: to})
-	if len(c.packets) > 400 {
+	p := packet{send: s, from: from, fromHost: h.name, fromAddress: h.address, toAddress: to}
+	if c.delay != nil {
+		p.due = c.now.Add(c.delay(h.name, to))
+	}
+	c.packets = append(c.packets, p)
+	if c.delay == nil && len(c.packets) > 400 {
 		c.packets = slices.Delete(c.packets, 0, 100)
 	}
 }
@@ -281,7 +301,7 @@
 			c.t.Fatalf("%s applies entry %d after %d", h.name, e.Index(), h.applied)
 		}
 		h.applied = e.Index()
-		c.oracle.checkCommit(h.name, e)
+		c.oracle.checkCommit(h.name, e, c.now)
 		if e.Kind() == ledger.Data {
 			h.lines = append(h.lines, string(e.Data()))
 			if h.accepted[e.Index()] == string(e.Data()) {
@@ -307,12 +327,15 @@
 	}
 }
 
-// checkPromotion checks that a new voter has all committed entries.
+// checkPromotion checks that a new voter has all committed entries, except for those committed within promotionLag.
 func (c *cluster) checkPromotion(core *ledger.Core, entries []ledger.Entry) {
 	for _, h := range c.hosts {
 		if core.Role() != ledger.Leader || h.core == nil || h.core.LastIndex() >= core.Commit() {
 			continue
 		}
+		if c.promotionLag > 0 && h.core.LastIndex() >= c.oracle.commitBefore(c.now.Add(-c.promotionLag)) {
+			continue
+		}
 		old, _ := c.oracle.membership().Find(h.core.Self())
 		for _, e := range entries {
 			if now, _ := e.Membership().Find(h.core.Self()); now.Voter() && !old.Voter() {
--- a/internal/ledger/storage/disk_test.go
+++ b/internal/ledger/storage/disk_test.go
@@ -116,7 +116,8 @@
 	if err := f.disk.sync(); err != nil {
 		return err
 	}
-	f.synced = slices.Clone(f.data)
+	// Data is only appended, so the synced part can share its memory.
+	f.synced = slices.Clip(f.data)
 	return nil
 }
 
--- a/internal/ledger/storage/oracle_test.go
+++ b/internal/ledger/storage/oracle_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"rosemarywind.example/rosemarywind/internal/ledger"
 )
@@ -13,6 +14,8 @@
 	initial      ledger.Membership
 	leaders      map[uint64]ledger.MemberID
 	committed    []ledger.Entry
+	committedAt  []time.Time // by index, as committed
+	configs      []int       // indexes in committed of the memberships
 	acknowledged map[string]bool
 }
 
@@ -28,12 +31,15 @@
 }
 
 // checkCommit checks that every host commits the same entry at an index.
-func (o *oracle) checkCommit(host string, e ledger.Entry) {
+func (o *oracle) checkCommit(host string, e ledger.Entry, now time.Time) {
 	switch at := int(e.Index()) - 1; {
 	case at > len(o.committed):
 		o.t.Fatalf("%s commits entry %d after %d", host, e.Index(), len(o.committed))
 	case at == len(o.committed):
-		o.committed = append(o.committed, e)
+		if e.Kind() == ledger.Config {
+			o.configs = append(o.configs, at)
+		}
+		o.committed, o.committedAt = append(o.committed, e), append(o.committedAt, now)
 	case o.committed[at].Term() != e.Term() || string(o.committed[at].Data()) != string(e.Data()):
 		o.t.Fatalf("%s commits %q of term %d at %d, which was %q of term %d", host,
 			e.Data(), e.Term(), e.Index(), o.committed[at].Data(), o.committed[at].Term())
@@ -60,12 +66,16 @@
 
 // membership returns the latest membership known to be committed.
 func (o *oracle) membership() ledger.Membership {
-	for _, e := range slices.Backward(o.committed) {
-		if e.Kind() == ledger.Config {
-			return e.Membership()
-		}
+	if len(o.configs) == 0 {
+		return o.initial
 	}
-	return o.initial
+	return o.committed[o.configs[len(o.configs)-1]].Membership()
+}
+
+// commitBefore returns the index up to which entries were committed before t.
+func (o *oracle) commitBefore(t time.Time) uint64 {
+	i, _ := slices.BinarySearchFunc(o.committedAt, t, time.Time.Compare)
+	return uint64(i)
 }
 
 // checkFinal checks that the final log contains each acknowledged proposal exactly once, and no proposal twice.
