ledger: a joining member is promoted while the leader is under load

Callers saw: after the loss of hosts no leader, since hosts that had joined had no vote.

Cause: a member counted as caught up if its match index had reached the commit index at the moment of looking. With proposals without a pause the commit index is ahead of a member with a slower link whenever it answers.

Change: a member has caught up if it has synced everything that was committed at most one lease ago. Safety does not depend on it: each membership is committed by its own majority, and an entry that was committed before the promotion is on a majority of the voters before it.

--- a/internal/ledger/join.go
+++ b/internal/ledger/join.go
@@ -94,7 +94,7 @@
 			c.appendMembership(0, c.membership.with(NewMember(id, address, current.voter)))
 		case current.voter:
 			delete(c.joining, id)
-		case c.peers[id].matchIndex < c.commitIndex:
+		case !c.caughtUp(id):
 		case replaces && c.recentlyActive(old):
 			delete(c.joining, id)
 		case replaces:
@@ -126,7 +126,7 @@
 func (c *Core) countPromotable() (count int) {
 	for id := range c.joining {
 		e, known := c.membership.Find(id)
-		if p := c.peers[id]; known && !e.voter && p != nil && p.matchIndex >= c.commitIndex && c.recentlyActive(id) {
+		if known && !e.voter && c.caughtUp(id) && c.recentlyActive(id) {
 			count++
 		}
 	}
--- a/internal/ledger/join_test.go
+++ b/internal/ledger/join_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -116,3 +117,68 @@
 		assert.Equal(t, 5, runWithJoining(t, "d", "e", "f").core.Membership().Voters())
 	})
 }
+
+// voterCase is a leader of term 3 that runs for some seconds beside other members.
+type voterCase struct {
+	voters  []ledger.MemberID // beside the leader
+	joining []ledger.MemberID // hosts that ask to join and answer
+	lag     int               // number of the latest entries that a joining host lacks in each reply
+	length  time.Duration     // after the election
+}
+
+// run plays the case in steps of 100 ms, in each of which the leader appends 10 entries, and calls each with the leader
+// after each step.
+func (v voterCase) run(t *testing.T, each func(*testLeader)) *testLeader {
+	t.Helper()
+	l := newLeader(t)
+	for n := range int(v.length / (100 * time.Millisecond)) {
+		l.now = l.now.Add(100 * time.Millisecond)
+		for range 10 {
+			l.core.Step(l.now, l.random, ledger.NewPropose(ledger.NewProposal(1, nil)))
+		}
+		l.core.Step(l.now, l.random, ledger.NewPersisted(uint64(1000+100*n)))
+		for _, id := range v.joining {
+			l.core.Step(l.now, l.random, ledger.NewReceive(id, ledger.NewJoin(string(id))))
+		}
+		for _, id := range slices.Concat(v.voters, v.joining) {
+			index := l.core.LastIndex()
+			if slices.Contains(v.joining, id) {
+				index -= min(index, uint64(v.lag))
+			}
+			reply := ledger.NewMatchReply(l.core.Term(), uint64(1000+100*n), l.now.Sub(l.epoch), index)
+			l.core.Step(l.now, l.random, ledger.NewReceive(id, reply))
+			each(l)
+		}
+	}
+	require.Equal(t, ledger.Leader, l.core.Role())
+	return l
+}
+
+func assertVoters(t *testing.T, l *testLeader, want ...ledger.MemberID) {
+	t.Helper()
+	var voters []ledger.MemberID
+	for _, m := range l.core.Membership().Members() {
+		if m.Voter() {
+			voters = append(voters, m.ID())
+		}
+	}
+	assert.Equal(t, want, voters)
+}
+
+// Guards against a host that never becomes a voter because the commit index is ahead of it whenever it answers.
+func TestPromotionUnderLoad(t *testing.T) {
+	l := voterCase{voters: ids("bc"), joining: ids("de"), lag: 5, length: 2 * time.Second}.run(t, func(*testLeader) {})
+	assertVoters(t, l, ids("abcde")...)
+	t.Run("not more than one lease behind", func(t *testing.T) {
+		l := voterCase{voters: ids("bc"), joining: ids("de"), lag: 150, length: 4 * time.Second}.run(t, func(*testLeader) {})
+		assertVoters(t, l, ids("abc")...)
+	})
+}
+
+// ids returns an id for each letter.
+func ids(letters string) (list []ledger.MemberID) {
+	for _, l := range letters {
+		list = append(list, ledger.MemberID(string(l)))
+	}
+	return list
+}
--- a/internal/ledger/lead.go
+++ b/internal/ledger/lead.go
@@ -25,6 +25,9 @@
 	acked           bool
 	resetRound      uint64 // round at which nextIndex was last moved back
 	snapshotRetryAt time.Time
+	caughtUpAt      time.Time // latest known time until which all committed entries are synced
+	targetIndex     uint64    // commit index at targetAt
+	targetAt        time.Time
 }
 
 // lead advances the commit index, the membership and a leadership transfer, and sends entries to the other members.
@@ -137,6 +140,7 @@
 		return
 	}
 	p.matchIndex = max(p.matchIndex, m.index)
+	c.measureLag(p)
 	if m.round > p.resetRound && m.index >= p.nextIndex-1 {
 		p.probing, p.snapshotRetryAt = false, time.Time{}
 	}
@@ -144,6 +148,29 @@
 	p.inFlight = slices.DeleteFunc(p.inFlight, func(last uint64) bool { return last <= p.matchIndex })
 }
 
+// measureLag records until when the member has synced all committed entries. Under load the commit index is ahead of the
+// match index whenever a reply arrives, so the match index is compared with an earlier commit index.
+func (c *Core) measureLag(p *progress) {
+	switch {
+	case c.commitIndex < c.noOpIndex:
+		// Entries that an earlier leader has committed may not be known to be committed yet.
+		return
+	case p.matchIndex >= c.commitIndex:
+		p.caughtUpAt = c.now
+	case p.matchIndex < p.targetIndex:
+		return
+	default:
+		p.caughtUpAt = p.targetAt
+	}
+	p.targetIndex, p.targetAt = c.commitIndex, c.now
+}
+
+// caughtUp reports whether the member has synced all entries that were committed one lease before now.
+func (c *Core) caughtUp(id MemberID) bool {
+	p := c.peers[id]
+	return p != nil && !p.caughtUpAt.IsZero() && c.now.Sub(p.caughtUpAt) <= c.timing.lease
+}
+
 // backtrack moves nextIndex back to where the logs may match. Replies to messages sent before the last move are stale
 // and ignored.
 func (c *Core) backtrack(p *progress, m AppendEntriesReply) {
--- a/internal/ledger/propose.go
+++ b/internal/ledger/propose.go
@@ -80,7 +80,7 @@
 	c.appendLog(NewConfigEntry(index, c.term, m))
 }
 
-// promoteCaughtUp makes a member with a pending promotion a voter once it has synced all committed entries.
+// promoteCaughtUp makes a member with a pending promotion a voter once it has caught up.
 func (c *Core) promoteCaughtUp() {
 	if len(c.promotions) == 0 || c.changePending() || c.transfer != nil || c.membership.Voters() >= maxVoters {
 		return
@@ -90,7 +90,7 @@
 		if !pending {
 			continue
 		}
-		if p := c.peers[e.id]; p == nil || p.matchIndex < c.commitIndex {
+		if !c.caughtUp(e.id) {
 			continue
 		}
 		delete(c.promotions, e.id)
