ledger: a host that is gone gives its vote to one that has caught up

Callers saw: no answer and no configuration after the loss of two disks and power, until the end.

Cause: at seven voters no silent voter was demoted in favour of a successor, and without a successor only from an even number. With two faults tolerated the number of voters could also fall to three, which stores an entry on two disks only.

Change: nextVoterChange decides about votes in one place. The number of faults to tolerate is a setting of the members (f, from the platform's settings); voters do not fall below 2f+1 while others are silent, silent ones beyond that lose their vote, and a spare gets the vote of a silent voter at any number.

TestVotesOfGoneHosts: 4 of 9 cases failed before (with the new option ignored).

--- a/internal/ledger/core.go
+++ b/internal/ledger/core.go
@@ -27,6 +27,7 @@
 	self    MemberID
 	address string
 	timing  Timing
+	faults  int       // number of members whose loss at the same time is tolerated
 	epoch   time.Time // start of the core; send times are counted from it
 	now     time.Time
 	random  Random
@@ -65,6 +66,7 @@
 		self:         saved.hardState.identity,
 		address:      address,
 		timing:       timing,
+		faults:       defaultFaults,
 		epoch:        now,
 		now:          now,
 		random:       random,
@@ -78,12 +80,21 @@
 	c.writes.durableIndex = c.log.lastIndex()
 	c.membership, c.membershipIndex = c.log.membership(c.log.lastIndex())
 	c.grantLease()
-	if c.membership.Voters() == 1 && c.membership.isVoter(c.self) {
+	if !c.membership.isVoter(c.self) || c.membership.Voters() == 1 {
 		c.wakeAt = now
 	}
 	return c
 }
 
+// WithFaults sets the number of members whose loss at the same time is tolerated, disks included, and returns c. It
+// must be the same on all members; values that maxVoters does not allow are ignored.
+func (c *Core) WithFaults(faults int) *Core {
+	if faults > 0 && 2*faults < maxVoters {
+		c.faults = faults
+	}
+	return c
+}
+
 // Step processes one input at the given time and returns the effects, which the caller carries out in order.
 func (c *Core) Step(now time.Time, random Random, in Input) []Effect {
 	c.now, c.random, c.effects = now, random, nil
--- a/internal/ledger/core_test.go
+++ b/internal/ledger/core_test.go
@@ -73,17 +73,29 @@
 
 func newLeader(t *testing.T) *testLeader {
 	t.Helper()
-	members := ledger.NewMembership(
-		ledger.NewMember("a", "a", true), ledger.NewMember("b", "b", true), ledger.NewMember("c", "c", true))
-	saved := ledger.NewPersistentState(ledger.NewHardState("a", 2, ""), ledger.NewSnapshot(0, 0, members, nil),
-		[]ledger.Entry{ledger.NewEntry(1, 1, ledger.Data, nil)})
+	return newLeaderOf(t, 1, "b", "c")
+}
+
+// newLeaderOf returns the leader of itself and the given voters, of whom it has the votes of as many as it needs.
+func newLeaderOf(t *testing.T, faults int, voters ...ledger.MemberID) *testLeader {
+	t.Helper()
+	members := []ledger.Member{ledger.NewMember("a", "a", true)}
+	for _, id := range voters {
+		members = append(members, ledger.NewMember(id, string(id), true))
+	}
+	saved := ledger.NewPersistentState(ledger.NewHardState("a", 2, ""),
+		ledger.NewSnapshot(0, 0, ledger.NewMembership(members...), nil), []ledger.Entry{ledger.NewEntry(1, 1, ledger.Data, nil)})
 	l := &testLeader{epoch: time.Unix(1000, 0), random: rand.New(rand.NewPCG(1, 1))}
-	l.core = ledger.NewCore(saved, "a", ledger.DefaultTiming(), l.epoch, l.random)
+	l.core = ledger.NewCore(saved, "a", ledger.DefaultTiming(), l.epoch, l.random).WithFaults(faults)
 	l.now = l.epoch.Add(2 * time.Second)
 	l.core.Step(l.now, l.random, ledger.Tick{})
-	l.step(ledger.NewPreVoteReply(3, 2, true))
+	for _, id := range voters[:len(members)/2] {
+		l.core.Step(l.now, l.random, ledger.NewReceive(id, ledger.NewPreVoteReply(3, 2, true)))
+	}
 	l.core.Step(l.now, l.random, ledger.NewPersisted(1))
-	l.step(ledger.NewRequestVoteReply(3, true))
+	for _, id := range voters[:len(members)/2] {
+		l.core.Step(l.now, l.random, ledger.NewReceive(id, ledger.NewRequestVoteReply(3, true)))
+	}
 	l.core.Step(l.now, l.random, ledger.NewPersisted(2))
 	assert.Equal(t, ledger.Leader, l.core.Role())
 	return l
--- a/internal/ledger/driver/loop.go
+++ b/internal/ledger/driver/loop.go
@@ -40,9 +40,10 @@
 }
 
 func newLoop[R any](n *Node[R], saved ledger.PersistentState) *loop[R] {
+	o := n.options
 	return &loop[R]{
 		node:           n,
-		core:           ledger.NewCore(saved, n.options.address, n.options.timing, clock.Now(), n.options.random),
+		core:           ledger.NewCore(saved, o.address, o.timing, clock.Now(), o.random).WithFaults(o.faults),
 		applied:        saved.Snapshot().Index(),
 		pendingByToken: map[uint64]call[R]{},
 		pendingByIndex: map[uint64]call[R]{},
--- a/internal/ledger/driver/options.go
+++ b/internal/ledger/driver/options.go
@@ -39,6 +39,7 @@
 	snapshotThreshold uint64
 	snapshotBytes     int
 	firstStart        bool
+	faults            int
 }
 
 // Option sets one property of a Node.
@@ -83,6 +84,10 @@
 	return func(o *options) { o.timing = o.timing.WithElection(low, high) }
 }
 
+// WithFaults sets the number of members whose loss at the same time is tolerated, disks included; it must be the same on
+// all members.
+func WithFaults(faults int) Option { return func(o *options) { o.faults = faults } }
+
 // WithSnapshotThreshold sets the number of applied entries after which a snapshot replaces them in the log.
 func WithSnapshotThreshold(entries uint64) Option {
 	return func(o *options) { o.snapshotThreshold = entries }
--- a/internal/ledger/join_test.go
+++ b/internal/ledger/join_test.go
@@ -122,15 +122,17 @@
 type voterCase struct {
 	voters  []ledger.MemberID // beside the leader
 	joining []ledger.MemberID // hosts that ask to join and answer
-	lag     int               // number of the latest entries that a joining host lacks in each reply
-	length  time.Duration     // after the election
+	silent  []ledger.MemberID // voters that do not answer
+	faults  int
+	lag     int           // number of the latest entries that a joining host lacks in each reply
+	length  time.Duration // after the election
 }
 
 // run plays the case in steps of 100 ms, in each of which the leader appends 10 entries, and calls each with the leader
 // after each step.
 func (v voterCase) run(t *testing.T, each func(*testLeader)) *testLeader {
 	t.Helper()
-	l := newLeader(t)
+	l := newLeaderOf(t, v.faults, v.voters...)
 	for n := range int(v.length / (100 * time.Millisecond)) {
 		l.now = l.now.Add(100 * time.Millisecond)
 		for range 10 {
@@ -145,8 +147,10 @@
 			if slices.Contains(v.joining, id) {
 				index -= min(index, uint64(v.lag))
 			}
-			reply := ledger.NewMatchReply(l.core.Term(), uint64(1000+100*n), l.now.Sub(l.epoch), index)
-			l.core.Step(l.now, l.random, ledger.NewReceive(id, reply))
+			if !slices.Contains(v.silent, id) {
+				reply := ledger.NewMatchReply(l.core.Term(), uint64(1000+100*n), l.now.Sub(l.epoch), index)
+				l.core.Step(l.now, l.random, ledger.NewReceive(id, reply))
+			}
 			each(l)
 		}
 	}
@@ -165,12 +169,40 @@
 	assert.Equal(t, want, voters)
 }
 
+// Guards against a host that is gone for good and keeps its vote while one that has caught up has none, so that losses
+// which are to be tolerated leave no majority.
+func TestVotesOfGoneHosts(t *testing.T) {
+	for name, c := range map[string]struct {
+		voterCase
+		want []ledger.MemberID
+	}{
+		"the seventh voter is replaced": {
+			voterCase{voters: ids("bcdefg"), joining: ids("h"), silent: ids("c"), faults: 2}, ids("abdefgh"),
+		},
+		"two of seven are not replaced": {voterCase{voters: ids("bcdefg"), silent: ids("cd"), faults: 2}, ids("abefg")},
+		"one of seven is not replaced":  {voterCase{voters: ids("bcdefg"), silent: ids("c"), faults: 2}, ids("abcdefg")},
+		"one of six is not replaced":    {voterCase{voters: ids("bcdef"), silent: ids("c"), faults: 2}, ids("abdef")},
+		"two of five stay with two faults": {
+			voterCase{voters: ids("bcde"), silent: ids("cd"), faults: 2}, ids("abcde"),
+		},
+		"two of five go with one fault": {voterCase{voters: ids("bcde"), silent: ids("cd"), faults: 1}, ids("abe")},
+		"three voters and two faults":   {voterCase{voters: ids("bc"), joining: ids("d"), faults: 2}, ids("abcd")},
+		"a spare of six hosts":          {voterCase{voters: ids("bcde"), joining: ids("f"), faults: 2}, ids("abcde")},
+		"both of two spares":            {voterCase{voters: ids("bcde"), joining: ids("fg"), faults: 2}, ids("abcdefg")},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c.length = 6 * time.Second
+			assertVoters(t, c.run(t, func(*testLeader) {}), c.want...)
+		})
+	}
+}
+
 // Guards against a host that never becomes a voter because the commit index is ahead of it whenever it answers.
 func TestPromotionUnderLoad(t *testing.T) {
-	l := voterCase{voters: ids("bc"), joining: ids("de"), lag: 5, length: 2 * time.Second}.run(t, func(*testLeader) {})
+	l := voterCase{voters: ids("bc"), joining: ids("de"), faults: 1, lag: 5, length: 2 * time.Second}.run(t, func(*testLeader) {})
 	assertVoters(t, l, ids("abcde")...)
 	t.Run("not more than one lease behind", func(t *testing.T) {
-		l := voterCase{voters: ids("bc"), joining: ids("de"), lag: 150, length: 4 * time.Second}.run(t, func(*testLeader) {})
+		l := voterCase{voters: ids("bc"), joining: ids("de"), faults: 1, lag: 150, length: 4 * time.Second}.run(t, func(*testLeader) {})
 		assertVoters(t, l, ids("abc")...)
 	})
 }
--- a/internal/ledger/lead.go
+++ b/internal/ledger/lead.go
@@ -23,6 +23,7 @@
 	inFlight        []uint64      // last index of each unacknowledged message
 	ackedSentAt     time.Duration // send time of the latest acknowledged message
 	acked           bool
+	addedAt         time.Time
 	resetRound      uint64 // round at which nextIndex was last moved back
 	snapshotRetryAt time.Time
 	caughtUpAt      time.Time // latest known time until which all committed entries are synced
@@ -58,7 +59,7 @@
 	}
 	for _, e := range c.membership.members {
 		if e.id != c.self && c.peers[e.id] == nil {
-			c.peers[e.id] = &progress{nextIndex: c.log.lastIndex(), probing: true, heartbeatDue: true}
+			c.peers[e.id] = &progress{nextIndex: c.log.lastIndex(), probing: true, heartbeatDue: true, addedAt: c.now}
 		}
 	}
 }
--- a/internal/ledger/membership.go
+++ b/internal/ledger/membership.go
@@ -26,6 +26,9 @@
 // Voter reports whether the member counts towards a majority.
 func (m Member) Voter() bool { return m.voter }
 
+// withVote returns a copy that is a voter or a non-voter.
+func (m Member) withVote(voter bool) Member { return NewMember(m.id, m.address, voter) }
+
 // maxVoters is the number of hosts that may be reserved for the control plane.
 const maxVoters = 7
 
--- a/internal/ledger/storage/cluster_test.go
+++ b/internal/ledger/storage/cluster_test.go
@@ -56,14 +56,17 @@
 	lastToken      uint64
 	linesByToken   map[uint64]string
 	oracle         *oracle
+	faults         int // that the hosts are set to tolerate; 0 for the default
 	// bootstrapState returns the initial state of a host with an empty disk that needs no probes; nil for none.
 	bootstrapState func(h *host, fresh ledger.MemberID) (saved ledger.PersistentState, ok bool)
 	delay          func(from, toAddress string) time.Duration // delay of a link; nil for none
 }
 
-func newCluster(t failer, size int, seed uint64) *cluster {
+func newCluster(t failer, size int, seed uint64) *cluster { return newTolerantCluster(t, size, 0, seed) }
+
+func newTolerantCluster(t failer, size, faults int, seed uint64) *cluster {
 	c := &cluster{
-		t: t, now: time.Unix(1_000_000, 0), random: rand.New(rand.NewPCG(seed, 1)),
+		t: t, faults: faults, now: time.Unix(1_000_000, 0), random: rand.New(rand.NewPCG(seed, 1)),
 		blocked: map[[2]string]bool{}, linesByToken: map[uint64]string{},
 	}
 	var members []ledger.Member
@@ -136,7 +139,7 @@
 
 func (c *cluster) startCore(h *host, saved ledger.PersistentState) {
 	h.bootstrap, h.writes, h.accepted, h.saveDue = nil, nil, map[uint64]string{}, time.Time{}
-	h.core = ledger.NewCore(saved, h.address, ledger.DefaultTiming(), c.now, c.random)
+	h.core = ledger.NewCore(saved, h.address, ledger.DefaultTiming(), c.now, c.random).WithFaults(c.faults)
 	h.lines, h.applied = nil, saved.Snapshot().Index()
 	if h.applied > 0 {
 		c.restore(h, saved.Snapshot())
--- a/internal/ledger/storage/replacement_test.go
+++ b/internal/ledger/storage/replacement_test.go
@@ -75,8 +75,9 @@
 }
 
 func newReplacement(t failer, size, callers int, seed uint64) *replacement {
+	tolerance := toleranceOf(size)
 	r := &replacement{
-		cluster: newCluster(nil, initialVoters, seed), tolerance: toleranceOf(size), created: initialVoters,
+		cluster: newTolerantCluster(nil, initialVoters, tolerance.faults, seed), tolerance: tolerance, created: initialVoters,
 		links: map[[2]string]time.Duration{}, owners: map[string]string{},
 	}
 	r.t = &historyFailer{failer: t, replacement: r}
--- /dev/null
+++ b/internal/ledger/voters.go
@@ -0,0 +1,90 @@
+package ledger
+
+import "time"
+
+const (
+	// voterTimeout is the time without contact after which another member may vote in place of a voter.
+	voterTimeout = 2500 * time.Millisecond
+	// defaultFaults is the number of members whose loss at the same time is tolerated unless WithFaults is called.
+	defaultFaults = 1
+)
+
+// minVoters returns the number of voters below which none is demoted: the losses that are tolerated then leave a
+// majority, and each committed entry is on a disk that is left.
+func (c *Core) minVoters() int { return 2*c.faults + 1 }
+
+// nextVoterChange returns the member whose vote is granted or withdrawn next; ok is false if the voters are to stay.
+//
+// A silent voter gives its vote to a spare. It is demoted first, so that the promotion does not depend on the spare
+// alone. Beyond minVoters the number of voters is kept odd: an even number tolerates no more losses than one voter less,
+// and in a network partition into halves neither has a majority.
+func (c *Core) nextVoterChange() (changed Member, ok bool) {
+	silent, spares := c.silentVoters(), c.spares()
+	voters, minimum := c.membership.Voters(), c.minVoters()
+	odd := voters%2 == 1
+	switch {
+	case len(spares) > 0 && voters < minimum:
+		return spares[0].withVote(true), true
+	case len(silent) > 0 && !odd && voters > minimum:
+		return silent[0].withVote(false), true
+	case len(spares) > 0 && len(silent) > 0:
+		return silent[0].withVote(false), true
+	case len(silent) > 1 && odd && voters-2 >= minimum:
+		return silent[0].withVote(false), true
+	case len(spares) > 0 && voters < maxVoters && (!odd || len(spares) > 1):
+		return spares[0].withVote(true), true
+	default:
+		return Member{}, false
+	}
+}
+
+// silentVoters returns the other voters that are silent.
+func (c *Core) silentVoters() (found []Member) {
+	for _, e := range c.membership.members {
+		if e.voter && c.isSilent(e) {
+			found = append(found, e)
+		}
+	}
+	return found
+}
+
+// spares returns the non-voters that could vote at once: they have asked to join, have caught up and replace no other
+// member.
+func (c *Core) spares() (found []Member) {
+	for _, e := range c.membership.members {
+		address, joining := c.joining[e.id]
+		if e.voter || !joining || !c.caughtUp(e.id) || !c.recentlyActive(e.id) {
+			continue
+		}
+		if _, replaces := c.memberToReplace(e.id, address); !replaces {
+			found = append(found, e)
+		}
+	}
+	return found
+}
+
+// isSilent reports whether the member has been without contact for longer than voterTimeout.
+func (c *Core) isSilent(e Member) bool {
+	return e.id != c.self && c.now.Sub(c.lastContact(e.id)) > voterTimeout
+}
+
+// lastContact returns the send time of the latest message that the member has answered, but no time before this member
+// led or the other one was added.
+func (c *Core) lastContact(id MemberID) time.Time {
+	p := c.peers[id]
+	switch {
+	case p == nil:
+		return c.leaderSince
+	case p.acked:
+		return c.epoch.Add(p.ackedSentAt)
+	default:
+		return p.addedAt
+	}
+}
+
+// recentlyActive reports whether the member is this one or has answered a message that was sent within one lease
+// before now.
+func (c *Core) recentlyActive(id MemberID) bool {
+	p := c.peers[id]
+	return id == c.self || p != nil && p.acked && c.epoch.Add(p.ackedSentAt+c.timing.lease).After(c.now)
+}
