ledger: the leader publishes its view of the voters

Which voters are silent, which members could vote at once and how many further losses leave a majority. An operator could not see before a loss that votes were held by hosts that are gone.

--- a/internal/ledger/driver/loop.go
+++ b/internal/ledger/driver/loop.go
@@ -204,7 +204,7 @@
 		self: c.Self(), role: c.Role(), term: c.Term(), leader: leader, leaderAddress: address,
 		commit: c.Commit(), applied: l.applied,
 		leading:        c.Role() == ledger.Leader && l.applied >= c.NoOpIndex(),
-		leaseExpiresAt: c.LeaseExpiresAt(), membership: c.Membership(),
+		leaseExpiresAt: c.LeaseExpiresAt(), membership: c.Membership(), quorum: c.Quorum(),
 	}
 	if l.node.status.Load().needsPublish(next, l.node.options.timing.Heartbeat()) {
 		l.node.status.Publish(next)
--- a/internal/ledger/driver/status.go
+++ b/internal/ledger/driver/status.go
@@ -18,6 +18,7 @@
 	leading        bool
 	leaseExpiresAt time.Time
 	membership     ledger.Membership
+	quorum         ledger.Quorum
 }
 
 // Self returns the id of this member; it is empty until the bootstrap is decided.
@@ -56,11 +57,15 @@
 // Membership returns the latest membership in the log, which is in force whether or not it is committed.
 func (s Status) Membership() ledger.Membership { return s.membership }
 
+// Quorum returns the view that the leader has of the voters; it is zero if this member does not lead.
+func (s Status) Quorum() ledger.Quorum { return s.quorum }
+
 // needsPublish reports whether next differs enough from s to be published. An extension of the lease alone must be at
 // least one heartbeat interval long, so that replies under load do not wake all watchers.
 func (s Status) needsPublish(next Status, heartbeat time.Duration) bool {
 	extension := next.leaseExpiresAt.Sub(s.leaseExpiresAt)
 	return s.self != next.self || s.role != next.role || s.term != next.term || s.leader != next.leader ||
 		s.leaderAddress != next.leaderAddress || s.commit != next.commit || s.applied != next.applied ||
-		s.leading != next.leading || extension < 0 || extension >= heartbeat
+		s.leading != next.leading || extension < 0 || extension >= heartbeat ||
+		!s.quorum.Equal(next.quorum)
 }
