ledger: a host that is stopped hands its vote to a spare first

Change: a host that is told to stop says so to the leader, which promotes a spare and then demotes the stopping host, in this order, so that the tolerated losses leave a majority between any two steps. A leadership transfer prefers a voter that is not about to stop.

--- a/internal/ledger/core.go
+++ b/internal/ledger/core.go
@@ -28,6 +28,7 @@
 	address string
 	timing  Timing
 	faults  int       // number of members whose loss at the same time is tolerated
+	leaving bool      // this member is about to stop
 	epoch   time.Time // start of the core; send times are counted from it
 	now     time.Time
 	random  Random
@@ -50,9 +51,10 @@
 	peers       map[MemberID]*progress
 	leaderSince time.Time
 	noOpIndex   uint64
-	round       uint64              // number of the last AppendEntries or InstallSnapshot sent
-	promotions  map[MemberID]uint64 // tokens of the pending promotions
-	joining     map[MemberID]string // addresses of the members that have asked to join
+	round       uint64                 // number of the last AppendEntries or InstallSnapshot sent
+	promotions  map[MemberID]uint64    // tokens of the pending promotions
+	joining     map[MemberID]string    // addresses of the members that have asked to join
+	leavingAt   map[MemberID]time.Time // time of the latest Leave of each member that is about to stop
 	transfer    *transfer
 
 	writes  writes
@@ -108,6 +110,8 @@
 		c.change(in)
 	case Transfer:
 		c.beginTransfer(in.token)
+	case Stop:
+		c.leave()
 	case Persisted:
 		c.persisted(in.sequence)
 	case Compact:
--- a/internal/ledger/driver/bootstrap.go
+++ b/internal/ledger/driver/bootstrap.go
@@ -64,6 +64,6 @@
 			b.RecordReply(e.address, m)
 		}
 	case ledger.PreVote, ledger.PreVoteReply, ledger.RequestVote, ledger.RequestVoteReply, ledger.AppendEntries,
-		ledger.AppendEntriesReply, ledger.InstallSnapshot, ledger.TimeoutNow, ledger.Join:
+		ledger.AppendEntriesReply, ledger.InstallSnapshot, ledger.TimeoutNow, ledger.Join, ledger.Leave:
 	}
 }
--- a/internal/ledger/driver/encoding.go
+++ b/internal/ledger/driver/encoding.go
@@ -24,6 +24,7 @@
 	kindProbe            = "probe"
 	kindProbeReply       = "probe-reply"
 	kindJoin             = "join"
+	kindLeave            = "leave"
 )
 
 // encodedMessage is the wire form of all messages. Fields that a kind does not use are zero and left out.
@@ -82,6 +83,8 @@
 		e.Kind, e.Term = kindProbeReply, m.Term()
 	case ledger.Join:
 		e.Kind, e.JoinAddress, e.JoiningID = kindJoin, m.Address(), string(m.Member())
+	case ledger.Leave:
+		e.Kind = kindLeave
 	}
 	return cbor.Marshal(e)
 }
@@ -133,6 +136,8 @@
 		return ledger.NewProbeReply(e.Term), nil
 	case kindJoin:
 		return ledger.NewJoin(e.JoinAddress).For(ledger.MemberID(e.JoiningID)), nil
+	case kindLeave:
+		return ledger.Leave{}, nil
 	default:
 		return nil, fmt.Errorf("unknown kind %q", e.Kind)
 	}
--- a/internal/ledger/driver/loop.go
+++ b/internal/ledger/driver/loop.go
@@ -106,6 +106,10 @@
 			l.step(ledger.NewMembershipChange(l.lastToken, r.kind, r.id, r.address))
 		case transfer:
 			l.step(ledger.NewTransfer(l.lastToken))
+		case stop:
+			delete(l.pendingByToken, l.lastToken)
+			l.step(ledger.Stop{})
+			c.done <- response[R]{}
 		}
 		select {
 		case c = <-l.node.requests:
--- a/internal/ledger/driver/request.go
+++ b/internal/ledger/driver/request.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"time"
 
+	"rosemarywind.example/rosemarywind/internal/clock"
 	"rosemarywind.example/rosemarywind/internal/ledger"
 )
 
@@ -22,9 +24,13 @@
 
 type transfer struct{}
 
+// stop says that the member is about to stop.
+type stop struct{}
+
 func (proposal) request() {}
 func (change) request()   {}
 func (transfer) request() {}
+func (stop) request()     {}
 
 // call is a request and the channel for its response, which has room for one response.
 type call[R any] struct {
@@ -67,6 +73,27 @@
 	}
 }
 
+// leaveInterval is the interval at which a member that is about to stop tells the leader so.
+const leaveInterval = 100 * time.Millisecond
+
+// Leave tells the leader that this member is about to stop. It returns once this member has no vote or no non-voter
+// could take it, and the error of ctx if it ends before that.
+func (n *Node[R]) Leave(ctx context.Context) (err error) {
+	defer annotate(&err, "leave")
+	for {
+		if _, err = n.submit(ctx, stop{}); err != nil {
+			return err
+		}
+		m := n.status.Load().Membership()
+		if self, _ := m.Find(n.status.Load().Self()); !self.Voter() || m.Voters() == len(m.Members()) {
+			return nil
+		}
+		if !clock.Pause(ctx, leaveInterval) {
+			return ctx.Err()
+		}
+	}
+}
+
 // AddNonVoter adds a member that receives entries but does not count towards a majority.
 func (n *Node[R]) AddNonVoter(ctx context.Context, id ledger.MemberID, address string) (err error) {
 	defer annotate(&err, "add non-voter "+string(id))
--- a/internal/ledger/election.go
+++ b/internal/ledger/election.go
@@ -157,6 +157,7 @@
 	c.peers = map[MemberID]*progress{}
 	c.promotions = map[MemberID]uint64{}
 	c.joining = map[MemberID]string{}
+	c.leavingAt = map[MemberID]time.Time{}
 	c.transfer = nil
 	c.emit(BecomeLeader{term: c.term, noOpIndex: c.noOpIndex})
 	c.appendLog(NewEntry(c.noOpIndex, c.term, NoOp, nil))
--- a/internal/ledger/input.go
+++ b/internal/ledger/input.go
@@ -27,6 +27,9 @@
 // Transfer asks the leader to transfer leadership to the voter whose log is most up to date.
 type Transfer struct{ token uint64 }
 
+// Stop says that this member is about to stop.
+type Stop struct{}
+
 // Persisted is the input for the completion of all Persist effects up to a sequence number.
 type Persisted struct{ sequence uint64 }
 
@@ -52,6 +55,7 @@
 func (Propose) input()          {}
 func (MembershipChange) input() {}
 func (Transfer) input()         {}
+func (Stop) input()             {}
 func (Persisted) input()        {}
 func (Compact) input()          {}
 
--- a/internal/ledger/join.go
+++ b/internal/ledger/join.go
@@ -10,10 +10,10 @@
 const joinInterval = time.Second
 
 // requestJoin sends a request to join to every known member, because any of them may be the leader. A member
-// that was removed sends none; it is recognized by the entries in its log.
+// that was removed sends none; it is recognized by the entries in its log. Nor does one that is about to stop.
 func (c *Core) requestJoin() {
 	c.wakeAt = c.now.Add(joinInterval)
-	if _, known := c.membership.Find(c.self); !known && c.log.lastIndex() > 0 {
+	if _, known := c.membership.Find(c.self); c.leaving || !known && c.log.lastIndex() > 0 {
 		return
 	}
 	for _, e := range c.membership.members {
--- a/internal/ledger/join_test.go
+++ b/internal/ledger/join_test.go
@@ -123,6 +123,7 @@
 	voters  []ledger.MemberID // beside the leader
 	joining []ledger.MemberID // hosts that ask to join and answer
 	silent  []ledger.MemberID // voters that do not answer
+	stops   []ledger.MemberID // voters that say that they are about to stop
 	faults  int
 	lag     int           // number of the latest entries that a joining host lacks in each reply
 	length  time.Duration // after the election
@@ -142,6 +143,9 @@
 		for _, id := range v.joining {
 			l.core.Step(l.now, l.random, ledger.NewReceive(id, ledger.NewJoin(string(id))))
 		}
+		for _, id := range v.stops {
+			l.core.Step(l.now, l.random, ledger.NewReceive(id, ledger.Leave{}))
+		}
 		for _, id := range slices.Concat(v.voters, v.joining) {
 			index := l.core.LastIndex()
 			if slices.Contains(v.joining, id) {
@@ -169,6 +173,18 @@
 	assert.Equal(t, want, voters)
 }
 
+// assertMajority asserts that the voters that answer are a majority even after the loss of a number of them.
+func assertMajority(t *testing.T, l *testLeader, silent []ledger.MemberID, losses int) {
+	t.Helper()
+	left := -losses
+	for _, m := range l.core.Membership().Members() {
+		if m.Voter() && !slices.Contains(silent, m.ID()) {
+			left++
+		}
+	}
+	assert.GreaterOrEqual(t, left, l.core.Membership().Majority(), "%v", l.core.Membership())
+}
+
 // Guards against a host that is gone for good and keeps its vote while one that has caught up has none, so that losses
 // which are to be tolerated leave no majority.
 func TestVotesOfGoneHosts(t *testing.T) {
@@ -207,6 +223,31 @@
 	})
 }
 
+// Guards against a host that is stopped for good after its successor has caught up and keeps its vote for the time until
+// it is found silent. Losses that are to be tolerated may come at once, and between any two steps.
+func TestLeave(t *testing.T) {
+	for name, c := range map[string]struct {
+		voterCase
+		want []ledger.MemberID
+	}{
+		"one of three": {voterCase{voters: ids("bc"), joining: ids("d"), stops: ids("c"), faults: 1}, ids("abd")},
+		"one of five":  {voterCase{voters: ids("bcde"), joining: ids("f"), stops: ids("c"), faults: 2}, ids("abdef")},
+		"one of seven": {
+			voterCase{voters: ids("bcdefg"), joining: ids("h"), stops: ids("c"), faults: 2}, ids("abdefgh"),
+		},
+		"no spare": {voterCase{voters: ids("bc"), stops: ids("c"), faults: 1}, ids("abc")},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c.length = 500 * time.Millisecond
+			assertVoters(t, c.run(t, func(l *testLeader) { assertMajority(t, l, nil, c.faults) }), c.want...)
+		})
+	}
+	t.Run("a host that has stopped is not promoted", func(t *testing.T) {
+		l := voterCase{voters: ids("bc"), joining: ids("de"), stops: ids("de"), faults: 1, length: 3 * time.Second}.run(t, func(*testLeader) {})
+		assertVoters(t, l, ids("abc")...)
+	})
+}
+
 // ids returns an id for each letter.
 func ids(letters string) (list []ledger.MemberID) {
 	for _, l := range letters {
--- a/internal/ledger/message.go
+++ b/internal/ledger/message.go
@@ -74,6 +74,9 @@
 	joiningID MemberID // empty if the sender itself joins
 }
 
+// Leave tells the leader that the sender is about to stop.
+type Leave struct{}
+
 func (PreVote) message()            {}
 func (PreVoteReply) message()       {}
 func (RequestVote) message()        {}
@@ -85,6 +88,7 @@
 func (Probe) message()              {}
 func (ProbeReply) message()         {}
 func (Join) message()               {}
+func (Leave) message()              {}
 
 // NewPreVote returns a request for a pre-vote in term.
 func NewPreVote(term, lastIndex, lastTerm uint64) PreVote { return PreVote{term, lastIndex, lastTerm} }
--- a/internal/ledger/receive.go
+++ b/internal/ledger/receive.go
@@ -25,6 +25,8 @@
 	case ProbeReply:
 	case Join:
 		c.onJoin(from, m)
+	case Leave:
+		c.onLeave(from)
 	case TimeoutNow:
 		if m.term == c.term && c.role != Leader && c.membership.isVoter(c.self) {
 			c.startElection(true)
--- a/internal/ledger/transfer.go
+++ b/internal/ledger/transfer.go
@@ -22,18 +22,25 @@
 	}
 }
 
-// transferTarget returns the recently active voter with the highest match index; it is empty if there is none.
+// transferTarget returns the recently active voter with the highest match index, one that is about to stop only if there
+// is no other; it is empty if there is none.
 func (c *Core) transferTarget() (best MemberID) {
-	var match uint64
 	for _, e := range c.membership.members {
-		p := c.peers[e.id]
-		if c.role == Leader && e.voter && p != nil && c.recentlyActive(e.id) && (best == "" || p.matchIndex > match) {
-			best, match = e.id, p.matchIndex
+		if c.role == Leader && e.voter && e.id != c.self && c.recentlyActive(e.id) && (best == "" || c.betterTarget(e.id, best)) {
+			best = e.id
 		}
 	}
 	return best
 }
 
+// betterTarget reports whether a leadership transfer to a is better than one to b.
+func (c *Core) betterTarget(a, b MemberID) bool {
+	if c.isLeaving(a) != c.isLeaving(b) {
+		return c.isLeaving(b)
+	}
+	return c.peers[a].matchIndex > c.peers[b].matchIndex
+}
+
 // finishTransfer steps down in favour of the target once all proposed entries are committed, so that no caller is left
 // with an unknown outcome. The leader gives up its lease before it sends TimeoutNow, because a vote that the target
 // requests is granted regardless of this lease.
--- a/internal/ledger/voters.go
+++ b/internal/ledger/voters.go
@@ -15,22 +15,25 @@
 
 // nextVoterChange returns the member whose vote is granted or withdrawn next; ok is false if the voters are to stay.
 //
-// A silent voter gives its vote to a spare. It is demoted first, so that the promotion does not depend on the spare
-// alone. Beyond minVoters the number of voters is kept odd: an even number tolerates no more losses than one voter less,
+// A departing voter gives its vote to a spare. A silent one is demoted first, so that the promotion does not depend on
+// the spare alone; one that is still running is demoted last, so that the losses that are tolerated can come at any
+// step. Beyond minVoters the number of voters is kept odd: an even number tolerates no more losses than one voter less,
 // and in a network partition into halves neither has a majority.
 func (c *Core) nextVoterChange() (changed Member, ok bool) {
-	silent, spares := c.silentVoters(), c.spares()
+	departing, spares := c.departingVoters(), c.spares()
 	voters, minimum := c.membership.Voters(), c.minVoters()
 	odd := voters%2 == 1
 	switch {
 	case len(spares) > 0 && voters < minimum:
 		return spares[0].withVote(true), true
-	case len(silent) > 0 && !odd && voters > minimum:
-		return silent[0].withVote(false), true
-	case len(spares) > 0 && len(silent) > 0:
-		return silent[0].withVote(false), true
-	case len(silent) > 1 && odd && voters-2 >= minimum:
-		return silent[0].withVote(false), true
+	case len(departing) > 0 && !odd && voters > minimum:
+		return departing[0].withVote(false), true
+	case len(spares) > 0 && len(departing) > 0 && !c.isSilent(departing[0]) && odd && voters < maxVoters:
+		return spares[0].withVote(true), true
+	case len(spares) > 0 && len(departing) > 0:
+		return departing[0].withVote(false), true
+	case len(departing) > 1 && odd && voters-2 >= minimum:
+		return departing[0].withVote(false), true
 	case len(spares) > 0 && voters < maxVoters && (!odd || len(spares) > 1):
 		return spares[0].withVote(true), true
 	default:
@@ -38,14 +41,19 @@
 	}
 }
 
-// silentVoters returns the other voters that are silent.
-func (c *Core) silentVoters() (found []Member) {
+// departingVoters returns the other voters that are silent, and after them those that are about to stop.
+func (c *Core) departingVoters() (found []Member) {
+	var leaving []Member
 	for _, e := range c.membership.members {
-		if e.voter && c.isSilent(e) {
+		switch {
+		case !e.voter || e.id == c.self:
+		case c.isSilent(e):
 			found = append(found, e)
+		case c.isLeaving(e.id):
+			leaving = append(leaving, e)
 		}
 	}
-	return found
+	return append(found, leaving...)
 }
 
 // spares returns the non-voters that could vote at once: they have asked to join, have caught up and replace no other
@@ -53,7 +61,7 @@
 func (c *Core) spares() (found []Member) {
 	for _, e := range c.membership.members {
 		address, joining := c.joining[e.id]
-		if e.voter || !joining || !c.caughtUp(e.id) || !c.recentlyActive(e.id) {
+		if e.voter || !joining || c.isLeaving(e.id) || !c.caughtUp(e.id) || !c.recentlyActive(e.id) {
 			continue
 		}
 		if _, replaces := c.memberToReplace(e.id, address); !replaces {
