ledger: lost non-voters are removed, and a removed member returns

Cause: each host that was replaced stayed in the membership for ever, with a heartbeat each 100 ms to an address that does not exist. A member that was removed while it was away and that was a voter by its own log asked for votes for ever.

Change: a non-voter without contact for a minute is removed. A candidate that wins no vote also asks to join.

TestRemovalOfLostNonVoter failed before.

--- a/internal/ledger/core.go
+++ b/internal/ledger/core.go
@@ -51,8 +51,9 @@
 	peers       map[MemberID]*progress
 	leaderSince time.Time
 	noOpIndex   uint64
-	round       uint64                 // number of the last AppendEntries or InstallSnapshot sent
-	promotions  map[MemberID]uint64    // tokens of the pending promotions
+	round       uint64              // number of the last AppendEntries or InstallSnapshot sent
+	promotions  map[MemberID]uint64 // tokens of the pending promotions
+	nextJoinAt  time.Time
 	joining     map[MemberID]string    // addresses of the members that have asked to join
 	leavingAt   map[MemberID]time.Time // time of the latest Leave of each member that is about to stop
 	transfer    *transfer
--- a/internal/ledger/election.go
+++ b/internal/ledger/election.go
@@ -19,6 +19,8 @@
 		c.requestJoin()
 		return
 	}
+	// The others may have removed this member while it was away.
+	c.sendJoin()
 	if c.role == Candidate && c.writes.persisted < c.writes.sequence {
 		// This member's vote for itself is not synced yet, so a new pre-vote would lead to the same election.
 		c.resetVoteTimeout()
--- a/internal/ledger/join.go
+++ b/internal/ledger/join.go
@@ -10,12 +10,21 @@
 const joinInterval = time.Second
 
 // requestJoin sends a request to join to every known member, because any of them may be the leader. A member
-// that was removed sends none; it is recognized by the entries in its log. Nor does one that is about to stop.
+// that was removed sends none; it is recognized by the entries in its log.
 func (c *Core) requestJoin() {
 	c.wakeAt = c.now.Add(joinInterval)
-	if _, known := c.membership.Find(c.self); c.leaving || !known && c.log.lastIndex() > 0 {
+	if _, known := c.membership.Find(c.self); !known && c.log.lastIndex() > 0 {
 		return
 	}
+	c.sendJoin()
+}
+
+// sendJoin sends a request to join, unless this member is about to stop or has sent one within joinInterval.
+func (c *Core) sendJoin() {
+	if c.leaving || c.now.Before(c.nextJoinAt) {
+		return
+	}
+	c.nextJoinAt = c.now.Add(joinInterval)
 	for _, e := range c.membership.members {
 		if e.id != c.self {
 			c.emit(Send{address: e.address, message: Join{address: c.address}})
@@ -96,6 +105,11 @@
 	}
 	if m, ok := c.nextVoterChange(); ok {
 		c.appendMembership(0, c.membership.with(m))
+		return
+	}
+	if lost, ok := c.lostNonVoter(); ok {
+		delete(c.joining, lost.id)
+		c.appendMembership(0, c.membership.without(lost.id))
 	}
 }
 
--- a/internal/ledger/join_test.go
+++ b/internal/ledger/join_test.go
@@ -248,6 +248,24 @@
 	})
 }
 
+// Guards against a membership that grows with each host that is replaced, and against a removed host that never returns.
+func TestRemovalOfLostNonVoter(t *testing.T) {
+	l := voterCase{voters: ids("bc"), joining: ids("d"), faults: 1, length: time.Second}.run(t, func(*testLeader) {})
+	for n := range 620 {
+		l.now = l.now.Add(100 * time.Millisecond)
+		l.core.Step(l.now, l.random, ledger.NewPersisted(uint64(10_000+n)))
+		for _, id := range ids("bc") {
+			reply := ledger.NewMatchReply(l.core.Term(), uint64(10_000+n), l.now.Sub(l.epoch), l.core.LastIndex())
+			l.core.Step(l.now, l.random, ledger.NewReceive(id, reply))
+		}
+	}
+	_, known := l.core.Membership().Find("d")
+	assert.False(t, known)
+	l.core.Step(l.now, l.random, ledger.NewReceive("d", ledger.NewJoin("d")))
+	_, known = l.core.Membership().Find("d")
+	assert.True(t, known)
+}
+
 // ids returns an id for each letter.
 func ids(letters string) (list []ledger.MemberID) {
 	for _, l := range letters {
--- a/internal/ledger/voters.go
+++ b/internal/ledger/voters.go
@@ -5,6 +5,8 @@
 const (
 	// voterTimeout is the time without contact after which another member may vote in place of a voter.
 	voterTimeout = 2500 * time.Millisecond
+	// nonVoterTimeout is the time without contact after which a non-voter is removed. It joins again when it returns.
+	nonVoterTimeout = time.Minute
 	// defaultFaults is the number of members whose loss at the same time is tolerated unless WithFaults is called.
 	defaultFaults = 1
 )
@@ -96,3 +98,13 @@
 	p := c.peers[id]
 	return id == c.self || p != nil && p.acked && c.epoch.Add(p.ackedSentAt+c.timing.lease).After(c.now)
 }
+
+// lostNonVoter returns a non-voter without contact for longer than nonVoterTimeout.
+func (c *Core) lostNonVoter() (lost Member, ok bool) {
+	for _, e := range c.membership.members {
+		if !e.voter && e.id != c.self && c.now.Sub(c.lastContact(e.id)) > nonVoterTimeout {
+			return e, true
+		}
+	}
+	return Member{}, false
+}
