--- a/internal/ledger/storage/cluster_test.go
+++ b/internal/ledger/storage/cluster_test.go
@@ -62,7 +62,9 @@
 	delay          func(from, toAddress string) time.Duration // delay of a link; nil for none
 }
 
-func newCluster(t failer, size int, seed uint64) *cluster { return newTolerantCluster(t, size, 0, seed) }
+func newCluster(t failer, size int, seed uint64) *cluster {
+	return newTolerantCluster(t, size, 0, seed)
+}
 
 func newTolerantCluster(t failer, size, faults int, seed uint64) *cluster {
 	c := &cluster{
