ledger: a host asks the present seeds to let it join

Callers would see a control host that is replaced or that has lost its disk never take part again: it asks only the seeds of its first start, which are stored on its disk as its membership, and these may all be gone by then. Neither a reload of the settings nor a restart brought the seeds of the settings to the ledger.

The driver now takes the seeds as a section of the blackboard that the reload publishes. A host that is no voter asks the members that it knows and the present seeds, at once when they change.

TestChangedSeeds failed in both cases with the requests limited to the membership (no join within 20 s).

--- a/internal/ledger/core.go
+++ b/internal/ledger/core.go
@@ -53,6 +53,7 @@
 	promotions  map[MemberID]uint64 // tokens of the pending promotions
 	joining     map[MemberID]string // addresses of the members that have asked to join
 	transfer    *transfer
+	contacts    contacts
 
 	writes  writes
 	effects []Effect
@@ -91,6 +92,8 @@
 	case Tick:
 	case Receive:
 		c.receive(in.from, in.message)
+	case Seeds:
+		c.onSeeds(in)
 	case Propose:
 		c.propose(in.proposals)
 	case MembershipChange:
--- a/internal/ledger/driver/loop.go
+++ b/internal/ledger/driver/loop.go
@@ -58,6 +58,8 @@
 func (l *loop[R]) run(ctx context.Context) error {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
+	seeds, seedsChanged := l.node.options.seeds.Watch()
+	l.step(ledger.NewSeeds(seeds))
 	for {
 		l.publish()
 		now := clock.Now()
@@ -76,6 +78,9 @@
 			return ctx.Err()
 		case <-timer.C:
 			l.step(ledger.Tick{})
+		case <-seedsChanged:
+			seeds, seedsChanged = l.node.options.seeds.Watch()
+			l.step(ledger.NewSeeds(seeds))
 		case c := <-l.node.requests:
 			l.submitBatch(c)
 		case e := <-l.node.messages:
--- a/internal/ledger/driver/options.go
+++ b/internal/ledger/driver/options.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"rosemarywind.example/rosemarywind/internal/board"
 	"rosemarywind.example/rosemarywind/internal/ledger"
 )
 
@@ -31,6 +32,7 @@
 	id                ledger.MemberID
 	address           string
 	initial           ledger.Membership
+	seeds             *board.Section[[]string]
 	storage           Storage
 	saved             ledger.PersistentState
 	transport         Transport
@@ -60,6 +62,10 @@
 	return func(o *options) { o.initial = ledger.NewMembership(members...) }
 }
 
+// WithSeeds sets the section that holds the seed addresses of the settings as last read. Members that do not find each
+// other by their memberships meet through them.
+func WithSeeds(s *board.Section[[]string]) Option { return func(o *options) { o.seeds = s } }
+
 // WithFirstStart sets whether the whole system starts for the first time, so that an initial member with an empty disk
 // starts under its configured id without probing the others.
 func WithFirstStart(firstStart bool) Option { return func(o *options) { o.firstStart = firstStart } }
@@ -96,6 +102,7 @@
 
 func newOptions(opts []Option) options {
 	o := options{
+		seeds:             board.NewSection[[]string](nil),
 		transport:         noTransport{},
 		random:            rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		timing:            ledger.DefaultTiming(),
--- a/internal/ledger/join.go
+++ b/internal/ledger/join.go
@@ -9,17 +9,15 @@
 // joinInterval is the time between two requests of a non-voter to become a voter.
 const joinInterval = time.Second
 
-// requestJoin sends a request to join to every known member, because any of them may be the leader. A member
+// requestJoin sends a request to join to every address at which the leader or a member that knows it may be. A member
 // that was removed sends none; it is recognized by the entries in its log.
 func (c *Core) requestJoin() {
 	c.wakeAt = c.now.Add(joinInterval)
 	if _, known := c.membership.Find(c.self); !known && c.log.lastIndex() > 0 {
 		return
 	}
-	for _, e := range c.membership.members {
-		if e.id != c.self {
-			c.emit(Send{address: e.address, message: Join{address: c.address}})
-		}
+	for _, a := range c.joinAddresses() {
+		c.emit(Send{address: a, message: Join{address: c.address}})
 	}
 }
 
