ledger: a host with an emptied disk needs no reply of a lost seed

Two hosts whose disks are lost would wait forever when the third seed of their settings is gone: each waits until the third one replies. They never vote again, although the leader of the others still sends messages to their earlier ids; the loss of one more host then leaves no majority. Nor did they probe new seeds of the settings, or ask a seed again that had replied before it had learned a term itself.

Any message that only a member with a term can send now decides that the host joins under a fresh id, whichever id of the host it is addressed to. Probes go to the present seeds too and are repeated until the decision. A host that has a fresh id but knows no member that is left asks the senders of messages to its earlier id to let it join.

The simulated cluster passes such messages on as the driver does.

--- a/internal/ledger/bootstrap.go
+++ b/internal/ledger/bootstrap.go
@@ -1,48 +1,71 @@
 package ledger
 
+import "slices"
+
 // Bootstrap decides how a member with an empty disk starts. The member takes part in the first election under
 // its configured id only if every other initial member replies that it has seen no term. If the configured id
 // had voted or stored entries before its disk was emptied, that was in a term which a candidate had persisted
 // first, so that the reply of this candidate shows a term. In that case the member joins under a fresh id, and
-// the configured id is never used again.
+// the configured id is never used again. Any other message that proves a term has the same effect: a leader that
+// still lists an earlier id of this host sends messages to it, and initial members may be gone for good.
 type Bootstrap struct {
-	id      MemberID
-	freshID MemberID
-	initial Membership
-	terms   map[string]uint64
+	id        MemberID
+	freshID   MemberID
+	initial   Membership
+	seeds     []string        // the seeds of the settings as last read
+	replied   map[string]bool // initial members that have replied, by address
+	logExists bool
 }
 
 // NewBootstrap returns the undecided bootstrap of the initial member id; fresh is an id that no member has used.
 func NewBootstrap(id, fresh MemberID, initial Membership) *Bootstrap {
-	return &Bootstrap{id: id, freshID: fresh, initial: initial, terms: map[string]uint64{}}
+	return &Bootstrap{id: id, freshID: fresh, initial: initial, replied: map[string]bool{}}
 }
 
 // FreshID returns the unused id, under which the member also sends its probes.
 func (b *Bootstrap) FreshID() MemberID { return b.freshID }
 
-// Probes returns a Probe for each other initial member that has not replied. It is addressed without an id,
-// because the member may have another one now.
+// Probes returns a Probe for each other initial member and seed, also for those that have replied, because they may have
+// learned of a term since. It is addressed without an id, because the member may have another one now.
 func (b *Bootstrap) Probes() (probes []Send) {
+	own, _ := b.initial.Find(b.id)
+	list := slices.Clone(b.seeds)
 	for _, e := range b.initial.members {
-		if _, replied := b.terms[e.address]; e.id != b.id && !replied {
-			probes = append(probes, Send{address: e.address, message: Probe{}})
+		list = append(list, e.address)
+	}
+	slices.Sort(list)
+	for _, address := range slices.Compact(list) {
+		if address != own.address {
+			probes = append(probes, Send{address: address, message: Probe{}})
 		}
 	}
 	return probes
 }
 
+// allReplied reports whether each other initial member has replied.
+func (b *Bootstrap) allReplied() bool {
+	return !slices.ContainsFunc(b.initial.members, func(e Member) bool { return e.id != b.id && !b.replied[e.address] })
+}
+
 // RecordReply records the latest term seen by the member at address; it is 0 for a member with an empty disk.
-func (b *Bootstrap) RecordReply(address string, m ProbeReply) { b.terms[address] = m.term }
+func (b *Bootstrap) RecordReply(address string, m ProbeReply) {
+	b.replied[address] = true
+	b.RecordMessage(m)
+}
+
+// RecordMessage records any message to this host, also to an earlier id of it.
+func (b *Bootstrap) RecordMessage(m Message) { b.logExists = b.logExists || provesLog(m) }
+
+// SetSeeds replaces the seeds of the settings, which are probed beside the initial members.
+func (b *Bootstrap) SetSeeds(addresses []string) { b.seeds = addresses }
 
 // Decide returns the state that must be persisted before the member starts; ok is false until it can be decided.
 func (b *Bootstrap) Decide() (saved PersistentState, ok bool) {
 	snapshot := NewSnapshot(0, 0, b.initial, nil)
-	for _, term := range b.terms {
-		if term > 0 {
-			return NewPersistentState(NewHardState(b.freshID, 0, ""), snapshot, nil), true
-		}
-	}
-	if len(b.Probes()) > 0 {
+	switch {
+	case b.logExists:
+		return NewPersistentState(NewHardState(b.freshID, 0, ""), snapshot, nil), true
+	case !b.allReplied():
 		return PersistentState{}, false
 	}
 	return NewPersistentState(NewHardState(b.id, 0, ""), snapshot, nil), true
--- /dev/null
+++ b/internal/ledger/bootstrap_test.go
@@ -0,0 +1,87 @@
+package ledger_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+
+	"rosemarywind.example/rosemarywind/internal/ledger"
+)
+
+// Guards against an empty disk that starts a second log although a message shows that one exists, and against hosts of
+// the first start that wait forever because they take an attempt to elect the first leader for a log.
+func TestBootstrapMessages(t *testing.T) {
+	for name, c := range map[string]struct {
+		message ledger.Message
+		exists  bool
+	}{
+		"probe":                                {ledger.Probe{}, false},
+		"join":                                 {ledger.NewJoin("d"), false},
+		"reply without a term":                 {ledger.NewProbeReply(0), false},
+		"reply with a term":                    {ledger.NewProbeReply(1), true},
+		"pre-vote of the first term":           {ledger.NewPreVote(1, 0, 0), false},
+		"pre-vote of the second term":          {ledger.NewPreVote(2, 0, 0), true},
+		"reply to a pre-vote of the first one": {ledger.NewPreVoteReply(1, 0, true), false},
+		"reply to a pre-vote with a term":      {ledger.NewPreVoteReply(2, 1, false), true},
+		"vote":                                 {ledger.NewRequestVote(1, 0, 0, false), true},
+		"reply to a vote":                      {ledger.NewRequestVoteReply(1, false), true},
+		"heartbeat":                            {ledger.NewAppendEntries(1, 0, 0, nil, 0, 1, 0), true},
+		"reply to a heartbeat":                 {ledger.NewMatchReply(1, 1, 0, 0), true},
+		"snapshot":                             {ledger.NewInstallSnapshot(1, ledger.Snapshot{}, 1, 0), true},
+		"transfer":                             {ledger.NewTimeoutNow(1), true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBootstrap()
+			b.RecordMessage(c.message)
+			assertDecided(t, b, "", c.exists)
+		})
+	}
+	t.Run("all replies without a term", func(t *testing.T) {
+		b := newBootstrap()
+		b.RecordReply("b", ledger.NewProbeReply(0))
+		assertDecided(t, b, "", false)
+		b.RecordReply("c", ledger.NewProbeReply(0))
+		assertDecided(t, b, "a", true)
+	})
+	t.Run("reply of another seed", func(t *testing.T) {
+		b := newBootstrap()
+		b.SetSeeds([]string{"d", "a"})
+		assertProbed(t, b, "b", "c", "d")
+		b.RecordReply("b", ledger.NewProbeReply(0))
+		b.RecordReply("d", ledger.NewProbeReply(0))
+		assertProbed(t, b, "b", "c", "d")
+		assertDecided(t, b, "", false)
+		b.RecordReply("d", ledger.NewProbeReply(3))
+		assertDecided(t, b, "", true)
+	})
+}
+
+const freshID = ledger.MemberID("a-1")
+
+// newBootstrap returns the bootstrap of the initial member a of a, b and c.
+func newBootstrap() *ledger.Bootstrap {
+	return ledger.NewBootstrap("a", freshID, ledger.NewMembership(
+		ledger.NewMember("a", "a", true), ledger.NewMember("b", "b", true), ledger.NewMember("c", "c", true)))
+}
+
+// assertDecided checks whether the bootstrap is decided, and for which id; an empty id is the fresh one.
+func assertDecided(t *testing.T, b *ledger.Bootstrap, id ledger.MemberID, want bool) {
+	t.Helper()
+	saved, ok := b.Decide()
+	assert.Equal(t, want, ok)
+	if id == "" {
+		id = freshID
+	}
+	if ok {
+		assert.Equal(t, id, saved.HardState().Identity())
+	}
+}
+
+func assertProbed(t *testing.T, b *ledger.Bootstrap, want ...string) {
+	t.Helper()
+	var probed []string
+	for _, p := range b.Probes() {
+		probed = append(probed, p.Address())
+	}
+	assert.Equal(t, want, probed)
+}
--- a/internal/ledger/core.go
+++ b/internal/ledger/core.go
@@ -92,6 +92,8 @@
 	case Tick:
 	case Receive:
 		c.receive(in.from, in.message)
+	case Overheard:
+		c.onOverheard(in)
 	case Seeds:
 		c.onSeeds(in)
 	case Propose:
--- a/internal/ledger/driver/bootstrap.go
+++ b/internal/ledger/driver/bootstrap.go
@@ -8,11 +8,11 @@
 	"rosemarywind.example/rosemarywind/internal/ledger"
 )
 
-// probeInterval is the interval at which a member with an empty disk probes the members that have not replied.
+// probeInterval is the interval at which a member with an empty disk probes the others.
 const probeInterval = 200 * time.Millisecond
 
 // bootstrap returns the recovered state, or decides on the initial state of an empty disk and saves it. It waits until
-// a member that has seen a term has replied, or all other initial members without one.
+// a message proves that a member has seen a term, or all other initial members have replied that they have seen none.
 func (n *Node[R]) bootstrap(ctx context.Context) (saved ledger.PersistentState, err error) {
 	defer annotate(&err, "bootstrap the ledger member")
 	o := n.options
@@ -27,6 +27,8 @@
 	b := ledger.NewBootstrap(o.id, fresh, o.initial)
 	ticker := time.NewTicker(probeInterval)
 	defer ticker.Stop()
+	seeds, seedsChanged := o.seeds.Watch()
+	b.SetSeeds(seeds)
 	n.probeMembers(b)
 	for {
 		saved, ok := b.Decide()
@@ -39,6 +41,10 @@
 			return saved, ctx.Err()
 		case <-ticker.C:
 			n.probeMembers(b)
+		case <-seedsChanged:
+			seeds, seedsChanged = o.seeds.Watch()
+			b.SetSeeds(seeds)
+			n.probeMembers(b)
 		case c := <-n.requests:
 			c.fail(&NotLeaderError{})
 		case e := <-n.messages:
@@ -54,16 +60,19 @@
 }
 
 // receiveProbe records the reply to a probe, and replies to the probes of other members with empty disks that this one
-// has seen no term.
+// has seen no term. All other messages may prove that the log exists.
 func (n *Node[R]) receiveProbe(b *ledger.Bootstrap, e envelope) {
 	switch m := e.message.(type) {
 	case ledger.Probe:
 		n.send(b.FreshID(), ledger.NewSend(e.from, e.address, ledger.NewProbeReply(0)), e.address)
 	case ledger.ProbeReply:
-		if e.to == b.FreshID() {
-			b.RecordReply(e.address, m)
+		if e.to != b.FreshID() {
+			b.RecordMessage(m) // the reply to an earlier probe of this host
+			return
 		}
+		b.RecordReply(e.address, m)
 	case ledger.PreVote, ledger.PreVoteReply, ledger.RequestVote, ledger.RequestVoteReply, ledger.AppendEntries,
 		ledger.AppendEntriesReply, ledger.InstallSnapshot, ledger.TimeoutNow, ledger.Join:
+		b.RecordMessage(m)
 	}
 }
--- a/internal/ledger/driver/deliver.go
+++ b/internal/ledger/driver/deliver.go
@@ -29,9 +29,10 @@
 	}
 }
 
-// receive passes a message to the core, unless it is addressed to an earlier id of this host.
+// receive passes a message to the core. Of one that is addressed to an earlier id of this host, only the sender matters.
 func (l *loop[R]) receive(e envelope) {
 	if e.to != "" && e.to != l.core.Self() {
+		l.step(ledger.NewOverheard(e.address, e.message))
 		return
 	}
 	if len(l.peerAddresses) >= maxPeerAddresses {
--- a/internal/ledger/driver/seeds_test.go
+++ b/internal/ledger/driver/seeds_test.go
@@ -41,3 +41,34 @@
 		return listed && s.Leader() != ""
 	})
 }
+
+// Guards against hosts with emptied disks that wait forever for a seed which is gone, although a majority of the members
+// has a leader.
+func TestEmptiedDisksWithoutSeed(t *testing.T) {
+	t.Run("the leader still lists the hosts", func(t *testing.T) {
+		c := startCluster(t, 5)
+		requireProposedTo(t, c, "one")
+		emptied := []ledger.MemberID{"c1", "c2"}
+		for _, id := range emptied {
+			c.members[id].stop()
+			delete(c.members, id)
+			c.folders[id] = t.TempDir()
+		}
+		for _, id := range emptied {
+			c.start(t, id, driver.WithInitialMembers(map[ledger.MemberID]string{"c1": "c1", "c2": "c2", "gone": "gone"}))
+		}
+		for _, id := range emptied {
+			requireJoined(t, c.members[id])
+		}
+		c.requireApplied(t, "one")
+	})
+	t.Run("the settings list another seed", func(t *testing.T) {
+		c := startCluster(t, 1)
+		c.requireLeader(t)
+		seeds := board.NewSection[[]string](nil)
+		m := startMember(t, t.TempDir(), c.network, "d", driver.WithSeeds(seeds),
+			driver.WithInitialMembers(map[ledger.MemberID]string{"d": "d", "gone": "gone"}))
+		seeds.Publish([]string{"c1"})
+		requireJoined(t, m)
+	})
+}
--- a/internal/ledger/join_test.go
+++ b/internal/ledger/join_test.go
@@ -116,3 +116,40 @@
 		assert.Equal(t, 5, runWithJoining(t, "d", "e", "f").core.Membership().Voters())
 	})
 }
+
+// Guards against a host with an emptied disk that never joins because all members that it knows are gone, although the
+// leader still sends messages to its earlier id.
+func TestJoinByOverheardLeader(t *testing.T) {
+	now := time.Unix(1000, 0)
+	random := rand.New(rand.NewPCG(1, 1))
+	gone := ledger.NewMembership(ledger.NewMember("d", "d", true), ledger.NewMember("gone", "gone", true))
+	saved := ledger.NewPersistentState(ledger.NewHardState("d-1", 0, ""), ledger.NewSnapshot(0, 0, gone, nil), nil)
+	joining := ledger.NewCore(saved, "d", ledger.DefaultTiming(), now, random)
+	heartbeat := ledger.NewAppendEntries(2, 0, 0, nil, 0, 1, 0)
+	assertJoinsAt := func(t *testing.T, effects []ledger.Effect, want ...string) {
+		t.Helper()
+		var asked []string
+		for _, s := range joinRequests(effects) {
+			asked = append(asked, s.Address())
+		}
+		assert.Equal(t, want, asked)
+	}
+	t.Run("asked at once", func(t *testing.T) {
+		assertJoinsAt(t, joining.Step(now, random, ledger.NewOverheard("b", heartbeat)), "b", "gone")
+	})
+	t.Run("not asked at each message", func(t *testing.T) {
+		assertJoinsAt(t, joining.Step(now, random, ledger.NewOverheard("b", heartbeat)))
+	})
+	t.Run("asked again", func(t *testing.T) {
+		assertJoinsAt(t, joining.Step(joining.Wake(), random, ledger.Tick{}), "b", "gone")
+	})
+	t.Run("a message without a term proves nothing", func(t *testing.T) {
+		assertJoinsAt(t, joining.Step(now, random, ledger.NewOverheard("e", ledger.NewProbeReply(0))))
+	})
+	t.Run("the latest senders are kept", func(t *testing.T) {
+		for _, address := range []string{"1", "2", "3", "4", "5", "6", "7", "8"} {
+			joining.Step(now, random, ledger.NewOverheard(address, heartbeat))
+		}
+		assertJoinsAt(t, joining.Step(joining.Wake(), random, ledger.Tick{}), "1", "2", "3", "4", "5", "6", "7", "8", "gone")
+	})
+}
--- a/internal/ledger/storage/cluster_test.go
+++ b/internal/ledger/storage/cluster_test.go
@@ -180,8 +180,12 @@
 		if h.peerAddresses != nil {
 			h.peerAddresses[p.from] = p.fromAddress
 		}
-		if h.core != nil && (p.send.To() == "" || p.send.To() == h.core.Self()) {
+		switch {
+		case h.core == nil:
+		case p.send.To() == "" || p.send.To() == h.core.Self():
 			c.step(h, ledger.NewReceive(p.from, p.send.Message()))
+		default:
+			c.step(h, ledger.NewOverheard(p.fromAddress, p.send.Message()))
 		}
 		if h.bootstrap != nil {
 			c.receiveProbe(h, p)
@@ -195,6 +199,9 @@
 		c.bootstrap(h)
 	} else if _, ok := p.send.Message().(ledger.Probe); ok {
 		c.enqueue(h, h.bootstrap.FreshID(), ledger.NewSend(p.from, p.fromAddress, ledger.NewProbeReply(0)))
+	} else {
+		h.bootstrap.RecordMessage(p.send.Message())
+		c.bootstrap(h)
 	}
 }
 
