ledger: a joining member tells probing hosts that a log exists

With bootstrap false, a host with an empty disk starts a log of its own under its configured id when all other seeds reply that they have seen no term. A successor that has not reached the leader yet is such a seed, since its disk is empty too, so hosts whose disks were lost and successors could start a second log beside the first one, in which confirmed changes are missing.

A member that is no voter of its membership has a fresh id, which it took because it is not at its first start. Its reply to a probe now says that the log exists; the reply of an initial member before the first election does not, so that hosts which were killed before they had stored anything still start the log.

TestProbeOfJoiningMember failed for the joining member with the term alone in the reply.

--- a/internal/ledger/bootstrap_test.go
+++ b/internal/ledger/bootstrap_test.go
@@ -1,7 +1,9 @@
 package ledger_test
 
 import (
+	"math/rand/v2"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 
@@ -17,8 +19,9 @@
 	}{
 		"probe":                                {ledger.Probe{}, false},
 		"join":                                 {ledger.NewJoin("d"), false},
-		"reply without a term":                 {ledger.NewProbeReply(0), false},
-		"reply with a term":                    {ledger.NewProbeReply(1), true},
+		"reply without a term":                 {ledger.NewProbeReply(0, false), false},
+		"reply with a term":                    {ledger.NewProbeReply(1, true), true},
+		"reply of a joining member":            {ledger.NewProbeReply(0, true), true},
 		"pre-vote of the first term":           {ledger.NewPreVote(1, 0, 0), false},
 		"pre-vote of the second term":          {ledger.NewPreVote(2, 0, 0), true},
 		"reply to a pre-vote of the first one": {ledger.NewPreVoteReply(1, 0, true), false},
@@ -38,20 +41,20 @@
 	}
 	t.Run("all replies without a term", func(t *testing.T) {
 		b := newBootstrap()
-		b.RecordReply("b", ledger.NewProbeReply(0))
+		b.RecordReply("b", ledger.NewProbeReply(0, false))
 		assertDecided(t, b, "", false)
-		b.RecordReply("c", ledger.NewProbeReply(0))
+		b.RecordReply("c", ledger.NewProbeReply(0, false))
 		assertDecided(t, b, "a", true)
 	})
 	t.Run("reply of another seed", func(t *testing.T) {
 		b := newBootstrap()
 		b.SetSeeds([]string{"d", "a"})
 		assertProbed(t, b, "b", "c", "d")
-		b.RecordReply("b", ledger.NewProbeReply(0))
-		b.RecordReply("d", ledger.NewProbeReply(0))
+		b.RecordReply("b", ledger.NewProbeReply(0, false))
+		b.RecordReply("d", ledger.NewProbeReply(0, false))
 		assertProbed(t, b, "b", "c", "d")
 		assertDecided(t, b, "", false)
-		b.RecordReply("d", ledger.NewProbeReply(3))
+		b.RecordReply("d", ledger.NewProbeReply(3, true))
 		assertDecided(t, b, "", true)
 	})
 }
@@ -85,3 +88,34 @@
 	}
 	assert.Equal(t, want, probed)
 }
+
+// Guards against a second log that is founded because the seeds of a host are successors which have joined no leader
+// yet, so that none of them has seen a term.
+func TestProbeOfJoiningMember(t *testing.T) {
+	now := time.Unix(1000, 0)
+	random := rand.New(rand.NewPCG(1, 1))
+	initial := ledger.NewSnapshot(0, 0, ledger.NewMembership(
+		ledger.NewMember("a", "a", true), ledger.NewMember("b", "b", true), ledger.NewMember("c", "c", true)), nil)
+	for name, c := range map[string]struct {
+		hard   ledger.HardState
+		exists bool
+	}{
+		"initial member before the first election": {ledger.NewHardState("b", 0, ""), false},
+		"initial member with a term":               {ledger.NewHardState("b", 1, ""), true},
+		"joining member":                           {ledger.NewHardState("b-1", 0, ""), true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			saved := ledger.NewPersistentState(c.hard, initial, nil)
+			core := ledger.NewCore(saved, "b", ledger.DefaultTiming(), now, random)
+			for _, e := range core.Step(now, random, ledger.NewReceive("a-1", ledger.Probe{})) {
+				if s, ok := e.(ledger.Send); ok && s.To() == "a-1" {
+					b := newBootstrap()
+					b.RecordReply("b", s.Message().(ledger.ProbeReply))
+					assertDecided(t, b, "", c.exists)
+					return
+				}
+			}
+			assert.Fail(t, "no reply")
+		})
+	}
+}
--- a/internal/ledger/contacts.go
+++ b/internal/ledger/contacts.go
@@ -43,7 +43,7 @@
 	return true
 }
 
-// provesLog reports whether a message can only come from a member that has seen a term.
+// provesLog reports whether a message can only come from a member that has seen a term or knows of one that has.
 func provesLog(m Message) bool {
 	switch m := m.(type) {
 	case PreVote:
@@ -63,7 +63,7 @@
 	case TimeoutNow:
 		return m.term > 0
 	case ProbeReply:
-		return m.term > 0
+		return m.term > 0 || m.logExists
 	case Probe, Join:
 	}
 	return false
--- a/internal/ledger/driver/bootstrap.go
+++ b/internal/ledger/driver/bootstrap.go
@@ -64,7 +64,7 @@
 func (n *Node[R]) receiveProbe(b *ledger.Bootstrap, e envelope) {
 	switch m := e.message.(type) {
 	case ledger.Probe:
-		n.send(b.FreshID(), ledger.NewSend(e.from, e.address, ledger.NewProbeReply(0)), e.address)
+		n.send(b.FreshID(), ledger.NewSend(e.from, e.address, ledger.NewProbeReply(0, false)), e.address)
 	case ledger.ProbeReply:
 		if e.to != b.FreshID() {
 			b.RecordMessage(m) // the reply to an earlier probe of this host
--- a/internal/ledger/driver/encoding.go
+++ b/internal/ledger/driver/encoding.go
@@ -79,7 +79,7 @@
 	case ledger.Probe:
 		e.Kind = kindProbe
 	case ledger.ProbeReply:
-		e.Kind, e.Term = kindProbeReply, m.Term()
+		e.Kind, e.Term, e.Flag = kindProbeReply, m.Term(), m.LogExists()
 	case ledger.Join:
 		e.Kind, e.JoinAddress, e.JoiningID = kindJoin, m.Address(), string(m.Member())
 	}
@@ -130,7 +130,7 @@
 	case kindProbe:
 		return ledger.Probe{}, nil
 	case kindProbeReply:
-		return ledger.NewProbeReply(e.Term), nil
+		return ledger.NewProbeReply(e.Term, e.Flag), nil
 	case kindJoin:
 		return ledger.NewJoin(e.JoinAddress).For(ledger.MemberID(e.JoiningID)), nil
 	default:
--- a/internal/ledger/join_test.go
+++ b/internal/ledger/join_test.go
@@ -144,7 +144,7 @@
 		assertJoinsAt(t, joining.Step(joining.Wake(), random, ledger.Tick{}), "b", "gone")
 	})
 	t.Run("a message without a term proves nothing", func(t *testing.T) {
-		assertJoinsAt(t, joining.Step(now, random, ledger.NewOverheard("e", ledger.NewProbeReply(0))))
+		assertJoinsAt(t, joining.Step(now, random, ledger.NewOverheard("e", ledger.NewProbeReply(0, false))))
 	})
 	t.Run("the latest senders are kept", func(t *testing.T) {
 		for _, address := range []string{"1", "2", "3", "4", "5", "6", "7", "8"} {
--- a/internal/ledger/message.go
+++ b/internal/ledger/message.go
@@ -64,8 +64,11 @@
 // Probe asks a member for the latest term that it has seen. A member with an empty disk sends it.
 type Probe struct{}
 
-// ProbeReply is the reply to a Probe.
-type ProbeReply struct{ term uint64 }
+// ProbeReply is the reply to a Probe. The log may exist although the replier has seen no term yet.
+type ProbeReply struct {
+	term      uint64
+	logExists bool
+}
 
 // Join asks the leader to make the joining member a voter, in place of an earlier member of the same host, or to record
 // its new address.
@@ -217,8 +220,12 @@
 // Term returns the term that the sender led until it sent the message.
 func (m TimeoutNow) Term() uint64 { return m.term }
 
-// NewProbeReply returns the reply of a member whose latest term is term; it is 0 for an empty disk.
-func NewProbeReply(term uint64) ProbeReply { return ProbeReply{term} }
+// NewProbeReply returns the reply of a member whose latest term is term; it is 0 for an empty disk. A member that joins
+// under a fresh id knows that the log exists before it has seen a term.
+func NewProbeReply(term uint64, logExists bool) ProbeReply { return ProbeReply{term, logExists} }
+
+// LogExists reports whether the replier knows that the log exists.
+func (m ProbeReply) LogExists() bool { return m.logExists }
 
 // Term returns the latest term that the replier has seen; it is 0 for a member with an empty disk.
 func (m ProbeReply) Term() uint64 { return m.term }
--- a/internal/ledger/receive.go
+++ b/internal/ledger/receive.go
@@ -21,7 +21,7 @@
 			c.onInstallSnapshot(from, m)
 		}
 	case Probe:
-		c.send(from, ProbeReply{term: c.term})
+		c.send(from, ProbeReply{term: c.term, logExists: c.term > 0 || !c.membership.isVoter(c.self)})
 	case ProbeReply:
 	case Join:
 		c.onJoin(from, m)
--- a/internal/ledger/storage/cluster_test.go
+++ b/internal/ledger/storage/cluster_test.go
@@ -198,7 +198,7 @@
 		h.bootstrap.RecordReply(p.fromAddress, m)
 		c.bootstrap(h)
 	} else if _, ok := p.send.Message().(ledger.Probe); ok {
-		c.enqueue(h, h.bootstrap.FreshID(), ledger.NewSend(p.from, p.fromAddress, ledger.NewProbeReply(0)))
+		c.enqueue(h, h.bootstrap.FreshID(), ledger.NewSend(p.from, p.fromAddress, ledger.NewProbeReply(0, false)))
 	} else {
 		h.bootstrap.RecordMessage(p.send.Message())
 		c.bootstrap(h)
