ledger: no second log while the members that have one are down

After a loss of power, hosts whose disks were lost and a successor that names itself among its seeds start a second log when the seeds of all of them are these hosts: each replies to the others that it has seen no term, before the members that have the log are back. Both logs then have leaders, and what was confirmed is missing in one of them.

A host that is told that this is not the first start of the system now waits 7 s before it starts a log, and a message that proves a log within that time decides that it joins. The leader of the members that are back sends such messages to the hosts whose disks are lost, and these tell the others when they are probed. Hosts of the first start that were stopped before they had stored anything start the log 7 s later than before.

--- a/internal/ledger/bootstrap.go
+++ b/internal/ledger/bootstrap.go
@@ -1,6 +1,9 @@
 package ledger
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // Bootstrap decides how a member with an empty disk starts. The member takes part in the first election under
 // its configured id only if every other initial member replies that it has seen no term. If the configured id
@@ -15,8 +18,13 @@
 	seeds     []string        // the seeds of the settings as last read
 	replied   map[string]bool // initial members that have replied, by address
 	logExists bool
+	foundAt   time.Time // no log is started before
 }
 
+// foundingDelay is the time within which members that have lost power at the same time are back and have a leader,
+// which then sends messages to the members whose disks are lost. It leaves time for an election within 12 s of a start.
+const foundingDelay = 7 * time.Second
+
 // NewBootstrap returns the undecided bootstrap of the initial member id; fresh is an id that no member has used.
 func NewBootstrap(id, fresh MemberID, initial Membership) *Bootstrap {
 	return &Bootstrap{id: id, freshID: fresh, initial: initial, replied: map[string]bool{}}
@@ -59,13 +67,18 @@
 // SetSeeds replaces the seeds of the settings, which are probed beside the initial members.
 func (b *Bootstrap) SetSeeds(addresses []string) { b.seeds = addresses }
 
+// DelayFounding makes the member wait for proof of a log for foundingDelay from now. It is meant for a host that is told
+// that the system has been started before: then only hosts that were stopped before they had stored anything may have to
+// start the log, while all initial members may be hosts whose disks were lost with the log.
+func (b *Bootstrap) DelayFounding(now time.Time) { b.foundAt = now.Add(foundingDelay) }
+
 // Decide returns the state that must be persisted before the member starts; ok is false until it can be decided.
-func (b *Bootstrap) Decide() (saved PersistentState, ok bool) {
+func (b *Bootstrap) Decide(now time.Time) (saved PersistentState, ok bool) {
 	snapshot := NewSnapshot(0, 0, b.initial, nil)
 	switch {
 	case b.logExists:
 		return NewPersistentState(NewHardState(b.freshID, 0, ""), snapshot, nil), true
-	case !b.allReplied():
+	case !b.allReplied() || now.Before(b.foundAt):
 		return PersistentState{}, false
 	}
 	return NewPersistentState(NewHardState(b.id, 0, ""), snapshot, nil), true
--- a/internal/ledger/bootstrap_test.go
+++ b/internal/ledger/bootstrap_test.go
@@ -59,6 +59,40 @@
 	})
 }
 
+// Guards against a second log that hosts with empty disks start while the members that have the log are still down, and
+// against hosts of the first start that never start the log because they have stored nothing.
+func TestDelayedFounding(t *testing.T) {
+	const before, after = 6900 * time.Millisecond, 7 * time.Second
+	allReplied := func() *ledger.Bootstrap {
+		b := newBootstrap()
+		b.DelayFounding(startedAt)
+		b.RecordReply("b", ledger.NewProbeReply(0, false))
+		b.RecordReply("c", ledger.NewProbeReply(0, false))
+		return b
+	}
+	t.Run("a log is started after the delay", func(t *testing.T) {
+		b := allReplied()
+		_, early := b.Decide(startedAt.Add(before))
+		assert.False(t, early)
+		saved, ok := b.Decide(startedAt.Add(after))
+		assert.True(t, ok)
+		assert.Equal(t, ledger.MemberID("a"), saved.HardState().Identity())
+	})
+	t.Run("a leader is heard meanwhile", func(t *testing.T) {
+		b := allReplied()
+		b.RecordMessage(ledger.NewAppendEntries(4, 0, 0, nil, 0, 1, 0))
+		assertDecided(t, b, "", true)
+	})
+	t.Run("a seed has learned of the log meanwhile", func(t *testing.T) {
+		b := allReplied()
+		assertProbed(t, b, "b", "c")
+		b.RecordReply("c", ledger.NewProbeReply(0, true))
+		assertDecided(t, b, "", true)
+	})
+}
+
+var startedAt = time.Unix(1000, 0)
+
 const freshID = ledger.MemberID("a-1")
 
 // newBootstrap returns the bootstrap of the initial member a of a, b and c.
@@ -70,7 +104,7 @@
 // assertDecided checks whether the bootstrap is decided, and for which id; an empty id is the fresh one.
 func assertDecided(t *testing.T, b *ledger.Bootstrap, id ledger.MemberID, want bool) {
 	t.Helper()
-	saved, ok := b.Decide()
+	saved, ok := b.Decide(startedAt)
 	assert.Equal(t, want, ok)
 	if id == "" {
 		id = freshID
--- a/internal/ledger/driver/bootstrap.go
+++ b/internal/ledger/driver/bootstrap.go
@@ -5,6 +5,7 @@
 	"math"
 	"time"
 
+	"rosemarywind.example/rosemarywind/internal/clock"
 	"rosemarywind.example/rosemarywind/internal/ledger"
 )
 
@@ -25,13 +26,16 @@
 		return saved, o.storage.Save([]ledger.Persist{ledger.NewPersist(saved.HardState(), &snapshot, nil)})
 	}
 	b := ledger.NewBootstrap(o.id, fresh, o.initial)
+	if o.delayFounding {
+		b.DelayFounding(clock.Now())
+	}
 	ticker := time.NewTicker(probeInterval)
 	defer ticker.Stop()
 	seeds, seedsChanged := o.seeds.Watch()
 	b.SetSeeds(seeds)
 	n.probeMembers(b)
 	for {
-		saved, ok := b.Decide()
+		saved, ok := b.Decide(clock.Now())
 		if ok {
 			snapshot := saved.Snapshot()
 			return saved, o.storage.Save([]ledger.Persist{ledger.NewPersist(saved.HardState(), &snapshot, nil)})
--- a/internal/ledger/driver/options.go
+++ b/internal/ledger/driver/options.go
@@ -41,6 +41,7 @@
 	snapshotThreshold uint64
 	snapshotBytes     int
 	firstStart        bool
+	delayFounding     bool
 }
 
 // Option sets one property of a Node.
@@ -67,8 +68,11 @@
 func WithSeeds(s *board.Section[[]string]) Option { return func(o *options) { o.seeds = s } }
 
 // WithFirstStart sets whether the whole system starts for the first time, so that an initial member with an empty disk
-// starts under its configured id without probing the others.
-func WithFirstStart(firstStart bool) Option { return func(o *options) { o.firstStart = firstStart } }
+// starts under its configured id without probing the others. If it does not, the start of a log is delayed. Without this
+// option it is unknown, and hosts with empty disks start a log once all initial members have replied.
+func WithFirstStart(firstStart bool) Option {
+	return func(o *options) { o.firstStart, o.delayFounding = firstStart, !firstStart }
+}
 
 // WithStorage sets the storage and the state recovered from it. The node closes the storage when Run returns.
 func WithStorage(s Storage, saved ledger.PersistentState) Option {
--- a/internal/ledger/driver/seeds_test.go
+++ b/internal/ledger/driver/seeds_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"rosemarywind.example/rosemarywind/internal/board"
 	"rosemarywind.example/rosemarywind/internal/ledger"
@@ -72,3 +73,38 @@
 		requireJoined(t, m)
 	})
 }
+
+// Guards against a second log that hosts whose disks are lost and a successor start, while the members that have the log
+// come back more slowly from the same loss of power.
+func TestNoSecondLog(t *testing.T) {
+	c := startCluster(t, 5)
+	requireProposedTo(t, c, "one")
+	for _, m := range c.members {
+		m.stop()
+	}
+	empty := []ledger.MemberID{"c1", "c2", "d"}
+	seeds := map[ledger.MemberID]string{}
+	for _, id := range empty {
+		seeds[id], c.folders[id] = string(id), t.TempDir()
+	}
+	for _, id := range empty {
+		c.start(t, id, driver.WithInitialMembers(seeds), driver.WithFirstStart(false))
+	}
+	time.Sleep(3 * time.Second)
+	for _, id := range []ledger.MemberID{"c3", "c4", "c5"} {
+		c.start(t, id, driver.WithFirstStart(false))
+	}
+	for _, id := range empty {
+		requireJoined(t, c.members[id])
+	}
+	c.requireApplied(t, "one")
+}
+
+// Guards against hosts that never start a log because they were stopped before they had stored anything at the first
+// start.
+func TestStopBeforeFirstWrite(t *testing.T) {
+	c := startCluster(t, 3, driver.WithFirstStart(false))
+	c.requireLeader(t)
+	requireProposedTo(t, c, "one")
+	c.requireApplied(t, "one")
+}
--- a/internal/ledger/storage/cluster_test.go
+++ b/internal/ledger/storage/cluster_test.go
@@ -104,7 +104,7 @@
 
 // bootstrap starts the core of a host with an empty disk if the bootstrap is decided, and sends probes otherwise.
 func (c *cluster) bootstrap(h *host) {
-	saved, ok := h.bootstrap.Decide()
+	saved, ok := h.bootstrap.Decide(c.now)
 	if !ok {
 		for _, s := range h.bootstrap.Probes() {
 			c.enqueue(h, h.bootstrap.FreshID(), s)
