ledger: a host that joins asks at once

A host that joins a log, at its first start or after a loss of its disk, asked for the first time after an election timeout of 1.1 s to 1.5 s, which is a quarter of the time in which it is to have caught up. A non-voter has no election to wait for, so its first deadline is its start.

TestJoinByOverheardLeader failed before: the first step sent no request.

--- a/internal/ledger/core.go
+++ b/internal/ledger/core.go
@@ -79,8 +79,8 @@
 	c.writes.durableIndex = c.log.lastIndex()
 	c.membership, c.membershipIndex = c.log.membership(c.log.lastIndex())
 	c.grantLease()
-	if c.membership.Voters() == 1 && c.membership.isVoter(c.self) {
-		c.wakeAt = now
+	if !c.membership.isVoter(c.self) || c.membership.Voters() == 1 {
+		c.wakeAt = now // a non-voter asks to join at once, and a single voter needs no other vote
 	}
 	return c
 }
--- a/internal/ledger/join_test.go
+++ b/internal/ledger/join_test.go
@@ -118,7 +118,7 @@
 }
 
 // Guards against a host with an emptied disk that never joins because all members that it knows are gone, although the
-// leader still sends messages to its earlier id.
+// leader still sends messages to its earlier id, and against one that waits for an election timeout before it asks.
 func TestJoinByOverheardLeader(t *testing.T) {
 	now := time.Unix(1000, 0)
 	random := rand.New(rand.NewPCG(1, 1))
@@ -134,6 +134,9 @@
 		}
 		assert.Equal(t, want, asked)
 	}
+	t.Run("the members are asked at the start", func(t *testing.T) {
+		assertJoinsAt(t, joining.Step(now, random, ledger.Tick{}), "gone")
+	})
 	t.Run("asked at once", func(t *testing.T) {
 		assertJoinsAt(t, joining.Step(now, random, ledger.NewOverheard("b", heartbeat)), "b", "gone")
 	})
