ledger: a host asks to join although its log does not list it

A host that joins receives the log from the leader that admits it. One host less then counts towards the majority for good.

The check was meant for members that were removed, but a removed member gets no messages any more, so its log does not show its removal. Such a host now asks like any other; nothing in this code removes a member that is running.

TestJoinAfterLostAdmission failed before: no request was sent.

--- a/internal/ledger/join.go
+++ b/internal/ledger/join.go
@@ -10,12 +10,10 @@
 const joinInterval = time.Second
 
 // requestJoin sends a request to join to every address at which the leader or a member that knows it may be. A member
-// that was removed sends none; it is recognized by the entries in its log.
+// that its log does not list sends it as well: it may have received a part of the log from a leader that was replaced
+// before this member's admission was committed.
 func (c *Core) requestJoin() {
 	c.wakeAt = c.now.Add(joinInterval)
-	if _, known := c.membership.Find(c.self); !known && c.log.lastIndex() > 0 {
-		return
-	}
 	for _, a := range c.joinAddresses() {
 		c.emit(Send{address: a, message: Join{address: c.address}})
 	}
--- a/internal/ledger/join_test.go
+++ b/internal/ledger/join_test.go
@@ -156,3 +156,17 @@
 		assertJoinsAt(t, joining.Step(joining.Wake(), random, ledger.Tick{}), "1", "2", "3", "4", "5", "6", "7", "8", "gone")
 	})
 }
+
+// Guards against a host that never joins again because it has received a part of the log from a leader that was replaced
+// before the membership with this host was committed.
+func TestJoinAfterLostAdmission(t *testing.T) {
+	now := time.Unix(1000, 0)
+	random := rand.New(rand.NewPCG(1, 1))
+	members := ledger.NewMembership(
+		ledger.NewMember("a", "a", true), ledger.NewMember("b", "b", true), ledger.NewMember("c", "c", true))
+	saved := ledger.NewPersistentState(ledger.NewHardState("d-1", 0, ""), ledger.NewSnapshot(0, 0, members, nil), nil)
+	joining := ledger.NewCore(saved, "d", ledger.DefaultTiming(), now, random)
+	joining.Step(now, random, ledger.NewReceive("a", ledger.NewInstallSnapshot(2, ledger.NewSnapshot(10, 2, members, nil), 1, 0)))
+	asked := joinRequests(joining.Step(joining.Wake(), random, ledger.Tick{}))
+	assert.Len(t, asked, 3)
+}
