--- a/internal/leader/client_test.go
+++ b/internal/leader/client_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -203,3 +206,32 @@
 	assert.Equal(t, call.OK, r.Outcome())
 	assert.Less(t, took, 550*time.Millisecond)
 }
+
+// Guards against a client that loses the seeds of a reload to a reply that it handles at the same time.
+func TestSeedsDuringReplies(t *testing.T) {
+	const callers, reloads = 8, 3000
+	leading := host(t, func(call.Call) *call.Reply {
+		r := call.NewReply(call.OK, "").WithHosts("", []string{fmt.Sprintf("127.0.0.1:%d", 1+rand.IntN(50))})
+		return &r
+	})
+	c := newClient(t, leading)
+	ctx, cancel := context.WithCancel(t.Context())
+	var g sync.WaitGroup
+	for range callers {
+		g.Go(func() {
+			for ctx.Err() == nil {
+				c.Call(ctx, "", call.Ping{}, 0)
+			}
+		})
+	}
+	for i := range reloads {
+		last := fmt.Sprintf("127.0.0.1:%d", 100+i)
+		c.SetSeeds([]string{leading, last})
+		time.Sleep(50 * time.Microsecond)
+		if !assert.Contains(t, c.Hosts(), last) {
+			break
+		}
+	}
+	cancel()
+	g.Wait()
+}
