leader: a host that is no leader adds hosts and replaces none

After a loss of power an entry or agent may find no leader for as long as it runs. The first control host to answer may be one that has lost its disk or that has just been added, whose list is that of the seeds of its first start; the client took this list in place of the hosts that the leader had listed, and with seeds that are gone or that know no more, no search reached the next leader.

The list in a reply of a host that does not lead is now added to the known hosts, until a leader lists the hosts.

TestHostsOfFollower failed before: the call to the next leader ended with "no leader is known".

--- a/internal/leader/client.go
+++ b/internal/leader/client.go
@@ -164,10 +164,15 @@
 // unavailableRetryAfter is about the time that the election of another leader takes.
 const unavailableRetryAfter = time.Second
 
-// updateHosts takes the control hosts and the leader from a reply that lists the hosts.
+// updateHosts takes the control hosts and the leader from a reply that lists the hosts. Only the list of the leader
+// replaces the known hosts: another host may have been down for long, or may know no more than the seeds of its first
+// start.
 func (c *Client) updateHosts(r call.Reply) {
 	c.update(func(k *knownHosts) bool {
 		hosts := merge(r.Hosts(), k.seeds)
+		if r.Outcome() == call.NotLeader {
+			hosts = merge(hosts, k.hosts)
+		}
 		if len(r.Hosts()) == 0 || r.Leader() == k.leader && slices.Equal(k.hosts, hosts) {
 			return false
 		}
--- a/internal/leader/client_test.go
+++ b/internal/leader/client_test.go
@@ -235,3 +235,38 @@
 	cancel()
 	g.Wait()
 }
+
+// Guards against a client that forgets the hosts which the leader has listed, because a host that is no leader lists
+// others: a host that joins knows the seeds of its first start only.
+func TestHostsOfFollower(t *testing.T) {
+	const gone = "127.0.0.1:9"
+	var phase atomic.Value
+	phase.Store("all up")
+	var leading, next, joining string
+	next = host(t, func(call.Call) *call.Reply {
+		if phase.Load() == "next leads" {
+			return reply(call.OK)
+		}
+		return nil
+	})
+	joining = host(t, func(call.Call) *call.Reply {
+		r := call.NewReply(call.NotLeader, "").WithHosts("", []string{gone})
+		return &r
+	})
+	leading = host(t, func(call.Call) *call.Reply {
+		if phase.Load() != "all up" {
+			return nil
+		}
+		r := call.NewReply(call.OK, "").WithHosts(leading, []string{leading, next, joining})
+		return &r
+	})
+	c := newClient(t, leading)
+	r, _ := submit(t, c, callTimeout, 0)
+	require.Equal(t, call.OK, r.Outcome())
+	c.SetSeeds([]string{joining, gone})
+	phase.Store("only the joining host answers")
+	assert.False(t, c.Confirm(t.Context(), leading))
+	phase.Store("next leads")
+	r, _ = submit(t, c, callTimeout, 3*time.Second)
+	assert.Equal(t, call.OK, r.Outcome(), r.Reason())
+}
