--- a/internal/ledger/core.go
+++ b/internal/ledger/core.go
@@ -57,6 +57,7 @@
 	joining     map[MemberID]string    // addresses of the members that have asked to join
 	leavingAt   map[MemberID]time.Time // time of the latest Leave of each member that is about to stop
 	transfer    *transfer
+	contacts    contacts
 
 	writes  writes
 	effects []Effect
@@ -84,7 +85,7 @@
 	c.membership, c.membershipIndex = c.log.membership(c.log.lastIndex())
 	c.grantLease()
 	if !c.membership.isVoter(c.self) || c.membership.Voters() == 1 {
-		c.wakeAt = now
+		c.wakeAt = now // a non-voter asks to join at once, and a single voter needs no other vote
 	}
 	return c
 }
@@ -105,6 +106,10 @@
 	case Tick:
 	case Receive:
 		c.receive(in.from, in.message)
+	case Overheard:
+		c.onOverheard(in)
+	case Seeds:
+		c.onSeeds(in)
 	case Propose:
 		c.propose(in.proposals)
 	case MembershipChange:
--- a/internal/ledger/join.go
+++ b/internal/ledger/join.go
@@ -9,26 +9,22 @@
 // joinInterval is the time between two requests of a non-voter to become a voter.
 const joinInterval = time.Second
 
-// requestJoin sends a request to join to every known member, because any of them may be the leader. A member
-// that was removed sends none; it is recognized by the entries in its log.
+// requestJoin sends a request to join to every address at which the leader or a member that knows it may be. A member
+// that its log does not list sends it as well: it may have received a part of the log from a leader that was replaced
+// before this member's admission was committed.
 func (c *Core) requestJoin() {
 	c.wakeAt = c.now.Add(joinInterval)
-	if _, known := c.membership.Find(c.self); !known && c.log.lastIndex() > 0 {
-		return
-	}
 	c.sendJoin()
 }
 
-// sendJoin sends a request to join, unless this member is about to stop or has sent one within joinInterval.
+// sendJoin sends a request to join, unless this member is about to stop.
 func (c *Core) sendJoin() {
-	if c.leaving || c.now.Before(c.nextJoinAt) {
+	if c.leaving {
 		return
 	}
 	c.nextJoinAt = c.now.Add(joinInterval)
-	for _, e := range c.membership.members {
-		if e.id != c.self {
-			c.emit(Send{address: e.address, message: Join{address: c.address}})
-		}
+	for _, a := range c.joinAddresses() {
+		c.emit(Send{address: a, message: Join{address: c.address}})
 	}
 }
 
--- a/internal/ledger/join_test.go
+++ b/internal/ledger/join_test.go
@@ -273,3 +273,57 @@
 	}
 	return list
 }
+
+// Guards against a host with an emptied disk that never joins because all members that it knows are gone, although the
+// leader still sends messages to its earlier id, and against one that waits for an election timeout before it asks.
+func TestJoinByOverheardLeader(t *testing.T) {
+	now := time.Unix(1000, 0)
+	random := rand.New(rand.NewPCG(1, 1))
+	gone := ledger.NewMembership(ledger.NewMember("d", "d", true), ledger.NewMember("gone", "gone", true))
+	saved := ledger.NewPersistentState(ledger.NewHardState("d-1", 0, ""), ledger.NewSnapshot(0, 0, gone, nil), nil)
+	joining := ledger.NewCore(saved, "d", ledger.DefaultTiming(), now, random)
+	heartbeat := ledger.NewAppendEntries(2, 0, 0, nil, 0, 1, 0)
+	assertJoinsAt := func(t *testing.T, effects []ledger.Effect, want ...string) {
+		t.Helper()
+		var asked []string
+		for _, s := range joinRequests(effects) {
+			asked = append(asked, s.Address())
+		}
+		assert.Equal(t, want, asked)
+	}
+	t.Run("the members are asked at the start", func(t *testing.T) {
+		assertJoinsAt(t, joining.Step(now, random, ledger.Tick{}), "gone")
+	})
+	t.Run("asked at once", func(t *testing.T) {
+		assertJoinsAt(t, joining.Step(now, random, ledger.NewOverheard("b", heartbeat)), "b", "gone")
+	})
+	t.Run("not asked at each message", func(t *testing.T) {
+		assertJoinsAt(t, joining.Step(now, random, ledger.NewOverheard("b", heartbeat)))
+	})
+	t.Run("asked again", func(t *testing.T) {
+		assertJoinsAt(t, joining.Step(joining.Wake(), random, ledger.Tick{}), "b", "gone")
+	})
+	t.Run("a message without a term proves nothing", func(t *testing.T) {
+		assertJoinsAt(t, joining.Step(now, random, ledger.NewOverheard("e", ledger.NewProbeReply(0, false))))
+	})
+	t.Run("the latest senders are kept", func(t *testing.T) {
+		for _, address := range []string{"1", "2", "3", "4", "5", "6", "7", "8"} {
+			joining.Step(now, random, ledger.NewOverheard(address, heartbeat))
+		}
+		assertJoinsAt(t, joining.Step(joining.Wake(), random, ledger.Tick{}), "1", "2", "3", "4", "5", "6", "7", "8", "gone")
+	})
+}
+
+// Guards against a host that never joins again because it has received a part of the log from a leader that was replaced
+// before the membership with this host was committed.
+func TestJoinAfterLostAdmission(t *testing.T) {
+	now := time.Unix(1000, 0)
+	random := rand.New(rand.NewPCG(1, 1))
+	members := ledger.NewMembership(
+		ledger.NewMember("a", "a", true), ledger.NewMember("b", "b", true), ledger.NewMember("c", "c", true))
+	saved := ledger.NewPersistentState(ledger.NewHardState("d-1", 0, ""), ledger.NewSnapshot(0, 0, members, nil), nil)
+	joining := ledger.NewCore(saved, "d", ledger.DefaultTiming(), now, random)
+	joining.Step(now, random, ledger.NewReceive("a", ledger.NewInstallSnapshot(2, ledger.NewSnapshot(10, 2, members, nil), 1, 0)))
+	asked := joinRequests(joining.Step(joining.Wake(), random, ledger.Tick{}))
+	assert.Len(t, asked, 3)
+}
--- a/internal/ledger/storage/cluster_test.go
+++ b/internal/ledger/storage/cluster_test.go
@@ -120,7 +120,7 @@
 
 // bootstrap starts the core of a host with an empty disk if the bootstrap is decided, and sends probes otherwise.
 func (c *cluster) bootstrap(h *host) {
-	saved, ok := h.bootstrap.Decide()
+	saved, ok := h.bootstrap.Decide(c.now)
 	if !ok {
 		for _, s := range h.bootstrap.Probes() {
 			c.enqueue(h, h.bootstrap.FreshID(), s)
@@ -204,8 +204,12 @@
 		if h.peerAddresses != nil {
 			h.peerAddresses[p.from] = p.fromAddress
 		}
-		if h.core != nil && (p.send.To() == "" || p.send.To() == h.core.Self()) {
+		switch {
+		case h.core == nil:
+		case p.send.To() == "" || p.send.To() == h.core.Self():
 			c.step(h, ledger.NewReceive(p.from, p.send.Message()))
+		default:
+			c.step(h, ledger.NewOverheard(p.fromAddress, p.send.Message()))
 		}
 		if h.bootstrap != nil {
 			c.receiveProbe(h, p)
@@ -218,7 +222,10 @@
 		h.bootstrap.RecordReply(p.fromAddress, m)
 		c.bootstrap(h)
 	} else if _, ok := p.send.Message().(ledger.Probe); ok {
-		c.enqueue(h, h.bootstrap.FreshID(), ledger.NewSend(p.from, p.fromAddress, ledger.NewProbeReply(0)))
+		c.enqueue(h, h.bootstrap.FreshID(), ledger.NewSend(p.from, p.fromAddress, ledger.NewProbeReply(0, false)))
+	} else {
+		h.bootstrap.RecordMessage(p.send.Message())
+		c.bootstrap(h)
 	}
 }
 
