ledger: answers to requests for votes state a reason

Operators could not see why no election was won: a refusal carried no reason, and a request that was stale or met a lease got no reply.

Each reply now carries a reason, in a field of its own that earlier versions ignore and whose absence is tolerated. A request that met a lease or was stale gets a refusal with the term of the request, which changes neither the candidate's term nor its role. The core records the current and the last attempt with the answer of each voter, and counts the answers that it gives itself. No decision reads the record.

--- a/internal/ledger/core.go
+++ b/internal/ledger/core.go
@@ -41,6 +41,7 @@
 	wakeAt           time.Time         // time of the next election, vote, join or heartbeat timeout
 	votes            map[MemberID]bool // granted pre-votes or votes
 	startedElections int               // elections started since the last contact with a leader
+	elections        Elections
 
 	log             log
 	commitIndex     uint64
--- a/internal/ledger/driver/encoding.go
+++ b/internal/ledger/driver/encoding.go
@@ -46,6 +46,7 @@
 	Snapshot      *storage.EncodedSnapshot `cbor:"15,keyasint,omitempty"`
 	JoinAddress   string                   `cbor:"16,keyasint,omitempty"`
 	JoiningID     string                   `cbor:"17,keyasint,omitempty"`
+	Reason        string                   `cbor:"18,keyasint,omitempty"`
 }
 
 func encodeEnvelope(env envelope) (data []byte, err error) {
@@ -56,11 +57,12 @@
 		e.Index, e.EntryTerm = m.Last()
 	case ledger.PreVoteReply:
 		e.Kind, e.Term, e.CurrentTerm, e.Flag = kindPreVoteReply, m.Term(), m.CurrentTerm(), m.Granted()
+		e.Reason = string(m.Reason())
 	case ledger.RequestVote:
 		e.Kind, e.Term, e.Flag = kindRequestVote, m.Term(), m.Transfer()
 		e.Index, e.EntryTerm = m.Last()
 	case ledger.RequestVoteReply:
-		e.Kind, e.Term, e.Flag = kindRequestVoteReply, m.Term(), m.Granted()
+		e.Kind, e.Term, e.Flag, e.Reason = kindRequestVoteReply, m.Term(), m.Granted(), string(m.Reason())
 	case ledger.AppendEntries:
 		e.Kind, e.Term, e.Commit, e.Round, e.SentAt = kindAppendEntries, m.Term(), m.Commit(), m.Round(), int64(m.SentAt())
 		e.Index, e.EntryTerm = m.Previous()
@@ -108,11 +110,11 @@
 	case kindPreVote:
 		return ledger.NewPreVote(e.Term, e.Index, e.EntryTerm), nil
 	case kindPreVoteReply:
-		return ledger.NewPreVoteReply(e.Term, e.CurrentTerm, e.Flag), nil
+		return ledger.NewPreVoteReply(e.Term, e.CurrentTerm, e.Flag).WithReason(ledger.VoteReason(e.Reason)), nil
 	case kindRequestVote:
 		return ledger.NewRequestVote(e.Term, e.Index, e.EntryTerm, e.Flag), nil
 	case kindRequestVoteReply:
-		return ledger.NewRequestVoteReply(e.Term, e.Flag), nil
+		return ledger.NewRequestVoteReply(e.Term, e.Flag).WithReason(ledger.VoteReason(e.Reason)), nil
 	case kindAppendEntries:
 		entries, err := storage.DecodeEntries(e.Entries)
 		if err == nil && len(entries) > 0 && entries[0].Index() != e.Index+1 {
--- a/internal/ledger/election.go
+++ b/internal/ledger/election.go
@@ -28,6 +28,8 @@
 	}
 	c.role, c.leader = PreCandidate, ""
 	c.votes = map[MemberID]bool{c.self: true}
+	c.beginPhase(PreVotePhase, c.term+1)
+	c.elections.record(c.self, VoteGranted)
 	c.wakeAt = c.now.Add(c.randomBetween(preVoteRetryMin, preVoteRetryMax))
 	if c.wonVote() {
 		c.startElection(false)
@@ -43,6 +45,7 @@
 	c.vote = c.self
 	c.markDirty()
 	c.votes = map[MemberID]bool{}
+	c.beginPhase(VotePhase, c.term)
 	c.startedElections++
 	c.resetVoteTimeout()
 	m := RequestVote{term: c.term, lastIndex: c.log.lastIndex(), lastTerm: c.log.lastTerm(), transfer: transfer}
@@ -74,6 +77,7 @@
 // pre-vote, and becomes leader after a vote.
 func (c *Core) recordVote(from MemberID) {
 	c.votes[from] = true
+	c.elections.record(from, VoteGranted)
 	if !c.wonVote() {
 		return
 	}
@@ -93,11 +97,16 @@
 }
 
 func (c *Core) onPreVote(from MemberID, m PreVote) {
-	granted := m.term > c.term && c.mayVote() && c.upToDate(m.lastIndex, m.lastTerm)
-	c.send(from, PreVoteReply{term: m.term, currentTerm: c.term, granted: granted})
+	reason := c.preVoteReason(m)
+	c.elections.countAnswer(reason)
+	reply := PreVoteReply{term: m.term, currentTerm: c.term, granted: reason == VoteGranted}
+	c.send(from, reply.WithReason(reason))
 }
 
 func (c *Core) onPreVoteReply(from MemberID, m PreVoteReply) {
+	if !m.granted && c.role == PreCandidate && m.term == c.term+1 {
+		c.elections.record(from, m.reason.received(false))
+	}
 	switch {
 	case m.currentTerm > c.term:
 		c.follow(m.currentTerm, "")
@@ -107,22 +116,31 @@
 }
 
 func (c *Core) onRequestVote(from MemberID, m RequestVote) {
-	if m.term < c.term || !m.transfer && !c.mayVote() {
+	if reason := c.requestRefusal(m); reason != "" {
+		c.elections.countAnswer(reason)
+		// The reply carries the term of the request, so that it tells the candidate the reason and changes nothing else.
+		c.send(from, RequestVoteReply{term: m.term}.WithReason(reason))
 		return
 	}
 	if m.term > c.term {
 		c.follow(m.term, "")
 	}
-	granted := (c.vote == "" || c.vote == from) && c.upToDate(m.lastIndex, m.lastTerm)
+	reason := c.voteReason(from, m)
+	c.elections.countAnswer(reason)
+	granted := reason == VoteGranted
 	if granted {
+		c.endAttempt(AttemptLost)
 		c.role, c.vote = Follower, from
 		c.markDirty()
 		c.wakeAt = c.now.Add(c.randomBetween(c.timing.electionMin, c.timing.electionMax))
 	}
-	c.sendAfterSync(from, RequestVoteReply{term: c.term, granted: granted})
+	c.sendAfterSync(from, RequestVoteReply{term: c.term, granted: granted}.WithReason(reason))
 }
 
 func (c *Core) onRequestVoteReply(from MemberID, m RequestVoteReply) {
+	if !m.granted && c.role == Candidate && m.term == c.term {
+		c.elections.record(from, m.reason.received(false))
+	}
 	switch {
 	case m.term > c.term:
 		c.follow(m.term, "")
@@ -140,6 +158,7 @@
 		c.refusePending()
 		c.grantedLease = c.expiredLease()
 	}
+	c.endAttempt(AttemptLost)
 	if c.role != Follower {
 		c.wakeAt = c.now.Add(c.randomBetween(c.timing.electionMin, c.timing.electionMax))
 	}
@@ -152,6 +171,7 @@
 
 func (c *Core) becomeLeader() {
 	c.role, c.leader = Leader, c.self
+	c.endAttempt(AttemptWon)
 	c.leaderSince = c.now
 	c.startedElections = 0
 	c.noOpIndex = c.log.lastIndex() + 1
--- a/internal/ledger/message.go
+++ b/internal/ledger/message.go
@@ -15,6 +15,7 @@
 	term        uint64
 	currentTerm uint64
 	granted     bool
+	reason      VoteReason // empty if the replier gives none
 }
 
 // RequestVote asks for a vote in a term, which the candidate has already persisted.
@@ -27,6 +28,7 @@
 type RequestVoteReply struct {
 	term    uint64
 	granted bool
+	reason  VoteReason // empty if the replier gives none
 }
 
 // AppendEntries carries the entries that follow a previous one. Without entries it is a heartbeat.
@@ -95,7 +97,7 @@
 
 // NewPreVoteReply returns the reply to a PreVote for term from a member whose own term is currentTerm.
 func NewPreVoteReply(term, currentTerm uint64, granted bool) PreVoteReply {
-	return PreVoteReply{term, currentTerm, granted}
+	return PreVoteReply{term: term, currentTerm: currentTerm, granted: granted}
 }
 
 // NewRequestVote returns a request for a vote; transfer says that the former leader sent TimeoutNow to the candidate.
@@ -105,7 +107,7 @@
 
 // NewRequestVoteReply returns the reply to a RequestVote of term.
 func NewRequestVoteReply(term uint64, granted bool) RequestVoteReply {
-	return RequestVoteReply{term, granted}
+	return RequestVoteReply{term: term, granted: granted}
 }
 
 // NewAppendEntries returns a message with the entries that follow the entry at previousIndex.
@@ -154,6 +156,15 @@
 // Granted reports whether the replier would vote for the sender of the PreVote.
 func (m PreVoteReply) Granted() bool { return m.granted }
 
+// WithReason returns the reply with the reason of the answer. It informs operators and decides nothing.
+func (m PreVoteReply) WithReason(r VoteReason) PreVoteReply {
+	m.reason = r
+	return m
+}
+
+// Reason returns the reason of the answer; it is empty if the replier gives none.
+func (m PreVoteReply) Reason() VoteReason { return m.reason }
+
 // Term returns the term in which the candidate requests the vote.
 func (m RequestVote) Term() uint64 { return m.term }
 
@@ -163,12 +174,22 @@
 // Transfer reports whether the former leader transferred leadership to the candidate, so that its lease is ignored.
 func (m RequestVote) Transfer() bool { return m.transfer }
 
-// Term returns the term in which the vote was granted or denied; a stale request gets no reply.
+// Term returns the term in which the vote was granted or denied. For a request that was stale or met a lease it is the
+// requested term, which the replier need not have seen.
 func (m RequestVoteReply) Term() uint64 { return m.term }
 
 // Granted reports whether the candidate received the vote.
 func (m RequestVoteReply) Granted() bool { return m.granted }
 
+// WithReason returns the reply with the reason of the answer. It informs operators and decides nothing.
+func (m RequestVoteReply) WithReason(r VoteReason) RequestVoteReply {
+	m.reason = r
+	return m
+}
+
+// Reason returns the reason of the answer; it is empty if the replier gives none.
+func (m RequestVoteReply) Reason() VoteReason { return m.reason }
+
 // Term returns the term that the sender leads.
 func (m AppendEntries) Term() uint64 { return m.term }
 
