driver: the status contains election attempts and probes

The status of a node now holds the record of its elections and, while a host with an empty disk has no id yet, the addresses that it probes and those that have replied.

--- a/internal/ledger/driver/bootstrap.go
+++ b/internal/ledger/driver/bootstrap.go
@@ -29,6 +29,7 @@
 	defer ticker.Stop()
 	n.probeMembers(b)
 	for {
+		n.publishProbing(b)
 		saved, ok := b.Decide()
 		if ok {
 			snapshot := saved.Snapshot()
--- a/internal/ledger/driver/loop.go
+++ b/internal/ledger/driver/loop.go
@@ -209,6 +209,7 @@
 		commit: c.Commit(), applied: l.applied,
 		leading:        c.Role() == ledger.Leader && l.applied >= c.NoOpIndex(),
 		leaseExpiresAt: c.LeaseExpiresAt(), membership: c.Membership(), quorum: c.Quorum(),
+		elections: c.Elections(),
 	}
 	if l.node.status.Load().needsPublish(next, l.node.options.timing.Heartbeat()) {
 		l.node.status.Publish(next)
--- a/internal/ledger/driver/status.go
+++ b/internal/ledger/driver/status.go
@@ -19,6 +19,8 @@
 	leaseExpiresAt time.Time
 	membership     ledger.Membership
 	quorum         ledger.Quorum
+	elections      ledger.Elections
+	probing        Probing
 }
 
 // Self returns the id of this member; it is empty until the bootstrap is decided.
@@ -60,6 +62,12 @@
 // Quorum returns the view that the leader has of the voters; it is zero if this member does not lead.
 func (s Status) Quorum() ledger.Quorum { return s.quorum }
 
+// Elections returns the record of this member's election attempts and of its answers to those of others.
+func (s Status) Elections() ledger.Elections { return s.elections }
+
+// Probing returns the probes of a member with an empty disk; it is zero once the member has an id.
+func (s Status) Probing() Probing { return s.probing }
+
 // needsPublish reports whether next differs enough from s to be published. An extension of the lease alone must be at
 // least one heartbeat interval long, so that replies under load do not wake all watchers.
 func (s Status) needsPublish(next Status, heartbeat time.Duration) bool {
@@ -67,5 +75,5 @@
 	return s.self != next.self || s.role != next.role || s.term != next.term || s.leader != next.leader ||
 		s.leaderAddress != next.leaderAddress || s.commit != next.commit || s.applied != next.applied ||
 		s.leading != next.leading || extension < 0 || extension >= heartbeat ||
-		!s.quorum.Equal(next.quorum)
+		s.elections.Version() != next.elections.Version() || !s.quorum.Equal(next.quorum)
 }
