--- a/internal/ledger/driver/loop.go
+++ b/internal/ledger/driver/loop.go
@@ -202,15 +202,7 @@
 }
 
 func (l *loop[R]) publish() {
-	c := l.core
-	leader, address := c.Leader()
-	next := Status{
-		self: c.Self(), role: c.Role(), term: c.Term(), leader: leader, leaderAddress: address,
-		commit: c.Commit(), applied: l.applied,
-		leading:        c.Role() == ledger.Leader && l.applied >= c.NoOpIndex(),
-		leaseExpiresAt: c.LeaseExpiresAt(), membership: c.Membership(), quorum: c.Quorum(),
-		elections: c.Elections(),
-	}
+	next := NewStatus(l.core, l.applied)
 	if l.node.status.Load().needsPublish(next, l.node.options.timing.Heartbeat()) {
 		l.node.status.Publish(next)
 	}
--- a/internal/ledger/driver/node.go
+++ b/internal/ledger/driver/node.go
@@ -8,7 +8,6 @@
 	"golang.org/x/sync/errgroup"
 
 	"rosemarywind.example/rosemarywind/internal/board"
-	"rosemarywind.example/rosemarywind/internal/ledger"
 )
 
 // Lengths of the queues. A caller blocks while the request queue is full; a message is dropped while the message queue
@@ -43,7 +42,7 @@
 	n = &Node[R]{
 		options:  newOptions(opts),
 		applier:  applier,
-		status:   board.NewSection(Status{role: ledger.Follower}),
+		status:   board.NewSection(NewProbingStatus(Probing{})),
 		requests: make(chan call[R], requestQueueLength),
 		messages: make(chan envelope, messageQueueLength),
 		stopped:  make(chan struct{}),
--- a/internal/ledger/driver/probing.go
+++ b/internal/ledger/driver/probing.go
@@ -12,6 +12,11 @@
 	unanswered []string
 }
 
+// NewProbing returns the state of probes to addresses that have replied and to addresses that have not.
+func NewProbing(answered, unanswered []string) Probing {
+	return Probing{answered: slices.Sorted(slices.Values(answered)), unanswered: slices.Sorted(slices.Values(unanswered))}
+}
+
 // Undecided reports whether the member has sent probes and does not know yet how to start.
 func (p Probing) Undecided() bool { return len(p.answered)+len(p.unanswered) > 0 }
 
@@ -22,15 +27,14 @@
 func (p Probing) Unanswered() []string { return p.unanswered }
 
 // with returns the state in which exactly the given addresses have not replied.
-func (p Probing) with(unanswered []string) (next Probing) {
-	next.unanswered = slices.Sorted(slices.Values(unanswered))
+func (p Probing) with(unanswered []string) Probing {
+	var answered []string
 	for _, a := range slices.Concat(p.answered, p.unanswered) {
 		if !slices.Contains(unanswered, a) {
-			next.answered = append(next.answered, a)
+			answered = append(answered, a)
 		}
 	}
-	slices.Sort(next.answered)
-	return next
+	return NewProbing(answered, unanswered)
 }
 
 // publishProbing publishes which addresses the bootstrap probes, if that has changed.
@@ -39,11 +43,9 @@
 	for _, p := range b.Probes() {
 		unanswered = append(unanswered, p.Address())
 	}
-	s := n.status.Load()
-	next := s.probing.with(unanswered)
-	if slices.Equal(next.answered, s.probing.answered) && slices.Equal(next.unanswered, s.probing.unanswered) {
-		return
+	last := n.status.Load().probing
+	next := last.with(unanswered)
+	if !slices.Equal(next.answered, last.answered) || !slices.Equal(next.unanswered, last.unanswered) {
+		n.status.Publish(NewProbingStatus(next))
 	}
-	s.probing = next
-	n.status.Publish(s)
 }
--- a/internal/ledger/driver/status.go
+++ b/internal/ledger/driver/status.go
@@ -23,6 +23,21 @@
 	probing        Probing
 }
 
+// NewStatus returns the status of a member whose application has applied the log up to an index.
+func NewStatus(c *ledger.Core, applied uint64) Status {
+	leader, address := c.Leader()
+	return Status{
+		self: c.Self(), role: c.Role(), term: c.Term(), leader: leader, leaderAddress: address,
+		commit: c.Commit(), applied: applied,
+		leading:        c.Role() == ledger.Leader && applied >= c.NoOpIndex(),
+		leaseExpiresAt: c.LeaseExpiresAt(), membership: c.Membership(), quorum: c.Quorum(),
+		elections: c.Elections(),
+	}
+}
+
+// NewProbingStatus returns the status of a member whose bootstrap is not decided.
+func NewProbingStatus(p Probing) Status { return Status{role: ledger.Follower, probing: p} }
+
 // Self returns the id of this member; it is empty until the bootstrap is decided.
 func (s Status) Self() ledger.MemberID { return s.self }
 
