ledger: the log shows elections, silent voters and hosts without a vote

Operators saw that no leader was known, but not why: no line said which votes were asked for, granted or refused, which addresses a host with an empty disk waits for, or that a host has no vote, and the line "membership" had ids only and was missing when an address changed. Nor did anything warn of voters that are gone before the next loss.

Package observer logs and measures the status of a node and decides nothing. The line "election" reports each won attempt, and at most one other per second with the number left out; "quorum" reports on the leader each change of the silent voters, the spares and the faults tolerated; "joining" reports a host without a vote every 5 s; "membership" adds addresses that differ from the id and the numbers of voters and non-voters. Counters cover attempts, and votes granted and refused by reason; gauges cover the voters.

--- a/internal/scheduler/leader_loop.go
+++ b/internal/scheduler/leader_loop.go
@@ -2,14 +2,12 @@
 
 import (
 	"context"
-	"strings"
 	"sync/atomic"
 	"time"
 
 	"rosemarywind.example/rosemarywind/internal/batch"
 	"rosemarywind.example/rosemarywind/internal/clock"
 	"rosemarywind.example/rosemarywind/internal/dispatch"
-	"rosemarywind.example/rosemarywind/internal/ledger"
 	"rosemarywind.example/rosemarywind/internal/run"
 )
 
@@ -25,37 +23,6 @@
 	return &leaderLoop{Scheduler: s, sessions: map[string]*session{}}
 }
 
-// watchMembership logs each change of the ledger's membership or leader until ctx ends.
-func (s *Scheduler) watchMembership(ctx context.Context) error {
-	var members, leader string
-	for {
-		status, changed := s.node.Status().Watch()
-		list := formatMembers(status.Membership())
-		if list != members || status.LeaderAddress() != leader {
-			members, leader = list, status.LeaderAddress()
-			s.logger.Info("membership", "self", string(status.Self()), "term", status.Term(), "leader", leader, "members", members)
-		}
-		select {
-		case <-changed:
-		case <-ctx.Done():
-			return nil
-		}
-	}
-}
-
-// formatMembers returns the IDs of the members, with an asterisk after each voter.
-func formatMembers(m ledger.Membership) string {
-	words := make([]string, 0, len(m.Members()))
-	for _, e := range m.Members() {
-		word := string(e.ID())
-		if e.Voter() {
-			word += "*"
-		}
-		words = append(words, word)
-	}
-	return strings.Join(words, " ")
-}
-
 // run leads each term in which this host is the leader, until ctx ends.
 func (l *leaderLoop) run(ctx context.Context) error {
 	for ctx.Err() == nil {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -12,6 +12,7 @@
 	"rosemarywind.example/rosemarywind/internal/board"
 	"rosemarywind.example/rosemarywind/internal/clock"
 	"rosemarywind.example/rosemarywind/internal/ledger/driver"
+	"rosemarywind.example/rosemarywind/internal/ledger/observer"
 	"rosemarywind.example/rosemarywind/internal/ledger/transport"
 	"rosemarywind.example/rosemarywind/internal/link"
 	"rosemarywind.example/rosemarywind/internal/wire"
@@ -74,7 +75,7 @@
 	g, inner := errgroup.WithContext(inner)
 	g.Go(func() error { return s.node.Run(inner) })
 	g.Go(func() error { return newLeaderLoop(s).run(inner) })
-	g.Go(func() error { return s.watchMembership(inner) })
+	g.Go(func() error { return observer.New(s.logger, s.registry).Run(inner, s.node.Status(), time.Now) })
 	g.Go(func() error { return s.server.Serve(inner, s.serve) })
 	g.Go(func() error {
 		select {
