--- a/internal/control/api.go
+++ b/internal/control/api.go
@@ -41,6 +41,7 @@
 	a.route("GET /v1/jobs/{id}/explain", a.explain)
 	a.route("DELETE /v1/jobs/{id}", a.cancel)
 	a.route("GET /v1/endpoints", a.endpoints)
+	a.route("GET /v1/control", a.controlHosts)
 	a.route("POST /v1/endpoints/{name}/drain", a.drain)
 	a.mux.Handle("/", c.monitor)
 	return a
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -11,6 +11,7 @@
 
 	"rosemarywind.example/rosemarywind/internal/clock"
 	"rosemarywind.example/rosemarywind/internal/ledger/driver"
+	"rosemarywind.example/rosemarywind/internal/ledger/observer"
 	"rosemarywind.example/rosemarywind/internal/ledger/transport"
 	"rosemarywind.example/rosemarywind/internal/link"
 	"rosemarywind.example/rosemarywind/internal/registry"
@@ -76,6 +77,7 @@
 	g.Go(func() error { return c.node.Run(runCtx) })
 	g.Go(func() error { return c.rosterController.run(runCtx) })
 	g.Go(func() error { return newElectionObserver(c).run(runCtx) })
+	g.Go(func() error { return observer.New(c.logger, c.metrics).Run(runCtx, c.node.Status(), time.Now) })
 	g.Go(func() error { return newScheduler(c).run(runCtx) })
 	g.Go(func() error { return newGangDriver(c).run(runCtx) })
 	g.Go(func() error { return newExpirer(c).run(runCtx) })
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -23,6 +23,10 @@
 
 const job = `{"id":"j1","workspace":"w","state":"queued","reason":"waits\u001b[2J","members":[{"worker":"w1"}],"shape":{"members":2,"accelerators":8,"adjacency":"rack"}}`
 
+const control = `{"leader":"c1","term":4,"voters":3,"majority":2,"faults_tolerated":0,"members":[
+{"id":"c1","address":"10.0.0.1:1","voter":true,"state":"leader"},{"id":"c2","address":"10.0.0.2:1","voter":true,"state":"silent"},
+{"id":"c3","address":"10.0.0.3:1","voter":true,"state":"in-touch"},{"id":"c4-00","address":"10.0.0.4:1","voter":false,"state":"spare"}]}`
+
 // Guards against status output that lacks a column, contains control characters or is not JSON with --json.
 func TestStatus(t *testing.T) {
 	t.Run("jobs", func(t *testing.T) {
@@ -41,12 +45,24 @@
 		r := run(t, newControlHost(t, http.StatusOK, `[{"name":"w1","state":"ready","slots":8}]`), "status", "--endpoints")
 		assertOutput(t, r, "ENDPOINT", "w1", "ready")
 	})
+	t.Run("control hosts", func(t *testing.T) {
+		c := newControlHost(t, http.StatusOK, control)
+		assertOutput(t, run(t, c, "status", "--control"), "term 4, 3 voters, 2 are a majority, 0 more may be lost\n",
+			"CONTROL HOST  ADDRESS     VOTE  STATE\n", "c2            10.0.0.2:1  yes   silent\n",
+			"c4-00         10.0.0.4:1  no    spare\n")
+		assert.True(t, strings.HasPrefix(c.requestLine, "GET /v1/control "), c.requestLine)
+	})
+	t.Run("control hosts as JSON", func(t *testing.T) {
+		r := run(t, newControlHost(t, http.StatusOK, control), "status", "--control", "--json")
+		assert.JSONEq(t, control, r.out)
+	})
 	t.Run("configuration", func(t *testing.T) {
 		r := run(t, newControlHost(t, http.StatusOK, `{"revision":7,"text":"[defaults]\n"}`), "status", "--config")
 		assertOutput(t, r, "# revision 7\n[defaults]\n")
 	})
 	t.Run("conflicting flags", func(t *testing.T) {
 		assertFailed(t, run(t, newControlHost(t, http.StatusOK, ""), "status", "--config", "j1"), operator.ExitUsage, "give one of")
+		assertFailed(t, run(t, newControlHost(t, http.StatusOK, ""), "status", "--config", "--control"), operator.ExitUsage, "give one of")
 	})
 }
 
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -11,8 +11,9 @@
 )
 
 func statusCommand() *cli.Command {
-	return remoteCommand("status", "show jobs, endpoints or the configuration", "[JOB]", status,
+	return remoteCommand("status", "show jobs, endpoints, control hosts or the configuration", "[JOB]", status,
 		&cli.BoolFlag{Name: "endpoints", Usage: "show the endpoints"},
+		&cli.BoolFlag{Name: "control", Usage: "show the control hosts, their votes and how many more of them may be lost"},
 		&cli.BoolFlag{Name: "config", Usage: "show the configuration as a declaration with its revision"})
 }
 
@@ -22,11 +23,19 @@
 }
 
 func status(s *session) (err error) {
-	endpoints, config := s.cmd.Bool("endpoints"), s.cmd.Bool("config")
-	if endpoints && config || (endpoints || config) && s.cmd.Args().Present() {
-		return usageError("give one of JOB, --endpoints and --config")
+	given := 0
+	endpoints, control, config := s.cmd.Bool("endpoints"), s.cmd.Bool("control"), s.cmd.Bool("config")
+	for _, set := range []bool{endpoints, control, config, s.cmd.Args().Present()} {
+		if set {
+			given++
+		}
+	}
+	if given > 1 {
+		return usageError("give one of JOB, --endpoints, --control and --config")
 	}
 	switch {
+	case control:
+		return s.statusControl()
 	case config:
 		return s.statusConfig()
 	case endpoints:
@@ -72,6 +81,30 @@
 	return s.print(endpoints, func(w io.Writer) { writeTable(w, endpointRows(endpoints)) })
 }
 
+func (s *session) statusControl() (err error) {
+	c, err := s.client.Control(s.ctx)
+	if err != nil {
+		return err
+	}
+	return s.print(c, func(w io.Writer) {
+		_, _ = fmt.Fprintf(w, "term %d, %d voters, %d are a majority, %d more may be lost\n",
+			c.Term(), c.Voters(), c.Majority(), c.FaultsTolerated())
+		writeTable(w, controlRows(c.Members()))
+	})
+}
+
+func controlRows(members []client.ControlMember) (rows [][]string) {
+	rows = [][]string{{"CONTROL HOST", "ADDRESS", "VOTE", "STATE"}}
+	for _, m := range members {
+		vote := "no"
+		if m.Voter() {
+			vote = "yes"
+		}
+		rows = append(rows, []string{m.ID(), m.Address(), vote, m.State()})
+	}
+	return rows
+}
+
 func endpointRows(endpoints []client.Endpoint) (rows [][]string) {
 	rows = [][]string{{"ENDPOINT", "AVAILABILITY ZONE", "RACK", "STATE", "SLOTS", "IN FLIGHT", "ACCELERATORS"}}
 	for _, e := range endpoints {
--- a/pkg/client/encoding.go
+++ b/pkg/client/encoding.go
@@ -53,6 +53,24 @@
 	Explanation string `json:"explanation"`
 }
 
+// ControlBody is the answer to GET /v1/control; Control documents its fields.
+type ControlBody struct {
+	Leader          string              `json:"leader"`
+	Term            uint64              `json:"term"`
+	Voters          int                 `json:"voters"`
+	Majority        int                 `json:"majority"`
+	FaultsTolerated int                 `json:"faults_tolerated"`
+	Members         []ControlMemberBody `json:"members"`
+}
+
+// ControlMemberBody is the JSON form of a control host; ControlMember documents its fields.
+type ControlMemberBody struct {
+	ID      string `json:"id"`
+	Address string `json:"address"`
+	Voter   bool   `json:"voter"`
+	State   string `json:"state"`
+}
+
 // EndpointBody is the JSON form of an endpoint; Endpoint documents its fields.
 type EndpointBody struct {
 	Name             string `json:"name"`
--- a/pkg/client/request.go
+++ b/pkg/client/request.go
@@ -15,6 +15,7 @@
 	configPath    = "/v1/config"
 	jobsPath      = "/v1/jobs"
 	endpointsPath = "/v1/endpoints"
+	controlPath   = "/v1/control"
 )
 
 // Apply replaces the configuration with a TOML text, provided that its revision is base; otherwise it returns
@@ -90,6 +91,12 @@
 	return endpoints, err
 }
 
+// Control returns the leader's view of the control hosts.
+func (o *Operator) Control(ctx context.Context) (c Control, err error) {
+	err = o.exchange(ctx, newMessage(http.MethodGet, controlPath, "", "", nil), &c.body)
+	return c, err
+}
+
 // Drain requests that an endpoint take no new work until Undrain. An empty request id stands for a random one.
 func (o *Operator) Drain(ctx context.Context, name, requestID string) (err error) {
 	return o.drain(ctx, name, requestID, true)
