--- a/internal/ledger/bootstrap.go
+++ b/internal/ledger/bootstrap.go
@@ -50,6 +50,16 @@
 	return probes
 }
 
+// Unanswered returns the addresses that are probed and have not replied.
+func (b *Bootstrap) Unanswered() (addresses []string) {
+	for _, p := range b.Probes() {
+		if !b.replied[p.address] {
+			addresses = append(addresses, p.address)
+		}
+	}
+	return addresses
+}
+
 // allReplied reports whether each other initial member has replied.
 func (b *Bootstrap) allReplied() bool {
 	return !slices.ContainsFunc(b.initial.members, func(e Member) bool { return e.id != b.id && !b.replied[e.address] })
--- a/internal/ledger/driver/bootstrap.go
+++ b/internal/ledger/driver/bootstrap.go
@@ -35,6 +35,7 @@
 	b.SetSeeds(seeds)
 	n.probeMembers(b)
 	for {
+		n.publishProbing(b)
 		saved, ok := b.Decide(clock.Now())
 		if ok {
 			snapshot := saved.Snapshot()
