dispatch: log and count why waiting tasks have no worker

Operators saw a job with nothing running and a leader, and neither logs nor metrics told why: a step logs its reason to wait once, and with no usable worker the leader logged nothing at all.

The leader now logs 'waits long' for steps that wait for 2 s, every 5 s and for at most 16 steps at once, with the number of workers of the service by the reason for which each is not used: the leader's view of the worker (silent, draining, in quarantine, ...) and the planner's (no room, reserved, kept apart after a crash, ...). Gauges count the waiting tasks and the workers by use.

--- a/internal/dispatch/actions.go
+++ b/internal/dispatch/actions.go
@@ -21,6 +21,7 @@
 	groups      []batch.Group
 	orders      []AddressedOrder
 	decisions   []Decision
+	waiting     *Waiting
 	wake        time.Time
 }
 
@@ -55,6 +56,14 @@
 // Decisions returns the log records of the step.
 func (a Actions) Decisions() []Decision { return a.decisions }
 
+// Waiting returns the counts of waiting tasks and of workers; ok is false if this step did not count them.
+func (a Actions) Waiting() (w Waiting, ok bool) {
+	if a.waiting == nil {
+		return w, false
+	}
+	return *a.waiting, true
+}
+
 // Wake returns the latest time for the next step.
 func (a Actions) Wake() time.Time { return a.wake }
 
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -23,6 +23,8 @@
 	durations    map[placement.StepKey]time.Duration
 	advice       advice
 	loggedWaits  map[batch.TaskID]placement.Reason // the reason logged last, by the key of the step's occurrence
+	longWaits    map[batch.TaskID]time.Time        // when a long wait was logged last, by the same key
+	explainedAt  time.Time                         // when long waits were explained last
 	// drains holds the machines that are being drained for maintenance, by name.
 	drains     map[string]*machineDrain
 	uncounted  []batch.RunCrash                      // reported crashes that the state may not count yet
@@ -51,6 +53,7 @@
 		progress: map[run.ID]*progress{}, durations: map[placement.StepKey]time.Duration{},
 		advice: advice{verdicts: map[batch.TaskID]map[batch.Incarnation]verdict{}},
 		drains: map[string]*machineDrain{}, loggedWaits: map[batch.TaskID]placement.Reason{},
+		longWaits: map[batch.TaskID]time.Time{},
 	}
 }
 
@@ -127,7 +130,9 @@
 	c.orderStarts(now, s, hosts, &a)
 	stopping, waits := c.resolve(now, s, hosts, &a)
 	c.maintain(now, s, hosts, &a)
-	if waits && len(a.ends) == 0 && len(a.crashes) == 0 {
+	if !waits {
+		a.waiting = &Waiting{}
+	} else if len(a.ends) == 0 && len(a.crashes) == 0 {
 		c.place(now, s, stopping, hosts, &a)
 	}
 	c.adjustPaces(now, s, &a)
@@ -191,18 +196,26 @@
 func (c *Core) place(now time.Time, s batch.State, stopping map[run.ID]bool, hosts map[batch.Incarnation]*host, a *Actions) {
 	var workers []placement.Worker
 	stalled, slow := c.degradedHosts(now, s)
+	uses := map[string]WorkerUse{}
 	for _, h := range c.hosts {
-		if h.usable(now, c.fencingToken) && !c.isDraining(h) && !h.health.quarantined(now) && !stalled[h.agent] {
+		uses[h.agent] = c.workerUse(now, h, stalled)
+		if uses[h.agent] == Usable {
 			workers = append(workers, placement.NewWorker(h.announcement, h.health.failures > 0 || slow[h.agent]))
 		}
 	}
-	if len(workers) == 0 {
-		return
-	}
 	v := placement.NewView(now, s, workers, stopping, c.timing.remoteFactor)
+	explain := now.Sub(c.explainedAt) >= explainInterval
+	if explain {
+		c.explainedAt = now
+		v = v.WithExplanations(maxExplanations, longWait)
+	}
 	p := placement.Decide(v.WithForecast(c.forecast(now, s)).WithVerdicts(c.verdicts(now)))
 	c.inquire(now, p, a)
 	c.logWaits(now, p)
+	if explain {
+		c.logLongWaits(now, p, uses)
+		a.waiting = newWaiting(now, p, uses)
+	}
 	a.groups = p.Groups()
 	for _, id := range p.Stops() {
 		j, _ := s.Job(id.Task().Job())
--- a/internal/dispatch/host.go
+++ b/internal/dispatch/host.go
@@ -83,10 +83,30 @@
 	return h.clock + elapsed + length
 }
 
+// use returns why the worker gets no new runs from a leader with the given fencing token, or Usable.
+func (h *host) use(now time.Time, fencingToken uint64) WorkerUse {
+	switch {
+	case !h.connected:
+		return Disconnected
+	case !h.announced:
+		return Unannounced
+	case h.unreachable:
+		return Unreachable
+	case h.announcement.Draining() || !h.leavingSince.IsZero():
+		return Leaving
+	case !h.responsive(now):
+		return Silent
+	case !h.hasCurrentList(fencingToken):
+		return RunsUnknown
+	case h.clockIncarnation != h.announcement.Incarnation():
+		return ClockUnknown
+	}
+	return Usable
+}
+
 // usable reports whether the worker may get new runs from a leader with the given fencing token.
 func (h *host) usable(now time.Time, fencingToken uint64) bool {
-	return h.connected && h.announced && !h.unreachable && !h.announcement.Draining() && h.leavingSince.IsZero() &&
-		h.hasCurrentList(fencingToken) && h.clockIncarnation == h.announcement.Incarnation() && h.responsive(now)
+	return h.use(now, fencingToken) == Usable
 }
 
 // responsive reports whether the worker has reported recently enough to be granted a lease.
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -25,6 +25,7 @@
 	idleServices      map[string]bool      // results of idle, by service
 	plan              Plan
 	stopped           map[run.ID]bool // by this decision
+	explained         int             // waits explained so far
 	suspects          bool            // whether a worker has crashed under an active job
 }
 
--- a/internal/placement/view.go
+++ b/internal/placement/view.go
@@ -30,6 +30,8 @@
 	remoteFactor float64
 	forecast     Forecast
 	verdicts     Verdicts
+	explained    int           // how many waits the plan explains, see WithExplanations
+	explainAfter time.Duration // how long a step has waited before its wait is explained
 }
 
 // NewView returns the view at a time: the replicated state, the workers that accept runs, and the runs that were
@@ -38,6 +40,13 @@
 	return View{now: now, state: s, workers: workers, stopping: stopping, remoteFactor: remoteFactor}
 }
 
+// WithExplanations returns the view with a limit on the waits that the plan explains by Wait.Obstacles: the first ones in
+// the order of placement, of steps that have waited at least the given time. It does not change the decision.
+func (v View) WithExplanations(limit int, after time.Duration) View {
+	v.explained, v.explainAfter = limit, after
+	return v
+}
+
 // Plan is the result of a decision: groups to start, runs to stop, steps that wait and an inquiry to the advisor.
 type Plan struct {
 	groups  []batch.Group
--- a/internal/scheduler/leader_loop.go
+++ b/internal/scheduler/leader_loop.go
@@ -104,6 +104,7 @@
 			s.cancel()
 			delete(l.sessions, agent)
 		}
+		l.metrics.updateWaiting(dispatch.Waiting{})
 		l.logger.Info("leads no more", "term", term)
 	}()
 	timer := time.NewTimer(0)
@@ -185,6 +186,9 @@
 	took = time.Since(startedAt)
 	l.metrics.decision.Update(took.Microseconds())
 	l.logDecisions(a.Decisions())
+	if w, counted := a.Waiting(); counted {
+		l.metrics.updateWaiting(w)
+	}
 	for _, o := range a.Orders() {
 		l.queueOrder(o, term)
 	}
--- a/internal/scheduler/metrics.go
+++ b/internal/scheduler/metrics.go
@@ -1,8 +1,11 @@
 package scheduler
 
 import (
+	"strings"
+
 	gometrics "github.com/rcrowley/go-metrics"
 
+	"rosemarywind.example/rosemarywind/internal/dispatch"
 	"rosemarywind.example/rosemarywind/internal/telemetry"
 )
 
@@ -19,15 +22,33 @@
 	commit    gometrics.Histogram
 	decision  gometrics.Histogram
 	answering gometrics.Histogram
+	waiting   gometrics.Gauge // tasks that are ready and wait for workers
+	longWaits gometrics.Gauge // steps with tasks that have waited for some seconds
+	workers   map[dispatch.WorkerUse]gometrics.Gauge
 }
 
 func newMetrics(r *telemetry.Registry) metrics {
-	return metrics{
+	m := metrics{
 		calls: r.Counter("scheduler.calls"), refused: r.Counter("scheduler.refused"),
 		starts: r.Counter("scheduler.starts"), ends: r.Counter("scheduler.ends"),
 		stops: r.Counter("scheduler.stops"), lost: r.Counter("scheduler.lost"),
 		crashes: r.Counter("scheduler.crashes"), givenUp: r.Counter("scheduler.given_up"),
 		commit: r.Histogram("scheduler.commit"), decision: r.Histogram("scheduler.decision"),
 		answering: r.Histogram("scheduler.answering"),
+		waiting:   r.Gauge("scheduler.waiting_tasks"), longWaits: r.Gauge("scheduler.long_waits"),
+		workers: map[dispatch.WorkerUse]gometrics.Gauge{},
+	}
+	for _, u := range dispatch.WorkerUses() {
+		m.workers[u] = r.Gauge("scheduler.workers." + strings.ReplaceAll(string(u), " ", "_"))
+	}
+	return m
+}
+
+// updateWaiting sets the gauges of waiting tasks and of workers by use.
+func (m metrics) updateWaiting(w dispatch.Waiting) {
+	m.waiting.Update(int64(w.Tasks()))
+	m.longWaits.Update(int64(w.LongSteps()))
+	for u, g := range m.workers {
+		g.Update(int64(w.Workers()[u]))
 	}
 }
