leader: new seeds are not lost beside a reply that lists the hosts

Seeds that a process reads while a reply of a control host arrives could be lost: the reply's list of hosts was stored with the old seeds, and the process sets seeds again only after their next change. An agent or entry whose known hosts have all been replaced since then finds no leader again, so the leader sees that worker as not connected.

Cause: SetSeeds and updateHosts loaded, changed and stored the known hosts without a comparison. All changes now go through one compare-and-swap loop.

--- a/internal/leader/client.go
+++ b/internal/leader/client.go
@@ -56,21 +56,33 @@
 
 // SetSeeds replaces the seed addresses. Hosts that are already known stay known until a reply lists the hosts.
 func (c *Client) SetSeeds(seeds []string) {
-	k := *c.known.Load()
-	k.seeds = seeds
-	k.hosts = merge(k.hosts, seeds)
-	c.known.Store(&k)
+	c.update(func(k *knownHosts) bool {
+		k.seeds, k.hosts = seeds, merge(k.hosts, seeds)
+		return true
+	})
+}
+
+// update replaces the known hosts by a copy that change has modified, unless change returns false. It calls change again
+// if they were replaced meanwhile, so that no concurrent update is lost.
+func (c *Client) update(change func(k *knownHosts) bool) {
+	for {
+		old := c.known.Load()
+		next := *old
+		if !change(&next) || c.known.CompareAndSwap(old, &next) {
+			return
+		}
+	}
 }
 
 // SuggestLeader sets the address of the presumed leader. It ignores an empty address and that of an avoided host.
 func (c *Client) SuggestLeader(leader string) {
-	old := c.known.Load()
-	if leader == "" || leader == old.leader || old.avoids(leader, time.Now()) {
-		return
-	}
-	next := *old
-	next.leader = leader
-	c.known.CompareAndSwap(old, &next)
+	c.update(func(k *knownHosts) bool {
+		if leader == "" || leader == k.leader || k.avoids(leader, time.Now()) {
+			return false
+		}
+		k.leader = leader
+		return true
+	})
 }
 
 // Leader returns the address of the presumed leader, empty if none is known.
@@ -151,37 +163,38 @@
 
 // updateHosts takes the control hosts and the leader from a reply that lists the hosts.
 func (c *Client) updateHosts(r call.Reply) {
-	old := c.known.Load()
-	if len(r.Hosts()) == 0 || r.Leader() == old.leader && slices.Equal(old.hosts, merge(r.Hosts(), old.seeds)) {
-		return
-	}
-	next := *old
-	next.hosts = merge(r.Hosts(), old.seeds)
-	if r.Leader() != "" && !old.avoids(r.Leader(), time.Now()) {
-		next.leader = r.Leader()
-	}
-	c.known.Store(&next)
+	c.update(func(k *knownHosts) bool {
+		hosts := merge(r.Hosts(), k.seeds)
+		if len(r.Hosts()) == 0 || r.Leader() == k.leader && slices.Equal(k.hosts, hosts) {
+			return false
+		}
+		k.hosts = hosts
+		if r.Leader() != "" && !k.avoids(r.Leader(), time.Now()) {
+			k.leader = r.Leader()
+		}
+		return true
+	})
 }
 
 // dropLeader clears the presumed leader if it has the given address.
 func (c *Client) dropLeader(address string) {
-	old := c.known.Load()
-	if old.leader != address {
-		return
-	}
-	next := *old
-	next.leader = ""
-	c.known.CompareAndSwap(old, &next)
+	c.update(func(k *knownHosts) bool {
+		if k.leader != address {
+			return false
+		}
+		k.leader = ""
+		return true
+	})
 }
 
 // avoid clears the presumed leader if it has the given address, and ignores for avoidDuration that others name this
 // host as the leader; a search in which the host itself answers as the leader still finds it.
 func (c *Client) avoid(address string) {
 	c.dropLeader(address)
-	old := c.known.Load()
-	next := *old
-	next.avoided, next.avoidedUntil = address, time.Now().Add(avoidDuration)
-	c.known.CompareAndSwap(old, &next)
+	c.update(func(k *knownHosts) bool {
+		k.avoided, k.avoidedUntil = address, time.Now().Add(avoidDuration)
+		return true
+	})
 }
 
 // merge returns the addresses of both lists, sorted and without duplicates.
