leader: a stale list of hosts does not replace the known ones

A control host that has missed changes of the membership, behind a cut for example, answers a search with the members that it knows. The client took that list in place of its own, so it forgot hosts that had joined since. With seeds that have been replaced too, an agent asked only hosts that are gone or do not lead and never found the leader again: to the leader its worker stayed not connected; an entry answered 503.

The list of a follower is now added to the known hosts; only that of a leader replaces them.

TestHostsBesideStaleList failed before ('no leader is known' until the timeout).

--- a/internal/leader/client.go
+++ b/internal/leader/client.go
@@ -130,15 +130,16 @@
 			}
 			continue
 		}
-		c.updateHosts(r)
 		switch r.Outcome() {
 		case call.NotLeader:
+			c.addHosts(r)
 			reason = "no leader is known"
 			if r.Leader() == "" || r.Leader() == address {
 				c.dropLeader(address)
 			}
 			continue
 		case call.Uncertain:
+			c.updateHosts(r)
 			uncertain, reason = true, r.Reason()
 			continue
 		case call.Refused, call.Unavailable:
@@ -147,6 +148,7 @@
 			}
 		case call.OK, call.Invalid, call.Unauthorized, call.NoQueue, call.NoJob:
 		}
+		c.updateHosts(r)
 		return r
 	}
 }
@@ -163,8 +165,19 @@
 
 // updateHosts takes the control hosts and the leader from a reply that lists the hosts.
 func (c *Client) updateHosts(r call.Reply) {
+	c.takeHosts(r, func(k *knownHosts) []string { return merge(r.Hosts(), k.seeds) })
+}
+
+// addHosts adds the control hosts that a follower's reply lists and takes the leader that it names. The list does not
+// replace the known hosts, since a follower may have missed changes of the membership; the list of a leader does.
+func (c *Client) addHosts(r call.Reply) {
+	c.takeHosts(r, func(k *knownHosts) []string { return merge(r.Hosts(), k.hosts) })
+}
+
+// takeHosts takes the hosts that merged returns, and the leader that the reply names unless it is avoided.
+func (c *Client) takeHosts(r call.Reply, merged func(k *knownHosts) []string) {
 	c.update(func(k *knownHosts) bool {
-		hosts := merge(r.Hosts(), k.seeds)
+		hosts := merged(k)
 		if len(r.Hosts()) == 0 || r.Leader() == k.leader && slices.Equal(k.hosts, hosts) {
 			return false
 		}
--- a/internal/leader/client_test.go
+++ b/internal/leader/client_test.go
@@ -203,3 +203,36 @@
 	assert.Equal(t, call.OK, r.Outcome())
 	assert.Less(t, took, 550*time.Millisecond)
 }
+
+// Guards against hosts that are forgotten because a host that has missed their joining lists others: if the seeds are gone
+// too, the leader is never found again.
+func TestHostsBesideStaleList(t *testing.T) {
+	var leads atomic.Bool
+	replacement := host(t, func(call.Call) *call.Reply {
+		if leads.Load() {
+			return reply(call.OK)
+		}
+		return reply(call.NotLeader)
+	})
+	var stale string
+	staleReply := func(call.Call) *call.Reply {
+		r := call.NewReply(call.NotLeader, "").WithHosts("", []string{stale})
+		return &r
+	}
+	stale = host(t, staleReply)
+	leading := host(t, func(call.Call) *call.Reply {
+		if leads.Load() {
+			return reply(call.NotLeader)
+		}
+		r := call.NewReply(call.OK, "").WithHosts("", []string{replacement, stale})
+		return &r
+	})
+	c := newClient(t, leading)
+	r, _ := submit(t, c, callTimeout, 0)
+	require.Equal(t, call.OK, r.Outcome())
+	c.SetSeeds([]string{stale})
+	c.SuggestLeader(stale)
+	leads.Store(true)
+	r, _ = submit(t, c, callTimeout, 500*time.Millisecond)
+	assert.Equal(t, call.OK, r.Outcome(), r.Reason())
+}
--- a/internal/leader/exchange.go
+++ b/internal/leader/exchange.go
@@ -131,7 +131,7 @@
 	c.unansweredPings.Delete(address)
 	if r.Outcome() == call.NotLeader {
 		c.dropLeader(address)
-		c.updateHosts(r.WithHosts("", r.Hosts()))
+		c.addHosts(r.WithHosts("", r.Hosts()))
 		return searchResult{reached: true}
 	}
 	c.updateHosts(r.WithHosts(address, r.Hosts()))
