leader: a leader that answers again is known at once

After one attempt without an answer the client avoided the leader for 2 s: it still found it by a search, but Leader() stayed empty. An agent opens its session to Leader(), so one lost answer, or a stream that the leader reset, kept an agent without a session for 2 s although each ping was answered; to the leader its worker was not connected, and nothing started there. The avoidance is meant for other hosts that still name a silent one.

A host that itself answers as the leader now is the presumed leader and is no longer avoided.

TestLeaderAfterFailedAttempt failed before (no leader known after a call that was answered).

--- a/internal/leader/client.go
+++ b/internal/leader/client.go
@@ -54,7 +54,7 @@
 	return c
 }
 
-// SetSeeds replaces the seed addresses. Hosts that are already known stay known until a reply lists the hosts.
+// SetSeeds replaces the seed addresses. Hosts that are already known stay known until a leader lists the hosts.
 func (c *Client) SetSeeds(seeds []string) {
 	c.update(func(k *knownHosts) bool {
 		k.seeds, k.hosts = seeds, merge(k.hosts, seeds)
@@ -149,6 +149,9 @@
 		case call.OK, call.Invalid, call.Unauthorized, call.NoQueue, call.NoJob:
 		}
 		c.updateHosts(r)
+		if r.Leader() == "" || r.Leader() == address {
+			c.confirmLeader(address)
+		}
 		return r
 	}
 }
@@ -189,6 +192,21 @@
 	})
 }
 
+// confirmLeader sets the presumed leader to the host at address, which has answered as the leader, and no longer avoids
+// it.
+func (c *Client) confirmLeader(address string) {
+	c.update(func(k *knownHosts) bool {
+		if k.leader == address && k.avoided != address {
+			return false
+		}
+		k.leader = address
+		if k.avoided == address {
+			k.avoided = ""
+		}
+		return true
+	})
+}
+
 // dropLeader clears the presumed leader if it has the given address.
 func (c *Client) dropLeader(address string) {
 	c.update(func(k *knownHosts) bool {
--- a/internal/leader/client_test.go
+++ b/internal/leader/client_test.go
@@ -204,6 +204,22 @@
 	assert.Less(t, took, 550*time.Millisecond)
 }
 
+// Guards against a leader that answers but counts as unknown for avoidDuration after one failed attempt: an agent opens no
+// session meanwhile, so the leader gives its worker no runs.
+func TestLeaderAfterFailedAttempt(t *testing.T) {
+	answers := 0
+	leading := host(t, answerAsLeader(func(call.Call) *call.Reply {
+		if answers++; answers == 1 {
+			return nil
+		}
+		return reply(call.OK)
+	}))
+	c := newClient(t, leading)
+	r, _ := submit(t, c, callTimeout, 0)
+	require.Equal(t, call.OK, r.Outcome())
+	assert.Equal(t, leading, c.Leader())
+}
+
 // Guards against hosts that are forgotten because a host that has missed their joining lists others: if the seeds are gone
 // too, the leader is never found again.
 func TestHostsBesideStaleList(t *testing.T) {
--- a/internal/leader/exchange.go
+++ b/internal/leader/exchange.go
@@ -135,6 +135,6 @@
 		return searchResult{reached: true}
 	}
 	c.updateHosts(r.WithHosts(address, r.Hosts()))
-	c.SuggestLeader(address)
+	c.confirmLeader(address)
 	return searchResult{leader: address, reached: true}
 }
