runner: a list that was dropped is reported again

While an agent has no session its reports queue up, and at 64 it drops them. A list that it dropped was never repeated: the next list has no news, and the mark to report one in any case was already cleared. If the first list of a session was dropped, the leader knew no current list of that worker, or took it to be unreachable, until one of its runs changed; an idle worker was not used at all.

A drop now marks the next list to be reported without news.

TestDroppedListIsRepeated failed before (no second report).

--- a/internal/runner/loop.go
+++ b/internal/runner/loop.go
@@ -360,12 +360,13 @@
 	return true
 }
 
-// send queues a report for the session. If the queue is full, it drops the report; a session begins with a new list.
+// send queues a report for the session. If the queue is full, it drops the report, and the next list is reported even
+// without news.
 func (l *loop) send(r run.Report) {
 	select {
 	case l.reports <- r:
 	default:
 		l.logger.Warn("report dropped", "queued", len(l.reports))
-		l.listNow = true
+		l.listNow, l.resendList = true, true
 	}
 }
