runner: a new session reports that the worker terminates

A worker that ends by plan tells its agent once.

The first report of each session now includes the announced end.

TestSessionReportsTermination failed before.

--- a/internal/runner/session.go
+++ b/internal/runner/session.go
@@ -61,6 +61,9 @@
 	if out.worker.known {
 		first = first.WithAnnouncement(out.worker.announcement).WithCrashes(out.crashes)
 	}
+	if out.worker.terminating {
+		first = first.WithTerminating()
+	}
 	if err = wire.WriteRunReport(s, first); err != nil {
 		return err
 	}
--- a/internal/runner/session_test.go
+++ b/internal/runner/session_test.go
@@ -1,15 +1,71 @@
 package runner
 
 import (
+	"context"
 	"testing"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"rosemarywind.example/rosemarywind/internal/keys"
+	"rosemarywind.example/rosemarywind/internal/link"
 	"rosemarywind.example/rosemarywind/internal/run"
+	"rosemarywind.example/rosemarywind/internal/wire"
 )
 
+// firstReport returns the first report of a session that an agent opens for a worker in the given state.
+func firstReport(t *testing.T, w workerState) run.Report {
+	t.Helper()
+	serverTLS, clientTLS, err := keys.Trusted.TLS(time.Now())
+	require.NoError(t, err)
+	s, err := link.Listen("127.0.0.1:0", serverTLS)
+	require.NoError(t, err)
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	reports, served := make(chan run.Report, 1), make(chan struct{})
+	go func() {
+		defer close(served)
+		_ = s.Serve(ctx, func(_ context.Context, st *link.Stream) {
+			if _, err := wire.ReadOpening(st); err != nil {
+				return
+			}
+			if r, err := wire.ReadRunReport(st); err == nil {
+				reports <- r
+			}
+		})
+	}()
+	pool := link.NewPool(clientTLS)
+	r := New("h", silentWorker{}, pool, nil, hclog.NewNullLogger())
+	r.outgoing.Publish(outgoingState{worker: w})
+	_ = r.runSession(ctx, s.Address().String())
+	pool.Close()
+	cancel()
+	<-served
+	_ = s.Close()
+	select {
+	case first := <-reports:
+		return first
+	default:
+		require.Fail(t, "the leader received no report")
+		return run.Report{}
+	}
+}
+
+// Guards against a leader elected after a worker has announced its end that does not learn of it: the leader waits for the
+// lease of each run there to end.
+func TestSessionReportsTermination(t *testing.T) {
+	for name, terminating := range map[string]bool{"stays": false, "terminates": true} {
+		t.Run(name, func(t *testing.T) {
+			r := firstReport(t, workerState{announcement: run.NewAnnouncement(first, "s", "z", 1), known: true, terminating: terminating})
+			_, announced := r.Announcement()
+			assert.True(t, announced)
+			assert.Equal(t, terminating, r.Terminating())
+		})
+	}
+}
+
 // Guards against a list that the leader never gets because the queue of reports was full: later lists without news are not
 // reported, so the leader goes on to take the worker as its latest report showed it.
 func TestDroppedListIsRepeated(t *testing.T) {
