dispatch: a run whose start was not ordered ends at once

If the agent's session ended while a placement was committed, the leader ordered no start, but waited until the lease of that worker had ended, up to 5.4 s after its last renewal, before it placed the task elsewhere. Nothing of the job ran meanwhile though other workers had room.

Only the leader that places a run orders its start. The leader now notes that it withheld the order and ends the run as lost in the same step; if it had ordered the start, it still waits for the lease.

TestPlacedOnWorkerThatIsLost failed before (no end within a second).

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -42,6 +42,7 @@
 	stopOrderedAt  time.Time
 	savedAt        time.Time
 	refused        bool
+	withheld       bool // this leader placed the run, and its worker was not usable when the start was due
 }
 
 // NewCore returns a core for a leader elected at the given time. The fencing token must be higher than that of any
@@ -170,7 +171,11 @@
 		}
 		t, _ := j.Task(id.Task())
 		h, here := hosts[t.Worker()]
-		if t.Phase() != batch.Placed || t.Run() != id.Run() || !here || !h.usable(now, c.fencingToken) {
+		if t.Phase() != batch.Placed || t.Run() != id.Run() {
+			continue
+		}
+		if !here || !h.usable(now, c.fencingToken) {
+			c.ordersOf(id).withheld = true
 			continue
 		}
 		if c.overcommitted(h) {
--- a/internal/dispatch/resolve.go
+++ b/internal/dispatch/resolve.go
@@ -54,6 +54,10 @@
 		c.logDecision(h, now, id, "lost", reason)
 		return batch.NewEnd(id.Task(), id.Run(), batch.Lost, checkpoint), true
 	}
+	if o := c.orders[id]; o != nil && o.withheld && o.startOrderedAt.IsZero() {
+		// Only the leader that places a run orders its start, so it has not begun, whatever its worker does.
+		return lost("its start was not ordered", c.hosts[t.Worker().Host()])
+	}
 	h, here := hosts[t.Worker()]
 	if !here {
 		return c.runEndElsewhere(now, id, t, c.hosts[t.Worker().Host()], lost, a)
--- a/internal/dispatch/session_test.go
+++ b/internal/dispatch/session_test.go
@@ -54,3 +54,25 @@
 		assert.Empty(t, f.starts())
 	})
 }
+
+// Guards against a task with nothing running until the lease of a worker has ended although its start was never ordered,
+// because the agent's session ended while the placement was committed.
+func TestPlacedOnWorkerThatIsLost(t *testing.T) {
+	group := batch.NewGroup(batch.NewTaskID("j", 0, 0, 0), batch.NewMember(0, 1, batch.NewIncarnation("h", "w", 1)))
+	id := run.NewID(batch.NewTaskID("j", 0, 0, 0), 1)
+	t.Run("ended at once if the start was not ordered", func(t *testing.T) {
+		f := newFixture(t, 1)
+		f.reconnect(1)
+		f.core.RunsCommitted(group)
+		f.core.Disconnect("h", 1)
+		f.assertEnds(id)
+	})
+	t.Run("kept if the start was ordered", func(t *testing.T) {
+		f := newFixture(t, 1)
+		f.reconnect(1)
+		f.core.RunsCommitted(group)
+		assert.Equal(t, []run.ID{id}, f.starts())
+		f.core.Disconnect("h", 1)
+		assert.Empty(t, f.core.Step(f.now, f.state).Ends())
+	})
+}
