placement: a long-running task does not wait for reservations on an idle service

A job without runs waits at most 1 s for reservations and headroom, and 2 s for a rack, while most of the service is idle. A job with a run in progress waited without a limit, so a long-running task that had ended stayed away for as long as urgent gangs held every rack reserved, because other tasks of its job ran. The absence of such a task counts whatever the others do.

The limits now hold for long-running steps in any case.

TestLongRunningTaskReturns failed before (one of two tasks placed 1.5 s after the end, with 16 of 48 accelerators in use).

--- a/internal/placement/idle.go
+++ b/internal/placement/idle.go
@@ -9,8 +9,8 @@
 const (
 	// idleShare is the share of a service's capacity in use below which the service counts as idle.
 	idleShare = 0.5
-	// reservationWait is how long a unit of a job without runs waits on an idle service before it may use capacity that
-	// is reserved for other units or kept free as headroom.
+	// reservationWait is how long a unit of a job without runs, or of long-running tasks, waits on an idle service before it
+	// may use capacity that is reserved for other units or kept free as headroom.
 	reservationWait = time.Second
 	// rackWait is how long such a unit waits for the rack of its data, or for one rack that holds the whole gang.
 	rackWait = 2 * time.Second
@@ -29,11 +29,12 @@
 )
 
 // waitPolicyOf returns what a unit waits for. A unit with a reservation, for a whole rack for example, may not be able
-// to start for a long time, so a job without runs does not wait for it while most of the service is idle.
+// to start for a long time, so a job without runs does not wait for it while most of the service is idle; neither does a
+// long-running task, whose absence counts whether others of its job run or not.
 func (p *planner) waitPolicyOf(u *unit) waitPolicy {
 	waited := p.view.now.Sub(u.readySince)
 	switch {
-	case waited < reservationWait || u.job.HasPlaced() || !p.idle(u.queue.Service()):
+	case waited < reservationWait || u.job.HasPlaced() && !u.step.LongRunning() || !p.idle(u.queue.Service()):
 		return waitForAll
 	case waited < rackWait:
 		return waitForRack
--- a/internal/placement/longrunning_test.go
+++ b/internal/placement/longrunning_test.go
@@ -1,6 +1,7 @@
 package placement_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -68,3 +69,27 @@
 		assert.Zero(t, f.countStops("service", 5))
 	})
 }
+
+// Guards against a long-running task that stays away from a mostly idle service for as long as every rack is reserved for
+// urgent gangs, because other tasks of its job run.
+func TestLongRunningTaskReturns(t *testing.T) {
+	f := newFixture(t)
+	for rack := range 3 {
+		f.submit(fmt.Sprintf("busy-%d", rack), urgent, "c",
+			batch.NewStep(1, gpus(4), time.Minute, batch.WithLabel(fmt.Sprintf("r%d", rack))))
+	}
+	f.submit("service", scans, "b", longRunningStep(2, 4, 1))
+	f.decide()
+	f.assertPlaced("service", 2)
+	for n := range 3 {
+		f.submit(fmt.Sprintf("gang-%d", n), urgent, "c", gang(2, 8, 20*time.Second))
+	}
+	f.decide()
+	f.end(batch.NewTaskID("service", 0, 0, 0), batch.Failed)
+	f.advance(500 * time.Millisecond)
+	f.decide()
+	f.assertPlaced("service", 1)
+	f.advance(time.Second)
+	f.decide()
+	f.assertPlaced("service", 2)
+}
