--- a/internal/dispatch/waiting.go
+++ b/internal/dispatch/waiting.go
@@ -97,8 +97,11 @@
 }
 
 // logLongWaits logs for each explained wait how many workers of its service are not used for which reason, once per
-// longWaitInterval.
+// longWaitInterval. A new leader logs nothing before the agents have had time to connect.
 func (c *Core) logLongWaits(now time.Time, p placement.Plan, uses map[string]WorkerUse) {
+	if now.Sub(c.electedAt) < longWait {
+		return
+	}
 	waits := make(map[batch.TaskID]time.Time, len(c.longWaits))
 	unused := map[string]map[WorkerUse]int{} // by service
 	for _, w := range p.Waits() {
@@ -114,6 +117,9 @@
 			unused[w.Service()] = c.countUnused(w.Service(), uses)
 		}
 		words := append(formatCounts(w.Obstacles()), formatCounts(unused[w.Service()])...)
+		if len(words) == 0 {
+			words = []string{"none known"}
+		}
 		c.logDecision(nil, now, run.NewID(w.Step(), 0), LongWait, fmt.Sprintf("%s; %d tasks for %d ms; workers: %s",
 			w.Reason(), w.Tasks(), now.Sub(w.Since()).Milliseconds(), strings.Join(words, ", ")))
 	}
--- a/internal/dispatch/waiting_test.go
+++ b/internal/dispatch/waiting_test.go
@@ -71,6 +71,18 @@
 		}
 		assert.Equal(t, 2, lines)
 	})
+	t.Run("no worker known", func(t *testing.T) {
+		f := newCrashFixture(t)
+		f.now = f.now.Add(longWait)
+		reasons := longWaits(f.core.Step(f.now, f.state))
+		require.Len(t, reasons, 1)
+		assert.Contains(t, reasons[0], "workers: none known")
+	})
+	t.Run("not by a leader that agents may still connect to", func(t *testing.T) {
+		f := newUnused(t)
+		f.elect()
+		assert.Empty(t, longWaits(f.core.Step(f.now, f.state)))
+	})
 	t.Run("not for a short wait", func(t *testing.T) {
 		f := newCrashFixture(t)
 		f.now = f.now.Add(longWait - time.Millisecond)
