placement: quarantine of every worker that fits does not hold a job back

Two failed runs in a row keep a worker from new runs for 3 to 24 s, whether the worker or the tasks are at fault, and a long-running task never resets the count, since it does not end as done. If all workers that fit a task had failed runs, the job had nothing running for up to 24 s on an idle service.

Workers in quarantine are now part of the view, apart from the others. A unit that waits for nothing (2 s on a service of which less than half is in use, with nothing of its job running) may use them if nothing else fits. Whether a service is idle is computed from its workers in quarantine too, as they are capacity of it.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -204,8 +204,11 @@
 	uses := map[string]WorkerUse{}
 	for _, h := range c.hosts {
 		uses[h.agent] = c.workerUse(now, h, stalled)
-		if uses[h.agent] == Usable {
-			workers = append(workers, placement.NewWorker(h.announcement, h.health.failures > 0 || slow[h.agent]))
+		switch uses[h.agent] {
+		case Usable, Quarantined:
+			w := placement.NewWorker(h.announcement, h.health.failures > 0 || slow[h.agent])
+			workers = append(workers, w.WithQuarantine(uses[h.agent] == Quarantined))
+		case Disconnected, Unannounced, Unreachable, Leaving, Silent, RunsUnknown, ClockUnknown, Maintained, Stalled:
 		}
 	}
 	v := placement.NewView(now, s, workers, stopping, c.timing.remoteFactor)
--- a/internal/dispatch/waiting.go
+++ b/internal/dispatch/waiting.go
@@ -25,15 +25,15 @@
 	RunsUnknown  WorkerUse = "runs not listed yet"
 	ClockUnknown WorkerUse = "clock not known"
 	Maintained   WorkerUse = "drained for maintenance"
-	Quarantined  WorkerUse = "in quarantine"
 	Stalled      WorkerUse = "with a stalled run"
+	Quarantined  WorkerUse = "in quarantine"
 	Usable       WorkerUse = "usable"
 )
 
 // WorkerUses returns all uses of a worker.
 func WorkerUses() []WorkerUse {
 	return []WorkerUse{
-		Disconnected, Unannounced, Unreachable, Leaving, Silent, RunsUnknown, ClockUnknown, Maintained, Quarantined, Stalled,
+		Disconnected, Unannounced, Unreachable, Leaving, Silent, RunsUnknown, ClockUnknown, Maintained, Stalled, Quarantined,
 		Usable,
 	}
 }
@@ -88,10 +88,10 @@
 	case use != Usable:
 	case c.isDraining(h):
 		return Maintained
-	case h.health.quarantined(now):
-		return Quarantined
 	case stalled[h.agent]:
 		return Stalled
+	case h.health.quarantined(now):
+		return Quarantined
 	}
 	return use
 }
--- a/internal/dispatch/waiting_test.go
+++ b/internal/dispatch/waiting_test.go
@@ -39,6 +39,9 @@
 		for _, agent := range []string{"cut", "failing", "stopping"} {
 			f.report(agent)
 		}
+		// A worker in quarantine that has room may get the task after a wait.
+		f.core.Report(f.now, run.NewReport("failing").WithAnnouncement(run.NewAnnouncement(f.workers["failing"], "s", "z",
+			f.now.UnixMilli()+1).WithClock(silenceTimeout)))
 		f.core.Disconnect("cut", f.term)
 		for range 3 {
 			f.core.host("failing").health.recordFailure(f.now)
--- a/internal/placement/idle.go
+++ b/internal/placement/idle.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"time"
 
 	"rosemarywind.example/rosemarywind/internal/batch"
@@ -42,14 +43,14 @@
 	return waitForNothing
 }
 
-// idle reports whether most of a service's capacity is not in use. The first answer for a service holds for the whole
-// decision.
+// idle reports whether most of a service's capacity, also of its workers in quarantine, is not in use. The first answer
+// for a service holds for the whole decision.
 func (p *planner) idle(service string) bool {
 	if idle, known := p.idleServices[service]; known {
 		return idle
 	}
 	var free, capacity batch.Resources
-	for _, w := range p.workers {
+	for _, w := range slices.Concat(p.workers, p.quarantined) {
 		if w.service == service {
 			free, capacity = free.Plus(w.free), capacity.Plus(w.capacity)
 		}
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -16,6 +16,7 @@
 type planner struct {
 	view              View
 	workers           []*workerState
+	quarantined       []*workerState // not among workers
 	racks             map[string][]*workerState
 	reservedUnits     int
 	headroom          int                  // accelerators that less urgent units leave free in one rack
@@ -37,6 +38,8 @@
 	}
 	var byIncarnation map[batch.Incarnation]*workerState
 	p.workers, byIncarnation = v.workerStates()
+	p.quarantined = slices.DeleteFunc(slices.Clone(p.workers), func(w *workerState) bool { return !w.quarantined })
+	p.workers = slices.DeleteFunc(p.workers, func(w *workerState) bool { return w.quarantined })
 	for _, w := range p.workers {
 		p.racks[w.rack] = append(p.racks[w.rack], w)
 		p.totalAccelerators += w.capacity.Accelerators()
@@ -225,7 +228,8 @@
 }
 
 // eligible returns the workers that may run the unit's tasks: those in the rack of its data if they could run it,
-// otherwise all. A unit that waits for nothing is limited to that rack only if it fits there now.
+// otherwise all. A unit that waits for nothing is limited to that rack only if it fits there now, and may also run on
+// workers in quarantine: the tasks may be what failed there.
 func (p *planner) eligible(u *unit) (list []*workerState) {
 	var near []*workerState
 	for _, w := range p.workers {
@@ -241,6 +245,13 @@
 	if u.step.Rack() != "" && p.couldRun(start, near) && (u.waitPolicy != waitForNothing || p.fitsNow(start, near)) {
 		return near
 	}
+	if u.waitPolicy == waitForNothing {
+		for _, w := range p.quarantined {
+			if p.matches(u, w) && p.approved(u, w) {
+				list = append(list, w)
+			}
+		}
+	}
 	return list
 }
 
--- a/internal/placement/view.go
+++ b/internal/placement/view.go
@@ -13,6 +13,7 @@
 type Worker struct {
 	announcement run.Announcement
 	suspect      bool
+	quarantined  bool
 }
 
 // NewWorker returns a worker as described by its announcement. A suspect worker, which failed a run lately or is slow,
@@ -21,6 +22,13 @@
 	return Worker{announcement: a, suspect: suspect}
 }
 
+// WithQuarantine returns the worker in quarantine or not. A worker in quarantine, which failed several runs in a row, runs
+// only what has waited for some time on a mostly idle service and fits nowhere else.
+func (w Worker) WithQuarantine(quarantined bool) Worker {
+	w.quarantined = quarantined
+	return w
+}
+
 // View holds everything that a decision depends on.
 type View struct {
 	now          time.Time
@@ -73,6 +81,7 @@
 	capacity     batch.Resources
 	free         batch.Resources
 	suspect      bool
+	quarantined  bool
 	runs         []*placedRun
 	reservations []reservation
 	reserved     batch.Resources         // sum of the reservations
@@ -112,7 +121,8 @@
 		a := w.announcement
 		ws := &workerState{
 			incarnation: a.Incarnation(), service: a.Service(), rack: a.Rack(), labels: a.Labels(),
-			capacity: a.Capacity(), free: a.Capacity(), suspect: w.suspect,
+			capacity: a.Capacity(), free: a.Capacity(), suspect: w.suspect || w.quarantined,
+			quarantined: w.quarantined,
 		}
 		list = append(list, ws)
 		byIncarnation[ws.incarnation] = ws
