--- a/internal/leader/client.go
+++ b/internal/leader/client.go
@@ -54,7 +54,7 @@
 	return c
 }
 
-// SetSeeds replaces the seed addresses. Hosts that are already known stay known until the leader lists the hosts.
+// SetSeeds replaces the seed addresses. Hosts that are already known stay known until a leader lists the hosts.
 func (c *Client) SetSeeds(seeds []string) {
 	c.update(func(k *knownHosts) bool {
 		k.seeds, k.hosts = seeds, merge(k.hosts, seeds)
@@ -62,9 +62,9 @@
 	})
 }
 
-// update applies a change to a copy of the known hosts and publishes the copy, unless change returns false. It starts
-// again if another goroutine has published meanwhile, so that neither change is lost.
-func (c *Client) update(change func(*knownHosts) bool) {
+// update replaces the known hosts by a copy that change has modified, unless change returns false. It calls change again
+// if they were replaced meanwhile, so that no concurrent update is lost.
+func (c *Client) update(change func(k *knownHosts) bool) {
 	for {
 		old := c.known.Load()
 		next := *old
@@ -85,12 +85,12 @@
 	})
 }
 
+// Hosts returns the addresses at which the client looks for the leader. The caller must not modify the slice.
+func (c *Client) Hosts() []string { return c.known.Load().hosts }
+
 // Leader returns the address of the presumed leader, empty if none is known.
 func (c *Client) Leader() string { return c.known.Load().leader }
 
-// Hosts returns the addresses at which the client searches for the leader, in ascending order after the first reply.
-func (c *Client) Hosts() []string { return c.known.Load().hosts }
-
 // Call sends a call to the leader and retries it until ctx ends, but for at most unsentTimeout while no attempt may have
 // reached a leader; 0 is no bound. It returns early if no control host can be reached. The reply is Unavailable if the
 // call had no effect, and Uncertain if it may have had one.
@@ -133,15 +133,16 @@
 			}
 			continue
 		}
-		c.updateHosts(r)
 		switch r.Outcome() {
 		case call.NotLeader:
+			c.addHosts(r)
 			reason = "no leader is known"
 			if r.Leader() == "" || r.Leader() == address {
 				c.dropLeader(address)
 			}
 			continue
 		case call.Uncertain:
+			c.updateHosts(r)
 			uncertain, reason = true, r.Reason()
 			continue
 		case call.Refused, call.Unavailable:
@@ -150,6 +151,10 @@
 			}
 		case call.OK, call.Invalid, call.Unauthorized, call.NoQueue, call.NoJob:
 		}
+		c.updateHosts(r)
+		if r.Leader() == "" || r.Leader() == address {
+			c.confirmLeader(address)
+		}
 		return r
 	}
 }
@@ -164,15 +169,21 @@
 // unavailableRetryAfter is about the time that the election of another leader takes.
 const unavailableRetryAfter = time.Second
 
-// updateHosts takes the control hosts and the leader from a reply that lists the hosts. Only the list of the leader
-// replaces the known hosts: another host may have been down for long, or may know no more than the seeds of its first
-// start.
+// updateHosts takes the control hosts and the leader from a reply that lists the hosts.
 func (c *Client) updateHosts(r call.Reply) {
+	c.takeHosts(r, func(k *knownHosts) []string { return merge(r.Hosts(), k.seeds) })
+}
+
+// addHosts adds the control hosts that a follower's reply lists and takes the leader that it names. The list does not
+// replace the known hosts, since a follower may have missed changes of the membership; the list of a leader does.
+func (c *Client) addHosts(r call.Reply) {
+	c.takeHosts(r, func(k *knownHosts) []string { return merge(r.Hosts(), k.hosts) })
+}
+
+// takeHosts takes the hosts that merged returns, and the leader that the reply names unless it is avoided.
+func (c *Client) takeHosts(r call.Reply, merged func(k *knownHosts) []string) {
 	c.update(func(k *knownHosts) bool {
-		hosts := merge(r.Hosts(), k.seeds)
-		if r.Outcome() == call.NotLeader {
-			hosts = merge(hosts, k.hosts)
-		}
+		hosts := merged(k)
 		if len(r.Hosts()) == 0 || r.Leader() == k.leader && slices.Equal(k.hosts, hosts) {
 			return false
 		}
@@ -184,14 +195,29 @@
 	})
 }
 
+// confirmLeader sets the presumed leader to the host at address, which has answered as the leader, and no longer avoids
+// it.
+func (c *Client) confirmLeader(address string) {
+	c.update(func(k *knownHosts) bool {
+		if k.leader == address && k.avoided != address {
+			return false
+		}
+		k.leader = address
+		if k.avoided == address {
+			k.avoided = ""
+		}
+		return true
+	})
+}
+
 // dropLeader clears the presumed leader if it has the given address.
 func (c *Client) dropLeader(address string) {
 	c.update(func(k *knownHosts) bool {
-		dropped := k.leader == address
-		if dropped {
-			k.leader = ""
+		if k.leader != address {
+			return false
 		}
-		return dropped
+		k.leader = ""
+		return true
 	})
 }
 
--- a/internal/leader/client_test.go
+++ b/internal/leader/client_test.go
@@ -207,6 +207,22 @@
 	assert.Less(t, took, 550*time.Millisecond)
 }
 
+// Guards against a leader that answers but counts as unknown for avoidDuration after one failed attempt: an agent opens no
+// session meanwhile, so the leader gives its worker no runs.
+func TestLeaderAfterFailedAttempt(t *testing.T) {
+	answers := 0
+	leading := host(t, answerAsLeader(func(call.Call) *call.Reply {
+		if answers++; answers == 1 {
+			return nil
+		}
+		return reply(call.OK)
+	}))
+	c := newClient(t, leading)
+	r, _ := submit(t, c, callTimeout, 0)
+	require.Equal(t, call.OK, r.Outcome())
+	assert.Equal(t, leading, c.Leader())
+}
+
 // Guards against a client that loses the seeds of a reload to a reply that it handles at the same time.
 func TestSeedsDuringReplies(t *testing.T) {
 	const callers, reloads = 8, 3000
--- a/internal/leader/exchange.go
+++ b/internal/leader/exchange.go
@@ -131,10 +131,10 @@
 	c.unansweredPings.Delete(address)
 	if r.Outcome() == call.NotLeader {
 		c.dropLeader(address)
-		c.updateHosts(r.WithHosts("", r.Hosts()))
+		c.addHosts(r.WithHosts("", r.Hosts()))
 		return searchResult{reached: true}
 	}
 	c.updateHosts(r.WithHosts(address, r.Hosts()))
-	c.SuggestLeader(address)
+	c.confirmLeader(address)
 	return searchResult{leader: address, reached: true}
 }
--- a/internal/placement/view.go
+++ b/internal/placement/view.go
@@ -13,6 +13,7 @@
 type Worker struct {
 	announcement run.Announcement
 	suspect      bool
+	quarantined  bool
 }
 
 // NewWorker returns a worker as described by its announcement. A suspect worker, which failed a run lately or is slow,
@@ -21,6 +22,13 @@
 	return Worker{announcement: a, suspect: suspect}
 }
 
+// WithQuarantine returns the worker in quarantine or not. A worker in quarantine, which failed several runs in a row, runs
+// only what has waited for some time on a mostly idle service and fits nowhere else.
+func (w Worker) WithQuarantine(quarantined bool) Worker {
+	w.quarantined = quarantined
+	return w
+}
+
 // View holds everything that a decision depends on.
 type View struct {
 	now          time.Time
@@ -30,6 +38,8 @@
 	remoteFactor float64
 	forecast     Forecast
 	verdicts     Verdicts
+	explained    int           // how many waits the plan explains, see WithExplanations
+	explainAfter time.Duration // how long a step has waited before its wait is explained
 }
 
 // NewView returns the view at a time: the replicated state, the workers that accept runs, and the runs that were
@@ -38,6 +48,13 @@
 	return View{now: now, state: s, workers: workers, stopping: stopping, remoteFactor: remoteFactor}
 }
 
+// WithExplanations returns the view with a limit on the waits that the plan explains by Wait.Obstacles: the first ones in
+// the order of placement, of steps that have waited at least the given time. It does not change the decision.
+func (v View) WithExplanations(limit int, after time.Duration) View {
+	v.explained, v.explainAfter = limit, after
+	return v
+}
+
 // Plan is the result of a decision: groups to start, runs to stop, steps that wait and an inquiry to the advisor.
 type Plan struct {
 	groups  []batch.Group
@@ -64,6 +81,7 @@
 	capacity     batch.Resources
 	free         batch.Resources
 	suspect      bool
+	quarantined  bool
 	runs         []*placedRun
 	reservations []reservation
 	reserved     batch.Resources         // sum of the reservations
@@ -103,7 +121,8 @@
 		a := w.announcement
 		ws := &workerState{
 			incarnation: a.Incarnation(), service: a.Service(), rack: a.Rack(), labels: a.Labels(),
-			capacity: a.Capacity(), free: a.Capacity(), suspect: w.suspect,
+			capacity: a.Capacity(), free: a.Capacity(), suspect: w.suspect || w.quarantined,
+			quarantined: w.quarantined,
 		}
 		list = append(list, ws)
 		byIncarnation[ws.incarnation] = ws
