ledger: a new leader takes members without a vote for spares at once

Callers would see: no leader after a tolerated loss that follows the planned stop of a leader.

Cause: a spare had to have asked this leader to join, which it does once a second; after a hand-over the stopping host found no spare within its 0.5 s and kept its vote.

Change: each non-voter that answers and has caught up is a spare. One that has said that it stops is a spare again only when it asks to join.

--- a/internal/ledger/join.go
+++ b/internal/ledger/join.go
@@ -51,6 +51,7 @@
 	if current.voter && current.address == m.address {
 		return
 	}
+	delete(c.leavingAt, from)
 	if old, ok := c.memberToReplace(from, m.address); ok && !current.voter && c.recentlyActive(old) {
 		return
 	}
--- a/internal/ledger/leave.go
+++ b/internal/ledger/leave.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// leaveTimeout is the time for which the leader takes a member to be about to stop after its latest Leave. The member
-// repeats it until it stops, and sends none after it was started again.
+// leaveTimeout is the time for which the leader takes a voter to be about to stop after its latest Leave. The member
+// repeats it while it has a vote. One without a vote may be a spare again only when it asks to join.
 const leaveTimeout = time.Second
 
 // leave tells the leader that this member is about to stop, so that a spare gets its vote before that.
@@ -24,5 +24,5 @@
 // isLeaving reports whether the member is about to stop.
 func (c *Core) isLeaving(id MemberID) bool {
 	at, known := c.leavingAt[id]
-	return known && c.now.Sub(at) <= leaveTimeout
+	return known && (!c.membership.isVoter(id) || c.now.Sub(at) <= leaveTimeout)
 }
--- a/internal/ledger/voters.go
+++ b/internal/ledger/voters.go
@@ -58,15 +58,13 @@
 	return append(found, leaving...)
 }
 
-// spares returns the non-voters that could vote at once: they have asked to join, have caught up and replace no other
-// member.
+// spares returns the non-voters that could vote at once: they answer, have caught up and replace no other member.
 func (c *Core) spares() (found []Member) {
 	for _, e := range c.membership.members {
-		address, joining := c.joining[e.id]
-		if e.voter || !joining || c.isLeaving(e.id) || !c.caughtUp(e.id) || !c.recentlyActive(e.id) {
+		if e.voter || c.isLeaving(e.id) || !c.caughtUp(e.id) || !c.recentlyActive(e.id) {
 			continue
 		}
-		if _, replaces := c.memberToReplace(e.id, address); !replaces {
+		if _, replaces := c.memberToReplace(e.id, e.address); !replaces {
 			found = append(found, e)
 		}
 	}
