ledger: a silent voter is demoted at any number above the least one

Callers would see: no leader after a tolerated loss.

Change: above 2f+1 voters each silent one is demoted. Four voters tolerate what five with a silent one do.

--- a/internal/ledger/quorum.go
+++ b/internal/ledger/quorum.go
@@ -18,10 +18,9 @@
 		return q
 	}
 	q.voters, q.majority = c.membership.Voters(), c.membership.Majority()
-	for _, e := range c.departingVoters() {
-		if c.isSilent(e) {
-			q.silent = append(q.silent, e.id)
-		}
+	silent, _ := c.departingVoters()
+	for _, e := range silent {
+		q.silent = append(q.silent, e.id)
 	}
 	for _, e := range c.spares() {
 		q.spares = append(q.spares, e.id)
--- a/internal/ledger/voters.go
+++ b/internal/ledger/voters.go
@@ -17,25 +17,26 @@
 
 // nextVoterChange returns the member whose vote is granted or withdrawn next; ok is false if the voters are to stay.
 //
-// A departing voter gives its vote to a spare. A silent one is demoted first, so that the promotion does not depend on
-// the spare alone; one that is still running is demoted last, so that the losses that are tolerated can come at any
-// step. Beyond minVoters the number of voters is kept odd: an even number tolerates no more losses than one voter less,
-// and in a network partition into halves neither has a majority.
+// A silent voter is demoted before a spare is promoted, so that the promotion does not depend on the spare alone, and
+// without a spare down to minVoters. One that is about to stop is demoted after the promotion, so that the losses that
+// are tolerated can come at any step. From minVoters on the number of voters is kept odd: an even number tolerates no
+// more losses than one voter less, and in a network partition into halves neither has a majority.
 func (c *Core) nextVoterChange() (changed Member, ok bool) {
-	departing, spares := c.departingVoters(), c.spares()
+	silent, leaving := c.departingVoters()
+	spares := c.spares()
 	voters, minimum := c.membership.Voters(), c.minVoters()
 	odd := voters%2 == 1
 	switch {
 	case len(spares) > 0 && voters < minimum:
 		return spares[0].withVote(true), true
-	case len(departing) > 0 && !odd && voters > minimum:
-		return departing[0].withVote(false), true
-	case len(spares) > 0 && len(departing) > 0 && !c.isSilent(departing[0]) && odd && voters < maxVoters:
+	case len(silent) > 0 && (voters > minimum || len(spares) > 0):
+		return silent[0].withVote(false), true
+	case len(leaving) > 0 && !odd && voters > minimum:
+		return leaving[0].withVote(false), true
+	case len(leaving) > 0 && len(spares) > 0 && odd && voters < maxVoters:
 		return spares[0].withVote(true), true
-	case len(spares) > 0 && len(departing) > 0:
-		return departing[0].withVote(false), true
-	case len(departing) > 1 && odd && voters-2 >= minimum:
-		return departing[0].withVote(false), true
+	case len(leaving) > 0 && len(spares) > 0:
+		return leaving[0].withVote(false), true
 	case len(spares) > 0 && voters < maxVoters && (!odd || len(spares) > 1):
 		return spares[0].withVote(true), true
 	default:
@@ -43,19 +44,18 @@
 	}
 }
 
-// departingVoters returns the other voters that are silent, and after them those that are about to stop.
-func (c *Core) departingVoters() (found []Member) {
-	var leaving []Member
+// departingVoters returns the other voters that are silent, and those that are about to stop.
+func (c *Core) departingVoters() (silent, leaving []Member) {
 	for _, e := range c.membership.members {
 		switch {
 		case !e.voter || e.id == c.self:
 		case c.isSilent(e):
-			found = append(found, e)
+			silent = append(silent, e)
 		case c.isLeaving(e.id):
 			leaving = append(leaving, e)
 		}
 	}
-	return append(found, leaving...)
+	return silent, leaving
 }
 
 // spares returns the non-voters that could vote at once: they answer, have caught up and replace no other member.
