ledger: a replaced id is not added again

Callers would see: no leader after a tolerated loss, since votes change no more.

Cause: a host without a vote whose disk was lost was added under its earlier id as soon as that id was removed, and removed again, for the rest of the leader's term; its earlier request to join was kept, and no vote changed meanwhile. Found by review.

Change: the request is dropped with the member. TestSpareLosesDisk: 3 of 3 cases failed before.

--- a/internal/ledger/join.go
+++ b/internal/ledger/join.go
@@ -94,6 +94,7 @@
 		case c.recentlyActive(old):
 			delete(c.joining, id)
 		default:
+			delete(c.joining, old) // it would be added again
 			c.appendMembership(0, c.membership.without(old))
 		}
 	}
