ledger: messages of the leader do not put off a request to join

Cause: a message that was processed after the deadline of the next request and before its timer moved the deadline by an election timeout, again and again on a busy host. Found by review.

Change: only a voter's deadline is an election timeout. TestJoinRequestBesideMessages failed before (no request in 4 s).

--- a/internal/ledger/core.go
+++ b/internal/ledger/core.go
@@ -183,7 +183,7 @@
 func (c *Core) grantLease() {
 	c.grantedLease = lease.NewGranted(c.now, c.timing.lease)
 	// A non-voter keeps its deadline, which is that of its next request to join.
-	if c.membership.isVoter(c.self) || !c.now.Before(c.wakeAt) {
+	if c.membership.isVoter(c.self) {
 		c.wakeAt = c.now.Add(c.randomBetween(c.timing.electionMin, c.timing.electionMax))
 	}
 }
--- a/internal/ledger/spare_test.go
+++ b/internal/ledger/spare_test.go
@@ -1,10 +1,12 @@
 package ledger_test
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"rosemarywind.example/rosemarywind/internal/ledger"
 )
@@ -46,3 +48,29 @@
 		assertVoter(t, l, later, true)
 	})
 }
+
+// newNonVoter returns a host without a vote in a log with three voters. It follows a in term 2.
+func newNonVoter(t *testing.T, now time.Time, random *rand.Rand) *ledger.Core {
+	t.Helper()
+	members := ledger.NewMembership(
+		ledger.NewMember("a", "a", true), ledger.NewMember("b", "b", true), ledger.NewMember("c", "c", true),
+		ledger.NewMember("d", "d", false))
+	saved := ledger.NewPersistentState(ledger.NewHardState("d", 2, ""), ledger.NewSnapshot(5, 2, members, nil), nil)
+	core := ledger.NewCore(saved, "d", ledger.DefaultTiming(), now, random)
+	effects := core.Step(now, random, ledger.NewReceive("a", ledger.NewAppendEntries(2, 5, 2, nil, 5, 1, 0)))
+	require.NotEmpty(t, effects)
+	core.Step(now, random, ledger.Tick{})
+	return core
+}
+
+// Guards against a host without a vote that does not ask to join because the leader's messages arrive before the timer.
+func TestJoinRequestBesideMessages(t *testing.T) {
+	now, random := time.Unix(1000, 0), rand.New(rand.NewPCG(1, 1))
+	core := newNonVoter(t, now, random)
+	asked := 0
+	for n := range uint64(40) {
+		now = now.Add(100*time.Millisecond + time.Microsecond)
+		asked += len(joinRequests(core.Step(now, random, ledger.NewReceive("a", ledger.NewAppendEntries(2, 5, 2, nil, 5, 2+n, 0)))))
+	}
+	assert.GreaterOrEqual(t, asked, 3, "requests to join in 4 s")
+}
