ledger: a host without a vote asks a new leader at once

Cause: a new leader learned of a request to join, a changed address or a fresh id up to a second later, a quarter of the time in which a host has to catch up.

Change: a non-voter that follows another leader asks at once. TestSpareAsksNewLeader failed before.

--- a/internal/ledger/follow.go
+++ b/internal/ledger/follow.go
@@ -11,6 +11,7 @@
 	}
 	if term > c.term || c.role != Follower || c.leader != from {
 		c.follow(term, from)
+		c.askSoon()
 	}
 	c.grantLease()
 	c.startedElections = 0
--- a/internal/ledger/spare_test.go
+++ b/internal/ledger/spare_test.go
@@ -63,6 +63,17 @@
 	return core
 }
 
+// Guards against a new leader that does not know the spares until they ask again, so that the former leader stops with
+// its vote after a planned transfer.
+func TestSpareAsksNewLeader(t *testing.T) {
+	now, random := time.Unix(1000, 0), rand.New(rand.NewPCG(1, 1))
+	core := newNonVoter(t, now, random)
+	now = now.Add(100 * time.Millisecond)
+	assert.Empty(t, joinRequests(core.Step(now, random, ledger.NewReceive("a", ledger.NewAppendEntries(2, 5, 2, nil, 5, 2, 0)))))
+	effects := core.Step(now, random, ledger.NewReceive("b", ledger.NewAppendEntries(3, 5, 2, nil, 5, 1, 0)))
+	assert.NotEmpty(t, joinRequests(effects), "requests to join")
+}
+
 // Guards against a host without a vote that does not ask to join because the leader's messages arrive before the timer.
 func TestJoinRequestBesideMessages(t *testing.T) {
 	now, random := time.Unix(1000, 0), rand.New(rand.NewPCG(1, 1))
