ledger: a voter that was removed while it was down joins again

A host that is removed while it is down comes back as a voter of the membership in its log. It asks the voters that it knows for pre-votes, which they refuse, and never asks to join, so its disk and its vote are lost to the system; if all members that it knows are gone it reaches nobody at all.

A voter that finds no leader now sends a request to join once a second, to the members that it knows, the present seeds and the senders of messages to its earlier ids. A leader that lists it as a voter ignores the request.

--- a/internal/ledger/contacts.go
+++ b/internal/ledger/contacts.go
@@ -1,12 +1,16 @@
 package ledger
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // contacts holds addresses of hosts that may know the log although the membership of this member does not list them:
 // the settings may have changed since its disk was initialized, and all members that it knows may be gone.
 type contacts struct {
-	seeds []string // the seeds of the settings as last read
-	heard []string // senders of messages to an earlier id of this host, the latest last
+	seeds []string  // the seeds of the settings as last read
+	heard []string  // senders of messages to an earlier id of this host, the latest last
+	askAt time.Time // time of a voter's next request to join
 }
 
 // maxHeard is more than the number of hosts from which the leader can be elected.
@@ -92,6 +96,23 @@
 	}
 }
 
+// askAsVoter sends a request to join from a member that takes itself for a voter and finds no leader: it may have been
+// removed, and the members that it knows replaced, while it was down. A leader that lists it as a voter ignores it.
+func (c *Core) askAsVoter() {
+	if c.role == Leader || !c.membership.isVoter(c.self) || c.now.Before(c.contacts.askAt) {
+		return
+	}
+	c.contacts.askAt = c.now.Add(joinInterval)
+	c.sendJoin()
+}
+
+// sendJoin sends a request to join to each address at which the leader or a member that knows it may be.
+func (c *Core) sendJoin() {
+	for _, a := range c.joinAddresses() {
+		c.emit(Send{address: a, message: Join{address: c.address}})
+	}
+}
+
 // joinAddresses returns the addresses of the other members and of the contacts, without duplicates.
 func (c *Core) joinAddresses() (list []string) {
 	for _, e := range c.membership.members {
--- a/internal/ledger/core.go
+++ b/internal/ledger/core.go
@@ -129,6 +129,7 @@
 func (c *Core) tick() {
 	if c.role != Leader {
 		c.campaign()
+		c.askAsVoter()
 		return
 	}
 	if !c.now.Before(c.quorumDeadline()) {
--- a/internal/ledger/driver/seeds_test.go
+++ b/internal/ledger/driver/seeds_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/require"
+
 	"rosemarywind.example/rosemarywind/internal/board"
 	"rosemarywind.example/rosemarywind/internal/ledger"
 	"rosemarywind.example/rosemarywind/internal/ledger/driver"
@@ -108,3 +110,20 @@
 	requireProposedTo(t, c, "one")
 	c.requireApplied(t, "one")
 }
+
+// Guards against a host that was removed while it was down, and then asks for votes forever instead of joining again.
+func TestRemovedWhileDown(t *testing.T) {
+	c := startCluster(t, 3)
+	requireProposedTo(t, c, "one")
+	removed := c.otherThan(c.requireLeader(t))
+	c.members[removed].stop()
+	delete(c.members, removed)
+	leader := c.members[c.requireLeader(t)]
+	require.NoError(t, leader.node.Remove(t.Context(), removed))
+	c.start(t, removed)
+	requireStatus(t, leader, func(s driver.Status) bool {
+		m, listed := s.Membership().Find(removed)
+		return listed && m.Voter()
+	})
+	c.requireApplied(t, "one")
+}
--- a/internal/ledger/join.go
+++ b/internal/ledger/join.go
@@ -14,9 +14,7 @@
 // before this member's admission was committed.
 func (c *Core) requestJoin() {
 	c.wakeAt = c.now.Add(joinInterval)
-	for _, a := range c.joinAddresses() {
-		c.emit(Send{address: a, message: Join{address: c.address}})
-	}
+	c.sendJoin()
 }
 
 // addressChanged reports whether the membership lists this member under an address other than its own.
--- a/internal/ledger/join_test.go
+++ b/internal/ledger/join_test.go
@@ -170,3 +170,28 @@
 	asked := joinRequests(joining.Step(joining.Wake(), random, ledger.Tick{}))
 	assert.Len(t, asked, 3)
 }
+
+// Guards against a host that takes itself for a voter and asks for votes forever, although it was removed while it was
+// down and its members are gone.
+func TestJoinOfRemovedVoter(t *testing.T) {
+	now := time.Unix(1000, 0)
+	random := rand.New(rand.NewPCG(1, 1))
+	members := ledger.NewMembership(
+		ledger.NewMember("a", "a", true), ledger.NewMember("b", "b", true), ledger.NewMember("c", "c", true))
+	saved := ledger.NewPersistentState(ledger.NewHardState("a", 2, ""), ledger.NewSnapshot(10, 2, members, nil), nil)
+	voter := ledger.NewCore(saved, "a", ledger.DefaultTiming(), now, random)
+	voter.Step(now, random, ledger.NewSeeds([]string{"d"}))
+	asked := map[string]int{}
+	for end := now.Add(5 * time.Second); voter.Wake().Before(end); {
+		for _, s := range joinRequests(voter.Step(voter.Wake(), random, ledger.Tick{})) {
+			asked[s.Address()]++
+		}
+	}
+	for _, address := range []string{"b", "c", "d"} {
+		assert.Contains(t, []int{3, 4}, asked[address], "requests to %s, one a second after the election timeout", address)
+	}
+	t.Run("no requests while a leader is known", func(t *testing.T) {
+		at := voter.Wake()
+		assert.Empty(t, joinRequests(voter.Step(at, random, ledger.NewReceive("b", ledger.NewAppendEntries(3, 10, 2, nil, 10, 1, 0)))))
+	})
+}
