ledger: simulate changed seeds before a loss of all power

Hosts of the simulated cluster are replaced at new addresses, their seeds change twice in a row, and after a loss of all power two of five have empty disks and seeds that may be gone. All must become voters again, with one log.

The test fails without the present seeds as an input, without the messages to earlier ids as evidence of a log, and without their senders as addresses to ask.

--- a/internal/ledger/storage/cluster_test.go
+++ b/internal/ledger/storage/cluster_test.go
@@ -30,6 +30,7 @@
 type host struct {
 	name          string // also its initial address
 	address       string
+	seeds         []string                   // seeds of its settings; nil for a start with all hosts as initial members
 	peerAddresses map[ledger.MemberID]string // by sender, from its last message
 	disk          *fakeDisk
 	store         *storage.Store
@@ -97,11 +98,49 @@
 		return
 	}
 	c.freshIDs++
-	fresh := ledger.FreshID(ledger.MemberID(h.name), int64(c.freshIDs))
-	h.bootstrap = ledger.NewBootstrap(ledger.MemberID(h.name), fresh, c.initialMembers())
+	id := ledger.MemberID(h.name)
+	fresh := ledger.FreshID(id, int64(c.freshIDs))
+	if h.seeds == nil {
+		h.bootstrap = ledger.NewBootstrap(id, fresh, c.initialMembers())
+		c.bootstrap(h)
+		return
+	}
+	var members []ledger.Member
+	for _, a := range h.seeds {
+		members = append(members, ledger.NewMember(ledger.MemberID(a), a, true))
+	}
+	initial := ledger.NewMembership(members...)
+	if saved, ok := ledger.BootstrapWithoutProbe(id, fresh, initial, false); ok {
+		c.initialize(h, saved)
+		return
+	}
+	h.bootstrap = ledger.NewBootstrap(id, fresh, initial)
+	h.bootstrap.DelayFounding(c.now)
 	c.bootstrap(h)
 }
 
+// reload changes the seeds of the settings of a host.
+func (c *cluster) reload(h *host, seeds []string) {
+	h.seeds = seeds
+	if h.bootstrap != nil {
+		h.bootstrap.SetSeeds(seeds)
+	}
+	if h.core != nil {
+		c.step(h, ledger.NewSeeds(seeds))
+	}
+}
+
+// replace stops a host for good and adds a successor with an empty disk at a new address.
+func (c *cluster) replace(h *host, seeds []string) (successor *host) {
+	c.crash(h)
+	c.addressChanges++
+	successor = &host{name: fmt.Sprintf("%s.%d", h.name, c.addressChanges), disk: newFakeDisk(), seeds: seeds}
+	successor.address = successor.name
+	c.hosts[slices.Index(c.hosts, h)] = successor
+	c.start(successor)
+	return successor
+}
+
 // bootstrap starts the core of a host with an empty disk if the bootstrap is decided, and sends probes otherwise.
 func (c *cluster) bootstrap(h *host) {
 	saved, ok := h.bootstrap.Decide(c.now)
@@ -111,6 +150,11 @@
 		}
 		return
 	}
+	c.initialize(h, saved)
+}
+
+// initialize saves the initial state of an empty disk and starts the core.
+func (c *cluster) initialize(h *host, saved ledger.PersistentState) {
 	snapshot := saved.Snapshot()
 	if h.store.Save([]ledger.Persist{ledger.NewPersist(saved.HardState(), &snapshot, nil)}) == nil {
 		c.startCore(h, saved)
@@ -126,6 +170,9 @@
 	if h.applied > 0 {
 		c.restore(h, saved.Snapshot())
 	}
+	if h.seeds != nil {
+		c.step(h, ledger.NewSeeds(h.seeds))
+	}
 }
 
 func (c *cluster) crash(h *host) {
