--- a/internal/ledger/core.go
+++ b/internal/ledger/core.go
@@ -52,9 +52,8 @@
 	peers       map[MemberID]*progress
 	leaderSince time.Time
 	noOpIndex   uint64
-	round       uint64              // number of the last AppendEntries or InstallSnapshot sent
-	promotions  map[MemberID]uint64 // tokens of the pending promotions
-	nextJoinAt  time.Time
+	round       uint64                 // number of the last AppendEntries or InstallSnapshot sent
+	promotions  map[MemberID]uint64    // tokens of the pending promotions
 	joining     map[MemberID]string    // addresses of the members that have asked to join
 	leavingAt   map[MemberID]time.Time // time of the latest Leave of each member that is about to stop
 	transfer    *transfer
@@ -146,6 +145,7 @@
 func (c *Core) tick() {
 	if c.role != Leader {
 		c.campaign()
+		c.askAsVoter()
 		return
 	}
 	if !c.now.Before(c.quorumDeadline()) {
--- a/internal/ledger/election.go
+++ b/internal/ledger/election.go
@@ -19,10 +19,6 @@
 		c.requestJoin()
 		return
 	}
-	if !c.now.Before(c.nextJoinAt) {
-		// The others may have removed this member while it was away.
-		c.sendJoin()
-	}
 	if c.role == Candidate && c.writes.persisted < c.writes.sequence {
 		// This member's vote for itself is not synced yet, so a new pre-vote would lead to the same election.
 		c.resetVoteTimeout()
--- a/internal/ledger/join.go
+++ b/internal/ledger/join.go
@@ -17,17 +17,6 @@
 	c.sendJoin()
 }
 
-// sendJoin sends a request to join, unless this member is about to stop.
-func (c *Core) sendJoin() {
-	if c.leaving {
-		return
-	}
-	c.nextJoinAt = c.now.Add(joinInterval)
-	for _, a := range c.joinAddresses() {
-		c.emit(Send{address: a, message: Join{address: c.address}})
-	}
-}
-
 // addressChanged reports whether the membership lists this member under an address other than its own.
 func (c *Core) addressChanged() bool {
 	e, known := c.membership.Find(c.self)
