dispatch: a complete gang member that waits for the others is not stalled

Gangs were stopped shortly before their end and started again, some of them in each run: members end together, so the faster ones make no progress at 100 percent while a slower one works, and after 1.5 s they counted as stalled. The gang was stopped for it, its workers got no new runs meanwhile, and its job had nothing running until the gang fitted again.

A complete member counts as stalled only from the time when all members of its gang are complete. A member that is stalled before its end, and a gang that is complete and does not end, are stopped as before.

TestCompleteGangMember failed before (members stopped while the slower one made progress).

--- a/internal/dispatch/progress.go
+++ b/internal/dispatch/progress.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"time"
 
 	"rosemarywind.example/rosemarywind/internal/batch"
@@ -114,8 +115,8 @@
 )
 
 // stalled returns for how long a run has been stalled, or 0. A run can be stalled only once a run of its step has
-// made progress, and a gang member only after its own first progress, because members wait for each other at the
-// start.
+// made progress, and a gang member only after its own first progress, and from the time when all members are complete
+// if it is complete, because members wait for each other at the start and at the end.
 func (c *Core) stalled(now time.Time, id run.ID, step batch.Step) time.Duration {
 	p, listed := c.progress[id]
 	duration, observed := c.durations[placement.NewStepKey(id.Task())]
@@ -123,6 +124,9 @@
 		return 0
 	}
 	since, ok := p.stalledSince()
+	if ok && step.Gang() && p.percent() == fullProgress {
+		since, ok = c.allComplete(id, step)
+	}
 	if !ok {
 		return 0
 	}
@@ -133,6 +137,20 @@
 	return stalledFor
 }
 
+// allComplete reports whether all members of a gang are complete, as far as the reports show, and since when.
+func (c *Core) allComplete(id run.ID, step batch.Step) (since time.Time, ok bool) {
+	task := id.Task()
+	for n := range step.Count() {
+		member := run.NewID(batch.NewTaskID(task.Job(), task.Occurrence(), task.Step(), n), id.Run())
+		p, listed := c.progress[member]
+		if !listed || p.percent() < fullProgress {
+			return since, false
+		}
+		since = latest(since, p.movedAt)
+	}
+	return since, true
+}
+
 // slow reports whether the rate of a run is far below that of other runs of its step, or below the declared rate if
 // the step has no observed one.
 func (c *Core) slow(id run.ID, step batch.Step) bool {
@@ -166,7 +184,7 @@
 	if stalledFor < lost {
 		return ""
 	}
-	return "the run is stalled"
+	return fmt.Sprintf("the run is stalled at %d percent", c.progress[id].percent())
 }
 
 // degradedHosts returns the hosts with a stalled run, and those with a slow one.
--- a/internal/dispatch/stall_test.go
+++ b/internal/dispatch/stall_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"rosemarywind.example/rosemarywind/internal/batch"
 	"rosemarywind.example/rosemarywind/internal/run"
@@ -69,3 +70,54 @@
 	f.apply(batch.NewSubmit("other", "q", "", nil, f.now))
 	assert.Empty(t, f.core.Step(f.now, f.state).Groups())
 }
+
+// newGang returns a fixture in which the gang of two members of job "gang" runs on the worker.
+func newGang(t *testing.T) *fixture {
+	t.Helper()
+	f := newFixture(t, 1)
+	spec, err := batch.NewSpec("gang", "", batch.NewStep(2, batch.NewResources(1, 1, 0), 5*time.Second,
+		batch.WithGang(true, false), batch.WithCheckpoints(true)))
+	require.NoError(t, err)
+	f.decoder.byJob["gang"] = spec
+	f.apply(batch.NewEndRuns(f.now, batch.NewEnd(batch.NewTaskID("j", 0, 0, 0), 1, batch.Done, "")))
+	f.apply(batch.NewSubmit("gang", "q", "", nil, f.now))
+	f.apply(batch.NewPlaceRuns(f.now, batch.NewGroup(batch.NewTaskID("gang", 0, 0, 0),
+		batch.NewMember(0, 1, f.incarnation), batch.NewMember(1, 1, f.incarnation))))
+	return f
+}
+
+// gangStops returns the members that are ordered to stop, given the progress of both at each half second.
+func (f *fixture) gangStops(percents ...[2]int) (ids []run.ID) {
+	for _, p := range percents {
+		f.now = f.now.Add(500 * time.Millisecond)
+		var running []run.Running
+		for n, percent := range p {
+			running = append(running, run.NewRunning(run.NewID(batch.NewTaskID("gang", 0, 0, n), 1), "", percent, 0))
+		}
+		f.core.Report(f.now, run.NewReport("h").WithAnnouncement(run.NewAnnouncement(f.incarnation, "s", "z", f.now.UnixMilli()).
+			WithCapacity(batch.NewResources(1000, 1000, 8)).WithClock(f.now.Sub(epoch))))
+		f.core.Report(f.now, run.NewReport("h").WithList(run.NewList(f.incarnation, 1, f.now.Sub(epoch), running, nil, nil)))
+		ids = append(ids, f.stops()...)
+	}
+	return ids
+}
+
+// Guards against a gang that is stopped shortly before its end, again in each run, because its faster members are complete
+// and wait for a slower one.
+func TestCompleteGangMember(t *testing.T) {
+	t.Run("waits for a slower member", func(t *testing.T) {
+		assert.Empty(t, newGang(t).gangStops(
+			[2]int{0, 0}, [2]int{30, 20}, [2]int{60, 40}, [2]int{90, 55}, [2]int{100, 60}, [2]int{100, 65}, [2]int{100, 70},
+			[2]int{100, 75}, [2]int{100, 80}, [2]int{100, 85}, [2]int{100, 90}, [2]int{100, 95}, [2]int{100, 100}))
+	})
+	t.Run("stopped if the other member is stalled", func(t *testing.T) {
+		assert.NotEmpty(t, newGang(t).gangStops(
+			[2]int{0, 0}, [2]int{30, 20}, [2]int{60, 40}, [2]int{90, 55}, [2]int{100, 60}, [2]int{100, 60}, [2]int{100, 60},
+			[2]int{100, 60}, [2]int{100, 60}, [2]int{100, 60}, [2]int{100, 60}))
+	})
+	t.Run("stopped if all are complete and none ends", func(t *testing.T) {
+		assert.NotEmpty(t, newGang(t).gangStops(
+			[2]int{0, 0}, [2]int{40, 40}, [2]int{80, 80}, [2]int{100, 100}, [2]int{100, 100}, [2]int{100, 100}, [2]int{100, 100},
+			[2]int{100, 100}, [2]int{100, 100}))
+	})
+}
