dispatch: a resumed gang that waits for its members is not stalled

A gang member was exempt from the check for stalled runs until its own first progress only if it started at 0 percent. The members of a resumed gang start at the progress of their checkpoint, so one of them was stopped after 1.5 s while it loaded the checkpoint and waited for the last member to be present. The gang was stopped and placed again, with nothing of the job running in between.

The exemption now holds until the progress differs from that of the run's first report, unless that is 100 percent.

TestResumedGangWaitsForMembers failed before (stopped three times in 4 s).

--- a/internal/dispatch/progress.go
+++ b/internal/dispatch/progress.go
@@ -27,11 +27,15 @@
 // progress is the reported progress of a run.
 type progress struct {
 	samples []sample
+	first   int       // the percentage in the first report, above 0 for a resumed run
 	movedAt time.Time // time of the report that first had the latest percentage
 }
 
 // addSample adds a sample and drops those that the rate window does not need.
 func (p *progress) addSample(now time.Time, percent int) {
+	if len(p.samples) == 0 {
+		p.first = percent
+	}
 	if len(p.samples) == 0 || p.samples[len(p.samples)-1].percent != percent {
 		p.movedAt = now
 	}
@@ -44,6 +48,9 @@
 // percent returns the latest reported progress, 0 to 100.
 func (p *progress) percent() int { return p.samples[len(p.samples)-1].percent }
 
+// awaitsStart reports whether the run has made no progress of its own yet and is not complete.
+func (p *progress) awaitsStart() bool { return p.percent() == p.first && p.first < fullProgress }
+
 // rate returns the progress of the run in percent per second; ok is false if the samples span less than
 // minRateWindow.
 func (p *progress) rate() (perSecond float64, ok bool) {
@@ -120,7 +127,7 @@
 func (c *Core) stalled(now time.Time, id run.ID, step batch.Step) time.Duration {
 	p, listed := c.progress[id]
 	duration, observed := c.durations[placement.NewStepKey(id.Task())]
-	if !listed || !observed || step.LongRunning() || step.Gang() && p.percent() == 0 {
+	if !listed || !observed || step.LongRunning() || step.Gang() && p.awaitsStart() {
 		return 0
 	}
 	since, ok := p.stalledSince()
--- a/internal/dispatch/stall_test.go
+++ b/internal/dispatch/stall_test.go
@@ -121,3 +121,21 @@
 			[2]int{100, 100}, [2]int{100, 100}))
 	})
 }
+
+// Guards against a resumed gang that is stopped while its members load their checkpoint and wait for the last one to be
+// present, which takes longer than the time after which a run counts as stalled.
+func TestResumedGangWaitsForMembers(t *testing.T) {
+	f := newGang(t)
+	assert.Empty(t, f.gangStops([2]int{0, 0}, [2]int{20, 20}, [2]int{40, 40}))
+	f.apply(batch.NewEndRuns(f.now, batch.NewEnd(batch.NewTaskID("gang", 0, 0, 0), 1, batch.Stopped, "c"),
+		batch.NewEnd(batch.NewTaskID("gang", 0, 0, 1), 1, batch.Stopped, "c")))
+	f.apply(batch.NewPlaceRuns(f.now, batch.NewGroup(batch.NewTaskID("gang", 0, 0, 0),
+		batch.NewMember(0, 2, f.incarnation), batch.NewMember(1, 2, f.incarnation))))
+	first := run.NewID(batch.NewTaskID("gang", 0, 0, 0), 2)
+	for range 8 {
+		f.now = f.now.Add(500 * time.Millisecond)
+		f.core.Report(f.now, run.NewReport("h").WithList(run.NewList(f.incarnation, 1, f.now.Sub(epoch),
+			[]run.Running{run.NewRunning(first, "c", 40, 0)}, nil, []run.ID{first})))
+		assert.NotContains(t, f.stops(), first)
+	}
+}
