leader: a caller that gives up does not drop the leader

A read is given 240 ms. If its answer took longer, the client avoided the leader and dropped it, so the next read had to search first and needed two round trips in its 240 ms. Over a link with a round trip of 120 ms or more each read then failed and dropped the leader again: callers of that entry got no answer about their jobs although the leader was known and well, until a ping of the readiness check happened to come first.

An attempt that ends with its caller's patience no longer counts against the leader. The search that each attempt starts after 200 ms still drops a leader that does not answer.

--- a/internal/leader/client.go
+++ b/internal/leader/client.go
@@ -124,7 +124,10 @@
 		if err != nil {
 			uncertain = uncertain || sent
 			reason = err.Error()
-			c.avoid(address)
+			// A caller that has given up tells nothing about the leader; the search that attempt starts for a slow leader does.
+			if ctx.Err() == nil && (sent || bounded.Err() == nil) {
+				c.avoid(address)
+			}
 			if errors.Is(err, errNoHostReached) {
 				return failureReply(uncertain, reason)
 			}
--- a/internal/leader/client_test.go
+++ b/internal/leader/client_test.go
@@ -252,3 +252,35 @@
 	r, _ = submit(t, c, callTimeout, 500*time.Millisecond)
 	assert.Equal(t, call.OK, r.Outcome(), r.Reason())
 }
+
+// Guards against reads that fail one after the other over a slow link: a read that its caller gave up dropped the leader,
+// and a read that first searches for the leader takes two round trips, for which its caller does not wait.
+func TestReadsOverSlowLink(t *testing.T) {
+	const roundTrip, readTimeout = 280 * time.Millisecond, 500 * time.Millisecond
+	var delayed atomic.Bool
+	leading := host(t, func(c call.Call) *call.Reply {
+		if _, read := c.(call.Read); read && delayed.CompareAndSwap(false, true) {
+			time.Sleep(roundTrip)
+		}
+		time.Sleep(roundTrip)
+		return reply(call.OK)
+	})
+	c := newClient(t, leading)
+	require.Eventually(t, func() bool {
+		r, _ := submit(t, c, callTimeout, 0)
+		return r.Outcome() == call.OK
+	}, callTimeout, time.Millisecond, "the connection opens")
+	read := func() call.Outcome {
+		ctx, cancel := context.WithTimeout(t.Context(), readTimeout)
+		defer cancel()
+		return c.Call(ctx, "", call.NewRead(call.NewTarget("h", "/q/j", "k")), time.Second).Outcome()
+	}
+	assert.Equal(t, call.Uncertain, read(), "delayed read")
+	failed := 0
+	for range 5 {
+		if read() != call.OK {
+			failed++
+		}
+	}
+	assert.LessOrEqual(t, failed, 1)
+}
