--- a/internal/leader/client.go
+++ b/internal/leader/client.go
@@ -138,11 +138,8 @@
 		}
 		switch r.Outcome() {
 		case call.NotLeader:
-			c.addHosts(r)
+			c.acceptRedirect(address, r)
 			reason = "no leader is known"
-			if r.Leader() == "" || r.Leader() == address {
-				c.dropLeader(address)
-			}
 			continue
 		case call.Uncertain:
 			c.updateHosts(r)
@@ -154,14 +151,27 @@
 			}
 		case call.OK, call.Invalid, call.Unauthorized, call.NoQueue, call.NoJob:
 		}
-		c.updateHosts(r)
-		if r.Leader() == "" || r.Leader() == address {
-			c.confirmLeader(address)
-		}
+		c.acceptAnswer(address, r)
 		return r
 	}
 }
 
+// acceptRedirect records the reply of the host at address, which does not lead.
+func (c *Client) acceptRedirect(address string, r call.Reply) {
+	c.addHosts(r)
+	if r.Leader() == "" || r.Leader() == address {
+		c.dropLeader(address)
+	}
+}
+
+// acceptAnswer records the reply of the host at address, which has answered a call as the leader.
+func (c *Client) acceptAnswer(address string, r call.Reply) {
+	c.updateHosts(r)
+	if r.Leader() == "" || r.Leader() == address {
+		c.confirmLeader(address)
+	}
+}
+
 func failureReply(uncertain bool, reason string) call.Reply {
 	if uncertain {
 		return call.NewReply(call.Uncertain, reason)
--- a/internal/ledger/contacts.go
+++ b/internal/ledger/contacts.go
@@ -68,6 +68,8 @@
 		return m.term > 0
 	case ProbeReply:
 		return m.term > 0 || m.logExists
+	case Leave:
+		return true // it is sent to the leader only
 	case Probe, Join:
 	}
 	return false
