placement: a worker in quarantine is the last choice, and one at a time after crashes

Found by review: a job under suspicion could start on several workers in quarantine at once, and one in quarantine was taken before a worker that had failed one run. TestQuarantine: the two new cases failed before.

--- a/internal/placement/assignment.go
+++ b/internal/placement/assignment.go
@@ -42,7 +42,7 @@
 	as := newAssignment(u)
 	sorted := slices.Clone(set)
 	slices.SortStableFunc(sorted, func(a, b *workerState) int {
-		return cmp.Or(compareBool(u.avoids(a), u.avoids(b)), cmp.Compare(p.leftover(u, a), p.leftover(u, b)))
+		return cmp.Or(compareBool(a.quarantined, b.quarantined), compareBool(u.avoids(a), u.avoids(b)), cmp.Compare(p.leftover(u, a), p.leftover(u, b)))
 	})
 	left := u.indexes
 	for _, w := range sorted {
@@ -54,7 +54,10 @@
 		}
 		if as.counts[w] > 0 {
 			as.cost += free.Accelerators()*leftoverWeight + p.rackFree(w.rack)
-			if u.avoids(w) {
+			switch {
+			case w.quarantined:
+				as.cost += quarantineCost
+			case u.avoids(w):
 				as.cost += suspectCost
 			}
 		}
@@ -80,6 +83,9 @@
 // preferred.
 const suspectCost = 1000
 
+// quarantineCost takes the place of suspectCost for a worker in quarantine, which is the last choice.
+const quarantineCost = 100 * suspectCost
+
 // leftover returns how many accelerators of a worker stay free once it runs as many tasks of the unit as fit. For a
 // worker that fits none it returns suspectCost, so that it sorts last.
 func (p *planner) leftover(u *unit, w *workerState) int {
--- a/internal/placement/isolation.go
+++ b/internal/placement/isolation.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"time"
 
 	"rosemarywind.example/rosemarywind/internal/batch"
@@ -86,7 +87,7 @@
 
 // startsElsewhere reports whether a run of a job under suspicion starts on another worker.
 func (p *planner) startsElsewhere(j *batch.Job, w *workerState) bool {
-	for _, other := range p.workers {
+	for _, other := range slices.Concat(p.workers, p.quarantined) {
 		if other == w {
 			continue
 		}
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -307,9 +307,12 @@
 	return best
 }
 
-// better reports whether worker a suits a task of the unit better than b: not one that the unit avoids, then with fewer
-// runs to lose if the unit is under suspicion, then in the fuller rack, then with less free capacity.
+// better reports whether worker a suits a task of the unit better than b: not in quarantine, then not one that the unit
+// avoids, then with fewer runs to lose if the unit is under suspicion, then in the fuller rack, then with less free capacity.
 func (p *planner) better(u *unit, a, b *workerState) bool {
+	if a.quarantined != b.quarantined {
+		return b.quarantined
+	}
 	if x, y := u.avoids(a), u.avoids(b); x != y {
 		return y
 	}
--- a/internal/placement/quarantine_test.go
+++ b/internal/placement/quarantine_test.go
@@ -1,12 +1,15 @@
 package placement_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 
 	"rosemarywind.example/rosemarywind/internal/batch"
+	"rosemarywind.example/rosemarywind/internal/placement"
+	"rosemarywind.example/rosemarywind/internal/run"
 )
 
 // quarantine sets which workers are in quarantine.
@@ -59,4 +62,34 @@
 		f.decide()
 		f.assertPlaced("j", 1)
 	})
+	t.Run("a worker that failed one run comes first", func(t *testing.T) {
+		f := newFixture(t)
+		f.workers = []placement.Worker{f.workers[0].WithQuarantine(true), f.worker(5, true)}
+		f.submit("j", scans, "b", one())
+		f.advance(2100 * time.Millisecond)
+		f.decide()
+		assert.Equal(t, []string{"r2"}, f.racks("j"))
+	})
+	t.Run("after two crashes on one worker at a time", func(t *testing.T) {
+		f := newFixture(t)
+		f.submit("j", patient, "a", batch.NewStep(2, gpus(8), time.Minute))
+		for range 2 {
+			f.decide()
+			f.assertPlaced("j", 2)
+			f.advance(time.Second)
+			for n := range 2 {
+				f.crash(batch.NewTaskID("j", 0, 0, n))
+			}
+		}
+		f.quarantine(all)
+		f.advance(2100 * time.Millisecond)
+		f.decide()
+		f.assertPlaced("j", 1)
+	})
+}
+
+// worker returns a worker of the fixture that failed a run lately or not.
+func (f *fixture) worker(i int, suspect bool) placement.Worker {
+	return placement.NewWorker(run.NewAnnouncement(incarnation(i), "s", "z", 1).
+		WithRack(fmt.Sprintf("r%d", i/2), nil).WithCapacity(batch.NewResources(128_000, 256_000, 8)), suspect)
 }
