leader: a host that has lost leadership is not taken for the leader

Found by review: an answer that a call is unavailable may come from a host that has just lost leadership; it set that host as the presumed leader, and its list of hosts replaced the known ones. Only an answer that needs a leader does so now; the lists of the others are added. No test shows this alone.

--- a/internal/leader/client.go
+++ b/internal/leader/client.go
@@ -142,7 +142,7 @@
 			reason = "no leader is known"
 			continue
 		case call.Uncertain:
-			c.updateHosts(r)
+			c.addHosts(r)
 			uncertain, reason = true, r.Reason()
 			continue
 		case call.Refused, call.Unavailable:
@@ -164,8 +164,13 @@
 	}
 }
 
-// acceptAnswer records the reply of the host at address, which has answered a call as the leader.
+// acceptAnswer records the reply of the host at address to a call. A host that has just lost leadership may still answer
+// that it is unavailable.
 func (c *Client) acceptAnswer(address string, r call.Reply) {
+	if r.Outcome() == call.Unavailable {
+		c.addHosts(r)
+		return
+	}
 	c.updateHosts(r)
 	if r.Leader() == "" || r.Leader() == address {
 		c.confirmLeader(address)
