ledger: a member that has moved with its disk blocks no host at its former address

Found by review: a host with an empty disk at an address that a living member had left was ignored for ever, because its id has the same host. TestJoinAtFormerAddress failed before.

--- a/internal/ledger/join.go
+++ b/internal/ledger/join.go
@@ -47,11 +47,12 @@
 	c.joining[from] = m.address
 }
 
-// memberToReplace returns another member of the same host or at the same address. Its disk counts as lost once it is
-// no longer recently active.
+// memberToReplace returns another member at the same address, or one of the same host that is not recently active: a
+// member that is has moved to another address with its disk. The disk of a member at the same address counts as lost
+// once it is no longer recently active.
 func (c *Core) memberToReplace(id MemberID, address string) (old MemberID, ok bool) {
 	for _, e := range c.membership.members {
-		if e.id != id && (e.address == address || e.id.host() == id.host()) {
+		if e.id != id && (e.address == address || e.id.host() == id.host() && !c.recentlyActive(e.id)) {
 			return e.id, true
 		}
 	}
--- a/internal/ledger/spare_test.go
+++ b/internal/ledger/spare_test.go
@@ -85,3 +85,23 @@
 	}
 	assert.GreaterOrEqual(t, asked, 3, "requests to join in 4 s")
 }
+
+// Guards against a host that never joins because another host, which has moved with its disk, had its address before.
+func TestJoinAtFormerAddress(t *testing.T) {
+	l := newLeader(t)
+	joining := ledger.FreshID("c", 1)
+	for n := range uint64(40) {
+		l.now = l.now.Add(100 * time.Millisecond)
+		l.core.Step(l.now, l.random, ledger.NewPersisted(1000+100*n))
+		l.core.Step(l.now, l.random, ledger.NewReceive("c", ledger.NewJoin("c2")))
+		if n > 10 {
+			l.core.Step(l.now, l.random, ledger.NewReceive(joining, ledger.NewJoin("c")))
+		}
+		for _, id := range []ledger.MemberID{"b", "c", joining} {
+			reply := ledger.NewMatchReply(l.core.Term(), 1000+100*n, l.now.Sub(l.epoch), l.core.LastIndex())
+			l.core.Step(l.now, l.random, ledger.NewReceive(id, reply))
+		}
+	}
+	assertVoter(t, l, "c", true)
+	assertVoter(t, l, joining, false)
+}
