ledger: a stopping host keeps its vote until the change is committed

Callers would see: no leader after a host was stopped as planned while the leader was lost.

Cause, found by review: a stopping host waited 0.5 s, less than the replacement of a lost leader takes, and it took an uncommitted membership, which a new leader may drop, for the end of its vote. The control role of the product's own front end did not say that it stops at all, and tolerated one fault whatever the number of its hosts.

Change: it waits up to 3 s and until the membership is committed. Without a setting the faults that the initial members tolerate count; more than maxVoters allows is cut to that.

TestPlannedStopWithoutLeader/3_hosts failed with 0.5 s and passes; TestPlannedStop passes.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -121,6 +121,9 @@
 			c.logger.Warn("leadership not handed on", "error", err)
 		}
 	}
+	if err := c.node.Leave(ctx); err != nil {
+		c.logger.Info("leaving without a successor", "error", err)
+	}
 }
 
 // serveStream handles one stream that an agent, an entry or another control host opened.
--- a/internal/ledger/core.go
+++ b/internal/ledger/core.go
@@ -91,10 +91,10 @@
 }
 
 // WithFaults sets the number of members whose loss at the same time is tolerated, disks included, and returns c. It
-// must be the same on all members; values that maxVoters does not allow are ignored.
+// must be the same on all members. It is at most what maxVoters allows; 0 leaves the default.
 func (c *Core) WithFaults(faults int) *Core {
-	if faults > 0 && 2*faults < maxVoters {
-		c.faults = faults
+	if faults > 0 {
+		c.faults = min(faults, (maxVoters-1)/2)
 	}
 	return c
 }
@@ -223,5 +223,8 @@
 // Entries returns the entries in memory from index on. The caller must not modify them.
 func (c *Core) Entries(index uint64) []Entry { return c.log.entriesFrom(max(index, c.log.firstIndex)) }
 
+// MembershipCommitted reports whether the latest membership in the log is known to be committed.
+func (c *Core) MembershipCommitted() bool { return c.membershipIndex <= c.commitIndex }
+
 // Membership returns the latest membership in the log, which is in force whether or not it is committed.
 func (c *Core) Membership() Membership { return c.membership }
--- a/internal/ledger/driver/options.go
+++ b/internal/ledger/driver/options.go
@@ -95,7 +95,7 @@
 }
 
 // WithFaults sets the number of members whose loss at the same time is tolerated, disks included; it must be the same on
-// all members.
+// all members. The default is what the initial members tolerate.
 func WithFaults(faults int) Option { return func(o *options) { o.faults = faults } }
 
 // WithSnapshotThreshold sets the number of applied entries after which a snapshot replaces them in the log.
@@ -121,6 +121,9 @@
 	for _, set := range opts {
 		set(&o)
 	}
+	if o.faults == 0 {
+		o.faults = (len(o.initial.Members()) - 1) / 2
+	}
 	return o
 }
 
--- a/internal/ledger/driver/request.go
+++ b/internal/ledger/driver/request.go
@@ -76,16 +76,22 @@
 // leaveInterval is the interval at which a member that is about to stop tells the leader so.
 const leaveInterval = 100 * time.Millisecond
 
-// Leave tells the leader that this member is about to stop. It returns once this member has no vote or no non-voter
-// could take it, and the error of ctx if it ends before that.
+// leaveTimeout is how long Leave waits for the vote to be taken over. It leaves time to replace a lost leader first.
+const leaveTimeout = 3 * time.Second
+
+// Leave tells the leader that this member is about to stop. It returns once this member is known to have no vote or no
+// non-voter could take it, and an error if that does not happen within leaveTimeout or before ctx ends.
 func (n *Node[R]) Leave(ctx context.Context) (err error) {
 	defer annotate(&err, "leave")
+	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
 	for {
 		if _, err = n.submit(ctx, stop{}); err != nil {
 			return err
 		}
-		m := n.status.Load().Membership()
-		if self, _ := m.Find(n.status.Load().Self()); !self.Voter() || m.Voters() == len(m.Members()) {
+		s := n.status.Load()
+		self, _ := s.membership.Find(s.self)
+		if s.settled && !self.Voter() || s.membership.Voters() == len(s.membership.Members()) {
 			return nil
 		}
 		if !clock.Pause(ctx, leaveInterval) {
--- a/internal/ledger/driver/status.go
+++ b/internal/ledger/driver/status.go
@@ -18,6 +18,7 @@
 	leading        bool
 	leaseExpiresAt time.Time
 	membership     ledger.Membership
+	settled        bool // the membership is known to be committed
 	quorum         ledger.Quorum
 	elections      ledger.Elections
 	probing        Probing
@@ -30,7 +31,7 @@
 		self: c.Self(), role: c.Role(), term: c.Term(), leader: leader, leaderAddress: address,
 		commit: c.Commit(), applied: applied,
 		leading:        c.Role() == ledger.Leader && applied >= c.NoOpIndex(),
-		leaseExpiresAt: c.LeaseExpiresAt(), membership: c.Membership(), quorum: c.Quorum(),
+		leaseExpiresAt: c.LeaseExpiresAt(), membership: c.Membership(), settled: c.MembershipCommitted(), quorum: c.Quorum(),
 		elections: c.Elections(),
 	}
 }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -93,9 +93,6 @@
 const (
 	// transferTimeout bounds one attempt to transfer leadership. An election that fails takes longer.
 	transferTimeout = 800 * time.Millisecond
-	// leaveTimeout is how long a stopping host waits for another one to vote in its place, which takes a few round trips
-	// and syncs.
-	leaveTimeout = 500 * time.Millisecond
 	// lateCallTime is the time for which a stopping host still answers the calls that have reached it.
 	lateCallTime = 150 * time.Millisecond
 	// transferShare is the share of the grace period within which leadership must be transferred.
@@ -126,8 +123,6 @@
 
 // leave tells the leader that this host is about to stop, so that another one votes in its place.
 func (s *Scheduler) leave(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
-	defer cancel()
 	if err := s.node.Leave(ctx); err != nil {
 		s.logger.Info("leaving without a successor", "error", err)
 	}
