--- a/internal/ledger/attempt_test.go
+++ b/internal/ledger/attempt_test.go
@@ -108,6 +108,18 @@
 		assert.Equal(t, uint64(2), v.core.Term())
 		assert.Equal(t, wake, v.core.Wake())
 	})
+	t.Run("reply to a stale request does not raise the candidate's term", func(t *testing.T) {
+		v := newVoter(t)
+		var terms []uint64
+		for _, e := range v.receive("c", ledger.NewRequestVote(1, 1, 1, false)) {
+			if s, ok := e.(ledger.Send); ok {
+				if m, ok := s.Message().(ledger.RequestVoteReply); ok {
+					terms = append(terms, m.Term())
+				}
+			}
+		}
+		assert.Equal(t, []uint64{1}, terms)
+	})
 	t.Run("candidate goes on", func(t *testing.T) {
 		v := newVoter(t)
 		v.wake()
