driver: a seed that is no longer named does not count as answered

The line "joining" would have listed a seed that never replied under "answered" once the settings named it no more. Only addresses that are still probed are listed now.

--- a/internal/ledger/driver/probing.go
+++ b/internal/ledger/driver/probing.go
@@ -26,12 +26,14 @@
 // Unanswered returns the addresses that are probed and have not replied. The caller must not modify the slice.
 func (p Probing) Unanswered() []string { return p.unanswered }
 
-// with returns the state in which exactly the given addresses have not replied.
-func (p Probing) with(unanswered []string) Probing {
+// probingOf returns the state of the probes of a bootstrap. An address that is no longer probed, such as a seed that the
+// settings do not name any more, is left out.
+func probingOf(b *ledger.Bootstrap) Probing {
+	unanswered := b.Unanswered()
 	var answered []string
-	for _, a := range slices.Concat(p.answered, p.unanswered) {
-		if !slices.Contains(unanswered, a) {
-			answered = append(answered, a)
+	for _, p := range b.Probes() {
+		if !slices.Contains(unanswered, p.Address()) {
+			answered = append(answered, p.Address())
 		}
 	}
 	return NewProbing(answered, unanswered)
@@ -39,8 +41,7 @@
 
 // publishProbing publishes which addresses the bootstrap probes, if that has changed.
 func (n *Node[R]) publishProbing(b *ledger.Bootstrap) {
-	last := n.status.Load().probing
-	next := last.with(b.Unanswered())
+	last, next := n.status.Load().probing, probingOf(b)
 	if !slices.Equal(next.answered, last.answered) || !slices.Equal(next.unanswered, last.unanswered) {
 		n.status.Publish(NewProbingStatus(next))
 	}
