--- a/internal/leader/client.go
+++ b/internal/leader/client.go
@@ -151,10 +151,7 @@
 			}
 		case call.OK, call.Invalid, call.Unauthorized, call.NoQueue, call.NoJob:
 		}
-		c.updateHosts(r)
-		if r.Leader() == "" || r.Leader() == address {
-			c.confirmLeader(address)
-		}
+		c.acceptReply(address, r)
 		return r
 	}
 }
@@ -195,6 +192,14 @@
 	})
 }
 
+// acceptReply takes the control hosts from the reply of the leader at address, which may name a successor.
+func (c *Client) acceptReply(address string, r call.Reply) {
+	c.updateHosts(r)
+	if r.Leader() == "" || r.Leader() == address {
+		c.confirmLeader(address)
+	}
+}
+
 // confirmLeader sets the presumed leader to the host at address, which has answered as the leader, and no longer avoids
 // it.
 func (c *Client) confirmLeader(address string) {
