ledger: a voter that leaves or has not answered a new leader is demoted in time

Callers would see: no leader after a planned stop of a leader beside a host that is gone.

Cause, found by review: a new leader counted the silence of a voter anew for 2.5 s, and demoted a stopping voter without a spare at an even number only, so both kept their votes after a hand-over.

Change: above 2f+1 voters a stopping one is demoted at any number; a voter that has not answered a new leader at all is silent after one lease, since the election has come after as long. A Leave of a host that is no member is ignored, and the status is published when the membership alone changes.

TestPlannedStopBesideSilentVoter/leader_true failed before. The simulation waits for a leader that has applied the first entry of its term before it compares the log (seen once: a leader elected in the last moment).

--- a/internal/ledger/driver/status.go
+++ b/internal/ledger/driver/status.go
@@ -1,6 +1,7 @@
 package driver
 
 import (
+	"slices"
 	"time"
 
 	"rosemarywind.example/rosemarywind/internal/ledger"
@@ -91,5 +92,6 @@
 	return s.self != next.self || s.role != next.role || s.term != next.term || s.leader != next.leader ||
 		s.leaderAddress != next.leaderAddress || s.commit != next.commit || s.applied != next.applied ||
 		s.leading != next.leading || extension < 0 || extension >= heartbeat ||
+		s.settled != next.settled || !slices.Equal(s.membership.Members(), next.membership.Members()) ||
 		s.elections.Version() != next.elections.Version() || !s.quorum.Equal(next.quorum)
 }
--- a/internal/ledger/leave.go
+++ b/internal/ledger/leave.go
@@ -15,7 +15,7 @@
 }
 
 func (c *Core) onLeave(from MemberID) {
-	if c.role == Leader {
+	if _, known := c.membership.Find(from); known && c.role == Leader {
 		c.leavingAt[from] = c.now
 		delete(c.joining, from)
 	}
--- a/internal/ledger/storage/leave_test.go
+++ b/internal/ledger/storage/leave_test.go
@@ -29,6 +29,26 @@
 	}
 }
 
+// Guards against a planned stop after which two voters are gone, of whom the new leader knows neither, so that the loss of
+// one more disk leaves no majority.
+func TestPlannedStopBesideSilentVoter(t *testing.T) {
+	for _, leads := range []bool{false, true} {
+		t.Run(fmt.Sprintf("leader %t", leads), func(t *testing.T) {
+			for seed := range uint64(10) {
+				r := newReplacement(t, 3, 1, seed)
+				r.addHost()
+				r.addHost()
+				r.runFor(r.tolerance.catchUp)
+				r.stopForGood(voterThatLeads(r, false))
+				r.runFor(r.tolerance.catchUp)
+				r.requireTolerant()
+				r.stopPlanned(voterThatLeads(r, leads))
+				r.requireTolerant()
+			}
+		})
+	}
+}
+
 // Guards against a host that is stopped as planned while the leader is lost, and goes before another leader could give its
 // vote to the successor.
 func TestPlannedStopWithoutLeader(t *testing.T) {
--- a/internal/ledger/storage/replacement_test.go
+++ b/internal/ledger/storage/replacement_test.go
@@ -394,6 +394,12 @@
 	return nil
 }
 
+// isServed reports whether a leader holds a lease and has applied the first entry of its term.
+func (r *replacement) isServed() bool {
+	l := r.leaseHolder()
+	return l != nil && l.applied >= l.core.NoOpIndex()
+}
+
 // isFaulty reports whether a host counts as a fault at this time.
 func (r *replacement) isFaulty(h *host) bool {
 	return slices.ContainsFunc(r.pendingFaults(), func(f *fault) bool { return f.name == h.name })
@@ -471,7 +477,7 @@
 	r.callers = nil
 	r.runFor(time.Second)
 	// A candidate that asked before the leader was elected may replace it once more.
-	if !r.runUntil(max(end.Sub(r.now), electionTime), func() bool { return r.leaseHolder() != nil }) {
+	if !r.runUntil(max(end.Sub(r.now), electionTime), r.isServed) {
 		r.t.Fatalf("no leader after the recovery")
 	}
 	r.oracle.checkFinal(r.leaseHolder().lines)
--- a/internal/ledger/voters.go
+++ b/internal/ledger/voters.go
@@ -17,9 +17,9 @@
 
 // nextVoterChange returns the member whose vote is granted or withdrawn next; ok is false if the voters are to stay.
 //
-// A silent voter is demoted before a spare is promoted, so that the promotion does not depend on the spare alone, and
-// without a spare down to minVoters. One that is about to stop is demoted after the promotion, so that the losses that
-// are tolerated can come at any step. From minVoters on the number of voters is kept odd: an even number tolerates no
+// A silent voter is demoted before a spare is promoted, so that the promotion does not depend on the spare alone. One that
+// is about to stop is demoted after the promotion, so that the losses that are tolerated can come at any step. Above
+// minVoters both are demoted without a spare: fewer voters tolerate no fewer losses. From minVoters on the number of voters is kept odd: an even number tolerates no
 // more losses than one voter less, and in a network partition into halves neither has a majority.
 func (c *Core) nextVoterChange() (changed Member, ok bool) {
 	silent, leaving := c.departingVoters()
@@ -31,9 +31,9 @@
 		return spares[0].withVote(true), true
 	case len(silent) > 0 && (voters > minimum || len(spares) > 0):
 		return silent[0].withVote(false), true
-	case len(leaving) > 0 && !odd && voters > minimum:
+	case len(leaving) > 0 && voters > minimum:
 		return leaving[0].withVote(false), true
-	case len(leaving) > 0 && len(spares) > 0 && odd && voters < maxVoters:
+	case len(leaving) > 0 && len(spares) > 0 && voters < maxVoters:
 		return spares[0].withVote(true), true
 	case len(leaving) > 0 && len(spares) > 0:
 		return leaving[0].withVote(false), true
@@ -71,9 +71,14 @@
 	return found
 }
 
-// isSilent reports whether the member has been without contact for longer than voterTimeout.
+// isSilent reports whether the member has been without contact for longer than voterTimeout. For one that has not
+// answered this leader at all the time is one lease, since the election has come after as long without a leader.
 func (c *Core) isSilent(e Member) bool {
-	return e.id != c.self && c.now.Sub(c.lastContact(e.id)) > voterTimeout
+	timeout := voterTimeout
+	if p := c.peers[e.id]; p != nil && !p.acked {
+		timeout = c.timing.lease
+	}
+	return e.id != c.self && c.now.Sub(c.lastContact(e.id)) > timeout
 }
 
 // lastContact returns the send time of the latest message that the member has answered, but no time before this member
