placement: one task of a step at a time tries a worker in quarantine

Found by review: on an idle service whose workers all fail, all tasks of a step used up their attempts after 2 s in place of 3 to 24 s. TestQuarantine/one_task_of_a_step_at_a_time failed before.

--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -128,6 +128,11 @@
 			left = append(left, n)
 			continue
 		}
+		if w.quarantined && len(as.members) > 0 {
+			// One task shows whether it can run there; more would only use up attempts.
+			heldBack = true
+			break
+		}
 		as.add(n, w)
 		p.assign(u, w)
 	}
--- a/internal/placement/quarantine_test.go
+++ b/internal/placement/quarantine_test.go
@@ -62,6 +62,16 @@
 		f.decide()
 		f.assertPlaced("j", 1)
 	})
+	t.Run("one task of a step at a time", func(t *testing.T) {
+		f := newFixture(t)
+		f.quarantine(all)
+		f.submit("j", scans, "b", batch.NewStep(3, gpus(8), time.Minute))
+		f.advance(2100 * time.Millisecond)
+		f.decide()
+		f.assertPlaced("j", 1)
+		f.decide()
+		f.assertPlaced("j", 1)
+	})
 	t.Run("a worker that failed one run comes first", func(t *testing.T) {
 		f := newFixture(t)
 		f.workers = []placement.Worker{f.workers[0].WithQuarantine(true), f.worker(5, true)}
