--- a/internal/ledger/voters.go
+++ b/internal/ledger/voters.go
@@ -19,13 +19,13 @@
 //
 // A silent voter is demoted before a spare is promoted, so that the promotion does not depend on the spare alone. One that
 // is about to stop is demoted after the promotion, so that the losses that are tolerated can come at any step. Above
-// minVoters both are demoted without a spare: fewer voters tolerate no fewer losses. From minVoters on the number of voters is kept odd: an even number tolerates no
-// more losses than one voter less, and in a network partition into halves neither has a majority.
+// minVoters both are demoted without a spare: fewer voters tolerate no fewer losses. Promotions keep the number odd from
+// minVoters on: an even number tolerates no more losses than one voter less, and in a network partition into halves
+// neither has a majority.
 func (c *Core) nextVoterChange() (changed Member, ok bool) {
 	silent, leaving := c.departingVoters()
 	spares := c.spares()
 	voters, minimum := c.membership.Voters(), c.minVoters()
-	odd := voters%2 == 1
 	switch {
 	case len(spares) > 0 && voters < minimum:
 		return spares[0].withVote(true), true
@@ -37,7 +37,7 @@
 		return spares[0].withVote(true), true
 	case len(leaving) > 0 && len(spares) > 0:
 		return leaving[0].withVote(false), true
-	case len(spares) > 0 && voters < maxVoters && (!odd || len(spares) > 1):
+	case len(spares) > 0 && voters < maxVoters && (voters%2 == 0 || len(spares) > 1):
 		return spares[0].withVote(true), true
 	default:
 		return Member{}, false
