--- a/internal/ledger/storage/leave_test.go
+++ b/internal/ledger/storage/leave_test.go
@@ -12,9 +12,11 @@
 // Guards against a host that is stopped as planned after its successor has caught up and keeps its vote, so that the loss
 // of one more disk leaves no majority.
 func TestPlannedStop(t *testing.T) {
+	t.Parallel()
 	for _, size := range []int{3, 5, 6} {
 		for _, leads := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%d hosts, leader %t", size, leads), func(t *testing.T) {
+				t.Parallel()
 				for seed := range uint64(20) {
 					r := newReplacement(t, size, 1, seed)
 					for range size - initialVoters + 1 {
@@ -32,8 +34,10 @@
 // Guards against a planned stop after which two voters are gone, of whom the new leader knows neither, so that the loss of
 // one more disk leaves no majority.
 func TestPlannedStopBesideSilentVoter(t *testing.T) {
+	t.Parallel()
 	for _, leads := range []bool{false, true} {
 		t.Run(fmt.Sprintf("leader %t", leads), func(t *testing.T) {
+			t.Parallel()
 			for seed := range uint64(10) {
 				r := newReplacement(t, 3, 1, seed)
 				r.addHost()
@@ -52,8 +56,10 @@
 // Guards against a host that is stopped as planned while the leader is lost, and goes before another leader could give its
 // vote to the successor.
 func TestPlannedStopWithoutLeader(t *testing.T) {
+	t.Parallel()
 	for _, size := range []int{3, 5} {
 		t.Run(fmt.Sprintf("%d hosts", size), func(t *testing.T) {
+			t.Parallel()
 			for seed := range uint64(10) {
 				r := newReplacement(t, size, 1, seed)
 				for range size - initialVoters + 1 {
--- a/internal/ledger/storage/replaced_hosts_test.go
+++ b/internal/ledger/storage/replaced_hosts_test.go
@@ -15,6 +15,7 @@
 // Guards against a host that is gone for good and keeps its vote, or one that has caught up and has none, so that a loss
 // of disks that is to be tolerated leaves no majority.
 func TestReplacedHosts(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		size := rapid.IntRange(3, 6).Draw(t, "size")
 		r := newReplacement(t, size, rapid.SampledFrom([]int{0, 1, 4}).Draw(t, "callers"), rapid.Uint64().Draw(t, "seed"))
@@ -75,9 +76,11 @@
 // Guards against joining hosts that never become voters because the leader commits new entries before they acknowledge
 // the earlier ones.
 func TestJoinUnderLoad(t *testing.T) {
+	t.Parallel()
 	for _, slower := range []time.Duration{10 * time.Millisecond, 30 * time.Millisecond} {
 		for _, callers := range []int{1, 4, 16} {
 			t.Run(fmt.Sprintf("%d callers and links that are %s slower", callers, slower), func(t *testing.T) {
+				t.Parallel()
 				for seed := range uint64(5) {
 					assertJoined(t, joinUnderLoad(t, slower, callers, seed))
 				}
