--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -3,4 +3,4 @@
 here="$(cd "$(dirname "$0")" && pwd)"
 project="$(cd "$here/../.." && pwd)"
 [ -x "$project/target/review-2/cases" ] || exit 2
-exec "$project/target/review-2/cases" many-starts "$project" "$here/record.txt"
+exec "$project/target/review-2/cases" many-times "$project" "$here/record.txt"
