--- a/review/_cases2/refused.go
+++ b/review/_cases2/refused.go
@@ -11,11 +11,12 @@
 
 const (
 	// refusedRounds is the number of times that a route is removed while the leader is killed.
-	refusedRounds = 6
-	// clientsAtOnce is the number of clients that hand in a job at the same time: all of the mill.
-	clientsAtOnce = 32
-	// killDelay is the time from these requests to the kill of the leader.
-	killDelay = 3 * time.Millisecond
+	refusedRounds = 12
+	// clientsAtOnce is the number of clients that hand in a job in each round: what a burst of 2.6 times the mill's 0.99
+	// jobs a second brings in 4 s.
+	clientsAtOnce = 10
+	// clientGap is the time between the requests of two of these clients.
+	clientGap = 250 * time.Microsecond
 	// restartDelay is the time after which the platform starts a killed process again.
 	restartDelay = time.Second
 	otherPrefix  = "/pule252/"
@@ -49,12 +50,12 @@
 	for round := range refusedRounds {
 		sent := c.removeBeside(round, trouble, configuration(version+1, []map[string]any{kept}, tenants))
 		all = append(all, sent...)
-		time.Sleep(3 * time.Second)
+		time.Sleep(1500 * time.Millisecond)
 		version += 2
 		if err = c.configure(configuration(version, []map[string]any{kept, removed}, tenants)); err != nil {
 			return nil, err
 		}
-		time.Sleep(3 * time.Second)
+		time.Sleep(1500 * time.Millisecond)
 	}
 	time.Sleep(3 * time.Second)
 	started := map[string]string{}
@@ -80,22 +81,25 @@
 	return broken, nil
 }
 
-// removeBeside sends one job of each client at the same time, kills the leader just after that, and sends the given
-// configuration to another control host. It returns the first answers to the clients.
+// removeBeside sends one job of each client in quick succession, kills the leader as soon as the first is accepted, and
+// sends the given configuration to another control host. It returns the first answers to the clients.
 func (c *cluster) removeBeside(round int, trouble bool, config map[string]any) (sent []submission) {
 	leader := c.leader()
 	c.record.add("round %d: %d clients hand in a job each, and the operator removes a route", round, clientsAtOnce)
 	sent = make([]submission, clientsAtOnce)
 	var wg sync.WaitGroup
+	accepted := make(chan struct{}, clientsAtOnce)
 	for n := range clientsAtOnce {
 		wg.Go(func() {
+			time.Sleep(time.Duration(n) * clientGap)
 			id := fmt.Sprintf("%08x%08x", round+1, n+1)
 			job := map[string]any{"spec": "text", "steps": []map[string]any{{"count": 1, "cpu": 500, "memMb": 256, "estimateMs": 400}}}
 			status, _ := exchange(newHTTP(3*time.Second), http.MethodPost, c.fronts[n%len(c.fronts)].at(frontPort), otherPrefix+id, firstKey, job)
 			sent[n] = submission{id, status}
+			accepted <- struct{}{}
 		})
 	}
-	time.Sleep(killDelay)
+	<-accepted
 	if trouble && leader >= 0 {
 		c.controls[leader].signal(syscall.SIGKILL)
 		c.record.add("control on %s, which leads, is killed", c.fronts[leader].name)
