leader: a refusal after an attempt without an answer leaves the outcome open

Cause: Client.Call kept in mind that an earlier attempt may have had an effect, but only for the replies Refused and Unavailable. NoQueue, Unauthorized, Invalid and NoJob of the next leader were returned as the answer to the whole call. Where a route is removed while the leader is killed, the next leader has the job in its log, runs it, and refuses the second attempt.

Change: after an attempt without an answer, only OK is the outcome of a call with an effect (submit, cancel, declare, start of a wave). Any other reply makes it Uncertain, which callers get as 504 and operators as 503: both may send it again. Reads have no effect, so all that was final for them stays so. The client now also learns the leader and the hosts from a reply that it turns into Uncertain.

Why not OK for a job that the leader knows: a second call for the same job, sent after the removal was acknowledged, cannot be told from it, and would be answered as the older declaration allows.

TestRefusalAfterLostAnswer failed before in 16 of 28 cases of calls with an effect: in each of invalid, unauthorized, no-queue and no-job.

--- a/internal/leader/client.go
+++ b/internal/leader/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -93,7 +94,8 @@
 
 // Call sends a call to the leader and retries it until ctx ends, but for at most unsentTimeout while no attempt may have
 // reached a leader; 0 is no bound. It returns early if no control host can be reached. The reply is Unavailable if the
-// call had no effect, and Uncertain if it may have had one.
+// call had no effect, and Uncertain if it may have had one: also if the leader refuses the call after an attempt without
+// an answer.
 func (c *Client) Call(ctx context.Context, trace string, request call.Call, unsentTimeout time.Duration) call.Reply {
 	uncertain, reason := false, "no control host was reached"
 	unsent, cancel := ctx, context.CancelFunc(func() {})
@@ -145,13 +147,12 @@
 			c.addHosts(r)
 			uncertain, reason = true, r.Reason()
 			continue
-		case call.Refused, call.Unavailable:
-			if uncertain {
-				return failureReply(true, r.Reason())
-			}
-		case call.OK, call.Invalid, call.Unauthorized, call.NoQueue, call.NoJob:
+		case call.OK, call.Invalid, call.Unauthorized, call.NoQueue, call.NoJob, call.Refused, call.Unavailable:
 		}
 		c.acceptAnswer(address, r)
+		if uncertain && !conclusive(request, r.Outcome()) {
+			return failureReply(true, fmt.Sprintf("after an attempt without an answer, the reply was %s: %s", r.Outcome(), r.Reason()))
+		}
 		return r
 	}
 }
--- a/internal/leader/client_test.go
+++ b/internal/leader/client_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"rosemarywind.example/rosemarywind/internal/batch"
 	"rosemarywind.example/rosemarywind/internal/call"
 	"rosemarywind.example/rosemarywind/internal/keys"
 	"rosemarywind.example/rosemarywind/internal/leader"
@@ -155,6 +156,68 @@
 	})
 }
 
+// Guards against a caller that is told that its call had no effect, although an earlier attempt had one and its answer was
+// lost: the next leader may know the queue, the key or the wave no more.
+func TestRefusalAfterLostAnswer(t *testing.T) {
+	target := call.NewTarget("h", "/q/j", "k")
+	refusals := []call.Outcome{
+		call.Invalid, call.Unauthorized, call.NoQueue, call.NoJob, call.Refused, call.Unavailable,
+	}
+	for name, c := range map[string]call.Call{
+		"submit":     call.NewSubmit(target, nil),
+		"cancel":     call.NewCancel(target),
+		"declare":    call.NewDeclare(nil),
+		"start wave": call.NewStartWave(batch.NewWave(1, []string{"m"}, 1, time.Time{})),
+	} {
+		for _, o := range refusals {
+			t.Run(name+" "+string(o), func(t *testing.T) {
+				assert.Equal(t, call.Uncertain, outcomeAfterLostAnswer(t, c, o))
+			})
+		}
+		t.Run(name+" ok", func(t *testing.T) {
+			assert.Equal(t, call.OK, outcomeAfterLostAnswer(t, c, call.OK))
+		})
+	}
+	for name, c := range map[string]call.Call{
+		"read": call.NewRead(target), "read declaration": call.ReadDeclaration{}, "read wave": call.NewReadWave(1),
+	} {
+		t.Run(name, func(t *testing.T) {
+			for _, o := range []call.Outcome{call.OK, call.Unauthorized, call.NoQueue, call.NoJob} {
+				assert.Equal(t, o, outcomeAfterLostAnswer(t, c, o), "a read has no effect that an earlier attempt may have had")
+			}
+		})
+	}
+}
+
+// outcomeAfterLostAnswer returns the outcome of a call whose first attempt is not answered and whose second attempt is
+// answered with the given outcome.
+func outcomeAfterLostAnswer(t *testing.T, c call.Call, second call.Outcome) call.Outcome {
+	t.Helper()
+	var attempts atomic.Int32
+	leading := serve(t, func(_ context.Context, st *link.Stream) {
+		if _, err := wire.ReadOpening(st); err != nil {
+			return
+		}
+		received, err := wire.ReadCall(st)
+		if err != nil {
+			return
+		}
+		r := reply(call.OK)
+		if _, ping := received.(call.Ping); !ping {
+			if attempts.Add(1) == 1 {
+				st.Cancel()
+				return
+			}
+			r = reply(second)
+		}
+		_ = wire.WriteReply(st, *r)
+		st.Finish()
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), callTimeout)
+	defer cancel()
+	return newClient(t, leading).Call(ctx, "", c, 0).Outcome()
+}
+
 // Guards against calls that are sent again and again to a leader that does not answer, because other hosts still name it
 // or because it is the next in the list.
 func TestSilentHost(t *testing.T) {
