client: a refusal after a lost answer is Unknown

An operator whose change was carried out and whose answer was lost got the refusal of the next attempt (401, 403, 404 or 400, outcome not-run) as the error, and a caller with a key or an idempotent call got the refusal of another entry host as the answer.

Change: after an attempt that a host may have received, a refusal is *Unknown with the refusal as its cause. A conflict stays one, since the state machine answers a request that had its effect as it did then; reads stay as they are.

TestRefusalAfterLostAnswer failed before in all 12 cases of changes and calls.

--- a/pkg/client/caller.go
+++ b/pkg/client/caller.go
@@ -115,9 +115,15 @@
 	return outcome.Outcome(a.reply.header.Get(outcome.Header))
 }
 
+// refused reports whether the entry host refused the call, as far as it says.
+func (a Answer) refused() bool {
+	o := a.Outcome()
+	return a.Status() >= http.StatusBadRequest && o != outcome.Ran && o != outcome.MayHaveRun
+}
+
 // Do sends a call to an entry host. If that fails, it tries each other entry host once, unless a second delivery could
-// run the call twice. A refusal by an entry host is returned as an Answer. The error is *Unknown if a host may have
-// received the call, and *Unreachable if none did.
+// run the call twice. A refusal by an entry host is returned as an Answer, unless an earlier host may have received the
+// call. The error is *Unknown if a host may have received the call, and *Unreachable if none did.
 func (c *Caller) Do(ctx context.Context, call *Call) (a Answer, err error) {
 	ctx, cancel := context.WithTimeout(ctx, c.options.timeout)
 	defer cancel()
@@ -127,8 +133,12 @@
 	for i := range c.hosts {
 		host := c.hosts[(first+i)%len(c.hosts)]
 		r, sent, err := attempt(ctx, c.http, c.options, host, call.message)
+		a = Answer{reply: r}
+		if err == nil && delivered && a.refused() {
+			return Answer{}, &Unknown{requestID: call.key, cause: refusalOf(r)}
+		}
 		if err == nil {
-			return Answer{reply: r}, nil
+			return a, nil
 		}
 		delivered, last = delivered || sent, err
 		if sent && !call.idempotent && call.key == "" {
--- a/pkg/client/client_test.go
+++ b/pkg/client/client_test.go
@@ -226,6 +226,49 @@
 	})
 }
 
+// TestRefusalAfterLostAnswer guards against a refusal as the error of a request that an earlier attempt may have carried
+// out: the token or the workspace may have been withdrawn since.
+func TestRefusalAfterLostAnswer(t *testing.T) {
+	refusal := func(status int) http.HandlerFunc {
+		return func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set(outcome.Header, string(outcome.NotRun))
+			answer(status, `{"outcome":"not-run","reason":"unauthorized","message":"m"}`)(w, r)
+		}
+	}
+	for _, status := range []int{http.StatusBadRequest, http.StatusUnauthorized, http.StatusForbidden, http.StatusNotFound} {
+		t.Run("change "+http.StatusText(status), func(t *testing.T) {
+			_, err := operator(t, newHost(t, closeConnection, refusal(status)).url()).Cancel(t.Context(), "j1", "id-1")
+			assert.Equal(t, "id-1", requireFailure[*client.Unknown](t, err).RequestID())
+		})
+		t.Run("change that may have run "+http.StatusText(status), func(t *testing.T) {
+			h := newHost(t, answer(http.StatusServiceUnavailable, `{"outcome":"may-have-run","reason":"control-unavailable"}`), refusal(status))
+			assertFailure[*client.Unknown](t, operator(t, h.url()).Drain(t.Context(), "w1", ""))
+		})
+		t.Run("call "+http.StatusText(status), func(t *testing.T) {
+			// The caller rotates over the hosts, so the second call is sent to the host that was last in the first one.
+			c := caller(t, newHost(t, refusal(status)).url(), newHost(t, closeConnection).url())
+			unknown := 0
+			for range 2 {
+				_, err := c.Do(t.Context(), call(client.WithKey("k")))
+				if err != nil {
+					assertFailure[*client.Unknown](t, err)
+					unknown++
+				}
+			}
+			assert.Equal(t, 1, unknown, "calls that a host had received before the refusal")
+		})
+	}
+	t.Run("conflict, which the state machine answers", func(t *testing.T) {
+		h := newHost(t, closeConnection, answer(http.StatusConflict, `{"reason":"revision-conflict","revision":9,"message":"m"}`))
+		_, err := operator(t, h.url()).Apply(t.Context(), nil, 3, "")
+		assertFailure[*client.Conflict](t, err)
+	})
+	t.Run("read", func(t *testing.T) {
+		_, err := operator(t, newHost(t, closeConnection, refusal(http.StatusNotFound)).url()).Job(t.Context(), "j1")
+		assertFailure[*client.Refusal](t, err)
+	})
+}
+
 // TestCaller guards against a call that runs twice because it was sent to a second entry host.
 func TestCaller(t *testing.T) {
 	t.Run("answer", func(t *testing.T) {
--- a/pkg/client/operator.go
+++ b/pkg/client/operator.go
@@ -50,10 +50,13 @@
 	var last error
 	for wait := initialPause; ; wait = min(2*wait, maxPause) {
 		r, sent, err := o.tryHosts(ctx, m)
+		delivered = delivered || sent
+		if err == nil && delivered && !conclusive(m, r) {
+			return reply{}, &Unknown{requestID: m.header.Get(RequestIDHeader), cause: refusalOf(r)}
+		}
 		if err == nil {
 			return r, nil
 		}
-		delivered = delivered || sent
 		// A round that the timeout cut short says nothing about the hosts, so the failure of the round before it counts.
 		if last == nil || ctx.Err() == nil {
 			last = err
@@ -64,8 +67,15 @@
 	}
 }
 
+// conclusive reports whether a leader's answer to m is that of the request although an earlier attempt may have had an
+// effect. A refusal is not, since the token, the workspaces or the leader may have changed since. A conflict is: the state
+// machine answers a request that had its effect as it did then.
+func conclusive(m message, r reply) bool {
+	return m.method == http.MethodGet || r.status < http.StatusBadRequest || r.status == http.StatusConflict
+}
+
 // tryHosts sends m to each host at most once until one answers as the leader. A leader that a follower names is tried
-// next. If sent is false, no host can have run m.
+// next. If sent is false, no attempt without an answer can have run m.
 func (o *Operator) tryHosts(ctx context.Context, m message) (r reply, sent bool, err error) {
 	queue, tried := o.hostsToTry(), map[string]bool{}
 	for len(queue) > 0 && ctx.Err() == nil {
@@ -91,7 +101,7 @@
 			sent = sent || b.Outcome == string(outcome.MayHaveRun)
 		default:
 			o.leader.Store(&host)
-			return r, true, nil
+			return r, sent, nil
 		}
 	}
 	if err == nil {
