wire: a reply with an unknown outcome is an error

The entry turned the outcome of a reply into a status by a table, and wrote status 0 for an outcome that the table lacks, on which net/http panics and closes the connection. Such a reply can only come from another version of the control host. It now counts as an attempt without an answer, so the call is sent again and ends as Uncertain.

TestUnknownOutcome got the outcome passed on before.

--- a/internal/call/reply.go
+++ b/internal/call/reply.go
@@ -18,6 +18,15 @@
 	NotLeader    Outcome = "not-leader"
 )
 
+// Valid reports whether o is one of the outcomes.
+func (o Outcome) Valid() bool {
+	switch o {
+	case OK, Invalid, Unauthorized, NoQueue, NoJob, Refused, Unavailable, Uncertain, NotLeader:
+		return true
+	}
+	return false
+}
+
 // Reply is the answer to a call; it is immutable.
 type Reply struct {
 	outcome    Outcome
--- a/internal/leader/client_test.go
+++ b/internal/leader/client_test.go
@@ -189,6 +189,15 @@
 	}
 }
 
+// Guards against an outcome of another version that is passed on: no status stands for it, and the attempt may have had an
+// effect.
+func TestUnknownOutcome(t *testing.T) {
+	leading := host(t, answerAsLeader(func(call.Call) *call.Reply { return reply("postponed") }))
+	r, _ := submit(t, newClient(t, leading), 500*time.Millisecond, 0)
+	assert.Equal(t, call.Uncertain, r.Outcome())
+	assert.Contains(t, r.Reason(), "postponed")
+}
+
 // outcomeAfterLostAnswer returns the outcome of a call whose first attempt is not answered and whose second attempt is
 // answered with the given outcome.
 func outcomeAfterLostAnswer(t *testing.T, c call.Call, second call.Outcome) call.Outcome {
--- a/internal/wire/call.go
+++ b/internal/wire/call.go
@@ -108,13 +108,16 @@
 	})
 }
 
-// ReadReply reads the leader's reply to a call.
+// ReadReply reads the leader's reply to a call; it fails on an outcome that this version does not know.
 func ReadReply(r io.Reader) (reply call.Reply, err error) {
 	defer annotate("read reply", &err)
 	var f callReplyForm
 	if err = readFrame(r, &f, MaxFrameBytes); err != nil {
 		return reply, err
 	}
+	if !call.Outcome(f.Outcome).Valid() {
+		return reply, fmt.Errorf("unknown outcome %q", f.Outcome)
+	}
 	return call.NewReply(call.Outcome(f.Outcome), f.Reason).WithState(f.State).WithPending(f.Pending).
 		WithRetryAfter(time.Duration(f.RetryAfter)).WithDocument(f.Document).WithHosts(f.Leader, f.Hosts), nil
 }
