scheduler: a job whose queue is removed before its commit gets no-queue

The state rejected such a job with a text, and the scheduler looked up the queue once more to tell this from an invalid job. If an operator had added the queue again by then, the caller was told that its valid job is invalid (400, which ends its attempts). Found by reading, while looking at what a submission can be answered beside changes of the declaration.

The state now has a result of its own for it. TestUndeclaredQueue; before, the result was Rejected like that of an invalid job.

--- a/internal/batch/batch_test.go
+++ b/internal/batch/batch_test.go
@@ -281,3 +281,12 @@
 	_, known := s.Job("j")
 	assert.False(t, known)
 }
+
+// Guards against a job that is reported as invalid because its queue was removed between the check and the commit.
+func TestUndeclaredQueue(t *testing.T) {
+	s := newState(t, step(1))
+	next, r := s.Apply(batch.NewSubmit("other", "gone", "", nil, epoch))
+	assert.Equal(t, batch.Undeclared{}, r)
+	_, known := next.Job("other")
+	assert.False(t, known)
+}
--- a/internal/batch/state.go
+++ b/internal/batch/state.go
@@ -30,6 +30,9 @@
 // Accepted is the result of Submit for a job that is in the state, from this or an earlier submission.
 type Accepted struct{ known bool }
 
+// Undeclared is the result of Submit for a queue that is not declared.
+type Undeclared struct{}
+
 // Cancelled is the result of Cancel.
 type Cancelled struct{ known bool }
 
@@ -44,6 +47,7 @@
 
 func (Declared) result()   {}
 func (Accepted) result()   {}
+func (Undeclared) result() {}
 func (Cancelled) result()  {}
 func (RunsPlaced) result() {}
 func (Applied) result()    {}
@@ -162,7 +166,7 @@
 	}
 	q, ok := s.declaration.Queue(c.queue)
 	if !ok {
-		return s, Rejected{reason: fmt.Sprintf("queue %q is not declared", c.queue)}
+		return s, Undeclared{}
 	}
 	spec, err := s.decoder.Spec(c.id, c.document)
 	if err != nil {
--- a/internal/scheduler/calls.go
+++ b/internal/scheduler/calls.go
@@ -107,11 +107,10 @@
 	switch r := r.(type) {
 	case batch.Accepted:
 		return call.NewReply(call.OK, "")
+	case batch.Undeclared:
+		return call.NewReply(call.NoQueue, "the queue was removed before the job was committed")
 	case batch.Rejected:
-		if _, declared := s.state.Load().Declaration().Queue(q.Name()); declared {
-			return call.NewReply(call.Invalid, r.Reason())
-		}
-		return call.NewReply(call.NoQueue, r.Reason())
+		return call.NewReply(call.Invalid, r.Reason())
 	case batch.Declared, batch.Cancelled, batch.RunsPlaced, batch.CrashesRecorded, batch.Applied:
 	}
 	return call.NewReply(call.Uncertain, "unexpected result of a submission")
@@ -174,7 +173,7 @@
 		return call.NewReply(call.OK, "")
 	case batch.Rejected:
 		return call.NewReply(call.Invalid, r.Reason())
-	case batch.Accepted, batch.Cancelled, batch.RunsPlaced, batch.CrashesRecorded, batch.Applied:
+	case batch.Accepted, batch.Undeclared, batch.Cancelled, batch.RunsPlaced, batch.CrashesRecorded, batch.Applied:
 	}
 	return call.NewReply(call.Uncertain, "unexpected result of a declaration")
 }
