--- a/internal/batch/batch_test.go
+++ b/internal/batch/batch_test.go
@@ -152,12 +152,12 @@
 		after, ok := placeRuns(s, 0, 2, 1, 0)
 		assert.False(t, ok)
 		j, _ := after.Job("j")
-		assert.Equal(t, batch.Waiting, j.Tasks(0, 0)[1].Phase())
+		assert.Equal(t, batch.Waiting, j.Tasks(0, 0).At(1).Phase())
 	})
 	t.Run("the end of another run is ignored", func(t *testing.T) {
 		after := endRun(s, 0, 0, 7, batch.Done, "")
 		j, _ := after.Job("j")
-		assert.Equal(t, batch.Placed, j.Tasks(0, 0)[0].Phase())
+		assert.Equal(t, batch.Placed, j.Tasks(0, 0).At(0).Phase())
 	})
 	t.Run("a run number is not used twice", func(t *testing.T) {
 		after := endRun(s, 0, 0, 1, batch.Lost, "")
--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -35,7 +35,7 @@
 
 func newJob(spec Spec, document []byte, queue Queue, workspace string, accepted time.Time) *Job {
 	return &Job{
-		spec: spec, document: document, queue: queue, workspace: workspace, accepted: accepted, fresh: newOccurrence(spec.steps),
+		spec: spec, document: document, queue: queue, workspace: workspace, accepted: accepted, fresh: freshOccurrence(spec.steps),
 	}
 }
 
@@ -80,47 +80,36 @@
 	if id.occurrence >= j.spec.occurrences || id.step >= len(j.spec.steps) || id.index >= j.spec.steps[id.step].count {
 		return Task{}, false
 	}
-	return j.occurrence(id.occurrence).tasks[id.step][id.index], true
+	return j.occurrence(id.occurrence).steps[id.step].At(id.index), true
 }
 
-// Tasks returns the tasks of a step in an occurrence, which the caller must not modify.
-func (j *Job) Tasks(occurrence, step int) []Task { return j.occurrence(occurrence).tasks[step] }
+// Tasks returns the tasks of a step in an occurrence.
+func (j *Job) Tasks(occurrence, step int) TaskList { return j.occurrence(occurrence).steps[step] }
 
 // Ready reports whether all steps that the given step depends on are done in that occurrence.
 func (j *Job) Ready(occurrence, step int) bool {
-	o := j.occurrence(occurrence)
-	return !slices.ContainsFunc(j.spec.steps[step].after, func(earlier int) bool { return o.unfinished[earlier] > 0 })
+	return j.occurrence(occurrence).ready(j.spec.steps[step])
 }
 
 // Checkpoint returns the checkpoint from which the next run of a task resumes; the tasks of a gang share one.
 func (j *Job) Checkpoint(id TaskID) string {
-	return j.Tasks(id.occurrence, id.step)[j.sharedID(id).index].checkpoint
+	return j.Tasks(id.occurrence, id.step).At(j.sharedID(id).index).checkpoint
 }
 
 // HasPlaced reports whether any task has a placed run.
-func (j *Job) HasPlaced() bool { return j.hasOpen(Placed) }
+func (j *Job) HasPlaced() bool {
+	return slices.ContainsFunc(j.open, func(o occurrence) bool { return o.placed > 0 })
+}
 
 // HasWaiting reports whether the job is active and a task waits for placement, even if its step is not ready.
 func (j *Job) HasWaiting() bool {
-	return j.Active() && (j.next < j.spec.occurrences || j.hasOpen(Waiting))
-}
-
-func (j *Job) hasOpen(p Phase) bool {
-	return slices.ContainsFunc(j.open, func(o occurrence) bool { return o.has(p) })
+	return j.Active() && (j.next < j.spec.occurrences || slices.ContainsFunc(j.open, func(o occurrence) bool { return o.waiting > 0 }))
 }
 
 func (j *Job) allDone() bool {
 	return j.next == j.spec.occurrences && !slices.ContainsFunc(j.open, func(o occurrence) bool { return !o.done() })
 }
 
-// withStepCopy returns a copy of the job in which the tasks of one step of an occurrence may be modified, and that
-// occurrence's position.
-func (j *Job) withStepCopy(occurrence, step int) (next *Job, position int) {
-	next, position = j.withOpen(occurrence)
-	next.open[position] = next.open[position].withStepCopy(step)
-	return next, position
-}
-
 func (j *Job) finish(result JobState, at time.Time) *Job {
 	next := *j
 	next.result, next.ended = result, at
@@ -132,19 +121,19 @@
 	if !j.Active() || !j.mayOpen(g.occurrence) || g.step >= len(j.spec.steps) {
 		return j, false
 	}
-	next, position := j.withStepCopy(g.occurrence, g.step)
-	next.started = true
-	tasks := next.open[position].tasks[g.step]
+	next, position := j.withOpen(g.occurrence)
+	tasks := next.open[position].steps[g.step].edit()
 	for _, m := range g.members {
-		if m.index >= len(tasks) {
+		if m.index < 0 || m.index >= tasks.list.size {
 			return j, false
 		}
-		t := &tasks[m.index]
-		if t.phase != Waiting || m.run <= t.run {
+		if t := tasks.list.At(m.index); t.phase != Waiting || m.run <= t.run {
 			return j, false
 		}
-		t.phase, t.run, t.worker, t.phaseSince = Placed, m.run, m.worker, at
+		tasks.change(m.index, func(t *Task) { t.phase, t.run, t.worker, t.phaseSince = Placed, m.run, m.worker, at })
 	}
+	next.started = true
+	next.open[position] = next.open[position].withStep(g.step, tasks.list)
 	return next, true
 }
 
@@ -154,8 +143,10 @@
 	if !known || !j.Active() || t.phase != Placed || t.run != c.run || c.checkpoint == "" {
 		return j, false
 	}
-	next, position := j.withStepCopy(c.task.occurrence, c.task.step)
-	next.open[position].tasks[c.task.step][j.sharedID(c.task).index].checkpoint = c.checkpoint
+	next, position := j.withOpen(c.task.occurrence)
+	tasks := next.open[position].steps[c.task.step].edit()
+	tasks.change(j.sharedID(c.task).index, func(t *Task) { t.checkpoint = c.checkpoint })
+	next.open[position] = next.open[position].withStep(c.task.step, tasks.list)
 	return next, true
 }
 
@@ -174,31 +165,30 @@
 	if !known || t.phase != Placed || t.run != e.run {
 		return j, false
 	}
-	next, position := j.withStepCopy(e.task.occurrence, e.task.step)
+	next, position := j.withOpen(e.task.occurrence)
 	step := j.spec.steps[e.task.step]
-	tasks := next.open[position].tasks[e.task.step]
-	ended, shared := &tasks[e.task.index], &tasks[j.sharedID(e.task).index]
+	tasks := next.open[position].steps[e.task.step].edit()
+	shared := j.sharedID(e.task).index
 	if e.checkpoint != "" {
-		shared.checkpoint = e.checkpoint
+		tasks.change(shared, func(t *Task) { t.checkpoint = e.checkpoint })
 	}
-	ended.phase, ended.phaseSince = Waiting, at
+	tasks.change(e.task.index, func(t *Task) { t.phase, t.phaseSince = Waiting, at })
 	switch e.outcome {
 	case Done:
 		// A long-running task ends only when its job is cancelled, so it waits to run again.
 		if !step.longRunning {
-			markDone(tasks, ended, step.gang)
+			markDone(tasks, e.task.index, step.gang)
 		}
 	case Failed:
-		if shared.failedRun != e.run {
-			shared.failures++
-			shared.failedRun = e.run
+		if tasks.list.At(shared).failedRun != e.run {
+			tasks.change(shared, func(t *Task) { t.failures, t.failedRun = t.failures+1, e.run })
 		}
-		if shared.failures >= attempts && !step.longRunning && next.Active() {
+		if tasks.list.At(shared).failures >= attempts && !step.longRunning && next.Active() {
 			next = next.finish(JobFailed, at)
 		}
 	case Stopped, Lapsed, Broken, Alone, Lost:
 	}
-	next.open[position].unfinished[e.task.step] = countUnfinished(tasks)
+	next.open[position] = next.open[position].withStep(e.task.step, tasks.list)
 	next.closeDone(position)
 	if next.Active() && next.allDone() {
 		next = next.finish(Completed, at)
@@ -207,12 +197,11 @@
 }
 
 // markDone marks a task as done, and in a gang all other tasks with it.
-func markDone(tasks []Task, ended *Task, gang bool) {
-	ended.phase = Ended
-	if !gang {
+func markDone(tasks *taskEditor, index int, gang bool) {
+	done := func(t *Task) { t.phase = Ended }
+	if gang {
+		tasks.changeAll(done)
 		return
 	}
-	for i := range tasks {
-		tasks[i].phase = Ended
-	}
+	tasks.change(index, done)
 }
--- a/internal/batch/occurrence.go
+++ b/internal/batch/occurrence.go
@@ -18,64 +18,52 @@
 
 // occurrence is the progress of one execution of a job's steps; it is immutable.
 type occurrence struct {
-	number     int
-	tasks      [][]Task // by step and index
-	unfinished []int    // by step, the number of tasks that are not done
-}
-
-// newOccurrence returns an occurrence of which no task has begun.
-func newOccurrence(steps []Step) occurrence {
-	o := occurrence{tasks: make([][]Task, len(steps)), unfinished: make([]int, len(steps))}
-	for i, s := range steps {
-		o.tasks[i] = slices.Repeat([]Task{{phase: Waiting}}, s.count)
-		o.unfinished[i] = s.count
+	number  int
+	steps   []TaskList
+	waiting int // tasks of all steps
+	placed  int // tasks of all steps
+}
+
+// newOccurrence returns an occurrence with the given progress of its steps.
+func newOccurrence(number int, steps []TaskList) occurrence {
+	o := occurrence{number: number, steps: steps}
+	for _, l := range steps {
+		o.waiting += l.waiting
+		o.placed += l.placed
 	}
 	return o
 }
 
-// restoreOccurrence returns an occurrence with the tasks of a snapshot.
-func restoreOccurrence(number int, tasks [][]Task) occurrence {
-	o := occurrence{number: number, tasks: tasks, unfinished: make([]int, len(tasks))}
-	for i := range tasks {
-		o.unfinished[i] = countUnfinished(tasks[i])
-	}
-	return o
-}
-
-func countUnfinished(tasks []Task) (count int) {
-	for _, t := range tasks {
-		if t.phase != Ended {
-			count++
-		}
+// freshOccurrence returns an occurrence of which no task has begun.
+func freshOccurrence(steps []Step) occurrence {
+	lists := make([]TaskList, len(steps))
+	for i, s := range steps {
+		lists[i] = newTaskList(s.count)
 	}
-	return count
+	return newOccurrence(0, lists)
 }
 
-// withStepCopy returns a copy in which the tasks of one step may be modified.
-func (o occurrence) withStepCopy(step int) occurrence {
-	o.tasks = slices.Clone(o.tasks)
-	o.tasks[step] = slices.Clone(o.tasks[step])
-	o.unfinished = slices.Clone(o.unfinished)
+// withStep returns a copy with other progress of one step.
+func (o occurrence) withStep(step int, l TaskList) occurrence {
+	old := o.steps[step]
+	o.waiting += l.waiting - old.waiting
+	o.placed += l.placed - old.placed
+	o.steps = slices.Clone(o.steps)
+	o.steps[step] = l
 	return o
 }
 
 // done reports whether all tasks are done.
-func (o occurrence) done() bool {
-	return !slices.ContainsFunc(o.unfinished, func(count int) bool { return count > 0 })
-}
+func (o occurrence) done() bool { return o.waiting == 0 && o.placed == 0 }
 
-// has reports whether a task is in a phase.
-func (o occurrence) has(p Phase) bool {
-	return slices.ContainsFunc(o.tasks, func(tasks []Task) bool {
-		return slices.ContainsFunc(tasks, func(t Task) bool { return t.phase == p })
-	})
+// stepDone reports whether all tasks of a step are done.
+func (o occurrence) stepDone(step int) bool {
+	return o.steps[step].waiting == 0 && o.steps[step].placed == 0
 }
 
 // begun reports whether a task has been placed.
 func (o occurrence) begun() bool {
-	return slices.ContainsFunc(o.tasks, func(tasks []Task) bool {
-		return slices.ContainsFunc(tasks, func(t Task) bool { return t.run > 0 })
-	})
+	return slices.ContainsFunc(o.steps, func(l TaskList) bool { return l.MaxRun() > 0 })
 }
 
 // find returns the position of an open occurrence, or the position at which it would be.
@@ -94,15 +82,11 @@
 		o.number = number
 		return o
 	}
-	o := newOccurrence(j.spec.steps)
-	o.number = number
-	for i := range o.tasks {
-		clear(o.unfinished)
-		for n := range o.tasks[i] {
-			o.tasks[i][n].phase = Ended
-		}
+	lists := make([]TaskList, len(j.spec.steps))
+	for i, st := range j.spec.steps {
+		lists[i] = newEndedTaskList(st.count)
 	}
-	return o
+	return newOccurrence(number, lists)
 }
 
 // Open yields the numbers of the occurrences that have begun and are not done, in ascending order. The only occurrence
@@ -157,6 +141,27 @@
 	return number >= j.next && number < j.spec.occurrences && number-j.next < maxOpenedAtOnce
 }
 
+// ReadySteps yields the steps of an occurrence that have waiting tasks and whose earlier steps are done, in ascending
+// order.
+func (j *Job) ReadySteps(occurrence int) iter.Seq[int] {
+	o := j.occurrence(occurrence)
+	if _, open := j.find(occurrence); !open && occurrence >= j.next {
+		return slices.Values(j.spec.roots)
+	}
+	return func(yield func(int) bool) {
+		for i, l := range o.steps {
+			if l.waiting > 0 && o.ready(j.spec.steps[i]) && !yield(i) {
+				return
+			}
+		}
+	}
+}
+
+// ready reports whether all steps that a step depends on are done.
+func (o occurrence) ready(s Step) bool {
+	return !slices.ContainsFunc(s.after, func(earlier int) bool { return !o.stepDone(earlier) })
+}
+
 // closeDone drops an open occurrence that is done from a job with a schedule, together with the records of its crashes.
 func (j *Job) closeDone(position int) {
 	o := j.open[position]
@@ -167,12 +172,12 @@
 	j.crashes = withoutOccurrence(j.crashes, o.number)
 }
 
-// restoreOccurrences sets the open occurrences to those of a snapshot, given with their numbers, and the first number
-// that has not begun.
-func (j *Job) restoreOccurrences(numbers []int, tasks [][][]Task, next int) {
+// restoreOccurrences sets the open occurrences to those of a snapshot, given with their numbers and the progress of their
+// steps, and the first number that has not begun.
+func (j *Job) restoreOccurrences(numbers []int, steps [][]TaskList, next int) {
 	j.next = next
 	for i, n := range numbers {
-		o := restoreOccurrence(n, tasks[i])
+		o := newOccurrence(n, steps[i])
 		if j.spec.occurrences == 1 || !o.done() {
 			j.open = append(j.open, o)
 		}
--- a/internal/batch/resources.go
+++ b/internal/batch/resources.go
@@ -36,6 +36,25 @@
 	return r.millicores <= free.millicores && r.memoryMB <= free.memoryMB && r.accelerators <= free.accelerators
 }
 
+// Times returns r multiplied by n.
+func (r Resources) Times(n int) Resources {
+	return Resources{r.millicores * n, r.memoryMB * n, r.accelerators * n}
+}
+
+// Holds returns how many times needs fits into r, at most limit.
+func (r Resources) Holds(needs Resources, limit int) int {
+	if !needs.Fits(r) {
+		return 0
+	}
+	count := limit
+	for _, c := range [][2]int{{r.millicores, needs.millicores}, {r.memoryMB, needs.memoryMB}, {r.accelerators, needs.accelerators}} {
+		if c[1] > 0 {
+			count = min(count, c[0]/c[1])
+		}
+	}
+	return count
+}
+
 // coresPerAccelerator is the number of cores that one accelerator counts as when work is summed in core-seconds.
 const coresPerAccelerator = 8
 
--- a/internal/batch/state.go
+++ b/internal/batch/state.go
@@ -228,9 +228,9 @@
 	ended   time.Time
 	started bool
 	numbers []int
-	tasks   [][][]Task
+	steps   [][]TaskList
 	next    int
-	all     bool // whether tasks has all occurrences
+	all     bool // whether steps has all occurrences
 	crashes map[TaskID]CrashRecord
 }
 
@@ -240,7 +240,7 @@
 		submit: NewSubmit(j.spec.id, j.queue.name, j.workspace, j.document, j.accepted),
 		queue:  j.queue, result: j.result, ended: j.ended, started: j.started, next: j.next, crashes: j.crashes,
 	}
-	if r.all = j.spec.occurrences <= maxListedOccurrences; r.all {
+	if r.all = j.spec.occurrences <= maxListedOccurrences && j.spec.occurrences*j.spec.countTasks() <= MaxListedTasks; r.all {
 		r.next = j.spec.occurrences
 		for k := range j.spec.occurrences {
 			r.addOccurrence(j.occurrence(k))
@@ -253,13 +253,18 @@
 	return r
 }
 
-// maxListedOccurrences is the number of occurrences up to which a snapshot has all of them. Earlier versions read only
-// such snapshots, and nearly all jobs run once.
-const maxListedOccurrences = 64
+const (
+	// maxListedOccurrences is the number of occurrences up to which a snapshot has all of them. Earlier versions read only
+	// such snapshots, and nearly all jobs run once.
+	maxListedOccurrences = 64
+	// MaxListedTasks is the number of tasks up to which a snapshot has all occurrences of a job and lists each task. For
+	// larger jobs the size of a snapshot must not grow with the product of tasks and occurrences.
+	MaxListedTasks = 4096
+)
 
 func (r *JobSnapshot) addOccurrence(o occurrence) {
 	r.numbers = append(r.numbers, o.number)
-	r.tasks = append(r.tasks, o.tasks)
+	r.steps = append(r.steps, o.steps)
 }
 
 // NewJobSnapshot returns a job as decoded from a snapshot, without the progress of its tasks.
@@ -267,10 +272,10 @@
 	return JobSnapshot{submit: c, queue: q, result: result, ended: ended, started: started}
 }
 
-// WithTasks returns a copy with the tasks of occurrences of the given ascending numbers. All other occurrences before
-// next are done, and those from next on have not begun.
-func (r JobSnapshot) WithTasks(numbers []int, tasks [][][]Task, next int) JobSnapshot {
-	r.numbers, r.tasks, r.next = numbers, tasks, next
+// WithTasks returns a copy with the tasks, by step, of occurrences of the given ascending numbers. All other occurrences
+// before next are done, and those from next on have not begun.
+func (r JobSnapshot) WithTasks(numbers []int, steps [][]TaskList, next int) JobSnapshot {
+	r.numbers, r.steps, r.next = numbers, steps, next
 	return r
 }
 
@@ -298,8 +303,8 @@
 // Started reports whether any task has been placed.
 func (r JobSnapshot) Started() bool { return r.started }
 
-// Tasks returns the progress of the tasks by occurrence, step and index; Numbers has the numbers of the occurrences.
-func (r JobSnapshot) Tasks() [][][]Task { return r.tasks }
+// Tasks returns the progress of the tasks by occurrence and step; Numbers has the numbers of the occurrences.
+func (r JobSnapshot) Tasks() [][]TaskList { return r.steps }
 
 // Numbers returns the numbers of the occurrences in Tasks, in ascending order.
 func (r JobSnapshot) Numbers() []int { return r.numbers }
@@ -331,7 +336,10 @@
 		}
 		j := newJob(spec, r.submit.document, r.queue, r.submit.workspace, r.submit.at)
 		j.result, j.ended, j.started, j.crashes = r.result, r.ended, r.started, r.crashes
-		j.restoreOccurrences(r.numbers, r.tasks, r.next)
+		if err = spec.checkTasks(r.steps); err != nil {
+			return s, err
+		}
+		j.restoreOccurrences(r.numbers, r.steps, r.next)
 		s.jobs = s.jobs.With(spec.id, j)
 	}
 	return s, nil
--- a/internal/batch/step.go
+++ b/internal/batch/step.go
@@ -136,6 +136,7 @@
 	id          string
 	payload     string
 	steps       []Step
+	roots       []int // the steps that depend on no other
 	occurrences int
 	first       time.Time
 	interval    time.Duration
@@ -175,16 +176,19 @@
 			}
 		}
 	}
-	return Spec{id: id, payload: payload, steps: steps, occurrences: 1}, nil
+	s = Spec{id: id, payload: payload, steps: steps, occurrences: 1}
+	for i, st := range steps {
+		if len(st.after) == 0 {
+			s.roots = append(s.roots, i)
+		}
+	}
+	return s, nil
 }
 
 // CheckSubmission returns an error if the job is not to be accepted: one with more than maxSubmittedTasks tasks, or with a
 // negative interval. A job that has been accepted before stays valid.
 func (s Spec) CheckSubmission() error {
-	tasks := 0
-	for _, st := range s.steps {
-		tasks += st.count
-	}
+	tasks := s.countTasks()
 	switch {
 	case tasks > maxSubmittedTasks:
 		return fmt.Errorf("job %s has %d tasks, more than %d", s.id, tasks, maxSubmittedTasks)
@@ -194,6 +198,29 @@
 	return nil
 }
 
+// countTasks returns the number of tasks of all steps in one occurrence.
+func (s Spec) countTasks() (tasks int) {
+	for _, st := range s.steps {
+		tasks += st.count
+	}
+	return tasks
+}
+
+// checkTasks returns an error if the tasks of a snapshot, by occurrence and step, are not those of the steps.
+func (s Spec) checkTasks(occurrences [][]TaskList) error {
+	for _, lists := range occurrences {
+		if len(lists) != len(s.steps) {
+			return fmt.Errorf("job %s has %d steps, and %d in the snapshot", s.id, len(s.steps), len(lists))
+		}
+		for i, l := range lists {
+			if l.Len() != s.steps[i].count {
+				return fmt.Errorf("step %d of job %s has %d tasks, and %d in the snapshot", i, s.id, s.steps[i].count, l.Len())
+			}
+		}
+	}
+	return nil
+}
+
 // WithSchedule returns a copy that runs a number of times, the first time at first and then once each interval.
 func (s Spec) WithSchedule(occurrences int, first time.Time, interval time.Duration) Spec {
 	s.occurrences, s.first, s.interval = occurrences, first, interval
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -312,10 +312,8 @@
 func eachPlaced(j *batch.Job, f func(run.ID, batch.Task)) {
 	for k := range j.Open() {
 		for i := range j.Spec().Steps() {
-			for n, t := range j.Tasks(k, i) {
-				if t.Phase() == batch.Placed {
-					f(run.NewID(batch.NewTaskID(j.Spec().ID(), k, i, n), t.Run()), t)
-				}
+			for n, t := range j.Tasks(k, i).In(batch.Placed) {
+				f(run.NewID(batch.NewTaskID(j.Spec().ID(), k, i, n), t.Run()), t)
 			}
 		}
 	}
--- a/internal/dispatch/evacuation.go
+++ b/internal/dispatch/evacuation.go
@@ -28,7 +28,7 @@
 // countNotWorking counts the other tasks of a long-running step that are not working.
 func (c *Core) countNotWorking(j *batch.Job, id run.ID) (count int) {
 	task := id.Task()
-	for n, t := range j.Tasks(task.Occurrence(), task.Step()) {
+	for n, t := range j.Tasks(task.Occurrence(), task.Step()).All() {
 		other := run.NewID(batch.NewTaskID(task.Job(), task.Occurrence(), task.Step(), n), t.Run())
 		p, listed := c.progress[other]
 		o := c.orders[other]
--- a/internal/dispatch/fuzz_test.go
+++ b/internal/dispatch/fuzz_test.go
@@ -264,7 +264,7 @@
 		require.LessOrEqual(s.t, used, capacity, "accelerators in use on %s", w.name)
 	}
 	for _, j := range s.state.Jobs().All() {
-		for n, t := range j.Tasks(0, 0) {
+		for n, t := range j.Tasks(0, 0).All() {
 			if t.Phase() == batch.Ended {
 				s.ended[batch.NewTaskID(j.Spec().ID(), 0, 0, n)] = true
 			}
--- a/internal/dispatch/resolve.go
+++ b/internal/dispatch/resolve.go
@@ -158,10 +158,8 @@
 	if !step.Gang() {
 		return ""
 	}
-	for _, t := range j.Tasks(id.Task().Occurrence(), id.Task().Step()) {
-		if t.Phase() == batch.Waiting {
-			return "another member of its gang has ended"
-		}
+	if j.Tasks(id.Task().Occurrence(), id.Task().Step()).Count(batch.Waiting) > 0 {
+		return "another member of its gang has ended"
 	}
 	return ""
 }
--- a/internal/placement/assignment.go
+++ b/internal/placement/assignment.go
@@ -23,11 +23,9 @@
 
 func (as *assignment) add(index int, w *workerState) {
 	tasks := as.unit.job.Tasks(as.unit.key.Occurrence(), as.unit.key.Step())
-	run := tasks[index].Run() + 1
+	run := tasks.At(index).Run() + 1
 	if as.unit.step.Gang() {
-		for _, t := range tasks {
-			run = max(run, t.Run()+1)
-		}
+		run = tasks.MaxRun() + 1
 	}
 	as.members = append(as.members, batch.NewMember(index, run, w.incarnation))
 	as.workers = append(as.workers, w)
--- a/internal/placement/isolation_test.go
+++ b/internal/placement/isolation_test.go
@@ -95,7 +95,7 @@
 		f.decide()
 		assert.NotEqual(t, first, f.task(suspect).Worker())
 		j, _ := f.state.Job("neighbours")
-		for _, n := range j.Tasks(0, 0) {
+		for _, n := range j.Tasks(0, 0).All() {
 			assert.NotEqual(t, n.Worker(), f.task(suspect).Worker())
 		}
 	})
--- a/internal/placement/load_test.go
+++ b/internal/placement/load_test.go
@@ -213,7 +213,7 @@
 // stop lets a run, and all runs of its gang, end after stopDuration.
 func (d *simulatedDay) stop(id run.ID) {
 	j, _ := d.state.Job(id.Task().Job())
-	for n, t := range j.Tasks(0, 0) {
+	for n, t := range j.Tasks(0, 0).All() {
 		member := run.NewID(batch.NewTaskID(id.Task().Job(), 0, 0, n), t.Run())
 		if t.Phase() == batch.Placed && (member == id || j.Spec().Steps()[0].Gang()) && !d.stopping[member] {
 			d.stopping[member] = true
@@ -276,7 +276,7 @@
 	d.t.Helper()
 	used := map[batch.Incarnation]batch.Resources{}
 	for _, j := range d.state.Jobs().All() {
-		for _, t := range j.Tasks(0, 0) {
+		for _, t := range j.Tasks(0, 0).All() {
 			if t.Phase() == batch.Placed {
 				used[t.Worker()] = used[t.Worker()].Plus(j.Spec().Steps()[0].Resources())
 			}
--- a/internal/placement/longrunning.go
+++ b/internal/placement/longrunning.go
@@ -19,7 +19,7 @@
 			unavailable++
 		}
 	}
-	for n, t := range r.job.Tasks(id.Occurrence(), id.Step()) {
+	for n, t := range r.job.Tasks(id.Occurrence(), id.Step()).All() {
 		other := run.NewID(batch.NewTaskID(id.Job(), id.Occurrence(), id.Step(), n), t.Run())
 		if n != id.Index() && (t.Phase() != batch.Placed || p.stopped[other] || !p.view.forecast.serving[other]) {
 			unavailable++
--- a/internal/placement/setup_test.go
+++ b/internal/placement/setup_test.go
@@ -128,7 +128,7 @@
 		for k := range j.Open() {
 			for i, s := range j.Spec().Steps() {
 				placed := 0
-				for _, t := range j.Tasks(k, i) {
+				for _, t := range j.Tasks(k, i).All() {
 					if t.Phase() == batch.Placed {
 						placed++
 						used[t.Worker()] = used[t.Worker()].Plus(s.Reserved())
@@ -156,7 +156,7 @@
 	j, known := f.state.Job(id)
 	require.True(f.t, known)
 	for i := range j.Spec().Steps() {
-		for _, t := range j.Tasks(0, i) {
+		for _, t := range j.Tasks(0, i).All() {
 			if t.Phase() == batch.Placed {
 				racks = append(racks, rackOf(t.Worker()))
 			}
--- a/internal/placement/tasks_test.go
+++ b/internal/placement/tasks_test.go
@@ -33,7 +33,7 @@
 			f.assertCapacity()
 			j, _ := f.state.Job("many")
 			placed := 0
-			for _, task := range j.Tasks(0, 0) {
+			for _, task := range j.Tasks(0, 0).All() {
 				if task.Phase() == batch.Placed {
 					placed++
 				}
--- a/internal/placement/unit.go
+++ b/internal/placement/unit.go
@@ -53,10 +53,8 @@
 				continue
 			}
 			u.readySince = begin
-			for _, t := range j.Tasks(k, i) {
-				if t.Phase() == batch.Waiting && t.PhaseSince().After(u.readySince) {
-					u.readySince = t.PhaseSince()
-				}
+			if since := j.Tasks(k, i).WaitingSince(); since.After(u.readySince) {
+				u.readySince = since
 			}
 			if remaining == nil {
 				remaining = p.remainingTimes(j)
@@ -96,11 +94,9 @@
 	return count
 }
 
-func waitingIndexes(tasks []batch.Task) (indexes []int) {
-	for n, t := range tasks {
-		if t.Phase() == batch.Waiting {
-			indexes = append(indexes, n)
-		}
+func waitingIndexes(tasks batch.TaskList) (indexes []int) {
+	for n := range tasks.In(batch.Waiting) {
+		indexes = append(indexes, n)
 	}
 	return indexes
 }
--- a/internal/placement/view.go
+++ b/internal/placement/view.go
@@ -136,10 +136,7 @@
 	steps := j.Spec().Steps()
 	for k := range j.Open() {
 		for i, s := range steps {
-			for n, t := range j.Tasks(k, i) {
-				if t.Phase() != batch.Placed {
-					continue
-				}
+			for n, t := range j.Tasks(k, i).In(batch.Placed) {
 				ws, known := byIncarnation[t.Worker()]
 				if !known {
 					continue
--- a/internal/wire/batch.go
+++ b/internal/wire/batch.go
@@ -280,10 +280,11 @@
 	return nil, fmt.Errorf("unknown kind %q", f.Kind)
 }
 
+// batchStateForm holds the jobs as encoded batchJobForms, so that those of one job at a time take memory.
 type batchStateForm struct {
-	Document []byte         `cbor:"1,keyasint"`
-	Jobs     []batchJobForm `cbor:"2,keyasint"`
-	Waves    []waveForm     `cbor:"3,keyasint,omitempty"`
+	Document []byte            `cbor:"1,keyasint"`
+	Jobs     []cbor.RawMessage `cbor:"2,keyasint"`
+	Waves    []waveForm        `cbor:"3,keyasint,omitempty"`
 }
 
 type batchJobForm struct {
@@ -292,12 +293,20 @@
 	Result    string              `cbor:"3,keyasint,omitempty"`
 	Ended     int64               `cbor:"4,keyasint,omitempty"`
 	Started   bool                `cbor:"5,keyasint,omitempty"`
-	Tasks     [][][]batchTaskForm `cbor:"6,keyasint"`
+	Tasks     [][][]batchTaskForm `cbor:"6,keyasint"` // by occurrence, step and index
 	Crashes   []crashRecordForm   `cbor:"7,keyasint,omitempty"`
 	Numbers   []int               `cbor:"8,keyasint,omitempty"`  // of the occurrences in Tasks
 	Next      int                 `cbor:"9,keyasint,omitempty"`  // the first occurrence that has not begun
 	Sparse    bool                `cbor:"10,keyasint,omitempty"` // whether Numbers and Next are set; otherwise Tasks has all occurrences
 	QueuePath queuePathForm       `cbor:"11,keyasint"`
+	Equal     [][][]equalTasks    `cbor:"12,keyasint,omitempty"` // in place of Tasks for a large job: by occurrence and step
+}
+
+// equalTasks stands for tasks of a step that follow each other and do not differ.
+type equalTasks struct {
+	_     struct{} `cbor:",toarray"`
+	Count int
+	Task  batchTaskForm
 }
 
 // queuePathForm holds the properties of a queue that older snapshots lack; queueForm cannot grow, since its fields are
@@ -339,26 +348,37 @@
 		f.Waves = append(f.Waves, newWaveForm(w))
 	}
 	for _, j := range s.Jobs().All() {
-		r := batch.SnapshotJob(j)
-		q := r.Queue()
-		job := batchJobForm{
-			Submit: submitForm(r.Submit()), Result: string(r.Result()), Ended: toNanos(r.Ended()), Started: r.Started(),
-			Queue: queueForm{
-				Name: q.Name(), Service: q.Service(), Priority: q.Priority(), Attempts: q.Attempts(),
-				Slowdown: q.Slowdown(), TargetLatency: int64(q.TargetLatency()), Public: q.Public(),
-			},
-			QueuePath: queuePathForm{Host: q.Host(), Prefix: q.Prefix(), Timeout: int64(q.Timeout()), RequiresAdvice: q.RequiresAdvice()},
-			Crashes:   newCrashRecordForms(r.Crashes()),
-			Tasks:     convertTasks(r.Tasks(), newBatchTaskForm),
-		}
-		if !r.All() {
-			job.Sparse, job.Numbers, job.Next = true, r.Numbers(), r.Next()
+		encoded, err := cbor.Marshal(newBatchJobForm(batch.SnapshotJob(j)))
+		if err != nil {
+			return nil, err
 		}
-		f.Jobs = append(f.Jobs, job)
+		f.Jobs = append(f.Jobs, encoded)
 	}
 	return cbor.Marshal(f)
 }
 
+func newBatchJobForm(r batch.JobSnapshot) batchJobForm {
+	q := r.Queue()
+	f := batchJobForm{
+		Submit: submitForm(r.Submit()), Result: string(r.Result()), Ended: toNanos(r.Ended()), Started: r.Started(),
+		Queue: queueForm{
+			Name: q.Name(), Service: q.Service(), Priority: q.Priority(), Attempts: q.Attempts(),
+			Slowdown: q.Slowdown(), TargetLatency: int64(q.TargetLatency()), Public: q.Public(),
+		},
+		QueuePath: queuePathForm{Host: q.Host(), Prefix: q.Prefix(), Timeout: int64(q.Timeout()), RequiresAdvice: q.RequiresAdvice()},
+		Crashes:   newCrashRecordForms(r.Crashes()),
+	}
+	if !r.All() {
+		f.Sparse, f.Numbers, f.Next = true, r.Numbers(), r.Next()
+	}
+	if countTasks(r.Tasks()) > batch.MaxListedTasks {
+		f.Equal = convertLists(r.Tasks(), newEqualTasks)
+	} else {
+		f.Tasks = convertLists(r.Tasks(), newBatchTaskForms)
+	}
+	return f
+}
+
 // DecodeBatchState restores the batch state from a snapshot; d decodes the documents in it.
 func DecodeBatchState(d batch.Decoder, data []byte) (s batch.State, err error) {
 	defer annotate("decode state", &err)
@@ -367,16 +387,14 @@
 		return s, err
 	}
 	jobs := make([]batch.JobSnapshot, len(f.Jobs))
-	for i, j := range f.Jobs {
-		q := batch.NewQueue(j.Queue.Name, j.QueuePath.Host, j.QueuePath.Prefix, j.Queue.Service).
-			WithPolicy(j.Queue.Priority, j.Queue.Attempts).WithPublic(j.Queue.Public).WithRequiredAdvice(j.QueuePath.RequiresAdvice).
-			WithObjective(j.Queue.Slowdown, time.Duration(j.Queue.TargetLatency), time.Duration(j.QueuePath.Timeout))
-		numbers, next := j.occurrences()
-		if len(numbers) != len(j.Tasks) {
-			return s, fmt.Errorf("job %s has %d numbers for the tasks of %d occurrences", j.Submit.ID, len(numbers), len(j.Tasks))
+	for i, encoded := range f.Jobs {
+		var j batchJobForm
+		if err = unmarshalState(encoded, &j); err != nil {
+			return s, err
+		}
+		if jobs[i], err = j.job(); err != nil {
+			return s, err
 		}
-		jobs[i] = batch.NewJobSnapshot(j.Submit.submit(), q, batch.JobState(j.Result), fromNanos(j.Ended), j.Started).
-			WithTasks(numbers, convertTasks(j.Tasks, batchTaskForm.task), next).WithCrashes(crashRecords(j.Crashes))
 	}
 	if s, err = batch.RestoreState(d, f.Document, jobs); err != nil {
 		return s, err
@@ -388,16 +406,50 @@
 	return s.WithWaves(waves), nil
 }
 
-// occurrences returns the numbers of the occurrences in Tasks and that of the first one that has not begun. Where Tasks
-// has all occurrences, as always in older snapshots, there are no numbers.
+func (f batchJobForm) job() (r batch.JobSnapshot, err error) {
+	q := batch.NewQueue(f.Queue.Name, f.QueuePath.Host, f.QueuePath.Prefix, f.Queue.Service).
+		WithPolicy(f.Queue.Priority, f.Queue.Attempts).WithPublic(f.Queue.Public).WithRequiredAdvice(f.QueuePath.RequiresAdvice).
+		WithObjective(f.Queue.Slowdown, time.Duration(f.Queue.TargetLatency), time.Duration(f.QueuePath.Timeout))
+	steps := convertForms(f.Tasks, func(b *batch.TaskListBuilder, t batchTaskForm) { b.Add(t.task(), 1) })
+	if len(f.Equal) > 0 {
+		if err = checkEqualTasks(f.Equal); err != nil {
+			return r, err
+		}
+		steps = convertForms(f.Equal, func(b *batch.TaskListBuilder, t equalTasks) { b.Add(t.Task.task(), t.Count) })
+	}
+	numbers, next := f.occurrences()
+	if len(numbers) != len(steps) {
+		return r, fmt.Errorf("job %s has %d numbers for the tasks of %d occurrences", f.Submit.ID, len(numbers), len(steps))
+	}
+	return batch.NewJobSnapshot(f.Submit.submit(), q, batch.JobState(f.Result), fromNanos(f.Ended), f.Started).
+		WithTasks(numbers, steps, next).WithCrashes(crashRecords(f.Crashes)), nil
+}
+
+// occurrences returns the numbers of the occurrences in Tasks or Equal and that of the first one that has not begun.
+// Where Tasks has all occurrences, as always in older snapshots, there are no numbers.
 func (f batchJobForm) occurrences() (numbers []int, next int) {
 	if f.Sparse {
 		return f.Numbers, f.Next
 	}
-	for k := range f.Tasks {
+	for k := range max(len(f.Tasks), len(f.Equal)) {
 		numbers = append(numbers, k)
 	}
-	return numbers, len(f.Tasks)
+	return numbers, len(numbers)
+}
+
+// checkEqualTasks returns an error if a number of tasks cannot be right.
+func checkEqualTasks(occurrences [][][]equalTasks) error {
+	for _, steps := range occurrences {
+		for _, step := range steps {
+			left := maxStateElements
+			for _, e := range step {
+				if left -= e.Count; e.Count < 1 || e.Count > maxStateElements || left < 0 {
+					return fmt.Errorf("%d equal tasks in a step", e.Count)
+				}
+			}
+		}
+	}
+	return nil
 }
 
 func newBatchTaskForm(t batch.Task) batchTaskForm {
@@ -413,16 +465,60 @@
 	)
 }
 
-// convertTasks converts the tasks of a job, which are indexed by occurrence, step and index.
-func convertTasks[A, B any](from [][][]A, convert func(A) B) [][][]B {
-	to := make([][][]B, len(from))
+func newBatchTaskForms(l batch.TaskList) []batchTaskForm {
+	forms := make([]batchTaskForm, 0, l.Len())
+	for _, t := range l.All() {
+		forms = append(forms, newBatchTaskForm(t))
+	}
+	return forms
+}
+
+func newEqualTasks(l batch.TaskList) (forms []equalTasks) {
+	var last batch.Task
+	for n, t := range l.All() {
+		if n > 0 && t == last {
+			forms[len(forms)-1].Count++
+			continue
+		}
+		last = t
+		forms = append(forms, equalTasks{Count: 1, Task: newBatchTaskForm(t)})
+	}
+	return forms
+}
+
+// countTasks returns the number of tasks in lists by occurrence and step.
+func countTasks(occurrences [][]batch.TaskList) (count int) {
+	for _, lists := range occurrences {
+		for _, l := range lists {
+			count += l.Len()
+		}
+	}
+	return count
+}
+
+// convertLists converts the tasks of a job, which are indexed by occurrence and step.
+func convertLists[F any](from [][]batch.TaskList, convert func(batch.TaskList) []F) [][][]F {
+	to := make([][][]F, len(from))
+	for k := range from {
+		to[k] = make([][]F, len(from[k]))
+		for i, l := range from[k] {
+			to[k][i] = convert(l)
+		}
+	}
+	return to
+}
+
+// convertForms builds the tasks of a job, by occurrence and step, from the forms that add appends to a list.
+func convertForms[F any](from [][][]F, add func(*batch.TaskListBuilder, F)) [][]batch.TaskList {
+	to := make([][]batch.TaskList, len(from))
 	for k := range from {
-		to[k] = make([][]B, len(from[k]))
+		to[k] = make([]batch.TaskList, len(from[k]))
 		for i := range from[k] {
-			to[k][i] = make([]B, len(from[k][i]))
-			for n := range from[k][i] {
-				to[k][i][n] = convert(from[k][i][n])
+			var b batch.TaskListBuilder
+			for _, f := range from[k][i] {
+				add(&b, f)
 			}
+			to[k][i] = b.Build()
 		}
 	}
 	return to
--- a/internal/wire/batch_test.go
+++ b/internal/wire/batch_test.go
@@ -96,7 +96,7 @@
 		assert.True(t, j.EndedAt().Equal(o.EndedAt()))
 		assert.Equal(t, j.Tasks(0, 0), o.Tasks(0, 0))
 		assert.Equal(t, j.HasCrashes(), o.HasCrashes())
-		for n := range j.Tasks(0, 0) {
+		for n := range j.Tasks(0, 0).All() {
 			id := batch.NewTaskID(id, 0, 0, n)
 			assert.Equal(t, j.Crashes(id), o.Crashes(id))
 		}
