placement: a decision does not grow with tasks times occurrences

Cause: the planner listed the waiting tasks of each occurrence that was due, in every decision: up to 256 times 100,000 indexes, 205 MB, and the same again as the list of tasks that did not fit. The bounds on occurrences and on tasks do not bound their product.

Evidence: a decision of the planner alone allocates 428 to 620 MB and takes 0.7 to 1.1 s with such a job.

Change: a decision tries at most 4,096 tasks and 256 steps of a job, fewer steps if many jobs wait, and one task in place of all of a step that no worker could run. The rest waits for the next decision, which follows at once. Indexes of tasks that have not begun are shared by all units.

Related costs that grow with a product, in the same decision: - each task looked at all workers; now a worker is kept for the next task for as long as it fits, which gives the same choice - each task that did not fit looked at all workers again - each member of a gang looked at all members for its run number, and a gang that cannot fit was assigned in part first - how often a task fits into a worker was counted one by one; a task with a negative request was counted for ever - objectives of a job were computed again for each of its runs that might be stopped, over all its steps - a unit reserves for at most 512 of its tasks

--- a/internal/placement/assignment.go
+++ b/internal/placement/assignment.go
@@ -22,10 +22,9 @@
 }
 
 func (as *assignment) add(index int, w *workerState) {
-	tasks := as.unit.job.Tasks(as.unit.key.Occurrence(), as.unit.key.Step())
-	run := tasks.At(index).Run() + 1
+	run := as.unit.tasks.At(index).Run() + 1
 	if as.unit.step.Gang() {
-		run = tasks.MaxRun() + 1
+		run = as.unit.gangRun
 	}
 	as.members = append(as.members, batch.NewMember(index, run, w.incarnation))
 	as.workers = append(as.workers, w)
@@ -37,6 +36,9 @@
 // assignGang assigns all tasks of a gang to workers of a set, with the least leftover accelerators first. It returns
 // nil if they do not fit.
 func (p *planner) assignGang(u *unit, set []*workerState) *assignment {
+	if !p.fitsNow(u, set) {
+		return nil
+	}
 	as := newAssignment(u)
 	sorted := slices.Clone(set)
 	slices.SortStableFunc(sorted, func(a, b *workerState) int {
--- a/internal/placement/isolation.go
+++ b/internal/placement/isolation.go
@@ -55,6 +55,8 @@
 		suspects.indexes = append(suspects.indexes, n)
 		suspects.suspicion = suspects.suspicion.add(r)
 	}
+	suspects.waiting = len(suspects.indexes)
+	others.waiting -= suspects.waiting
 	switch {
 	case len(suspects.indexes) == 0:
 		return []*unit{&others}
--- a/internal/placement/longrunning.go
+++ b/internal/placement/longrunning.go
@@ -19,15 +19,32 @@
 			unavailable++
 		}
 	}
-	for n, t := range r.job.Tasks(id.Occurrence(), id.Step()).All() {
-		other := run.NewID(batch.NewTaskID(id.Job(), id.Occurrence(), id.Step(), n), t.Run())
-		if n != id.Index() && (t.Phase() != batch.Placed || p.stopped[other] || !p.view.forecast.serving[other]) {
-			unavailable++
-		}
+	unavailable += p.countUnavailable(r.job, id.StepKey())
+	if !p.serves(r.id) {
+		unavailable--
 	}
 	return unavailable < r.step.MaxUnavailable()
 }
 
+// countUnavailable returns the number of tasks of a step that are not serving or that this decision stops.
+func (p *planner) countUnavailable(j *batch.Job, step batch.TaskID) int {
+	if count, known := p.unavailable[step]; known {
+		return count
+	}
+	tasks := j.Tasks(step.Occurrence(), step.Step())
+	count := tasks.Len() - tasks.Count(batch.Placed)
+	for n, t := range tasks.In(batch.Placed) {
+		if !p.serves(run.NewID(batch.NewTaskID(step.Job(), step.Occurrence(), step.Step(), n), t.Run())) {
+			count++
+		}
+	}
+	p.unavailable[step] = count
+	return count
+}
+
+// serves reports whether a placed run of a long-running task is serving and is not stopped by this decision.
+func (p *planner) serves(id run.ID) bool { return p.view.forecast.serving[id] && !p.stopped[id] }
+
 // unrestrictedShare is a share of all accelerators. While no more than this share is in use, long-running tasks start
 // without regard to guarantees.
 const unrestrictedShare = 0.5
--- a/internal/placement/objective.go
+++ b/internal/placement/objective.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -13,10 +14,14 @@
 
 // objective returns the time within which a job should end, counted from its acceptance or its occurrence's due time.
 func (p *planner) objective(j *batch.Job) time.Duration {
+	if d, known := p.objectives[j]; known {
+		return d
+	}
 	q := p.view.state.CurrentQueue(j)
-	return q.Objective(j.Spec().CriticalPath(func(i int) time.Duration {
+	p.objectives[j] = q.Objective(j.Spec().CriticalPath(func(i int) time.Duration {
 		return p.stepDuration(j, i, fairShare*p.slots(q, j.Spec().Steps()[i]))
 	}))
+	return p.objectives[j]
 }
 
 // stepDuration returns how long a step takes with the given number of task slots. It is 0 for a long-running step,
@@ -31,10 +36,14 @@
 
 // remainingTimes returns, for each step, how long a job takes from that step on if it can use all workers of its service.
 func (p *planner) remainingTimes(j *batch.Job) []time.Duration {
+	if times, known := p.remaining[j]; known {
+		return times
+	}
 	q := p.view.state.CurrentQueue(j)
-	return j.Spec().CriticalPaths(func(i int) time.Duration {
+	p.remaining[j] = j.Spec().CriticalPaths(func(i int) time.Duration {
 		return p.stepDuration(j, i, p.slots(q, j.Spec().Steps()[i]))
 	})
+	return p.remaining[j]
 }
 
 // waves returns in how many rounds a step runs on the given number of task slots. A gang runs in one.
@@ -64,8 +73,8 @@
 		if w.service != key.service || key.label != "" && !slices.Contains(w.labels, key.label) {
 			continue
 		}
-		for free := w.capacity; key.needs.Fits(free) && key.needs != (batch.Resources{}); free = free.Minus(key.needs) {
-			sum++
+		if key.needs != (batch.Resources{}) {
+			sum += float64(w.capacity.Holds(key.needs, math.MaxInt))
 		}
 	}
 	p.slotCounts[key] = sum
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -4,13 +4,18 @@
 	"cmp"
 	"maps"
 	"slices"
+	"time"
 
 	"rosemarywind.example/rosemarywind/internal/batch"
 	"rosemarywind.example/rosemarywind/internal/run"
 )
 
-// maxReservations limits the units with a reservation, since each reservation reduces what the other units may use.
-const maxReservations = 4
+const (
+	// maxReservations limits the units with a reservation, since each reservation reduces what the other units may use.
+	maxReservations = 4
+	// maxReservedTasks limits the tasks of a unit with a reservation. Each one looks at all workers.
+	maxReservedTasks = 512
+)
 
 // planner is the working state of one decision.
 type planner struct {
@@ -28,13 +33,19 @@
 	stopped           map[run.ID]bool // by this decision
 	explained         int             // waits explained so far
 	suspects          bool            // whether a worker has crashed under an active job
+	unitsPerJob       int             // the most units of one job
+	objectives        map[*batch.Job]time.Duration
+	remaining         map[*batch.Job][]time.Duration // results of remainingTimes
+	unavailable       map[batch.TaskID]int           // results of countUnavailable, by the key of the step
+	ascending         []int                          // 0, 1, 2 and so on, as far as units have needed them
 }
 
 // Decide returns the starts, preemptions and advisor inquiry that a view calls for. It does not modify the view.
 func Decide(v View) Plan {
 	p := &planner{
 		view: v, racks: map[string][]*workerState{}, stopped: map[run.ID]bool{}, slotCounts: map[slotsKey]float64{},
-		idleServices: map[string]bool{},
+		idleServices: map[string]bool{}, objectives: map[*batch.Job]time.Duration{},
+		remaining: map[*batch.Job][]time.Duration{}, unavailable: map[batch.TaskID]int{},
 	}
 	var byIncarnation map[batch.Incarnation]*workerState
 	p.workers, byIncarnation = v.workerStates()
@@ -45,6 +56,7 @@
 		p.totalAccelerators += w.capacity.Accelerators()
 	}
 	p.setHeadroom()
+	p.setUnitsPerJob()
 	guaranteed := v.guaranteedJobs()
 	var units []*unit
 	for id, j := range v.state.Jobs().All() {
@@ -63,6 +75,9 @@
 		u.waitPolicy = p.waitPolicyOf(u)
 		p.place(u)
 		waiting := u.waitingAfter(p.plan.groups[placed:])
+		if waiting > 0 && u.waiting-waiting == len(u.indexes) {
+			u.reason = Deferred
+		}
 		p.recordInquiry(u, waiting)
 		p.recordWait(u, waiting)
 	}
@@ -118,15 +133,20 @@
 	var left []int
 	heldBack := false
 	eligible := p.eligible(u)
-	for _, n := range u.indexes {
-		w := p.bestWorker(u, as, eligible)
+	var w *workerState
+	for i, n := range u.indexes {
+		// A task makes its worker fuller, so that it stays the preferred one of the next task, unless the unit is under
+		// suspicion.
+		if w == nil || u.suspicion.any() || !p.fits(u, as, w, w.free) {
+			w = p.bestWorker(u, as, eligible)
+		}
 		if w != nil && (!p.leavesHeadroom(u, w) || !p.guaranteesPermit(u, 1)) {
 			heldBack, u.reason = true, CapacityReserved
 			break
 		}
 		if w == nil {
-			left = append(left, n)
-			continue
+			left = u.indexes[i:]
+			break
 		}
 		if w.quarantined && len(as.members) > 0 {
 			// One task shows whether it can run there; more would only use up attempts.
@@ -152,15 +172,16 @@
 	}
 	p.reservedUnits++
 	rest := *u
-	rest.indexes = indexes
+	rest.indexes, rest.waiting = indexes, len(indexes)
 	set := p.eligible(&rest)
 	if u.queue.Priority() == 0 {
 		if p.preempt(&rest, [][]*workerState{set}, maxLostWorkRatio*rest.work()) != nil {
 			u.reason = CapacityPending
 		}
 	}
-	for _, n := range indexes {
-		rest.indexes = []int{n}
+	rest.waiting = 1
+	for n := range min(len(indexes), maxReservedTasks) {
+		rest.indexes = indexes[n : n+1]
 		if !p.reserve(&rest, singletonSets(set)) {
 			return
 		}
@@ -288,17 +309,24 @@
 
 // maxTasks returns how many tasks of the unit fit into a worker's free resources, within the step's limit per worker.
 func (u *unit) maxTasks(free batch.Resources) int {
-	needs, count := u.step.Reserved(), 0
-	for count < len(u.indexes) && needs.Fits(free) {
-		free = free.Minus(needs)
-		count++
-	}
+	count := free.Holds(u.step.Reserved(), len(u.indexes))
 	if m := u.step.MaxPerWorker(); m > 0 {
 		count = min(count, m)
 	}
 	return count
 }
 
+// setUnitsPerJob divides maxUnits among the jobs that wait for workers.
+func (p *planner) setUnitsPerJob() {
+	jobs := 0
+	for _, j := range p.view.state.Jobs().All() {
+		if j.HasWaiting() {
+			jobs++
+		}
+	}
+	p.unitsPerJob = min(max(maxUnits/max(jobs, 1), minJobUnits), maxJobUnits)
+}
+
 // bestWorker returns the preferred worker of a set for one more task of a step, or nil if none fits.
 func (p *planner) bestWorker(u *unit, as *assignment, set []*workerState) (best *workerState) {
 	for _, w := range set {
--- a/internal/placement/preempt.go
+++ b/internal/placement/preempt.go
@@ -42,6 +42,7 @@
 	for _, r := range best {
 		if !p.stopped[r.id] {
 			p.stopped[r.id] = true
+			delete(p.unavailable, r.id.Task().StepKey())
 			p.plan.stops = append(p.plan.stops, r.id)
 		}
 		r.ends = p.view.now.Add(stopAllowance)
@@ -69,7 +70,7 @@
 
 // work returns the expected work of the unit in core-seconds.
 func (u *unit) work() float64 {
-	return u.step.Resources().CoreEquivalents() * u.duration.Seconds() * float64(len(u.indexes))
+	return u.step.Resources().CoreEquivalents() * u.duration.Seconds() * float64(u.waiting)
 }
 
 // selectRuns returns runs of a set to preempt for the unit, picked greedily by least lost work for each accelerator; ok
--- a/internal/placement/reserve.go
+++ b/internal/placement/reserve.go
@@ -27,10 +27,7 @@
 		n := min(u.maxTasks(p.availableAt(w, from, declaredEnds)), left)
 		left -= n
 		if n > 0 {
-			needs := u.step.Reserved()
-			for range n - 1 {
-				needs = needs.Plus(u.step.Reserved())
-			}
+			needs := u.step.Reserved().Times(n)
 			w.reservations = append(w.reservations, reservation{from: from, needs: needs, noBackfill: u.queue.Priority() == 0})
 			w.reserved = w.reserved.Plus(needs)
 		}
--- a/internal/placement/unit.go
+++ b/internal/placement/unit.go
@@ -8,14 +8,17 @@
 	"rosemarywind.example/rosemarywind/internal/batch"
 )
 
-// unit is what the planner places in one go: a gang, whose tasks start together, or the waiting tasks of another step,
-// which may start one by one.
+// unit is what the planner places in one go: a gang, whose tasks start together, or waiting tasks of another step, which
+// may start one by one.
 type unit struct {
 	job        *batch.Job
 	queue      batch.Queue
 	step       batch.Step
 	key        batch.TaskID
-	indexes    []int
+	tasks      batch.TaskList
+	indexes    []int         // of the tasks to place; shared with other units
+	waiting    int           // all tasks of the unit that wait, also those that are left to a later decision
+	gangRun    int           // number of the next run of a gang
 	duration   time.Duration // of one task
 	slack      time.Duration // until the unit must start for its job to meet its objective
 	nextSlack  time.Duration // like slack, but for three times the objective once slack is negative
@@ -26,81 +29,137 @@
 	readySince time.Time // the latest of acceptance, due time and the times since which its tasks wait
 }
 
-// units returns the units of a job that can start once workers have the capacity.
+const (
+	// maxJobTasks bounds the tasks of a job that a decision tries to place. The others wait for a later one, so that a
+	// decision does not grow with the tasks and times that callers ask for.
+	maxJobTasks = 4096
+	// maxJobUnits and minJobUnits bound the units of a job in a decision, of which there is one for each step that is
+	// ready in each occurrence that is due.
+	maxJobUnits = 256
+	minJobUnits = 16
+	// maxUnits is the number of units in a decision above which each job gets fewer than maxJobUnits.
+	maxUnits = 16_384
+)
+
+// units returns the units of a job that can start once workers have the capacity, within the bounds on a decision.
 func (p *planner) units(j *batch.Job, guaranteed bool) (list []*unit) {
 	if !j.Active() {
 		return nil
 	}
 	q := p.view.state.CurrentQueue(j)
-	spec, now := j.Spec(), p.view.now
 	objective := p.objective(j)
 	var remaining []time.Duration // by step; set once a step is ready
-	for k := range j.Due(now) {
-		begin := j.Accepted()
-		if due := spec.Due(k); !due.IsZero() {
-			begin = due
-		}
-		for i, s := range spec.Steps() {
-			if !j.Ready(k, i) {
-				continue
+	unitsLeft, tasksLeft := p.unitsPerJob, maxJobTasks
+	for k := range j.Due(p.view.now) {
+		for i := range j.ReadySteps(k) {
+			if unitsLeft == 0 || tasksLeft <= 0 {
+				return list
 			}
-			u := &unit{
-				job: j, queue: q, step: s, key: batch.NewTaskID(spec.ID(), k, i, 0), guaranteed: guaranteed,
-				duration: p.view.taskDuration(j, i),
-			}
-			u.indexes = waitingIndexes(j.Tasks(k, i))
-			if len(u.indexes) == 0 || s.Gang() && len(u.indexes) < s.Count() {
+			u := p.newUnit(j, q, batch.NewTaskID(j.Spec().ID(), k, i, 0), tasksLeft)
+			if u == nil {
 				continue
 			}
-			u.readySince = begin
-			if since := j.Tasks(k, i).WaitingSince(); since.After(u.readySince) {
-				u.readySince = since
-			}
+			unitsLeft--
+			tasksLeft -= len(u.indexes)
+			u.guaranteed = guaranteed
 			if remaining == nil {
 				remaining = p.remainingTimes(j)
 			}
-			u.slack = begin.Add(objective).Sub(now.Add(remaining[i]))
-			u.nextSlack = u.slack
-			if s.LongRunning() {
-				// Every moment in which a long-running task does not run counts, so it is never late, however long it
-				// has waited.
-				u.slack, u.nextSlack = max(u.slack, 0), max(u.slack, 0)
-			}
-			if u.slack < 0 {
-				u.nextSlack += 2 * objective
-			}
+			u.setSlack(p.view.now, objective, remaining[i])
 			list = append(list, u.splitBySuspicion()...)
 		}
 	}
 	return list
 }
 
+// newUnit returns the unit of a step that is ready, with at most the given number of tasks unless it is a gang. It returns
+// nil for a gang of which not all tasks wait.
+func (p *planner) newUnit(j *batch.Job, q batch.Queue, key batch.TaskID, limit int) *unit {
+	s, tasks := j.Spec().Steps()[key.Step()], j.Tasks(key.Occurrence(), key.Step())
+	u := &unit{
+		job: j, queue: q, step: s, key: key, tasks: tasks, waiting: tasks.Count(batch.Waiting),
+		duration: p.view.taskDuration(j, key.Step()), readySince: j.Accepted(),
+	}
+	if s.Gang() {
+		if u.waiting < s.Count() {
+			return nil
+		}
+		limit, u.gangRun = s.Count(), tasks.MaxRun()+1
+	} else if !p.suitable(q, s) {
+		// One task stands for all of a step that no worker can run.
+		limit = 1
+	}
+	u.indexes = p.waitingIndexes(tasks, min(limit, u.waiting))
+	if due := j.Spec().Due(key.Occurrence()); !due.IsZero() {
+		u.readySince = due
+	}
+	if since := tasks.WaitingSince(); since.After(u.readySince) {
+		u.readySince = since
+	}
+	return u
+}
+
+// setSlack sets the slack of a unit of a job that has the given objective, of which the remaining time is left from the
+// unit's step on.
+func (u *unit) setSlack(now time.Time, objective, remaining time.Duration) {
+	begin := u.job.Accepted()
+	if due := u.job.Spec().Due(u.key.Occurrence()); !due.IsZero() {
+		begin = due
+	}
+	u.slack = begin.Add(objective).Sub(now.Add(remaining))
+	u.nextSlack = u.slack
+	if u.step.LongRunning() {
+		// Every moment in which a long-running task does not run counts, so it is never late, however long it has waited.
+		u.slack, u.nextSlack = max(u.slack, 0), max(u.slack, 0)
+	}
+	if u.slack < 0 {
+		u.nextSlack += 2 * objective
+	}
+}
+
+// suitable reports whether a worker outside quarantine could run a task of a step if it ran nothing else.
+func (p *planner) suitable(q batch.Queue, s batch.Step) bool {
+	return s.Reserved() == (batch.Resources{}) || p.slots(q, s) > 0
+}
+
+// waitingIndexes returns the indexes of the first waiting tasks, up to the given number, which must not be more than
+// there are.
+func (p *planner) waitingIndexes(tasks batch.TaskList, count int) (indexes []int) {
+	if tasks.Count(batch.Waiting) == tasks.Len() {
+		for n := len(p.ascending); n < count; n++ {
+			p.ascending = append(p.ascending, n)
+		}
+		return p.ascending[:count:count]
+	}
+	indexes = make([]int, 0, count)
+	for n := range tasks.In(batch.Waiting) {
+		if len(indexes) == count {
+			break
+		}
+		indexes = append(indexes, n)
+	}
+	return indexes
+}
+
 // smallestStart returns the smallest part of the unit that can start on its own: the whole gang, or one task.
 func (u *unit) smallestStart() *unit {
 	if u.step.Gang() {
 		return u
 	}
 	one := *u
-	one.indexes = one.indexes[:1]
+	one.indexes, one.waiting = one.indexes[:1], 1
 	return &one
 }
 
 // waitingAfter returns how many of the unit's tasks still wait once the given groups have started.
 func (u *unit) waitingAfter(started []batch.Group) int {
-	count := len(u.indexes)
+	count := u.waiting
 	for _, g := range started {
 		count -= len(g.Members())
 	}
 	return count
 }
 
-func waitingIndexes(tasks batch.TaskList) (indexes []int) {
-	for n := range tasks.In(batch.Waiting) {
-		indexes = append(indexes, n)
-	}
-	return indexes
-}
-
 // sortUnits sorts units for placement: those within a guarantee first, then by rank, and within a rank by the least
 // slack, or by the least work for late ones. The key makes the order total.
 func sortUnits(units []*unit) {
--- a/internal/placement/wait.go
+++ b/internal/placement/wait.go
@@ -15,6 +15,7 @@
 	NoCapacity       Reason = "no free capacity"
 	CapacityPending  Reason = "capacity becomes free in time, or runs are stopped for it"
 	CapacityReserved Reason = "capacity is kept for urgent or guaranteed work"
+	Deferred         Reason = "left to the next decision"
 	NotApproved      Reason = "no worker is approved yet"
 	NotIsolated      Reason = "a worker crashed under it, and other jobs' runs have just started where it fits"
 	NoMatchingWorker Reason = "too few workers of the service have the required label and capacity"
