batch: a job with a negative or absurd number is refused

Found while looking at the costs of a decision. A job whose tasks request -5 thousandths of a core was accepted, and the planner then counted for ever how often such a task fits into a worker: no decision within 10 s on the code before (trial), so no job of anyone would have begun again, under no leader.

New jobs with a negative request, duration, limit per worker or tolerance, or with a request above 2^40, are refused with 400. What has been accepted before stays readable.

--- a/internal/batch/step.go
+++ b/internal/batch/step.go
@@ -185,8 +185,12 @@
 	return s, nil
 }
 
+// maxRequest bounds each resource that a task requests, in the unit of Resources: far above any worker, and low enough that
+// sums over all tasks stay within the range of an integer.
+const maxRequest = 1 << 40
+
 // CheckSubmission returns an error if the job is not to be accepted: one with more than maxSubmittedTasks tasks, or with a
-// negative interval. A job that has been accepted before stays valid.
+// number that is negative or above maxRequest. A job that has been accepted before stays valid.
 func (s Spec) CheckSubmission() error {
 	tasks := s.countTasks()
 	switch {
@@ -195,6 +199,24 @@
 	case s.interval < 0:
 		return fmt.Errorf("job %s has the negative interval %s", s.id, s.interval)
 	}
+	for i, st := range s.steps {
+		if err := st.check(); err != nil {
+			return fmt.Errorf("step %d of job %s: %w", i, s.id, err)
+		}
+	}
+	return nil
+}
+
+// check returns an error if a number of the step is negative or absurd.
+func (s Step) check() error {
+	for _, n := range []int{s.resources.millicores, s.resources.memoryMB, s.resources.accelerators} {
+		if n < 0 || n > maxRequest {
+			return fmt.Errorf("request of %d, not from 0 to %d", n, maxRequest)
+		}
+	}
+	if s.estimate < 0 || s.maxPerWorker < 0 || s.maxUnavailable < 0 {
+		return fmt.Errorf("negative duration %s, limit per worker %d or tolerance %d", s.estimate, s.maxPerWorker, s.maxUnavailable)
+	}
 	return nil
 }
 
