scheduler: jobs are refused while those that are stored leave no room

Change: the state counts what the jobs of each workspace take: their documents twice, their steps and a fixed part. Jobs that have ended count until they are forgotten.

The log line of a submission names at most 16 steps.

--- a/internal/batch/state.go
+++ b/internal/batch/state.go
@@ -74,6 +74,7 @@
 	declaration Declaration
 	document    []byte
 	jobs        board.Table[*Job]
+	usage       usage // by jobs
 	waves       map[int64]Wave
 }
 
@@ -135,10 +136,7 @@
 	case RecordCrashes:
 		return s.recordCrashes(c)
 	case PruneJobs:
-		s.jobs = s.jobs.Filter(func(_ string, j *Job) bool {
-			return j.Active() || !j.ended.Before(c.before) || j.HasPlaced()
-		})
-		return s, Applied{}
+		return s.prune(c), Applied{}
 	case StartWave:
 		return s.startWave(c), Applied{}
 	case RecordMaintenance:
@@ -172,10 +170,28 @@
 	if err != nil {
 		return s, Rejected{reason: err.Error()}
 	}
-	s.jobs = s.jobs.With(c.id, newJob(spec, slices.Clone(c.document), q, c.workspace, c.at))
+	s = s.withJob(c.id, newJob(spec, slices.Clone(c.document), q, c.workspace, c.at))
 	return s, Accepted{}
 }
 
+// withJob returns the state with a new job.
+func (s State) withJob(id string, j *Job) State {
+	s.jobs = s.jobs.With(id, j)
+	s.usage = s.usage.plus(j.workspace, j.spec.bytes(len(j.document)))
+	return s
+}
+
+func (s State) prune(c PruneJobs) State {
+	s.jobs = s.jobs.Filter(func(_ string, j *Job) bool {
+		if j.Active() || !j.ended.Before(c.before) || j.HasPlaced() {
+			return true
+		}
+		s.usage = s.usage.plus(j.workspace, -j.spec.bytes(len(j.document)))
+		return false
+	})
+	return s
+}
+
 func (s State) cancel(c Cancel) (State, Result) {
 	j, known := s.jobs.Get(c.id)
 	if known && j.Active() {
@@ -340,7 +356,7 @@
 			return s, err
 		}
 		j.restoreOccurrences(r.numbers, r.steps, r.next)
-		s.jobs = s.jobs.With(spec.id, j)
+		s = s.withJob(spec.id, j)
 	}
 	return s, nil
 }
--- /dev/null
+++ b/internal/batch/usage.go
@@ -0,0 +1,49 @@
+package batch
+
+import "maps"
+
+const (
+	// jobBytes is about what a job takes in the memory of a control host beside its document and steps.
+	jobBytes = 1 << 10
+	// stepBytes is about what a step of a job takes.
+	stepBytes = 400
+	// documentCopies is how many times a control host holds the document of a job: as submitted and parsed.
+	documentCopies = 2
+	// maxWorkspaceShare is the share of the bytes for all jobs that those of one workspace may take, so that one workspace
+	// does not keep the jobs of the others out.
+	maxWorkspaceShare = 0.25
+)
+
+// usage holds the bytes that the jobs of each workspace take, ended jobs included; it is immutable.
+type usage map[string]int
+
+// plus returns a copy with bytes added to a workspace.
+func (u usage) plus(workspace string, bytes int) usage {
+	next := maps.Clone(u)
+	if next == nil {
+		next = usage{}
+	}
+	if next[workspace] += bytes; next[workspace] == 0 {
+		delete(next, workspace)
+	}
+	return next
+}
+
+func (u usage) total() (sum int) {
+	for _, bytes := range u {
+		sum += bytes
+	}
+	return sum
+}
+
+// bytes returns about what the job takes in the memory of a control host, without the tasks that have begun.
+func (s Spec) bytes(document int) int {
+	return jobBytes + len(s.steps)*stepBytes + documentCopies*document
+}
+
+// Full reports whether the jobs that are stored leave no room for another one of a workspace, if all jobs may take limit
+// bytes.
+func (s State) Full(spec Spec, document int, workspace string, limit int) bool {
+	bytes := spec.bytes(document)
+	return s.usage.total()+bytes > limit || float64(s.usage[workspace]+bytes) > maxWorkspaceShare*float64(limit)
+}
--- a/internal/scheduler/calls.go
+++ b/internal/scheduler/calls.go
@@ -84,6 +84,9 @@
 	return q, owner, rest, ""
 }
 
+// fullRetryAfter is a time after which jobs have usually ended and been forgotten.
+const fullRetryAfter = 30 * time.Second
+
 func (s *Scheduler) submit(ctx context.Context, now time.Time, c call.Submit) call.Reply {
 	q, owner, id, refusal := s.locate(c.Target())
 	if refusal != "" {
@@ -94,12 +97,18 @@
 	}
 	spec, err := s.decoder.Spec(id, c.Document())
 	// A job that was accepted before is acknowledged again.
-	if _, known := s.state.Load().Job(id); err == nil && !known {
+	state := s.state.Load()
+	_, known := state.Job(id)
+	if err == nil && !known {
 		err = spec.CheckSubmission()
 	}
 	if err != nil {
 		return call.NewReply(call.Invalid, err.Error())
 	}
+	if !known && state.Full(spec, len(c.Document()), owner, s.jobBytes) {
+		s.metrics.refused.Inc(1)
+		return call.NewReply(call.Refused, "the jobs that are stored leave no room for another one").WithRetryAfter(fullRetryAfter)
+	}
 	r, err := s.propose(ctx, batch.NewSubmit(id, q.Name(), owner, c.Document(), now))
 	if err != nil {
 		return s.failureReply(err)
@@ -262,7 +271,10 @@
 	}
 }
 
-// formatSteps returns one word per step of an accepted job: its number of tasks, accelerators and thousandths of a
+// maxLoggedSteps bounds the steps of a job in a log line; a job can have thousands.
+const maxLoggedSteps = 16
+
+// formatSteps returns one word per step of an accepted job, for the first maxLoggedSteps of them: its number of tasks, accelerators and thousandths of a
 // core per task, declared duration in milliseconds, and constraints. It returns an empty string if the call failed.
 func (s *Scheduler) formatSteps(p call.Target, r call.Reply) string {
 	_, _, id, _ := s.locate(p)
@@ -270,8 +282,9 @@
 	if r.Outcome() != call.OK || !known {
 		return ""
 	}
-	steps := make([]string, len(j.Spec().Steps()))
-	for i, e := range j.Spec().Steps() {
+	all := j.Spec().Steps()
+	steps := make([]string, min(len(all), maxLoggedSteps), maxLoggedSteps+1)
+	for i, e := range all[:len(steps)] {
 		r := e.Resources()
 		steps[i] = fmt.Sprintf("%dx%dg%dm/%dms", e.Count(), r.Accelerators(), r.Millicores(), e.Estimate().Milliseconds())
 		for constraint, set := range map[string]bool{
@@ -283,5 +296,8 @@
 			}
 		}
 	}
+	if len(all) > len(steps) {
+		steps = append(steps, fmt.Sprintf("and %d more", len(all)-len(steps)))
+	}
 	return strings.Join(steps, " ")
 }
--- a/internal/scheduler/options.go
+++ b/internal/scheduler/options.go
@@ -25,6 +25,7 @@
 	advisor    Advisor
 	maintainer Maintainer
 	grace      time.Duration
+	jobBytes   int
 }
 
 // Option configures a Scheduler.
@@ -63,10 +64,17 @@
 // WithGrace sets the grace period for stopping, 5 s by default.
 func WithGrace(d time.Duration) Option { return func(o *options) { o.grace = d } }
 
+// WithJobBytes sets about how many bytes of memory all stored jobs may take; 64 MB by default. New jobs beyond that are
+// refused.
+func WithJobBytes(limit int) Option { return func(o *options) { o.jobBytes = limit } }
+
+// defaultJobBytes is half of the memory that a control host may use by default.
+const defaultJobBytes = 64 << 20
+
 func defaultOptions() options {
 	return options{
 		logger: hclog.NewNullLogger(), registry: telemetry.NewRegistry(),
-		timing: dispatch.DefaultTiming(), grace: 5 * time.Second,
+		timing: dispatch.DefaultTiming(), grace: 5 * time.Second, jobBytes: defaultJobBytes,
 		ledger: []driver.Option{driver.WithTiming(ledger.ShortTiming())},
 	}
 }
