dispatch: a step does not grow with the square of the runs on a worker

Found while looking at the costs of jobs of many tasks that workers can run. For each placed run the leader went through the lists of its worker, and the agent went through the runs in progress for each run that had settled. A step with 9,000 runs on each of 6 workers took 3.5 s, in which the leader renews no lease.

The leader keeps each list with an index by run, and the agent makes one for each list that it receives.

--- a/internal/dispatch/host.go
+++ b/internal/dispatch/host.go
@@ -17,6 +17,7 @@
 	announced        bool
 	announcedAt      time.Time
 	list             run.List
+	listIndex        listIndex
 	listed           bool
 	listedAt         time.Time
 	pace             *pace
@@ -46,6 +47,7 @@
 	if l, ok := r.List(); ok && l.Incarnation() == h.announcement.Incarnation() {
 		h.reportedAt = now
 		h.list, h.listed, h.listedAt, h.unreachable = l, true, now, false
+		h.listIndex = newListIndex(l)
 		h.recordClock(now, l.Incarnation(), l.Clock())
 		listed = true
 	}
@@ -60,7 +62,7 @@
 
 // resetIncarnation drops what is known of the earlier incarnation, except its lease, which may still be running.
 func (h *host) resetIncarnation() {
-	h.listed, h.list, h.unreachable = false, run.List{}, false
+	h.listed, h.list, h.listIndex, h.unreachable = false, run.List{}, listIndex{}, false
 	h.acknowledged, h.listRequested = 0, false
 	h.leavingSince = time.Time{}
 	h.health = health{}
@@ -115,38 +117,43 @@
 // hasCurrentList reports whether the worker had received the fencing token when it made its latest list.
 func (h *host) hasCurrentList(token uint64) bool { return h.listed && h.list.FencingToken() >= token }
 
-func (h *host) listsRunning(id run.ID) bool {
-	for _, r := range h.list.Running() {
-		if r.ID() == id {
-			return true
-		}
-	}
-	return false
+// listIndex finds the entries of a worker's list by their runs. A worker may list thousands.
+type listIndex struct {
+	running  map[run.ID]run.Running
+	finished map[run.ID]run.Finished // the first end of each run
+	settled  map[run.ID]bool
 }
 
-func (h *host) listedEnd(id run.ID) (f run.Finished, ok bool) {
-	for _, f := range h.list.Finished() {
-		if f.End().Task() == id.Task() && f.End().Run() == id.Run() {
-			return f, true
+func newListIndex(l run.List) listIndex {
+	i := listIndex{
+		running: make(map[run.ID]run.Running, len(l.Running())), finished: make(map[run.ID]run.Finished, len(l.Finished())),
+		settled: make(map[run.ID]bool, len(l.Settled())),
+	}
+	for _, r := range l.Running() {
+		i.running[r.ID()] = r
+	}
+	for _, f := range l.Finished() {
+		id := run.NewID(f.End().Task(), f.End().Run())
+		if _, known := i.finished[id]; !known {
+			i.finished[id] = f
 		}
 	}
-	return run.Finished{}, false
+	for _, id := range l.Settled() {
+		i.settled[id] = true
+	}
+	return i
 }
 
-func (h *host) listsSettled(id run.ID) bool {
-	for _, s := range h.list.Settled() {
-		if s == id {
-			return true
-		}
-	}
-	return false
+func (h *host) listsRunning(id run.ID) bool {
+	_, listed := h.listIndex.running[id]
+	return listed
 }
 
-func (h *host) listedCheckpoint(id run.ID) string {
-	for _, r := range h.list.Running() {
-		if r.ID() == id {
-			return r.Checkpoint()
-		}
-	}
-	return ""
+func (h *host) listedEnd(id run.ID) (f run.Finished, ok bool) {
+	f, ok = h.listIndex.finished[id]
+	return f, ok
 }
+
+func (h *host) listsSettled(id run.ID) bool { return h.listIndex.settled[id] }
+
+func (h *host) listedCheckpoint(id run.ID) string { return h.listIndex.running[id].Checkpoint() }
--- a/internal/runner/crash.go
+++ b/internal/runner/crash.go
@@ -52,9 +52,9 @@
 }
 
 // forgetEnded drops the runs that a list shows to have ended: those that are settled and no longer running.
-func (w *crashWatch) forgetEnded(list run.List) {
-	for _, id := range list.Settled() {
-		if !isListed(list, id) {
+func (w *crashWatch) forgetEnded(settled []run.ID, running map[run.ID]bool) {
+	for _, id := range settled {
+		if !running[id] {
 			delete(w.begun, id)
 		}
 	}
--- a/internal/runner/loop.go
+++ b/internal/runner/loop.go
@@ -235,10 +235,17 @@
 }
 
 // isRunning reports whether the latest list shows the run as running.
-func (l *loop) isRunning(id run.ID) bool { return isListed(l.list, id) }
+func (l *loop) isRunning(id run.ID) bool {
+	return slices.ContainsFunc(l.list.Running(), func(r run.Running) bool { return r.ID() == id })
+}
 
-func isListed(list run.List, id run.ID) bool {
-	return slices.ContainsFunc(list.Running(), func(r run.Running) bool { return r.ID() == id })
+// runningIDs returns the runs in progress, of which a worker may list thousands.
+func runningIDs(list run.List) map[run.ID]bool {
+	ids := make(map[run.ID]bool, len(list.Running()))
+	for _, r := range list.Running() {
+		ids[r.ID()] = true
+	}
+	return ids
 }
 
 // hasUnacknowledged reports whether the latest list has an end that the leader has not acknowledged.
@@ -316,15 +323,16 @@
 	}
 	list := run.NewList(in.list.Incarnation(), in.list.FencingToken(), in.list.Clock(), in.list.Running(),
 		in.list.Finished(), settled)
+	running := runningIDs(list)
 	for id := range l.paces {
-		if !isListed(list, id) {
+		if !running[id] {
 			delete(l.paces, id)
 		}
 	}
 	changed := !sameList(l.list, list)
 	l.list = list
 	l.watch.recordAnswer(now)
-	l.watch.forgetEnded(list)
+	l.watch.forgetEnded(list.Settled(), running)
 	if n := l.acknowledgement(); l.hasUnacknowledged() || n > 0 && n == in.acknowledged {
 		l.nextList = now.Add(unacknowledgedListDelay)
 	} else {
