dispatch: a run that a truncated list leaves out has not been lost

The runs of the later ends stood neither among the runs in progress nor among the ends, so the leader took them for lost.

The ends are committed and acknowledged, and the next list has the later ones.

--- a/internal/dispatch/resolve.go
+++ b/internal/dispatch/resolve.go
@@ -72,6 +72,10 @@
 		if h.listsRunning(id) {
 			return e, false
 		}
+		if h.list.Truncated() {
+			// The run may have ended after the ends that the worker lists.
+			return e, false
+		}
 		o := c.orders[id]
 		switch {
 		case o == nil || o.startOrderedAt.IsZero() && o.stopOrderedAt.IsZero():
@@ -114,7 +118,7 @@
 		return f.End(), true
 	}
 	// A late start of the run could still reach it, so the run is stopped there first.
-	if h.connected && h.hasCurrentList(c.fencingToken) && h.listsSettled(id) && !h.listsRunning(id) {
+	if h.connected && h.hasCurrentList(c.fencingToken) && h.listsSettled(id) && !h.listsRunning(id) && !h.list.Truncated() {
 		return lost("the worker has a new incarnation", h)
 	}
 	c.stop(now, id, h, "its worker has a new incarnation", a)
--- a/internal/run/report.go
+++ b/internal/run/report.go
@@ -148,6 +148,7 @@
 	running      []Running
 	finished     []Finished
 	settled      []ID
+	truncated    bool
 }
 
 // NewList returns a list made by one incarnation of a worker at a reading of its clock, after it had seen a fencing
@@ -162,6 +163,15 @@
 	}
 }
 
+// WithTruncated returns a copy of a list in which later ends are missing, since the worker lists only so many at a time.
+func (l List) WithTruncated(truncated bool) List {
+	l.truncated = truncated
+	return l
+}
+
+// Truncated reports whether ends may be missing after the listed ones: a run that is not listed may have ended.
+func (l List) Truncated() bool { return l.truncated }
+
 // Incarnation returns the incarnation of the worker that made the list.
 func (l List) Incarnation() batch.Incarnation { return l.incarnation }
 
--- a/internal/runner/loop.go
+++ b/internal/runner/loop.go
@@ -322,7 +322,7 @@
 		}
 	}
 	list := run.NewList(in.list.Incarnation(), in.list.FencingToken(), in.list.Clock(), in.list.Running(),
-		in.list.Finished(), settled)
+		in.list.Finished(), settled).WithTruncated(in.list.Truncated())
 	running := runningIDs(list)
 	for id := range l.paces {
 		if !running[id] {
@@ -352,7 +352,7 @@
 func sameList(a, b run.List) bool {
 	if a.Incarnation() != b.Incarnation() || a.FencingToken() != b.FencingToken() ||
 		len(a.Running()) != len(b.Running()) || len(a.Finished()) != len(b.Finished()) ||
-		len(a.Settled()) != len(b.Settled()) {
+		len(a.Settled()) != len(b.Settled()) || a.Truncated() != b.Truncated() {
 		return false
 	}
 	for i, r := range a.Running() {
--- a/internal/wire/batch_test.go
+++ b/internal/wire/batch_test.go
@@ -126,7 +126,7 @@
 		r := run.NewReport("h").WithAnnouncement(run.NewAnnouncement(testIncarnation, "s", "z", 3).WithRack("r", []string{"a", "r"}).
 			WithCapacity(batch.NewResources(1, 2, 3)).WithClock(time.Hour).WithMachine("m").WithDraining(time.Second)).
 			WithList(run.NewList(testIncarnation, 9, time.Hour, []run.Running{run.NewRunning(id, "c", 100, 5)},
-				[]run.Finished{run.NewFinished(58, testEnd)}, []run.ID{id})).
+				[]run.Finished{run.NewFinished(58, testEnd)}, []run.ID{id}).WithTruncated(true)).
 			WithRefused([]run.Refusal{run.NewRefusal(id, "late")}).WithTerminating().WithUnreachable().
 			WithCrashes([]run.Crash{run.NewCrash(testIncarnation, run.NewCrashedRun(id, time.Second))})
 		require.NoError(t, wire.WriteRunReport(&b, r))
--- a/internal/wire/run.go
+++ b/internal/wire/run.go
@@ -150,6 +150,7 @@
 	Terminating  bool                 `cbor:"5,keyasint,omitempty"`
 	Crashes      []crashForm          `cbor:"6,keyasint,omitempty"`
 	Unreachable  bool                 `cbor:"7,keyasint,omitempty"`
+	Truncated    bool                 `cbor:"8,keyasint,omitempty"` // of List, which cannot grow
 }
 
 func newRunAnnouncementForm(a run.Announcement) *runAnnouncementForm {
@@ -209,7 +210,7 @@
 		f.Announcement = newRunAnnouncementForm(a)
 	}
 	if l, ok := r.List(); ok {
-		f.List = newListForm(l)
+		f.List, f.Truncated = newListForm(l), l.Truncated()
 	}
 	for _, e := range r.Refused() {
 		f.Refused = append(f.Refused, refusalForm{ID: newRunIDForm(e.ID()), Reason: e.Reason()})
@@ -248,7 +249,7 @@
 		report = report.WithAnnouncement(f.Announcement.announcement())
 	}
 	if f.List != nil {
-		report = report.WithList(f.List.list())
+		report = report.WithList(f.List.list().WithTruncated(f.Truncated))
 	}
 	refused := make([]run.Refusal, len(f.Refused))
 	for i, e := range f.Refused {
