dispatch: the runs of a leaving worker end with it, not a second after its notice

Change: an agent reports that its worker has ended once it refuses connections after the notice; this stands in each session. The runs are lost then, or at the end of their lease as with any worker that is not heard of. A worker that is only slow to accept a connection does not count.

--- a/internal/dispatch/host.go
+++ b/internal/dispatch/host.go
@@ -28,7 +28,8 @@
 	holdSentAt       time.Time
 	acknowledged     int64
 	listRequested    bool
-	leavingSince     time.Time
+	leaving          bool // the worker has announced its termination
+	exited           bool // the worker has ended after that
 	unreachable      bool // the agent cannot connect to the worker
 	health           health
 	crashes          []run.Crash // of earlier incarnations, as the agent reported them last
@@ -54,9 +55,8 @@
 	if r.Unreachable() {
 		h.unreachable = true
 	}
-	if r.Terminating() && h.leavingSince.IsZero() {
-		h.leavingSince = now
-	}
+	h.leaving = h.leaving || r.Terminating()
+	h.exited = h.exited || r.Exited()
 	return listed
 }
 
@@ -64,7 +64,7 @@
 func (h *host) resetIncarnation() {
 	h.listed, h.list, h.listIndex, h.unreachable = false, run.List{}, listIndex{}, false
 	h.acknowledged, h.listRequested = 0, false
-	h.leavingSince = time.Time{}
+	h.leaving, h.exited = false, false
 	h.health = health{}
 	h.pace = nil
 }
@@ -94,7 +94,7 @@
 		return Unannounced
 	case h.unreachable:
 		return Unreachable
-	case h.announcement.Draining() || !h.leavingSince.IsZero():
+	case h.announcement.Draining() || h.leaving:
 		return Leaving
 	case !h.responsive(now):
 		return Silent
--- a/internal/dispatch/resolve.go
+++ b/internal/dispatch/resolve.go
@@ -65,7 +65,7 @@
 	if f, ok := h.listedEnd(id); ok && h.listed {
 		return f.End(), true
 	}
-	if !h.leavingSince.IsZero() && now.Sub(h.leavingSince) > leaveTimeout {
+	if h.exited {
 		return lost("the worker has left", h)
 	}
 	if h.connected && h.hasCurrentList(c.fencingToken) && h.responsive(now) {
--- a/internal/dispatch/timing.go
+++ b/internal/dispatch/timing.go
@@ -46,8 +46,6 @@
 	silenceTimeout = 3200 * time.Millisecond
 	// startTimeout is the time after which a run that is in no list is stopped.
 	startTimeout = 2500 * time.Millisecond
-	// leaveTimeout is the time for which a worker may still work after it has announced its end.
-	leaveTimeout = time.Second
 	// forgetInterval is the interval between searches for ended jobs to drop.
 	forgetInterval = 20 * time.Second
 	// stepInterval is the longest time between two steps.
--- a/internal/run/report.go
+++ b/internal/run/report.go
@@ -197,6 +197,7 @@
 	list         *List
 	refused      []Refusal
 	terminating  bool
+	exited       bool
 	crashes      []Crash
 	unreachable  bool
 }
@@ -243,6 +244,12 @@
 	return r
 }
 
+// WithExited returns a copy that says that the worker has ended after it had announced its termination.
+func (r Report) WithExited() Report {
+	r.exited = true
+	return r
+}
+
 // WithCrashes returns a copy with the latest crashes of the agent's worker, oldest first.
 func (r Report) WithCrashes(crashes []Crash) Report {
 	r.crashes = crashes
@@ -284,5 +291,8 @@
 // Unreachable reports whether the worker accepts no connection. The agent reports a list once it accepts one again.
 func (r Report) Unreachable() bool { return r.unreachable }
 
-// Terminating reports whether the worker has announced its termination.
+// Exited reports whether the worker has ended, and all that ran on it, after it had announced its termination.
+func (r Report) Exited() bool { return r.exited }
+
+// Terminating reports whether the worker has announced its termination. It may stay for many seconds.
 func (r Report) Terminating() bool { return r.terminating }
--- a/internal/runner/crash.go
+++ b/internal/runner/crash.go
@@ -108,7 +108,24 @@
 		go l.stopInherited(ctx, latest, l.fencingToken, inherited)
 	}
 	l.watch.leaving = a.announcement.Draining() || a.terminating
-	l.outgoing.Publish(outgoingState{worker: a, crashes: l.crashes, crashCount: l.crashCount})
+	l.publish(a)
+}
+
+// publish publishes what the sessions report of the worker.
+func (l *loop) publish(a workerState) {
+	l.outgoing.Publish(outgoingState{worker: a, exited: l.exited, crashes: l.crashes, crashCount: l.crashCount})
+}
+
+// observeRefusal notes that the worker refuses connections. After the notice of its termination it has ended; before that
+// it may be about to start again.
+func (l *loop) observeRefusal() {
+	a := l.announced.Load()
+	if l.exited || !a.terminating || a.announcement.Incarnation() != l.incarnation {
+		return
+	}
+	l.logger.Info("worker has ended", "worker", l.incarnation.ID())
+	l.exited = true
+	l.publish(a)
 }
 
 // begunRuns returns the runs that the worker has begun, or may have begun, latest first.
--- a/internal/runner/loop.go
+++ b/internal/runner/loop.go
@@ -45,6 +45,7 @@
 	incarnation  batch.Incarnation
 	resendList   bool // report the next list even without news
 	unreachable  bool // the worker accepts no connection, and the leader was told
+	exited       bool // the worker has ended after it had announced its termination
 	watch        crashWatch
 	crashes      []run.Crash // of earlier incarnations, oldest first
 	crashCount   int
@@ -86,7 +87,7 @@
 
 // resetIncarnation discards the calls and lists of an earlier incarnation of the worker.
 func (l *loop) resetIncarnation(incarnation batch.Incarnation) {
-	l.incarnation, l.renewed, l.list, l.unreachable = incarnation, false, run.List{}, false
+	l.incarnation, l.renewed, l.list, l.unreachable, l.exited = incarnation, false, run.List{}, false, false
 	for id, cancel := range l.starts {
 		cancel()
 		delete(l.starts, id)
@@ -305,7 +306,7 @@
 			l.logger.Info("list not answered", "error", in.err)
 			l.watch.recordSilence(now, in.err)
 			if errors.Is(in.err, ErrNoConnection) {
-				l.reportUnreachable()
+				l.reportUnreachable(in.err)
 			}
 			l.nextList = now.Add(callRetryDelay)
 		}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -38,6 +38,7 @@
 // outgoingState is what the sessions report of the worker.
 type outgoingState struct {
 	worker     workerState
+	exited     bool        // the worker has ended after it had announced its termination
 	crashes    []run.Crash // the latest ones, oldest first
 	crashCount int         // of all crashes, also those that are no longer among the latest
 }
@@ -114,7 +115,9 @@
 		r.logger.Info("worker announced", "worker", a.Incarnation().ID(), "born", a.Incarnation().StartUnixMS(),
 			"draining", a.Draining(), "rack", a.Rack())
 	}
-	r.announced.Publish(workerState{announcement: a, known: true})
+	// An announcement that was made before the notice of termination may be read after it.
+	terminating := old.terminating && old.announcement.Incarnation() == a.Incarnation()
+	r.announced.Publish(workerState{announcement: a, known: true, terminating: terminating})
 }
 
 // MarkTerminating records that the worker with the given id is terminating; it must not be called concurrently with
--- a/internal/runner/session.go
+++ b/internal/runner/session.go
@@ -61,9 +61,7 @@
 	if out.worker.known {
 		first = first.WithAnnouncement(out.worker.announcement).WithCrashes(out.crashes)
 	}
-	if out.worker.terminating {
-		first = first.WithTerminating()
-	}
+	first = withDeparture(first, out)
 	if err = wire.WriteRunReport(s, first); err != nil {
 		return err
 	}
@@ -92,6 +90,17 @@
 	}, ended)
 }
 
+// withDeparture returns a copy of a report that says whether the worker has announced its termination and has ended.
+func withDeparture(report run.Report, out outgoingState) run.Report {
+	if out.worker.terminating {
+		report = report.WithTerminating()
+	}
+	if out.exited {
+		report = report.WithExited()
+	}
+	return report
+}
+
 // watchOrders cancels the session if no order is received for orderTimeout and the host at address no longer confirms
 // that it leads. It returns when received is closed.
 func (r *Runner) watchOrders(ctx context.Context, address string, s *link.Stream, received <-chan struct{}) {
@@ -133,9 +142,7 @@
 			var out outgoingState
 			out, changed = r.outgoing.Watch()
 			next = run.NewReport(r.name).WithAnnouncement(out.worker.announcement)
-			if out.worker.terminating {
-				next = next.WithTerminating()
-			}
+			next = withDeparture(next, out)
 			if out.crashCount != sent.crashCount {
 				next = next.WithCrashes(out.crashes)
 			}
--- a/internal/runner/start.go
+++ b/internal/runner/start.go
@@ -95,14 +95,18 @@
 		l.watch.recordBegun(in.id, in.sentAt)
 		return
 	}
-	l.reportUnreachable()
+	l.reportUnreachable(in.err)
 	if !isTimeout(in.err) {
 		delete(l.starts, in.id)
 	}
 }
 
-// reportUnreachable tells the leader once that the worker accepts no connection, so that it places nothing there.
-func (l *loop) reportUnreachable() {
+// reportUnreachable tells the leader once that the worker accepts no connection, so that it places nothing there, and that
+// the worker has ended if that is known from the error of the call.
+func (l *loop) reportUnreachable(err error) {
+	if !isTimeout(err) {
+		l.observeRefusal()
+	}
 	if !l.unreachable {
 		l.unreachable, l.listNow = true, true
 		l.send(run.NewReport(l.name).WithUnreachable())
--- a/internal/wire/batch_test.go
+++ b/internal/wire/batch_test.go
@@ -127,7 +127,7 @@
 			WithCapacity(batch.NewResources(1, 2, 3)).WithClock(time.Hour).WithMachine("m").WithDraining(time.Second)).
 			WithList(run.NewList(testIncarnation, 9, time.Hour, []run.Running{run.NewRunning(id, "c", 100, 5)},
 				[]run.Finished{run.NewFinished(58, testEnd)}, []run.ID{id}).WithTruncated(true)).
-			WithRefused([]run.Refusal{run.NewRefusal(id, "late")}).WithTerminating().WithUnreachable().
+			WithRefused([]run.Refusal{run.NewRefusal(id, "late")}).WithTerminating().WithExited().WithUnreachable().
 			WithCrashes([]run.Crash{run.NewCrash(testIncarnation, run.NewCrashedRun(id, time.Second))})
 		require.NoError(t, wire.WriteRunReport(&b, r))
 		read, err := wire.ReadRunReport(&b)
--- a/internal/wire/run.go
+++ b/internal/wire/run.go
@@ -151,6 +151,7 @@
 	Crashes      []crashForm          `cbor:"6,keyasint,omitempty"`
 	Unreachable  bool                 `cbor:"7,keyasint,omitempty"`
 	Truncated    bool                 `cbor:"8,keyasint,omitempty"` // of List, which cannot grow
+	Exited       bool                 `cbor:"9,keyasint,omitempty"`
 }
 
 func newRunAnnouncementForm(a run.Announcement) *runAnnouncementForm {
@@ -205,7 +206,7 @@
 
 // WriteRunReport writes an agent's report.
 func WriteRunReport(w io.Writer, r run.Report) error {
-	f := runReportForm{Agent: r.Agent(), Terminating: r.Terminating(), Unreachable: r.Unreachable()}
+	f := runReportForm{Agent: r.Agent(), Terminating: r.Terminating(), Unreachable: r.Unreachable(), Exited: r.Exited()}
 	if a, ok := r.Announcement(); ok {
 		f.Announcement = newRunAnnouncementForm(a)
 	}
@@ -259,6 +260,9 @@
 	if f.Terminating {
 		report = report.WithTerminating()
 	}
+	if f.Exited {
+		report = report.WithExited()
+	}
 	if f.Unreachable {
 		report = report.WithUnreachable()
 	}
