dispatch: a step gives an agent no more orders than its session takes

Change: before each step the leader's loop tells the core how many orders each session can take. Starts, stops and paces beyond that are left to later steps; some room is kept for renewals of the lease. An agent makes at most 32 start calls and 32 stop calls to its worker at a time.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -64,6 +65,10 @@
 	h.session, h.connected, h.listRequested = session, true, false
 }
 
+// SetOrderRoom records how many orders the session of an agent can take, without a limit before the first call. A step
+// leaves what is beyond that to later ones.
+func (c *Core) SetOrderRoom(agent string, room int) { c.host(agent).orderRoom = room }
+
 // Disconnect records the end of a session; it has no effect if the agent has opened a later one.
 func (c *Core) Disconnect(agent string, session uint64) {
 	if h := c.host(agent); h.session == session {
@@ -96,7 +101,7 @@
 func (c *Core) host(agent string) *host {
 	h, known := c.hosts[agent]
 	if !known {
-		h = &host{agent: agent, leaseEnds: c.inheritedLeaseEnd()}
+		h = &host{agent: agent, leaseEnds: c.inheritedLeaseEnd(), orderRoom: math.MaxInt}
 		c.hosts[agent] = h
 	}
 	return h
@@ -187,6 +192,10 @@
 			c.logDecision(h, now, id, "not started", "its ticket has expired")
 			continue
 		}
+		if !h.takeOrderRoom() {
+			c.toStart[id] = true
+			continue
+		}
 		o := c.ordersOf(id)
 		o.startOrderedAt, o.startSession = now, h.session
 		lease := h.grant(now, c.timing.lease)
@@ -244,10 +253,10 @@
 	c.loggedWaits = waits
 }
 
-// stop orders the end of a run, at most once per stopInterval.
+// stop orders the end of a run, at most once per stopInterval and if the agent's session can take the order.
 func (c *Core) stop(now time.Time, id run.ID, h *host, reason string, a *Actions) {
 	o := c.ordersOf(id)
-	if h == nil || !h.connected || now.Sub(o.stopOrderedAt) < stopInterval {
+	if h == nil || !h.connected || now.Sub(o.stopOrderedAt) < stopInterval || !h.takeOrderRoom() {
 		return
 	}
 	o.stopOrderedAt = now
--- a/internal/dispatch/host.go
+++ b/internal/dispatch/host.go
@@ -33,6 +33,19 @@
 	unreachable      bool // the agent cannot connect to the worker
 	health           health
 	crashes          []run.Crash // of earlier incarnations, as the agent reported them last
+	orderRoom        int         // orders that the agent's session can take now
+}
+
+// reservedOrders is the part of an agent's queue that is kept for renewals of its lease.
+const reservedOrders = 16
+
+// takeOrderRoom reports whether the agent's session can take one more order, and counts it.
+func (h *host) takeOrderRoom() bool {
+	if h.orderRoom <= reservedOrders {
+		return false
+	}
+	h.orderRoom--
+	return true
 }
 
 // update takes in a report, and reports whether it contained a list of the current incarnation.
--- a/internal/dispatch/pacing.go
+++ b/internal/dispatch/pacing.go
@@ -112,6 +112,9 @@
 		if last.percent == p.percent && !repeat {
 			continue
 		}
+		if !h.takeOrderRoom() {
+			break
+		}
 		if last.percent != p.percent {
 			c.logDecision(h, now, id, "pace", paceReason(p.percent, last.percent))
 		}
@@ -119,7 +122,7 @@
 		a.orders = append(a.orders, AddressedOrder{h.agent, run.NewPace(id, p.percent)})
 	}
 	for id := range p.ordered {
-		if !slices.Contains(bestEffort, id) {
+		if !h.listsRunning(id) {
 			delete(p.ordered, id)
 		}
 	}
--- a/internal/runner/loop.go
+++ b/internal/runner/loop.go
@@ -178,9 +178,14 @@
 // busy worker, means that the stop had no effect.
 func (l *loop) ensureStopped(ctx context.Context, incarnation batch.Incarnation, fencingToken uint64, id run.ID) bool {
 	for range maxStopAttempts {
+		ended, ok := begin(ctx, l.stopping)
+		if !ok {
+			return false
+		}
 		attempt, done := context.WithTimeout(ctx, callTimeout)
 		err := l.worker.Stop(attempt, incarnation, fencingToken, id)
 		done()
+		ended()
 		var refused *RefusedError
 		if err == nil || errors.As(err, &refused) && refused.Final() {
 			l.logger.Info("stop answered", "task", id.Task().String(), "run", id.Run(), "refused", err != nil)
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -26,6 +26,8 @@
 	outgoing  *board.Section[outgoingState]
 	inputs    chan input
 	reports   chan run.Report
+	starting  chan struct{} // holds a value for each start call in progress
+	stopping  chan struct{} // holds a value for each stop call in progress
 }
 
 // workerState is the worker's latest announcement and whether it is terminating.
@@ -93,6 +95,8 @@
 const (
 	inputBuffer  = 256
 	reportBuffer = 64
+	// maxConcurrentCalls bounds the start calls to the worker at a time, and the stop calls. Each takes a connection.
+	maxConcurrentCalls = 32
 )
 
 // New returns an agent that connects a worker to the leader under the given name; Run starts it.
@@ -101,6 +105,7 @@
 		name: name, worker: w, pool: p, client: c, logger: l,
 		announced: board.NewSection(workerState{}), outgoing: board.NewSection(outgoingState{}),
 		inputs: make(chan input, inputBuffer), reports: make(chan run.Report, reportBuffer),
+		starting: make(chan struct{}, maxConcurrentCalls), stopping: make(chan struct{}, maxConcurrentCalls),
 	}
 }
 
@@ -144,6 +149,16 @@
 	return g.Wait()
 }
 
+// begin waits until a call may begin, and reports false if ctx ends first. The caller calls done after the call.
+func begin(ctx context.Context, calls chan struct{}) (done func(), ok bool) {
+	select {
+	case calls <- struct{}{}:
+		return func() { <-calls }, true
+	case <-ctx.Done():
+		return nil, false
+	}
+}
+
 // enqueue passes an input to the loop, or drops it if ctx ends first.
 func (r *Runner) enqueue(ctx context.Context, i input) {
 	select {
--- a/internal/runner/start.go
+++ b/internal/runner/start.go
@@ -35,10 +35,15 @@
 // callStart calls the worker until it answers, until it accepts no connection, or until ctx ends.
 func (l *loop) callStart(ctx context.Context, o run.Start, fencingToken uint64) {
 	for {
+		ended, ok := begin(ctx, l.starting)
+		if !ok {
+			return
+		}
 		attempt, done := context.WithTimeout(ctx, callTimeout)
 		sentAt := time.Now()
 		err := l.worker.Start(attempt, fencingToken, o)
 		done()
+		ended()
 		var refused *RefusedError
 		switch {
 		case err == nil:
--- a/internal/scheduler/leader_loop.go
+++ b/internal/scheduler/leader_loop.go
@@ -148,6 +148,9 @@
 // step runs one step and carries out its actions. It returns the time of the next step and the duration of the
 // decision.
 func (l *leaderLoop) step(ctx context.Context, core *dispatch.Core, term uint64) (next time.Time, took time.Duration) {
+	for agent, s := range l.sessions {
+		core.SetOrderRoom(agent, cap(s.orders)-len(s.orders))
+	}
 	startedAt := time.Now()
 	a := core.Step(startedAt, l.state.Load())
 	took = time.Since(startedAt)
@@ -244,8 +247,8 @@
 	return r
 }
 
-// queueOrder queues an order for the agent's session. If the queue is full it closes the session, and the agent opens
-// another.
+// queueOrder queues an order for the agent's session. A step gives no more orders than the queue takes; if it is full all
+// the same, queueOrder closes the session, and the agent opens another.
 func (l *leaderLoop) queueOrder(o dispatch.AddressedOrder, term uint64) {
 	s := l.sessions[o.Agent()]
 	if s == nil {
--- a/internal/scheduler/sessions.go
+++ b/internal/scheduler/sessions.go
@@ -39,8 +39,7 @@
 	cancel context.CancelFunc
 }
 
-// orderBuffer is the number of queued orders at which a session is closed; it exceeds the number that a worker can
-// carry out.
+// orderBuffer is the number of orders that may wait for an agent. A step leaves further ones to the next.
 const orderBuffer = 1024
 
 var lastSession atomic.Uint64
