--- a/internal/batch/usage.go
+++ b/internal/batch/usage.go
@@ -41,6 +41,9 @@
 	return jobBytes + len(s.steps)*stepBytes + documentCopies*document
 }
 
+// JobBytes returns about how many bytes of memory all jobs take, without the tasks that have begun.
+func (s State) JobBytes() int { return s.usage.total() }
+
 // Full reports whether the jobs that are stored leave no room for another one of a workspace, if all jobs may take limit
 // bytes.
 func (s State) Full(spec Spec, document int, workspace string, limit int) bool {
--- a/internal/batch/usage_test.go
+++ b/internal/batch/usage_test.go
@@ -45,7 +45,9 @@
 	t.Run("room of a forgotten job", func(t *testing.T) {
 		s, _ := s.Apply(batch.NewCancel("a0", epoch))
 		assert.True(t, s.Full(spec, documentBytes, "a", limit), "the state of a cancelled job is still asked for")
+		before := s.JobBytes()
 		s, _ = s.Apply(batch.NewPruneJobs(epoch.Add(time.Second)))
+		assert.Less(t, s.JobBytes(), before)
 		assert.False(t, s.Full(spec, documentBytes, "a", limit))
 	})
 	t.Run("many steps", func(t *testing.T) {
