placement: the bounds on a decision keep no step of a job out

Steps that no worker could run, and gangs that need more than all workers, have a bound of their own, and a step gets half of the tasks that are left.

TestUnsuitableSteps (four cases) and TestStepBesideManyTasks failed before.

--- a/internal/placement/bounds_test.go
+++ b/internal/placement/bounds_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"runtime"
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -46,6 +47,37 @@
 	return list
 }
 
+// Guards against a step that does not begin because another one of its job has thousands of tasks that wait for capacity.
+func TestStepBesideManyTasks(t *testing.T) {
+	f := newFixture(t)
+	f.submit("full", patient, "b", batch.NewStep(6, batch.NewResources(64_000, 1000, 8), time.Hour))
+	f.decide()
+	f.submit("mixed", patient, "a", batch.NewStep(50_000, gpus(1), time.Hour), smallTasks(3))
+	f.decide()
+	j, known := f.state.Job("mixed")
+	require.True(t, known)
+	assert.Zero(t, j.Tasks(0, 0).Count(batch.Placed))
+	assert.Equal(t, 3, j.Tasks(0, 1).Count(batch.Placed))
+}
+
+// Guards against a step that never begins because its job has many others that no worker could run.
+func TestUnsuitableSteps(t *testing.T) {
+	runnable := batch.NewStep(1, gpus(1), time.Second)
+	for name, others := range map[string][]batch.Step{
+		"without a worker that has the label": steps(400, 1, batch.WithLabel("z")),
+		"gangs of more accelerators than all": slices.Repeat([]batch.Step{gang(7, 8, time.Second)}, 400),
+	} {
+		for scheduled, times := range map[string]int{"once": 1, "scheduled": 300} {
+			t.Run(name+", "+scheduled, func(t *testing.T) {
+				f := newFixture(t)
+				f.submitScheduled("mixed", times, append(slices.Clone(others), runnable)...)
+				f.decide()
+				f.assertPlaced("mixed", 1)
+			})
+		}
+	}
+}
+
 // Guards against a decision whose memory or time grows with the product of the tasks, steps, times and jobs that callers
 // ask for, so that each leader in turn runs out of memory and no job of anyone begins.
 func TestLargeRequests(t *testing.T) {
--- a/internal/placement/unit.go
+++ b/internal/placement/unit.go
@@ -30,11 +30,16 @@
 }
 
 const (
-	// maxJobTasks bounds the tasks of a job that a decision tries to place. The others wait for a later one, so that a
-	// decision does not grow with the tasks and times that callers ask for.
-	maxJobTasks = 4096
+	// maxJobTasks bounds the tasks of a job that a decision tries to place. A unit gets half of what is left, and
+	// minUnitTasks at least, so that a step with many tasks keeps no other step out. The others wait for a later decision,
+	// so that it does not grow with the tasks and times that callers ask for.
+	maxJobTasks  = 8192
+	minUnitTasks = 16
+	// maxJobSteps bounds the steps of a job that a decision looks at, over all occurrences that are due.
+	maxJobSteps = 1 << 16
 	// maxJobUnits and minJobUnits bound the units of a job in a decision, of which there is one for each step that is
-	// ready in each occurrence that is due.
+	// ready in each occurrence that is due. Steps that no worker could run have a bound of their own, so that they keep no
+	// others out.
 	maxJobUnits = 256
 	minJobUnits = 16
 	// maxUnits is the number of units in a decision above which each job gets fewer than maxJobUnits.
@@ -49,18 +54,27 @@
 	q := p.view.state.CurrentQueue(j)
 	objective := p.objective(j)
 	var remaining []time.Duration // by step; set once a step is ready
-	unitsLeft, tasksLeft := p.unitsPerJob, maxJobTasks
+	left := jobBounds{steps: maxJobSteps, units: p.unitsPerJob, unsuitable: p.unitsPerJob, tasks: maxJobTasks}
 	for k := range j.Due(p.view.now) {
 		for i := range j.ReadySteps(k) {
-			if unitsLeft == 0 || tasksLeft <= 0 {
+			if left.exhausted() {
 				return list
 			}
-			u := p.newUnit(j, q, batch.NewTaskID(j.Spec().ID(), k, i, 0), tasksLeft)
+			left.steps--
+			suitable := p.suitable(q, j.Spec().Steps()[i])
+			if !left.admits(j.Spec().Steps()[i], suitable) {
+				continue
+			}
+			limit := max(left.tasks/2, minUnitTasks)
+			if !suitable {
+				// One task stands for all of a step that no worker can run.
+				limit = 1
+			}
+			u := p.newUnit(j, q, batch.NewTaskID(j.Spec().ID(), k, i, 0), limit)
 			if u == nil {
 				continue
 			}
-			unitsLeft--
-			tasksLeft -= len(u.indexes)
+			left.take(u, suitable)
 			u.guaranteed = guaranteed
 			if remaining == nil {
 				remaining = p.remainingTimes(j)
@@ -72,6 +86,34 @@
 	return list
 }
 
+// jobBounds holds how much of a job a decision may still try.
+type jobBounds struct {
+	steps      int // to look at
+	units      int
+	unsuitable int // units of steps that no worker could run
+	tasks      int
+}
+
+func (b *jobBounds) exhausted() bool { return b.steps == 0 || b.units == 0 }
+
+// admits reports whether there may be a unit for one more step. Of gangs with more than maxJobTasks there may be one.
+func (b *jobBounds) admits(s batch.Step, suitable bool) bool {
+	if s.Gang() && s.Count() > maxJobTasks && b.tasks < maxJobTasks {
+		return false
+	}
+	return suitable || b.unsuitable > 0
+}
+
+// take counts a unit.
+func (b *jobBounds) take(u *unit, suitable bool) {
+	if !suitable {
+		b.unsuitable--
+		return
+	}
+	b.units--
+	b.tasks = max(b.tasks-len(u.indexes), 0)
+}
+
 // newUnit returns the unit of a step that is ready, with at most the given number of tasks unless it is a gang. It returns
 // nil for a gang of which not all tasks wait.
 func (p *planner) newUnit(j *batch.Job, q batch.Queue, key batch.TaskID, limit int) *unit {
@@ -85,9 +127,6 @@
 			return nil
 		}
 		limit, u.gangRun = s.Count(), tasks.MaxRun()+1
-	} else if !p.suitable(q, s) {
-		// One task stands for all of a step that no worker can run.
-		limit = 1
 	}
 	u.indexes = p.waitingIndexes(tasks, min(limit, u.waiting))
 	if due := j.Spec().Due(key.Occurrence()); !due.IsZero() {
@@ -117,9 +156,16 @@
 	}
 }
 
-// suitable reports whether a worker outside quarantine could run a task of a step if it ran nothing else.
+// suitable reports whether the workers outside quarantine could run a task of a step, or a whole gang, if they ran nothing
+// else.
 func (p *planner) suitable(q batch.Queue, s batch.Step) bool {
-	return s.Reserved() == (batch.Resources{}) || p.slots(q, s) > 0
+	if s.Reserved() == (batch.Resources{}) {
+		return true
+	}
+	if s.Gang() {
+		return p.slots(q, s) >= float64(s.Count())
+	}
+	return p.slots(q, s) > 0
 }
 
 // waitingIndexes returns the indexes of the first waiting tasks, up to the given number, which must not be more than
