dispatch: a notice of termination can be taken back

A worker can start again under its id, and the notice of its earlier life can be read after the announcement of the next one.

A worker drains before it gives notice, so an announcement that does not drain takes the notice back, at the agent and, with the report of it, at the leader. Task ids with numbers below 0 are of no job; by reading, a report with one ended the leader.

TestLateAnnouncementKeepsNotice, TestLeavingWorkerStays (the notice was of an earlier worker) and TestMalformedTasks have a case each for it.

--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -77,7 +77,7 @@
 
 // Task returns the progress of a task and reports whether the job has that task.
 func (j *Job) Task(id TaskID) (t Task, ok bool) {
-	if id.occurrence >= j.spec.occurrences || id.step >= len(j.spec.steps) || id.index >= j.spec.steps[id.step].count {
+	if id.occurrence < 0 || id.step < 0 || id.index < 0 || id.occurrence >= j.spec.occurrences || id.step >= len(j.spec.steps) || id.index >= j.spec.steps[id.step].count {
 		return Task{}, false
 	}
 	return j.occurrence(id.occurrence).steps[id.step].At(id.index), true
--- a/internal/batch/occurrence_test.go
+++ b/internal/batch/occurrence_test.go
@@ -155,6 +155,7 @@
 		"occurrence": batch.NewGroup(batch.NewTaskID("j", 3, 0, 0), batch.NewMember(0, 1, worker)),
 		"step":       batch.NewGroup(batch.NewTaskID("j", 0, 1, 0), batch.NewMember(0, 1, worker)),
 		"task":       batch.NewGroup(batch.NewTaskID("j", 0, 0, 0), batch.NewMember(1, 1, worker)),
+		"below 0":    batch.NewGroup(batch.NewTaskID("j", 0, 0, 0), batch.NewMember(-1, 1, worker)),
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := newScheduled(t, 3, step(1))
@@ -164,6 +165,18 @@
 	}
 }
 
+// Guards against a report of a task that no job has, on which each leader in turn ends.
+func TestMalformedTasks(t *testing.T) {
+	for name, id := range map[string]batch.TaskID{
+		"occurrence": batch.NewTaskID("j", -1, 0, 0), "step": batch.NewTaskID("j", 0, -1, 0), "task": batch.NewTaskID("j", 0, 0, -1),
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, known := jobOf(t, newScheduled(t, 3, step(1))).Task(id)
+			assert.False(t, known)
+		})
+	}
+}
+
 // Guards against a job with more tasks than the control hosts have memory for, and against one that was accepted before
 // the limit and cannot be read from the log any more.
 func TestTooManyTasks(t *testing.T) {
--- a/internal/dispatch/host.go
+++ b/internal/dispatch/host.go
@@ -68,8 +68,12 @@
 	if r.Unreachable() {
 		h.unreachable = true
 	}
-	h.leaving = h.leaving || r.Terminating()
-	h.exited = h.exited || r.Exited()
+	if a, ok := r.Announcement(); ok && a.Incarnation() == h.announcement.Incarnation() {
+		// Each report with an announcement says whether the worker leaves.
+		h.leaving, h.exited = r.Terminating(), r.Exited()
+	} else {
+		h.leaving, h.exited = h.leaving || r.Terminating(), h.exited || r.Exited()
+	}
 	return listed
 }
 
--- a/internal/dispatch/leaving_test.go
+++ b/internal/dispatch/leaving_test.go
@@ -40,6 +40,14 @@
 		f.core.Report(f.now, run.NewReport("h").WithTerminating().WithExited())
 		f.assertEnds(id)
 	})
+	t.Run("the notice was of an earlier worker", func(t *testing.T) {
+		f := newFixture(t, 1)
+		f.reportLeaving(id)
+		f.apply(batch.NewEndRuns(f.now, batch.NewEnd(id.Task(), 1, batch.Lost, "")))
+		assert.Empty(t, f.core.Step(f.now, f.state).Groups(), "it leaves")
+		f.reportEnds(1, false, nil)
+		assert.Len(t, f.core.Step(f.now, f.state).Groups(), 1)
+	})
 	t.Run("the next incarnation stays", func(t *testing.T) {
 		f := newFixture(t, 1)
 		f.core.Report(f.now, run.NewReport("h").WithTerminating().WithExited())
--- a/internal/runner/leaving_test.go
+++ b/internal/runner/leaving_test.go
@@ -14,15 +14,28 @@
 )
 
 // Guards against a notice of termination that is forgotten because an announcement made before it is read after it, as
-// happens when the agent was frozen.
+// happens when the agent was frozen, and against a notice of an earlier incarnation that keeps this one from all work.
 func TestLateAnnouncementKeepsNotice(t *testing.T) {
-	r := New("h", silentWorker{}, nil, nil, hclog.NewNullLogger())
-	r.Announce(run.NewAnnouncement(first, "s", "z", 1))
-	r.MarkTerminating(first.ID())
-	r.Announce(run.NewAnnouncement(first, "s", "z", 2))
-	assert.True(t, r.announced.Load().terminating)
-	r.Announce(run.NewAnnouncement(second, "s", "z", 1))
-	assert.False(t, r.announced.Load().terminating, "the next incarnation")
+	noticed := func() *Runner {
+		r := New("h", silentWorker{}, nil, nil, hclog.NewNullLogger())
+		r.Announce(run.NewAnnouncement(first, "s", "z", 1))
+		r.MarkTerminating(first.ID())
+		return r
+	}
+	for name, c := range map[string]struct {
+		announcement run.Announcement
+		terminating  bool
+	}{
+		"made before the notice":             {run.NewAnnouncement(first, "s", "z", 2).WithDraining(time.Second), true},
+		"not draining, so the notice is old": {run.NewAnnouncement(first, "s", "z", 2), false},
+		"of the next incarnation":            {run.NewAnnouncement(second, "s", "z", 1).WithDraining(time.Second), false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := noticed()
+			r.Announce(c.announcement)
+			assert.Equal(t, c.terminating, r.announced.Load().terminating)
+		})
+	}
 }
 
 // Guards against a leader that takes the runs of a leaving worker for ended while the worker stays, and against one that
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -120,8 +120,9 @@
 		r.logger.Info("worker announced", "worker", a.Incarnation().ID(), "born", a.Incarnation().StartUnixMS(),
 			"draining", a.Draining(), "rack", a.Rack())
 	}
-	// An announcement that was made before the notice of termination may be read after it.
-	terminating := old.terminating && old.announcement.Incarnation() == a.Incarnation()
+	// An announcement that was made before the notice of termination may be read after it, as may the notice of an earlier
+	// incarnation with the same ID after the announcement of this one. A worker drains before it gives notice.
+	terminating := old.terminating && old.announcement.Incarnation() == a.Incarnation() && a.Draining()
 	r.announced.Publish(workerState{announcement: a, known: true, terminating: terminating})
 }
 
