--- a/internal/batch/crash.go
+++ b/internal/batch/crash.go
@@ -131,7 +131,7 @@
 		if !next.Active() {
 			givenUp = append(givenUp, crash.task)
 		}
-		s.jobs = s.jobs.With(crash.task.job, next)
+		s = s.replaceJob(j, next)
 	}
 	return s, CrashesRecorded{givenUp: givenUp}
 }
--- a/internal/batch/state.go
+++ b/internal/batch/state.go
@@ -74,7 +74,8 @@
 	declaration Declaration
 	document    []byte
 	jobs        board.Table[*Job]
-	usage       usage // by jobs
+	usage       tally // bytes that the jobs take, ended ones included, by workspace
+	pending     tally // active jobs that have never had a placed run, by queue
 	waves       map[int64]Wave
 }
 
@@ -101,17 +102,6 @@
 	return j.queue
 }
 
-// Pending returns the number of active jobs of a queue that have never had a placed run.
-func (s State) Pending(queue string) int {
-	count := 0
-	for _, j := range s.jobs.All() {
-		if j.queue.name == queue && j.Active() && !j.started {
-			count++
-		}
-	}
-	return count
-}
-
 // Apply returns the state after a command, and the command's result.
 func (s State) Apply(c Command) (next State, r Result) {
 	switch c := c.(type) {
@@ -178,6 +168,7 @@
 func (s State) withJob(id string, j *Job) State {
 	s.jobs = s.jobs.With(id, j)
 	s.usage = s.usage.plus(j.workspace, j.spec.bytes(len(j.document)))
+	s.pending = s.pending.plus(j.queue.name, countPending(j))
 	return s
 }
 
@@ -195,7 +186,7 @@
 func (s State) cancel(c Cancel) (State, Result) {
 	j, known := s.jobs.Get(c.id)
 	if known && j.Active() {
-		s.jobs = s.jobs.With(c.id, j.finish(JobCancelled, c.at))
+		s = s.replaceJob(j, j.finish(JobCancelled, c.at))
 	}
 	return s, Cancelled{known: known}
 }
@@ -207,8 +198,9 @@
 		if !known {
 			continue
 		}
-		if j, placed[i] = j.place(g, c.at); placed[i] {
-			s.jobs = s.jobs.With(g.job, j)
+		var next *Job
+		if next, placed[i] = j.place(g, c.at); placed[i] {
+			s = s.replaceJob(j, next)
 		}
 	}
 	return s, RunsPlaced{placed: placed}
@@ -220,7 +212,7 @@
 		return s
 	}
 	if next, ok := j.endRun(e, s.CurrentQueue(j).attempts, at); ok {
-		s.jobs = s.jobs.With(e.task.job, next)
+		s = s.replaceJob(j, next)
 	}
 	return s
 }
@@ -231,7 +223,7 @@
 		return s
 	}
 	if next, ok := j.saveCheckpoint(c); ok {
-		s.jobs = s.jobs.With(c.task.job, next)
+		s = s.replaceJob(j, next)
 	}
 	return s
 }
--- a/internal/batch/usage.go
+++ b/internal/batch/usage.go
@@ -1,7 +1,5 @@
 package batch
 
-import "maps"
-
 const (
 	// jobBytes is about what a job takes in the memory of a control host beside its document and steps.
 	jobBytes = 1 << 10
@@ -14,28 +12,6 @@
 	maxWorkspaceShare = 0.25
 )
 
-// usage holds the bytes that the jobs of each workspace take, ended jobs included; it is immutable.
-type usage map[string]int
-
-// plus returns a copy with bytes added to a workspace.
-func (u usage) plus(workspace string, bytes int) usage {
-	next := maps.Clone(u)
-	if next == nil {
-		next = usage{}
-	}
-	if next[workspace] += bytes; next[workspace] == 0 {
-		delete(next, workspace)
-	}
-	return next
-}
-
-func (u usage) total() (sum int) {
-	for _, bytes := range u {
-		sum += bytes
-	}
-	return sum
-}
-
 // bytes returns about what the job takes in the memory of a control host, without the tasks that have begun.
 func (s Spec) bytes(document int) int {
 	return jobBytes + len(s.steps)*stepBytes + documentCopies*document
