--- a/internal/agent/encoding.go
+++ b/internal/agent/encoding.go
@@ -13,8 +13,8 @@
 	Accelerators int        `json:"accelerators,omitempty"`
 	LeaseMS      int64      `json:"lease_ms,omitempty"`
 	Payload      string     `json:"payload,omitempty"`
-	Mark         uint64     `json:"mark,omitempty"`
-	Since        uint64     `json:"since,omitempty"`
+	Sequence     uint64     `json:"mark,omitempty"`
+	BaseSequence uint64     `json:"since,omitempty"`
 	Hub          string     `json:"hub,omitempty"`
 	Members      int        `json:"members,omitempty"`
 	Percent      int        `json:"percent,omitempty"`
--- a/internal/agent/platform.go
+++ b/internal/agent/platform.go
@@ -41,12 +41,12 @@
 	case task.Reserve:
 		action, f = "reserve", newTaskForm(t.ID(), uint64(t.FencingToken()))
 		f.Accelerators, f.LeaseMS, f.Payload = t.Accelerators(), t.LeaseDuration().Milliseconds(), t.Payload()
-		f.Mark, f.Hub, f.Members = uint64(t.Sequence()), t.Watch().Hub(), t.Watch().Members()
+		f.Sequence, f.Hub, f.Members = uint64(t.Sequence()), t.Watch().Hub(), t.Watch().Members()
 	case task.Start:
 		action, f = "start", newTaskForm(t.ID(), uint64(t.FencingToken()))
 	case task.Renew:
 		action, f = "renew", newTaskForm(t.ID(), uint64(t.FencingToken()))
-		f.LeaseMS, f.Mark, f.Since = t.LeaseDuration().Milliseconds(), uint64(t.Sequence()), uint64(t.BaseSequence())
+		f.LeaseMS, f.Sequence, f.BaseSequence = t.LeaseDuration().Milliseconds(), uint64(t.Sequence()), uint64(t.BaseSequence())
 	case task.Stop:
 		action, f = "stop", newTaskForm(t.ID(), uint64(t.FencingToken()))
 		if t.Checkpoint() {
@@ -54,7 +54,7 @@
 		}
 	case task.Throttle:
 		action, f = "throttle", newTaskForm(t.ID(), uint64(t.FencingToken()))
-		f.Percent, f.Mark = t.Percent(), uint64(t.Sequence())
+		f.Percent, f.Sequence = t.Percent(), uint64(t.Sequence())
 	}
 	return p.post(ctx, action, f)
 }
