placement: workers that are still slow after their start come last

Workers announce for how long they are still slow after their start, as when their availability zone is taken back, and that was dropped: work was placed on them while others were free. The announcement now carries it, and such a worker counts as one that is used only if no other fits. Nothing waits for it.

The report holds the time beside the announcement, whose form cannot grow; a leader of an earlier version ignores it.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -215,7 +215,7 @@
 		uses[h.agent] = c.workerUse(now, h, stalled)
 		switch uses[h.agent] {
 		case Usable, Quarantined:
-			w := placement.NewWorker(h.announcement, h.health.failures > 0 || slow[h.agent])
+			w := placement.NewWorker(h.announcement, h.health.failures > 0 || slow[h.agent] || h.startsSlowly(now))
 			workers = append(workers, w.WithQuarantine(uses[h.agent] == Quarantined))
 		case Disconnected, Unannounced, Unreachable, Leaving, Silent, RunsUnknown, ClockUnknown, Maintained, Stalled:
 		}
--- a/internal/dispatch/host.go
+++ b/internal/dispatch/host.go
@@ -128,6 +128,11 @@
 	return h.use(now, fencingToken) == Usable
 }
 
+// startsSlowly reports whether the worker has announced that it is still slow after its start.
+func (h *host) startsSlowly(now time.Time) bool {
+	return now.Before(h.announcedAt.Add(h.announcement.SlowFor()))
+}
+
 // responsive reports whether the worker has reported recently enough to be granted a lease.
 func (h *host) responsive(now time.Time) bool { return now.Sub(h.reportedAt) < silenceTimeout }
 
--- a/internal/run/report.go
+++ b/internal/run/report.go
@@ -19,6 +19,7 @@
 	sequence    int64
 	clock       time.Duration
 	machine     string
+	slowFor     time.Duration
 }
 
 // NewAnnouncement returns the announcement of a worker of a service; sequence orders the announcements of one
@@ -57,6 +58,15 @@
 	return a
 }
 
+// WithSlowStart returns a copy for a worker that is slow for a while yet after its start.
+func (a Announcement) WithSlowStart(d time.Duration) Announcement {
+	a.slowFor = d
+	return a
+}
+
+// SlowFor returns how long the worker is still slow after its start, counted from the announcement; 0 if it is not.
+func (a Announcement) SlowFor() time.Duration { return a.slowFor }
+
 // Machine returns the name of the machine, or an empty string if the worker does not report one.
 func (a Announcement) Machine() string { return a.machine }
 
--- a/internal/wire/batch_test.go
+++ b/internal/wire/batch_test.go
@@ -124,7 +124,7 @@
 	t.Run("report", func(t *testing.T) {
 		var b bytes.Buffer
 		r := run.NewReport("h").WithAnnouncement(run.NewAnnouncement(testIncarnation, "s", "z", 3).WithRack("r", []string{"a", "r"}).
-			WithCapacity(batch.NewResources(1, 2, 3)).WithClock(time.Hour).WithMachine("m").WithDraining(time.Second)).
+			WithCapacity(batch.NewResources(1, 2, 3)).WithClock(time.Hour).WithMachine("m").WithDraining(time.Second).WithSlowStart(time.Minute)).
 			WithList(run.NewList(testIncarnation, 9, time.Hour, []run.Running{run.NewRunning(id, "c", 100, 5)},
 				[]run.Finished{run.NewFinished(58, testEnd)}, []run.ID{id}).WithTruncated(true)).
 			WithRefused([]run.Refusal{run.NewRefusal(id, "late")}).WithTerminating().WithExited().WithUnreachable().
--- a/internal/wire/run.go
+++ b/internal/wire/run.go
@@ -152,6 +152,7 @@
 	Unreachable  bool                 `cbor:"7,keyasint,omitempty"`
 	Truncated    bool                 `cbor:"8,keyasint,omitempty"` // of List, which cannot grow
 	Exited       bool                 `cbor:"9,keyasint,omitempty"`
+	SlowFor      int64                `cbor:"10,keyasint,omitempty"` // of Announcement, which cannot grow
 }
 
 func newRunAnnouncementForm(a run.Announcement) *runAnnouncementForm {
@@ -208,7 +209,7 @@
 func WriteRunReport(w io.Writer, r run.Report) error {
 	f := runReportForm{Agent: r.Agent(), Terminating: r.Terminating(), Unreachable: r.Unreachable(), Exited: r.Exited()}
 	if a, ok := r.Announcement(); ok {
-		f.Announcement = newRunAnnouncementForm(a)
+		f.Announcement, f.SlowFor = newRunAnnouncementForm(a), int64(a.SlowFor())
 	}
 	if l, ok := r.List(); ok {
 		f.List, f.Truncated = newListForm(l), l.Truncated()
@@ -247,7 +248,7 @@
 	}
 	report = run.NewReport(f.Agent)
 	if f.Announcement != nil {
-		report = report.WithAnnouncement(f.Announcement.announcement())
+		report = report.WithAnnouncement(f.Announcement.announcement().WithSlowStart(time.Duration(f.SlowFor)))
 	}
 	if f.List != nil {
 		report = report.WithList(f.List.list().WithTruncated(f.Truncated))
