batch: orders to evacuate an availability zone

Operators could not say that nothing more starts in an availability zone. Two commands of the replicated state evacuate a zone, with a reason and the time, and reopen it. Both are idempotent: a repeated order keeps the time of the first.

state without an evacuated zone is encoded as before. The leader answers the calls once the commands are committed.

--- a/internal/batch/fuzz_test.go
+++ b/internal/batch/fuzz_test.go
@@ -23,6 +23,7 @@
 	failed   map[batch.TaskID]int
 	done     map[batch.TaskID]bool
 	saved    map[batch.TaskID]string
+	zones    map[string]time.Time // evacuated since
 }
 
 const modelJobs = 6
@@ -32,7 +33,7 @@
 	return &model{
 		state: batch.NewState(d), decoder: d, final: map[string]batch.JobState{},
 		runs: map[batch.TaskID]int{}, failed: map[batch.TaskID]int{}, done: map[batch.TaskID]bool{},
-		saved: map[batch.TaskID]string{},
+		saved: map[batch.TaskID]string{}, zones: map[string]time.Time{},
 	}
 }
 
@@ -163,6 +164,34 @@
 	}
 }
 
+// evacuate orders the evacuation of a random zone, which may be evacuated already.
+func (m *model) evacuate(t *rapid.T) {
+	zone, at := zoneOf(t), epoch.Add(time.Duration(rapid.IntRange(0, 9).Draw(t, "hours"))*time.Hour)
+	m.state, _ = evacuate(m.state, zone, "", at)
+	if _, evacuated := m.zones[zone]; !evacuated {
+		m.zones[zone] = at
+	}
+}
+
+// reopen ends the evacuation of a random zone, which may not be evacuated.
+func (m *model) reopen(t *rapid.T) {
+	zone := zoneOf(t)
+	m.state = reopen(m.state, zone)
+	delete(m.zones, zone)
+}
+
+func zoneOf(t *rapid.T) string { return rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "zone") }
+
+// checkZones compares the evacuated zones with the expected ones.
+func (m *model) checkZones(t *rapid.T) {
+	require.Len(t, m.state.Evacuations(), len(m.zones))
+	for zone, since := range m.zones {
+		e, evacuated := m.state.Evacuation(zone)
+		require.True(t, evacuated, "zone %s", zone)
+		require.Equal(t, since, e.Since(), "zone %s", zone)
+	}
+}
+
 // sharedTask returns the task that holds the checkpoint of a task: in a gang the first.
 func (m *model) sharedTask(j *batch.Job, id batch.TaskID) batch.TaskID {
 	if j.Spec().Steps()[id.Step()].Gang() {
@@ -175,6 +204,7 @@
 func (m *model) check(t *rapid.T) {
 	require.Equal(t, m.newest, m.state.Declaration().Version())
 	require.Equal(t, m.document, string(m.state.Document()))
+	m.checkZones(t)
 	for id, j := range m.state.Jobs().All() {
 		if was, ended := m.final[id]; ended {
 			require.Equal(t, was, j.State(), "job %s left its final state", id)
@@ -217,18 +247,21 @@
 
 // TestStateFuzz guards against an older declaration that replaces a newer one, a job that leaves its final state, a
 // task that is placed after it was done or under a used run number, a checkpoint that is replaced by that of another
-// run, an end or a crash that is recorded for another run, and a job that is given up before three workers crashed.
+// run, an end or a crash that is recorded for another run, a job that is given up before three workers crashed, and a zone
+// that is evacuated without an order, or is not after one.
 func TestStateFuzz(t *testing.T) {
 	steps := fuzzing.NewCounter(t)
 	rapid.Check(t, func(t *rapid.T) {
 		m := newModel()
 		t.Repeat(steps.CountActions(map[string]func(*rapid.T){
-			"declare": m.declare,
-			"submit":  m.submit,
-			"begin":   m.begin,
-			"end":     m.end,
-			"save":    m.save,
-			"crash":   m.crash,
+			"declare":        m.declare,
+			"submit":         m.submit,
+			"begin":          m.begin,
+			"end":            m.end,
+			"save":           m.save,
+			"crash":          m.crash,
+			"zone evacuated": m.evacuate,
+			"zone reopened":  m.reopen,
 			"cancel": func(t *rapid.T) {
 				id := fmt.Sprintf("j%d", rapid.IntRange(0, 4*modelJobs).Draw(t, "job"))
 				m.state, _ = m.state.Apply(batch.NewCancel(id, epoch))
--- a/internal/batch/state.go
+++ b/internal/batch/state.go
@@ -76,6 +76,7 @@
 	jobs        board.Table[*Job]
 	usage       usage // by jobs
 	waves       map[int64]Wave
+	evacuations map[string]Evacuation // by availability zone
 }
 
 // NewState returns an empty state that parses documents with d.
@@ -141,6 +142,10 @@
 		return s.startWave(c), Applied{}
 	case RecordMaintenance:
 		return s.recordMaintenance(c), Applied{}
+	case EvacuateZone:
+		return s.evacuateZone(c)
+	case ReopenZone:
+		return s.reopenZone(c), Applied{}
 	case Barrier:
 		return s, Applied{}
 	}
@@ -331,7 +336,7 @@
 // Next returns the number of the first occurrence of which no task has been placed.
 func (r JobSnapshot) Next() int { return r.next }
 
-// RestoreState returns the state of a snapshot without its waves; it fails on a document that d cannot parse.
+// RestoreState returns the state of a snapshot without its waves and evacuations; it fails on a document that d cannot parse.
 func RestoreState(d Decoder, document []byte, jobs []JobSnapshot) (s State, err error) {
 	defer func() {
 		if err != nil {
--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -50,6 +50,12 @@
 // ReadWave requests the state of a maintenance wave.
 type ReadWave struct{ number int64 }
 
+// Evacuate requests that nothing more starts in an availability zone.
+type Evacuate struct{ zone, reason string }
+
+// Reopen requests that an evacuated availability zone is used again.
+type Reopen struct{ zone string }
+
 // Ping has no effect; like every reply, its reply names the leader and the control hosts.
 type Ping struct{}
 
@@ -60,8 +66,25 @@
 func (ReadDeclaration) call() {}
 func (StartWave) call()       {}
 func (ReadWave) call()        {}
+func (Evacuate) call()        {}
+func (Reopen) call()          {}
 func (Ping) call()            {}
 
+// NewEvacuate returns the call that evacuates a zone; the reason may be empty.
+func NewEvacuate(zone, reason string) Evacuate { return Evacuate{zone: zone, reason: reason} }
+
+// Zone returns the name of the availability zone.
+func (c Evacuate) Zone() string { return c.zone }
+
+// Reason returns why the zone is evacuated, or an empty string.
+func (c Evacuate) Reason() string { return c.reason }
+
+// NewReopen returns the call that ends the evacuation of a zone.
+func NewReopen(zone string) Reopen { return Reopen{zone: zone} }
+
+// Zone returns the name of the availability zone.
+func (c Reopen) Zone() string { return c.zone }
+
 // NewStartWave returns the call that starts a maintenance wave.
 func NewStartWave(w batch.Wave) StartWave { return StartWave{wave: w} }
 
--- a/internal/leader/client_test.go
+++ b/internal/leader/client_test.go
@@ -168,6 +168,8 @@
 		"cancel":     call.NewCancel(target),
 		"declare":    call.NewDeclare(nil),
 		"start wave": call.NewStartWave(batch.NewWave(1, []string{"m"}, 1, time.Time{})),
+		"evacuate":   call.NewEvacuate("z", ""),
+		"reopen":     call.NewReopen("z"),
 	} {
 		for _, o := range refusals {
 			t.Run(name+" "+string(o), func(t *testing.T) {
--- a/internal/leader/conclusive.go
+++ b/internal/leader/conclusive.go
@@ -7,7 +7,7 @@
 // have been replaced since.
 func conclusive(c call.Call, o call.Outcome) bool {
 	switch c.(type) {
-	case call.Submit, call.Cancel, call.Declare, call.StartWave:
+	case call.Submit, call.Cancel, call.Declare, call.StartWave, call.Evacuate, call.Reopen:
 		return o == call.OK
 	case call.Read, call.ReadDeclaration, call.ReadWave, call.Ping:
 		return o != call.Refused && o != call.Unavailable
--- a/internal/scheduler/calls.go
+++ b/internal/scheduler/calls.go
@@ -61,6 +61,10 @@
 		return s.startWave(ctx, c)
 	case call.ReadWave:
 		return s.readWave(ctx, c)
+	case call.Evacuate:
+		return s.evacuate(ctx, now, c)
+	case call.Reopen:
+		return s.reopen(ctx, c)
 	case call.Ping:
 		return call.NewReply(call.OK, "")
 	}
@@ -267,6 +271,10 @@
 		s.logger.Info("wave", append(fields, "wave", c.Wave().Number(), "machines", len(c.Wave().Machines()), "most", c.Wave().MaxDown())...)
 	case call.ReadWave:
 		s.logger.Info("wave read", append(fields, "wave", c.Number(), "state", r.State())...)
+	case call.Evacuate:
+		s.logger.Info("evacuation", append(fields, "zone", c.Zone(), "cause", c.Reason())...)
+	case call.Reopen:
+		s.logger.Info("evacuation ends", append(fields, "zone", c.Zone())...)
 	case call.Ping:
 	}
 }
--- a/internal/wire/batch.go
+++ b/internal/wire/batch.go
@@ -21,6 +21,8 @@
 	batchPruneJobs       = "forget"
 	batchStartWave       = "wave"
 	batchMaintenance     = "maintain"
+	batchEvacuateZone    = "evacuate"
+	batchReopenZone      = "reopen"
 	batchBarrier         = "barrier"
 )
 
@@ -37,6 +39,8 @@
 	Wave        *waveForm        `cbor:"10,keyasint,omitempty"`
 	Maintenance *maintenanceForm `cbor:"11,keyasint,omitempty"`
 	Crashes     []runCrashForm   `cbor:"12,keyasint,omitempty"`
+	Zone        string           `cbor:"13,keyasint,omitempty"`
+	Reason      string           `cbor:"14,keyasint,omitempty"`
 }
 
 type taskForm struct {
@@ -208,6 +212,11 @@
 		f = batchForm{Kind: batchMaintenance, Maintenance: &maintenanceForm{
 			Wave: c.Wave(), Machine: c.Machine(), Worker: newIncarnationForm(c.Worker()), Skipped: c.Skipped(),
 		}}
+	case batch.EvacuateZone:
+		e := c.Evacuation()
+		f = batchForm{Kind: batchEvacuateZone, Zone: e.Zone(), Reason: e.Reason(), At: toNanos(e.Since())}
+	case batch.ReopenZone:
+		f = batchForm{Kind: batchReopenZone, Zone: c.Zone()}
 	case batch.PruneJobs:
 		f = batchForm{Kind: batchPruneJobs, At: toNanos(c.Before())}
 	case batch.Barrier:
@@ -274,6 +283,10 @@
 		return batch.NewRecordCrashes(fromNanos(f.At), crashes...), nil
 	case batchPruneJobs:
 		return batch.NewPruneJobs(fromNanos(f.At)), nil
+	case batchEvacuateZone:
+		return batch.NewEvacuateZone(batch.NewEvacuation(f.Zone, f.Reason, fromNanos(f.At))), nil
+	case batchReopenZone:
+		return batch.NewReopenZone(f.Zone), nil
 	case batchBarrier:
 		return batch.Barrier{}, nil
 	}
@@ -282,9 +295,10 @@
 
 // batchStateForm holds the jobs as encoded batchJobForms, so that those of one job at a time take memory.
 type batchStateForm struct {
-	Document []byte            `cbor:"1,keyasint"`
-	Jobs     []cbor.RawMessage `cbor:"2,keyasint"`
-	Waves    []waveForm        `cbor:"3,keyasint,omitempty"`
+	Document    []byte            `cbor:"1,keyasint"`
+	Jobs        []cbor.RawMessage `cbor:"2,keyasint"`
+	Waves       []waveForm        `cbor:"3,keyasint,omitempty"`
+	Evacuations []evacuationForm  `cbor:"4,keyasint,omitempty"`
 }
 
 type batchJobForm struct {
@@ -329,6 +343,9 @@
 	for _, w := range s.Waves() {
 		f.Waves = append(f.Waves, newWaveForm(w))
 	}
+	for _, e := range s.Evacuations() {
+		f.Evacuations = append(f.Evacuations, newEvacuationForm(e))
+	}
 	for _, j := range s.Jobs().All() {
 		encoded, err := cbor.Marshal(newBatchJobForm(batch.SnapshotJob(j)))
 		if err != nil {
@@ -385,7 +402,11 @@
 	for i, w := range f.Waves {
 		waves[i] = w.wave()
 	}
-	return s.WithWaves(waves), nil
+	evacuations := make([]batch.Evacuation, len(f.Evacuations))
+	for i, e := range f.Evacuations {
+		evacuations[i] = e.evacuation()
+	}
+	return s.WithWaves(waves).WithEvacuations(evacuations), nil
 }
 
 func (f batchJobForm) job() (r batch.JobSnapshot, err error) {
--- a/internal/wire/batch_test.go
+++ b/internal/wire/batch_test.go
@@ -36,6 +36,8 @@
 		"wave":        batch.NewStartWave(batch.NewWave(3, []string{"m1", "m2"}, 1, testTime)),
 		"maintenance": batch.NewRecordMaintenance(3, "m1", testIncarnation),
 		"skip":        batch.NewSkipMachine(3, "m2"),
+		"evacuate":    batch.NewEvacuateZone(batch.NewEvacuation("z", "power cut", testTime)),
+		"reopen":      batch.NewReopenZone("z"),
 	} {
 		t.Run(name, func(t *testing.T) {
 			data, err := wire.EncodeBatch(c)
@@ -76,6 +78,8 @@
 		batch.NewStartWave(batch.NewWave(3, []string{"m1", "m2", "m3"}, 1, testTime)),
 		batch.NewRecordMaintenance(3, "m1", testIncarnation),
 		batch.NewSkipMachine(3, "m2"),
+		batch.NewEvacuateZone(batch.NewEvacuation("z", "power cut", testTime)),
+		batch.NewEvacuateZone(batch.NewEvacuation("y", "", testTime)),
 	} {
 		s, _ = s.Apply(c)
 	}
@@ -87,6 +91,7 @@
 	assert.Equal(t, s.Declaration(), read.Declaration())
 	assert.Equal(t, s.Jobs().Len(), read.Jobs().Len())
 	assert.Equal(t, s.Waves(), read.Waves())
+	assert.Equal(t, s.Evacuations(), read.Evacuations())
 	for id, j := range s.Jobs().All() {
 		o, known := read.Job(id)
 		require.True(t, known)
@@ -143,6 +148,7 @@
 		"submit": call.NewSubmit(target, []byte("job")), "read": call.NewRead(target), "cancel": call.NewCancel(target),
 		"declare": call.NewDeclare([]byte("d")), "read declaration": call.ReadDeclaration{}, "ping": call.Ping{},
 		"start wave": call.NewStartWave(batch.NewWave(3, []string{"m"}, 1, testTime)), "read wave": call.NewReadWave(3),
+		"evacuate": call.NewEvacuate("z", "power cut"), "reopen": call.NewReopen("z"),
 	} {
 		t.Run(name, func(t *testing.T) {
 			var b bytes.Buffer
--- a/internal/wire/call.go
+++ b/internal/wire/call.go
@@ -17,6 +17,8 @@
 	callReadDeclaration = "read-declaration"
 	callStartWave       = "start-wave"
 	callReadWave        = "read-wave"
+	callEvacuate        = "evacuate"
+	callReopen          = "reopen"
 	callPing            = "ping"
 )
 
@@ -27,6 +29,8 @@
 	Key      string    `cbor:"4,keyasint,omitempty"`
 	Document []byte    `cbor:"5,keyasint,omitempty"`
 	Wave     *waveForm `cbor:"6,keyasint,omitempty"`
+	Zone     string    `cbor:"7,keyasint,omitempty"`
+	Reason   string    `cbor:"8,keyasint,omitempty"`
 }
 
 func targetForm(kind string, t call.Target, document []byte) callForm {
@@ -52,6 +56,10 @@
 		f = callForm{Kind: callStartWave, Wave: &w}
 	case call.ReadWave:
 		f = callForm{Kind: callReadWave, Wave: &waveForm{Number: c.Number()}}
+	case call.Evacuate:
+		f = callForm{Kind: callEvacuate, Zone: c.Zone(), Reason: c.Reason()}
+	case call.Reopen:
+		f = callForm{Kind: callReopen, Zone: c.Zone()}
 	case call.Ping:
 		f = callForm{Kind: callPing}
 	}
@@ -83,6 +91,10 @@
 		return call.NewDeclare(f.Document), nil
 	case callReadDeclaration:
 		return call.ReadDeclaration{}, nil
+	case callEvacuate:
+		return call.NewEvacuate(f.Zone, f.Reason), nil
+	case callReopen:
+		return call.NewReopen(f.Zone), nil
 	case callPing:
 		return call.Ping{}, nil
 	}
