dispatch: nothing starts in an evacuated zone

The leader leaves the workers of an evacuated zone out of each decision, so that nothing is placed, reserved, preempted or inquired about there, and goes by the state that it has applied, so that the next leader obeys as well. Committed starts are not ordered. A start that is ordered and not listed is stopped at once, and not repeated when the agent opens another session; a gang with such a member is stopped as a whole. Work that has begun may end, and long-running tasks move within what their step tolerates while a worker elsewhere has room.

A run that was told to stop is no longer ordered to start by a repeated order that was due in the same step.

--- a/internal/dispatch/actions.go
+++ b/internal/dispatch/actions.go
@@ -23,6 +23,8 @@
 	decisions   []Decision
 	waiting     *Waiting
 	wake        time.Time
+
+	evacuatedRuns int
 }
 
 // Crashes returns the runs to commit under which workers crashed. They are committed before the ends, so that no run
@@ -64,6 +66,9 @@
 	return *a.waiting, true
 }
 
+// EvacuatedRuns returns the number of runs that workers in evacuated availability zones list.
+func (a Actions) EvacuatedRuns() int { return a.evacuatedRuns }
+
 // Wake returns the latest time for the next step.
 func (a Actions) Wake() time.Time { return a.wake }
 
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -31,6 +31,7 @@
 	uncounted  []batch.RunCrash                      // reported crashes that the state may not count yet
 	state      batch.State                           // of the current step
 	used       map[batch.Incarnation]batch.Resources // in that state, once it is needed
+	zones      zones                                 // of the current step
 	lastForget time.Time
 	lastSave   time.Time
 	decisions  []Decision
@@ -130,7 +131,7 @@
 
 // Step decides what to do at the given time in the given state.
 func (c *Core) Step(now time.Time, s batch.State) (a Actions) {
-	c.state, c.used = s, nil
+	c.state, c.used, c.zones = s, nil, newZones(s)
 	hosts := c.hostsByIncarnation()
 	c.countCrashes(s, &a)
 	c.orderStarts(now, s, hosts, &a)
@@ -145,6 +146,7 @@
 	c.sendHolds(now, s, &a)
 	c.forget(now, s, &a)
 	a.checkpoints = c.chooseCheckpoints(now, s)
+	a.evacuatedRuns = c.zones.atWork
 	a.decisions, c.decisions = c.decisions, nil
 	a.wake = now.Add(stepInterval)
 	return a
@@ -179,8 +181,17 @@
 		if t.Phase() != batch.Placed || t.Run() != id.Run() {
 			continue
 		}
+		o := c.ordersOf(id)
+		if !o.stopOrderedAt.IsZero() {
+			continue
+		}
 		if !here || !h.usable(now, c.fencingToken) {
-			c.ordersOf(id).withheld = true
+			o.withheld = true
+			continue
+		}
+		if c.mayNotStart(j, id, h, hosts) {
+			o.withheld = true
+			c.logDecision(h, now, id, "not started", ZoneEvacuated)
 			continue
 		}
 		if c.overcommitted(h) {
@@ -196,7 +207,6 @@
 			c.toStart[id] = true
 			continue
 		}
-		o := c.ordersOf(id)
 		o.startOrderedAt, o.startSession = now, h.session
 		lease := h.grant(now, c.timing.lease)
 		h.holdSentAt = now
@@ -217,7 +227,7 @@
 		case Usable, Quarantined:
 			w := placement.NewWorker(h.announcement, h.health.failures > 0 || slow[h.agent] || h.startsSlowly(now))
 			workers = append(workers, w.WithQuarantine(uses[h.agent] == Quarantined))
-		case Disconnected, Unannounced, Unreachable, Leaving, Silent, RunsUnknown, ClockUnknown, Maintained, Stalled:
+		case Disconnected, Unannounced, Unreachable, Leaving, Silent, RunsUnknown, ClockUnknown, Evacuated, Maintained, Stalled:
 		}
 	}
 	v := placement.NewView(now, s, workers, stopping, c.timing.remoteFactor)
--- a/internal/dispatch/fuzz_test.go
+++ b/internal/dispatch/fuzz_test.go
@@ -54,6 +54,7 @@
 	noted        map[batch.TaskID]bool            // the tasks of which an end Done was acknowledged to the worker
 	saved        map[batch.TaskID]map[string]bool // the checkpoints made by the runs of a task or gang
 	committed    map[batch.TaskID]bool            // whether a checkpoint of the task or gang was committed
+	zoneChanged  map[string]time.Time             // when the latest order about a zone was applied
 }
 
 func newSimulation(t *rapid.T) *simulation {
@@ -67,7 +68,7 @@
 		t: t, now: epoch, runDuration: 2 * time.Second, callDelay: 3 * time.Second,
 		decoder: &stubDecoder{declaration: d, byJob: map[string]batch.Spec{}},
 		starts:  map[run.ID]int{}, ended: map[batch.TaskID]bool{}, noted: map[batch.TaskID]bool{},
-		saved: map[batch.TaskID]map[string]bool{}, committed: map[batch.TaskID]bool{},
+		saved: map[batch.TaskID]map[string]bool{}, committed: map[batch.TaskID]bool{}, zoneChanged: map[string]time.Time{},
 	}
 	s.state, _ = batch.NewState(s.decoder).Apply(batch.NewDeclare(nil))
 	for i := range workerCount {
@@ -169,6 +170,9 @@
 	s.apply(batch.NewSubmit(id, []string{"q", "u"}[rapid.IntRange(0, 1).Draw(t, "queue")], "a", nil, s.now))
 }
 
+// zones are the availability zones of the workers.
+var zones = []string{"z0", "z1"}
+
 // gangOf returns all runs of the run's gang, or only the run itself if its step is not a gang.
 func (s *simulation) gangOf(id run.ID) (members []run.ID) {
 	j, _ := s.state.Job(id.Task().Job())
@@ -235,6 +239,36 @@
 	}
 }
 
+// evacuate orders the evacuation of a zone, or takes it back.
+func (s *simulation) evacuate(zone string, evacuated bool) {
+	if _, before := s.state.Evacuation(zone); before == evacuated {
+		return
+	}
+	s.zoneChanged[zone] = s.now
+	if evacuated {
+		s.apply(batch.NewEvacuateZone(batch.NewEvacuation(zone, "", s.now)))
+		return
+	}
+	s.apply(batch.NewReopenZone(zone))
+}
+
+// maxLateStart is how long after the evacuation of its zone a worker may carry out an order that was under way: the lease
+// in the order has ended by then, also on a clock at the rate 0.98.
+const maxLateStart = 5200 * time.Millisecond
+
+// checkZone checks that a start is not in an evacuated zone. The worker may have had the order before, and carries it out
+// later if its calls are late.
+func (s *simulation) checkZone(w *worker, id run.ID, prompt bool) {
+	if _, evacuated := s.state.Evacuation(w.zone); !evacuated {
+		return
+	}
+	allowed := maxLateStart
+	if prompt {
+		allowed = tick
+	}
+	require.LessOrEqual(s.t, s.now.Sub(s.zoneChanged[w.zone]), allowed, "%s started on %s in evacuated zone %s", id.Task(), w.name, w.zone)
+}
+
 // checkStart records a start and checks that it is permitted; committed reports whether a checkpoint of the run was
 // committed when the start was ordered.
 func (s *simulation) checkStart(w *worker, o run.Start, committed bool) {
@@ -284,6 +318,9 @@
 			w.crash(false)
 		}
 	}
+	for _, zone := range zones {
+		s.evacuate(zone, false)
+	}
 	if !s.leading {
 		s.elect()
 	}
@@ -308,7 +345,7 @@
 }
 
 // TestRunsFuzz guards against a task that runs twice at once or again after its end, a worker beyond its capacity, a
-// job that never ends, a run that resumes from the checkpoint of another task, and one that restarts without its
+// job that never ends, a start in an evacuated zone, a run that resumes from the checkpoint of another task, and one that restarts without its
 // committed checkpoint. The faults are lost, late and repeated orders, workers that are cut off, restart or leave,
 // leaders that are replaced, and commits whose result the leader does not learn.
 func TestRunsFuzz(t *testing.T) {
@@ -340,7 +377,9 @@
 			"depose": func(*rapid.T) { s.leading = false },
 			"elect":  func(*rapid.T) { s.elect() },
 			// Loses the result of the next commit of starts.
-			"unknown": func(*rapid.T) { s.loseResult = true },
+			"unknown":        func(*rapid.T) { s.loseResult = true },
+			"zone evacuated": func(t *rapid.T) { s.evacuate(rapid.SampledFrom(zones).Draw(t, "zone"), true) },
+			"zone reopened":  func(t *rapid.T) { s.evacuate(rapid.SampledFrom(zones).Draw(t, "zone"), false) },
 			// rapid runs this before the first action and after each one.
 			"": func(*rapid.T) { s.advance(2 * tick) },
 		}))
--- a/internal/dispatch/resolve.go
+++ b/internal/dispatch/resolve.go
@@ -24,6 +24,9 @@
 				return
 			}
 			reason := stopReason(j, id)
+			if reason == "" {
+				reason = c.zoneReason(now, j, id, t, hosts)
+			}
 			if reason == "" {
 				reason = c.stallReason(now, id, j.Spec().Steps()[id.Task().Step()])
 			}
@@ -82,6 +85,8 @@
 			return lost("not listed under this leader's fencing token", h)
 		case h.listsSettled(id):
 			return lost("its start or stop was answered and the worker does not list it", h)
+		case o.stopOrderedAt.IsZero() && o.startSession != h.session && c.evacuated(h):
+			c.stop(now, id, h, ZoneEvacuated, a)
 		case o.stopOrderedAt.IsZero() && o.startSession != h.session && c.overcommitted(h):
 			c.stop(now, id, h, "its worker's capacity has shrunk", a)
 		case o.stopOrderedAt.IsZero() && o.startSession != h.session:
--- a/internal/dispatch/waiting.go
+++ b/internal/dispatch/waiting.go
@@ -24,6 +24,7 @@
 	Silent       WorkerUse = "silent"
 	RunsUnknown  WorkerUse = "runs not listed yet"
 	ClockUnknown WorkerUse = "clock not known"
+	Evacuated    WorkerUse = "evacuated"
 	Maintained   WorkerUse = "drained for maintenance"
 	Stalled      WorkerUse = "with a stalled run"
 	Quarantined  WorkerUse = "in quarantine"
@@ -33,8 +34,8 @@
 // WorkerUses returns all uses of a worker.
 func WorkerUses() []WorkerUse {
 	return []WorkerUse{
-		Disconnected, Unannounced, Unreachable, Leaving, Silent, RunsUnknown, ClockUnknown, Maintained, Stalled, Quarantined,
-		Usable,
+		Disconnected, Unannounced, Unreachable, Leaving, Silent, RunsUnknown, ClockUnknown, Evacuated, Maintained, Stalled,
+		Quarantined, Usable,
 	}
 }
 
@@ -86,6 +87,8 @@
 	use := h.use(now, c.fencingToken)
 	switch {
 	case use != Usable:
+	case c.evacuated(h):
+		return Evacuated
 	case c.isDraining(h):
 		return Maintained
 	case stalled[h.agent]:
--- a/internal/dispatch/worker_test.go
+++ b/internal/dispatch/worker_test.go
@@ -13,6 +13,7 @@
 type worker struct {
 	sim         *simulation
 	name        string
+	zone        string
 	rate        float64 // of the worker's clock, relative to real time
 	incarnation batch.Incarnation
 	startedAt   time.Time
@@ -55,7 +56,7 @@
 }
 
 func newWorker(sim *simulation, name string, rate float64) *worker {
-	w := &worker{sim: sim, name: name, rate: rate, settled: map[run.ID]time.Time{}}
+	w := &worker{sim: sim, name: name, zone: zones[len(sim.workers)%len(zones)], rate: rate, settled: map[run.ID]time.Time{}}
 	w.restart("w-" + name)
 	return w
 }
@@ -156,13 +157,13 @@
 		}
 		w.answered(c, "")
 	case c.start != nil:
-		w.answered(c, w.start(*c.start, c.committed))
+		w.answered(c, w.start(c))
 	}
 }
 
-// start begins a run, or returns the reason for refusing it; committed reports whether a checkpoint of it was committed
-// when the start was ordered.
-func (w *worker) start(o run.Start, committed bool) string {
+// start begins the run of a call, or returns the reason for refusing it.
+func (w *worker) start(c call) string {
+	o := *c.start
 	_, runs := w.running[o.ID()]
 	switch {
 	case runs:
@@ -175,7 +176,8 @@
 	w.leaseEnd = max(w.leaseEnd, min(o.Lease(), w.clock()+maxLease))
 	w.running[o.ID()] = w.sim.now.Add(w.sim.runDuration)
 	w.begun[o.ID()] = w.sim.now
-	w.sim.checkStart(w, o, committed)
+	w.sim.checkZone(w, o.ID(), c.answered)
+	w.sim.checkStart(w, o, c.committed)
 	return ""
 }
 
@@ -240,7 +242,7 @@
 	if w.known != w.incarnation {
 		w.known, w.hasRenewal, w.settled = w.incarnation, false, map[run.ID]time.Time{}
 	}
-	a := run.NewAnnouncement(w.incarnation, "s", "z", w.sequence).WithRack("r", []string{"a", "r"}).
+	a := run.NewAnnouncement(w.incarnation, "s", w.zone, w.sequence).WithRack("r", []string{"a", "r"}).
 		WithCapacity(batch.NewResources(8000, 8000, capacity)).WithClock(w.clock())
 	if w.draining {
 		a = a.WithDraining(0)
--- a/internal/scheduler/leader_loop.go
+++ b/internal/scheduler/leader_loop.go
@@ -72,6 +72,7 @@
 			delete(l.sessions, agent)
 		}
 		l.metrics.updateWaiting(dispatch.Waiting{})
+		l.metrics.evacuated.Update(0)
 		l.logger.Info("leads no more", "term", term)
 	}()
 	timer := time.NewTimer(0)
@@ -159,6 +160,7 @@
 	if w, counted := a.Waiting(); counted {
 		l.metrics.updateWaiting(w)
 	}
+	l.metrics.evacuated.Update(int64(a.EvacuatedRuns()))
 	for _, o := range a.Orders() {
 		l.queueOrder(o, term)
 	}
@@ -271,6 +273,9 @@
 			l.metrics.crashes.Inc(1)
 		case "stop":
 			l.metrics.stops.Inc(1)
+			if e.Reason() == dispatch.ZoneEvacuated {
+				l.metrics.zoneStops.Inc(1)
+			}
 		}
 		l.logger.Info("run", "task", e.ID().Task().String(), "run", e.ID().Run(), "worker", e.Worker(),
 			"decision", e.Kind(), "reason", e.Reason(), "age_ms", e.ReportAge().Milliseconds())
--- a/internal/scheduler/metrics.go
+++ b/internal/scheduler/metrics.go
@@ -19,11 +19,13 @@
 	lost      gometrics.Counter
 	crashes   gometrics.Counter
 	givenUp   gometrics.Counter
+	zoneStops gometrics.Counter // orders to stop a run because its zone is evacuated
 	commit    gometrics.Histogram
 	decision  gometrics.Histogram
 	answering gometrics.Histogram
 	waiting   gometrics.Gauge // tasks that are ready and wait for workers
 	longWaits gometrics.Gauge // steps with tasks that have waited for some seconds
+	evacuated gometrics.Gauge // runs that workers in evacuated zones list
 	workers   map[dispatch.WorkerUse]gometrics.Gauge
 }
 
@@ -33,6 +35,7 @@
 		starts: r.Counter("scheduler.starts"), ends: r.Counter("scheduler.ends"),
 		stops: r.Counter("scheduler.stops"), lost: r.Counter("scheduler.lost"),
 		crashes: r.Counter("scheduler.crashes"), givenUp: r.Counter("scheduler.given_up"),
+		zoneStops: r.Counter("scheduler.evacuation_stops"), evacuated: r.Gauge("scheduler.evacuated_runs"),
 		commit: r.Histogram("scheduler.commit"), decision: r.Histogram("scheduler.decision"),
 		answering: r.Histogram("scheduler.answering"),
 		waiting:   r.Gauge("scheduler.waiting_tasks"), longWaits: r.Gauge("scheduler.long_waits"),
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -49,6 +49,7 @@
 	s.metrics = newMetrics(s.registry)
 	s.state = board.NewSection(batch.NewState(s.decoder))
 	s.registry.GaugeFunc("scheduler.job_bytes", func() int64 { return int64(s.state.Load().JobBytes()) })
+	s.registry.GaugeFunc("scheduler.evacuated_zones", func() int64 { return int64(len(s.state.Load().Evacuations())) })
 	s.pool = link.NewPool(s.client)
 	s.peers = transport.NewPeers(s.pool, s.logger)
 	a := &applier{state: s.state, decoder: s.decoder, logger: s.logger}
