--- a/internal/batch/state.go
+++ b/internal/batch/state.go
@@ -77,6 +77,7 @@
 	usage       tally // bytes that the jobs take, ended ones included, by workspace
 	pending     tally // active jobs that have never had a placed run, by queue
 	waves       map[int64]Wave
+	evacuations map[string]Evacuation // by availability zone
 }
 
 // NewState returns an empty state that parses documents with d.
@@ -131,6 +132,10 @@
 		return s.startWave(c), Applied{}
 	case RecordMaintenance:
 		return s.recordMaintenance(c), Applied{}
+	case EvacuateZone:
+		return s.evacuateZone(c)
+	case ReopenZone:
+		return s.reopenZone(c), Applied{}
 	case Barrier:
 		return s, Applied{}
 	}
@@ -323,7 +328,7 @@
 // Next returns the number of the first occurrence of which no task has been placed.
 func (r JobSnapshot) Next() int { return r.next }
 
-// RestoreState returns the state of a snapshot without its waves; it fails on a document that d cannot parse.
+// RestoreState returns the state of a snapshot without its waves and evacuations; it fails on a document that d cannot parse.
 func RestoreState(d Decoder, document []byte, jobs []JobSnapshot) (s State, err error) {
 	defer func() {
 		if err != nil {
