speed: the speed of each worker, learned from the durations of its runs

Workers of one service can differ by a factor of two and more, which nothing knew: each job found it out again.

On a logarithmic scale a run's duration is that of its step on a normal worker, less its worker's speed, plus its own deviation. Each run is compared with the runs of its step on other workers. Long tasks count less the further they are off. A worker counts as different only as far as the spread of all workers goes beyond what the tasks explain, so that a service of like workers stays at 1.

--- a/internal/speed/doc.go
+++ b/internal/speed/doc.go
@@ -1,3 +1,3 @@
-// Package speed estimates, from the progress of runs, how fast workers are relative to each other and how much images
-// slow each other down on one worker. It is a decision package: it reads no clock and knows no transport.
+// Package speed estimates the speed of each worker, relative to the other workers of its service, from the durations of
+// the runs at work there. A Model takes in observations and returns immutable Estimates; the present time is an argument.
 package speed
--- /dev/null
+++ b/internal/speed/model.go
@@ -0,0 +1,228 @@
+package speed
+
+import (
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"rosemarywind.example/rosemarywind/internal/batch"
+	"rosemarywind.example/rosemarywind/internal/run"
+)
+
+const (
+	// halfLife is the time in which the weight of earlier observations of a worker halves.
+	halfLife = 10 * time.Minute
+	// predecessorShare is the share of an estimate that holds for the next incarnation of a worker.
+	predecessorShare = 0.5
+	// fitInterval is the least time between two fits.
+	fitInterval = 200 * time.Millisecond
+	// maxWorkerWeight bounds the weight of the earlier observations of a worker, so that a change of its speed shows after
+	// as many runs.
+	maxWorkerWeight = 16
+	// maxStepWeight bounds the weight of the ended runs of a step.
+	maxStepWeight = 64
+)
+
+// Model learns the speeds of workers. On a logarithmic scale the duration of a run is the duration of its step on a normal
+// worker, less the speed of its worker, plus the deviation of the task itself. A Model is not safe for concurrent use.
+type Model struct {
+	workers   map[string]*worker // by host
+	steps     map[stepKey]*step
+	services  map[string]*service
+	changed   map[stepKey]bool // steps with observations since the last fit
+	fittedAt  time.Time
+	estimates Estimates
+}
+
+// NewModel returns a model without observations.
+func NewModel() *Model {
+	return &Model{
+		workers: map[string]*worker{}, steps: map[stepKey]*step{}, services: map[string]*service{}, changed: map[stepKey]bool{},
+	}
+}
+
+// worker holds what is known of the worker on a host. Its averages are of residuals: how much shorter, on the logarithmic
+// scale, runs were than their step takes on a normal worker.
+type worker struct {
+	service     string
+	incarnation batch.Incarnation
+	ended       average // of runs that have ended
+	endedAt     time.Time
+	live        average // of runs at work
+	liveRuns    int
+	observedAt  time.Time
+}
+
+// step holds what is known of a step: the durations of its runs, corrected for the speed of their workers.
+type step struct {
+	service string
+	runs    map[run.ID]*observedRun
+	ended   average
+}
+
+// observedRun is the latest observation of a run at work and what it contributes to its worker's average.
+type observedRun struct {
+	host      string
+	logarithm float64
+	variance  float64
+	residual  float64
+	weight    float64
+}
+
+// Observe takes in an observation of a run, in place of an earlier one of the same run.
+func (m *Model) Observe(now time.Time, o Observation) {
+	if !o.valid() {
+		return
+	}
+	w := m.worker(o)
+	w.observedAt = now
+	key := newStepKey(o.id)
+	s, known := m.steps[key]
+	if !known {
+		s = &step{service: o.service, runs: map[run.ID]*observedRun{}}
+		m.steps[key] = s
+	}
+	r, known := s.runs[o.id]
+	if !known {
+		r = &observedRun{host: o.worker.Host()}
+		s.runs[o.id] = r
+		w.liveRuns++
+	}
+	r.logarithm, r.variance = o.logarithm(), o.variance()
+	m.changed[key] = true
+}
+
+// worker returns the worker of an observation. What was known of another incarnation on its host counts less.
+func (m *Model) worker(o Observation) *worker {
+	w, known := m.workers[o.worker.Host()]
+	if !known {
+		w = &worker{service: o.service, incarnation: o.worker}
+		m.workers[o.worker.Host()] = w
+	}
+	if w.service != o.service {
+		w.service, w.ended = o.service, average{}
+	}
+	if w.incarnation != o.worker {
+		w.incarnation, w.ended = o.worker, w.ended.scaled(predecessorShare)
+	}
+	if m.services[o.service] == nil {
+		m.services[o.service] = newService()
+	}
+	return w
+}
+
+// End takes in that a run has ended; its latest observation stays in the averages.
+func (m *Model) End(now time.Time, id run.ID) {
+	key := newStepKey(id)
+	s, known := m.steps[key]
+	if !known {
+		return
+	}
+	r, observed := s.runs[id]
+	if !observed {
+		return
+	}
+	if r.weight == 0 {
+		m.fitStep(s)
+	}
+	w := m.workers[r.host]
+	if r.weight > 0 {
+		m.services[s.service].addResidual(r.residual, w.mean(), w.weight()-r.weight)
+	}
+	contribution := average{r.residual * r.weight, r.weight}
+	m.dropRun(s, id)
+	w.ended = w.endedBy(now).plus(contribution)
+	w.ended = w.ended.scaled(min(1, maxWorkerWeight/max(w.ended.weight, minWeight)))
+	w.endedAt = now
+	value, variance := w.known(m.services[s.service])
+	s.ended.add(r.logarithm+value, m.services[s.service].noise()/(m.services[s.service].noise()+variance+r.variance))
+	s.ended = s.ended.scaled(min(1, maxStepWeight/s.ended.weight))
+	m.changed[key] = true
+}
+
+// dropRun removes a run at work and what it contributes to its worker's average.
+func (m *Model) dropRun(s *step, id run.ID) {
+	r := s.runs[id]
+	w := m.workers[r.host]
+	delete(s.runs, id)
+	w.live = w.live.minus(average{r.residual * r.weight, r.weight})
+	if w.liveRuns--; w.liveRuns == 0 {
+		w.live = average{}
+	}
+}
+
+// Forget drops the steps of jobs for which known returns false.
+func (m *Model) Forget(known func(job string) bool) {
+	for key, s := range m.steps {
+		if known(key.job) {
+			continue
+		}
+		for id := range s.runs {
+			m.dropRun(s, id)
+		}
+		delete(m.steps, key)
+		delete(m.changed, key)
+	}
+}
+
+// Duration returns how long a task of a step takes on a normal worker; ok is false if that is not known, or if the
+// workers of the service do not differ.
+func (m *Model) Duration(job string, index int) (d time.Duration, ok bool) {
+	s, known := m.steps[stepKey{job, index}]
+	if !known || m.services[s.service].spread == 0 {
+		return 0, false
+	}
+	center := m.center(s)
+	if center.all.weight < minWeight {
+		return 0, false
+	}
+	return time.Duration(math.Exp(center.all.mean()) * float64(time.Second)), true
+}
+
+// Estimates returns the estimates at a time.
+func (m *Model) Estimates(now time.Time) Estimates {
+	if len(m.changed) == 0 || now.Sub(m.fittedAt) < fitInterval {
+		return m.estimates
+	}
+	m.fittedAt = now
+	for _, key := range slices.SortedFunc(maps.Keys(m.changed), compareKeys) {
+		m.fitStep(m.steps[key])
+	}
+	clear(m.changed)
+	m.fitServices(now)
+	e := Estimates{byHost: make(map[string]hostEstimate, len(m.workers))}
+	for host, w := range m.workers {
+		estimate := w.estimate(now, m.services[w.service])
+		e.byHost[host] = hostEstimate{w.incarnation, estimate}
+		e.differ = e.differ || estimate.logarithm != 0
+	}
+	m.estimates = e
+	return e
+}
+
+// endedBy returns the average of the ended runs with the weight that it has at a time.
+func (w *worker) endedBy(now time.Time) average {
+	if w.endedAt.IsZero() {
+		return w.ended
+	}
+	return w.ended.scaled(math.Exp2(-now.Sub(w.endedAt).Seconds() / halfLife.Seconds()))
+}
+
+// mean returns the mean residual of the worker's runs.
+func (w *worker) mean() float64 { return w.ended.plus(w.live).mean() }
+
+// weight returns the number of runs that the mean counts as.
+func (w *worker) weight() float64 { return w.ended.plus(w.live).weight }
+
+// known returns the worker's speed and its variance as far as it is better known than that of any worker.
+func (w *worker) known(s *service) (value, variance float64) {
+	prior := max(s.spread, s.noise())
+	if weight := w.weight(); weight > minWeight && s.noise()/weight < prior {
+		return w.mean(), s.noise() / weight
+	}
+	return 0, prior
+}
+
+// Steps returns the number of steps about which the model keeps observations.
+func (m *Model) Steps() int { return len(m.steps) }
