placement: gangs and tasks go to workers whose speed suits them

A gang is as fast as its slowest member. An urgent gang whose objective is 1.5 times the normal duration was late whenever one member ran on a slow worker, though faster ones were free, and patient work took those.

Urgent gangs and tasks now use the fastest workers that hold them: of all sets, the one with the fastest slowest member, packed as before among the workers that are at least as fast. Workers that have failed stay the last choice, and expected ends follow the speed of the worker. Where no worker is known to differ, decisions are the same as before.

--- a/internal/placement/assignment.go
+++ b/internal/placement/assignment.go
@@ -14,6 +14,8 @@
 	workers []*workerState
 	counts  map[*workerState]int
 	cost    int // of a gang's placement; the lowest wins
+	avoided int // workers that the unit avoids
+	rank    int // of the worker whose speed suits the unit least
 }
 
 func newAssignment(u *unit) *assignment {
@@ -57,8 +59,10 @@
 			switch {
 			case w.quarantined:
 				as.cost += quarantineCost
+				as.avoided++
 			case u.avoids(w):
 				as.cost += suspectCost
+				as.avoided++
 			}
 		}
 		if len(left) == 0 {
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -72,7 +72,7 @@
 	sortUnits(units)
 	for _, u := range units {
 		placed := len(p.plan.groups)
-		u.waitPolicy = p.waitPolicyOf(u)
+		u.waitPolicy, u.speeds = p.waitPolicyOf(u), u.speedNeed()
 		p.place(u)
 		waiting := u.waitingAfter(p.plan.groups[placed:])
 		if waiting > 0 && u.waiting-waiting == len(u.indexes) {
@@ -201,13 +201,13 @@
 	sets := p.candidateSets(u)
 	var best *assignment
 	for _, set := range sets {
-		as := p.assignGang(u, set)
-		if as != nil && (best == nil || as.cost < best.cost) {
+		as := p.assignBySpeed(u, set)
+		if as != nil && (best == nil || compareAssignments(as, best) < 0) {
 			best = as
 		}
 	}
 	if best == nil && u.waitPolicy == waitForNothing {
-		best = p.assignGang(u, p.eligible(u))
+		best = p.assignBySpeed(u, p.eligible(u))
 	}
 	if best != nil {
 		if !p.leavesHeadroom(u, best.workers...) || !p.guaranteesPermit(u, len(u.indexes)) {
@@ -341,7 +341,8 @@
 }
 
 // better reports whether worker a suits a task of the unit better than b: not in quarantine, then not one that the unit
-// avoids, then with fewer runs to lose if the unit is under suspicion, then in the fuller rack, then with less free capacity.
+// avoids, then with fewer runs to lose if the unit is under suspicion, then of a speed that suits it, then in the fuller rack,
+// then with less free capacity.
 func (p *planner) better(u *unit, a, b *workerState) bool {
 	if a.quarantined != b.quarantined {
 		return b.quarantined
@@ -352,6 +353,9 @@
 	if u.suspicion.any() && len(a.runs) != len(b.runs) {
 		return len(a.runs) < len(b.runs)
 	}
+	if d := p.compareSpeed(u, a, b); d != 0 {
+		return d < 0
+	}
 	if x, y := p.rackFree(a.rack), p.rackFree(b.rack); x != y {
 		return x < y
 	}
@@ -374,7 +378,7 @@
 	if u.waitPolicy != waitForAll {
 		return true
 	}
-	ends := p.view.now.Add(u.duration)
+	ends := p.view.now.Add(w.taskTime(u.duration))
 	for _, rv := range w.reservations {
 		if (rv.noBackfill || ends.After(rv.from)) &&
 			!needs.Plus(rv.needs).Fits(free.Plus(p.releases(w, declaredEnds).until(rv.from))) {
@@ -401,7 +405,7 @@
 	w.free = w.free.Minus(u.step.Reserved())
 	r := &placedRun{
 		id: run.NewID(u.key, 0), job: u.job, step: u.step, worker: w, started: p.view.now,
-		ends: p.view.now.Add(u.duration), guaranteed: true, suspect: u.suspicion.any(), unit: u,
+		ends: p.view.now.Add(w.taskTime(u.duration)), guaranteed: true, suspect: u.suspicion.any(), unit: u,
 	}
 	w.runs = append(w.runs, r)
 	w.runsChanged()
--- a/internal/placement/setup_test.go
+++ b/internal/placement/setup_test.go
@@ -11,6 +11,7 @@
 	"rosemarywind.example/rosemarywind/internal/batch"
 	"rosemarywind.example/rosemarywind/internal/placement"
 	"rosemarywind.example/rosemarywind/internal/run"
+	"rosemarywind.example/rosemarywind/internal/speed"
 )
 
 // remoteFactor is how many times as long a task takes outside the rack of its data.
@@ -37,6 +38,7 @@
 	workers []placement.Worker
 	stopped map[run.ID]bool // runs that were ordered to stop
 	now     time.Time
+	speeds  speed.Estimates
 }
 
 // The queues of a fixture.
@@ -67,13 +69,18 @@
 	f.state = batch.NewState(f.decoder)
 	f.apply(batch.NewDeclare([]byte("d")))
 	for i := range 6 {
-		rack := fmt.Sprintf("r%d", i/2)
-		f.workers = append(f.workers, placement.NewWorker(run.NewAnnouncement(incarnation(i), "s", "z", 1).
-			WithRack(rack, []string{"a", rack}).WithCapacity(batch.NewResources(128_000, 256_000, 8)), false))
+		f.workers = append(f.workers, newWorker(i, false))
 	}
 	return f
 }
 
+// newWorker returns the worker with the given index.
+func newWorker(i int, suspect bool) placement.Worker {
+	rack := fmt.Sprintf("r%d", i/2)
+	return placement.NewWorker(run.NewAnnouncement(incarnation(i), "s", "z", 1).
+		WithRack(rack, []string{"a", rack}).WithCapacity(batch.NewResources(128_000, 256_000, 8)), suspect)
+}
+
 func incarnation(i int) batch.Incarnation {
 	return batch.NewIncarnation(fmt.Sprintf("h%d", i), fmt.Sprintf("w%d", i), 1)
 }
@@ -96,7 +103,7 @@
 // decide makes a decision, starts the runs of its plan and records the stops.
 func (f *fixture) decide() placement.Plan {
 	f.t.Helper()
-	p := placement.Decide(placement.NewView(f.now, f.state, f.workers, f.stopped, remoteFactor))
+	p := placement.Decide(placement.NewView(f.now, f.state, f.workers, f.stopped, remoteFactor).WithSpeeds(f.speeds))
 	for _, id := range p.Stops() {
 		f.stopped[id] = true
 	}
--- a/internal/placement/view.go
+++ b/internal/placement/view.go
@@ -7,6 +7,7 @@
 
 	"rosemarywind.example/rosemarywind/internal/batch"
 	"rosemarywind.example/rosemarywind/internal/run"
+	"rosemarywind.example/rosemarywind/internal/speed"
 )
 
 // Worker is a worker that accepts runs.
@@ -38,6 +39,7 @@
 	remoteFactor float64
 	forecast     Forecast
 	verdicts     Verdicts
+	speeds       speed.Estimates
 	explained    int           // how many waits the plan explains, see WithExplanations
 	explainAfter time.Duration // how long a step has waited before its wait is explained
 }
@@ -82,6 +84,8 @@
 	free         batch.Resources
 	suspect      bool
 	quarantined  bool
+	speed        float64 // 1 for a normal worker
+	level        int     // of the speed
 	runs         []*placedRun
 	reservations []reservation
 	reserved     batch.Resources         // sum of the reservations
@@ -119,10 +123,11 @@
 	byIncarnation = map[batch.Incarnation]*workerState{}
 	for _, w := range v.workers {
 		a := w.announcement
+		estimate := v.speeds.Of(a.Incarnation())
 		ws := &workerState{
 			incarnation: a.Incarnation(), service: a.Service(), rack: a.Rack(), labels: a.Labels(),
 			capacity: a.Capacity(), free: a.Capacity(), suspect: w.suspect || w.quarantined,
-			quarantined: w.quarantined,
+			quarantined: w.quarantined, speed: estimate.Relative(), level: estimate.Level(),
 		}
 		list = append(list, ws)
 		byIncarnation[ws.incarnation] = ws
@@ -167,7 +172,7 @@
 	if at, observed = v.forecast.ends[r.id]; observed {
 		return at, true
 	}
-	estimate := v.taskDuration(r.job, r.id.Task().Step())
+	estimate := r.worker.taskTime(v.taskDuration(r.job, r.id.Task().Step()))
 	if r.step.Rack() != "" && r.step.Rack() != r.worker.rack {
 		estimate = time.Duration(float64(estimate) * v.remoteFactor)
 	}
--- a/internal/speed/observation.go
+++ b/internal/speed/observation.go
@@ -41,7 +41,9 @@
 
 func newStepKey(id run.ID) stepKey { return stepKey{id.Task().Job(), id.Task().Step()} }
 
-func compareKeys(a, b stepKey) int { return cmp.Or(cmp.Compare(a.job, b.job), cmp.Compare(a.step, b.step)) }
+func compareKeys(a, b stepKey) int {
+	return cmp.Or(cmp.Compare(a.job, b.job), cmp.Compare(a.step, b.step))
+}
 
 // average is a weighted mean.
 type average struct {
