dispatch: speeds of workers are learned from the lists and used in decisions

A worker was avoided as soon as one run there was far slower than the fastest run of its step, though 3 tasks in 100 are just longer; and the shortest run of a step stood for its duration, which is that on the fastest worker.

Each step passes the progress of listed runs to the speed model, without the time in which a run waits for its gang or loads its checkpoint, and without runs that are paced or away from their data. Placement gets the estimates. A step's duration is that on a normal worker where workers differ. A worker is the last choice only if it is surely below a third of the normal speed.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -9,6 +9,7 @@
 	"rosemarywind.example/rosemarywind/internal/batch"
 	"rosemarywind.example/rosemarywind/internal/placement"
 	"rosemarywind.example/rosemarywind/internal/run"
+	"rosemarywind.example/rosemarywind/internal/speed"
 )
 
 // Core decides about runs for the leader of one term, from the replicated state and the agents' reports. It is not
@@ -22,6 +23,8 @@
 	toStart      map[run.ID]bool
 	progress     map[run.ID]*progress
 	durations    map[placement.StepKey]time.Duration
+	speeds       *speed.Model
+	listed       []run.ID // runs with progress reported since the last step
 	advice       advice
 	loggedWaits  map[batch.TaskID]placement.Reason // the reason logged last, by the key of the step's occurrence
 	longWaits    map[batch.TaskID]time.Time        // when a long wait was logged last, by the same key
@@ -52,7 +55,7 @@
 	return &Core{
 		timing: t, fencingToken: fencingToken, electedAt: now, lastForget: now,
 		hosts: map[string]*host{}, orders: map[run.ID]*runOrders{}, toStart: map[run.ID]bool{},
-		progress: map[run.ID]*progress{}, durations: map[placement.StepKey]time.Duration{},
+		progress: map[run.ID]*progress{}, durations: map[placement.StepKey]time.Duration{}, speeds: speed.NewModel(),
 		advice: advice{verdicts: map[batch.TaskID]map[batch.Incarnation]verdict{}},
 		drains: map[string]*machineDrain{}, loggedWaits: map[batch.TaskID]placement.Reason{},
 		longWaits: map[batch.TaskID]time.Time{},
@@ -132,6 +135,7 @@
 func (c *Core) Step(now time.Time, s batch.State) (a Actions) {
 	c.state, c.used = s, nil
 	hosts := c.hostsByIncarnation()
+	c.observeSpeeds(now, s)
 	c.countCrashes(s, &a)
 	c.orderStarts(now, s, hosts, &a)
 	stopping, waits := c.resolve(now, s, hosts, &a)
@@ -209,18 +213,18 @@
 // place selects the runs to begin next and those to preempt.
 func (c *Core) place(now time.Time, s batch.State, stopping map[run.ID]bool, hosts map[batch.Incarnation]*host, a *Actions) {
 	var workers []placement.Worker
-	stalled, slow := c.degradedHosts(now, s)
+	stalled, speeds := c.stalledHosts(now, s), c.speeds.Estimates(now)
 	uses := map[string]WorkerUse{}
 	for _, h := range c.hosts {
 		uses[h.agent] = c.workerUse(now, h, stalled)
 		switch uses[h.agent] {
 		case Usable, Quarantined:
-			w := placement.NewWorker(h.announcement, h.health.failures > 0 || slow[h.agent])
+			w := placement.NewWorker(h.announcement, h.health.failures > 0 || h.surelySlow(speeds))
 			workers = append(workers, w.WithQuarantine(uses[h.agent] == Quarantined))
 		case Disconnected, Unannounced, Unreachable, Leaving, Silent, RunsUnknown, ClockUnknown, Maintained, Stalled:
 		}
 	}
-	v := placement.NewView(now, s, workers, stopping, c.timing.remoteFactor)
+	v := placement.NewView(now, s, workers, stopping, c.timing.remoteFactor).WithSpeeds(speeds)
 	explain := now.Sub(c.explainedAt) >= explainInterval
 	if explain {
 		c.explainedAt = now
@@ -287,6 +291,10 @@
 			delete(c.progress, id)
 		}
 	}
+	c.speeds.Forget(func(job string) bool {
+		j, known := s.Job(job)
+		return known && j.Active()
+	})
 	for key := range c.durations {
 		if j, known := s.Job(key.Job()); !known || !j.Active() {
 			delete(c.durations, key)
--- a/internal/dispatch/progress.go
+++ b/internal/dispatch/progress.go
@@ -29,6 +29,7 @@
 	samples []sample
 	first   int       // the percentage in the first report, above 0 for a resumed run
 	movedAt time.Time // time of the report that first had the latest percentage
+	window  window
 }
 
 // addSample adds a sample and drops those that the rate window does not need.
@@ -40,6 +41,7 @@
 		p.movedAt = now
 	}
 	p.samples = append(p.samples, sample{now, percent})
+	p.window.add(sample{now, percent}, p.first)
 	for len(p.samples) > 2 && now.Sub(p.samples[1].at) >= rateWindow {
 		p.samples = p.samples[1:]
 	}
@@ -96,16 +98,21 @@
 			c.progress[r.ID()] = p
 		}
 		p.addSample(now, r.Percent())
+		c.listed = append(c.listed, r.ID())
 		if d, ok := p.duration(); ok {
 			c.recordDuration(r.ID().Task(), d)
 		}
 	}
 }
 
-// recordDuration records the duration of a task of a step. The shortest one counts, because longer ones come from
-// slow workers.
+// recordDuration records the duration of a task of a step: that on a normal worker where workers are known to differ, and
+// else the shortest one, because longer ones come from slow workers.
 func (c *Core) recordDuration(id batch.TaskID, d time.Duration) {
 	key := placement.NewStepKey(id)
+	if normal, ok := c.speeds.Duration(id.Job(), id.Step()); ok {
+		c.durations[key] = normal
+		return
+	}
 	if old, known := c.durations[key]; !known || d < old {
 		c.durations[key] = d
 	}
@@ -117,7 +124,7 @@
 	stallTime = 1500 * time.Millisecond
 	// stallPercent is the progress, in percent, that a run must have been expected to make meanwhile to count as stalled.
 	stallPercent = 8
-	// slowRatio is the ratio of actual to expected rate below which a worker counts as slow.
+	// slowRatio is the speed, relative to a normal worker, below which a worker is used only if no other fits.
 	slowRatio = 0.35
 )
 
@@ -158,17 +165,6 @@
 	return since, true
 }
 
-// slow reports whether the rate of a run is far below that of other runs of its step, or below the declared rate if
-// the step has no observed one.
-func (c *Core) slow(id run.ID, step batch.Step) bool {
-	p, known := c.progress[id]
-	if !known || step.LongRunning() {
-		return false
-	}
-	rate, ok := p.rate()
-	return ok && rate > 0 && rate < slowRatio*fullProgress/c.taskDuration(id.Task(), step).Seconds()
-}
-
 // taskDuration returns the observed duration of a task of a step, or the declared one if none was observed.
 func (c *Core) taskDuration(id batch.TaskID, step batch.Step) time.Duration {
 	if d, observed := c.durations[placement.NewStepKey(id)]; observed {
@@ -194,9 +190,9 @@
 	return fmt.Sprintf("the run is stalled at %d percent", c.progress[id].percent())
 }
 
-// degradedHosts returns the hosts with a stalled run, and those with a slow one.
-func (c *Core) degradedHosts(now time.Time, s batch.State) (stalled, slow map[string]bool) {
-	stalled, slow = map[string]bool{}, map[string]bool{}
+// stalledHosts returns the hosts with a stalled run.
+func (c *Core) stalledHosts(now time.Time, s batch.State) map[string]bool {
+	stalled := map[string]bool{}
 	for id := range c.progress {
 		j, known := s.Job(id.Task().Job())
 		if !known {
@@ -206,15 +202,11 @@
 		if t.Phase() != batch.Placed || t.Run() != id.Run() {
 			continue
 		}
-		step := j.Spec().Steps()[id.Task().Step()]
-		if c.stalled(now, id, step) > 0 {
+		if c.stalled(now, id, j.Spec().Steps()[id.Task().Step()]) > 0 {
 			stalled[t.Worker().Host()] = true
 		}
-		if c.slow(id, step) {
-			slow[t.Worker().Host()] = true
-		}
 	}
-	return stalled, slow
+	return stalled
 }
 
 // forecast returns the expected ends of runs, the observed durations of steps, and the long-running tasks that are
--- a/internal/dispatch/resolve.go
+++ b/internal/dispatch/resolve.go
@@ -138,6 +138,7 @@
 	a.ends = append(a.ends, e)
 	id := run.NewID(e.Task(), e.Run())
 	delete(c.progress, id)
+	c.speeds.End(now, id)
 	if h == nil {
 		return
 	}
--- a/internal/speed/fit.go
+++ b/internal/speed/fit.go
@@ -28,7 +28,7 @@
 	maxSquareRatio = 25
 	// outlierRuns and outlierErrors are the number of runs and of standard errors from which a single worker counts as
 	// different though the others are alike.
-	outlierRuns   = 3
+	outlierRuns   = 2
 	outlierErrors = 5
 )
 
