dispatch: a worker that is still slow after its start shows no speed

What the workers of a zone do just after it has been taken back would make them count as slow for some time. The part of a run that was observed meanwhile is left out.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -84,7 +84,7 @@
 func (c *Core) Report(now time.Time, r run.Report) {
 	h := c.host(r.Agent())
 	if h.update(now, r) {
-		c.observeProgress(now, h.list)
+		c.observeProgress(now, h.list, h.startsSlowly(now))
 	}
 	c.observeCrashes(now, h, r.Crashes())
 	for _, e := range r.Refused() {
--- a/internal/dispatch/progress.go
+++ b/internal/dispatch/progress.go
@@ -89,8 +89,9 @@
 	return p.movedAt, p.movedAt.Before(p.samples[len(p.samples)-1].at)
 }
 
-// observeProgress records the progress of the runs in a list.
-func (c *Core) observeProgress(now time.Time, l run.List) {
+// observeProgress records the progress of the runs in a list; slowStart reports whether its worker is still slow after its
+// start.
+func (c *Core) observeProgress(now time.Time, l run.List, slowStart bool) {
 	for _, r := range l.Running() {
 		p, known := c.progress[r.ID()]
 		if !known {
@@ -98,6 +99,10 @@
 			c.progress[r.ID()] = p
 		}
 		p.addSample(now, r.Percent())
+		if slowStart {
+			// What a worker does while it is still slow after its start does not show its speed.
+			p.window = window{}
+		}
 		c.listed = append(c.listed, r.ID())
 		if d, ok := p.duration(); ok {
 			c.recordDuration(r.ID().Task(), d)
--- a/internal/dispatch/speed_test.go
+++ b/internal/dispatch/speed_test.go
@@ -22,6 +22,7 @@
 	state   batch.State
 	now     time.Time
 	speeds  []float64
+	slowFor time.Duration // what the workers that are slower than normal announce
 	begun   time.Time
 	running map[int][]unevenRun // by worker
 }
@@ -89,8 +90,12 @@
 			running = append(running, run.NewRunning(r.id, "", min(percent, 100), 1000))
 		}
 		clock := f.now.Sub(epoch) + time.Second
-		f.core.Report(f.now, run.NewReport(f.host(n)).WithAnnouncement(run.NewAnnouncement(f.incarnation(n), "s", "z", f.now.UnixMilli()).
-			WithRack("r", []string{"a", "r"}).WithCapacity(batch.NewResources(32_000, 64_000, 8)).WithClock(clock)).
+		a := run.NewAnnouncement(f.incarnation(n), "s", "z", f.now.UnixMilli()).WithRack("r", []string{"a", "r"}).
+			WithCapacity(batch.NewResources(32_000, 64_000, 8)).WithClock(clock)
+		if s < 1 {
+			a = a.WithSlowStart(f.slowFor)
+		}
+		f.core.Report(f.now, run.NewReport(f.host(n)).WithAnnouncement(a).
 			WithList(run.NewList(f.incarnation(n), 1, clock, running, nil, nil)))
 	}
 	return f.core.Step(f.now, f.state)
@@ -161,3 +166,18 @@
 	f.submit("wide", "q", batch.NewStep(7, batch.NewResources(4000, 4000, 3), time.Second, batch.WithGang(true, true)))
 	assert.Equal(t, []int{0, 1, 3, 4, 5, 6, 7}, f.workersOf(f.advance(300*time.Millisecond), "wide"))
 }
+
+// Guards against workers that count as slow for good because they were slow after their start, as all of a zone are that
+// has been without power: they are as good as others once that time is over.
+func TestSlowStartTeachesNoSpeed(t *testing.T) {
+	f := newUnevenFleet(t, 0.5, 0.5, 0.5, 0.5, 1, 1, 1, 1)
+	f.slowFor = time.Minute
+	for n := range 5 {
+		f.spread(fmt.Sprintf("j%d", n), sameLength)
+	}
+	f.advance(0)
+	f.advance(700 * time.Millisecond)
+	f.slowFor = 0
+	f.submit("wide", "urgent", batch.NewStep(4, batch.NewResources(4000, 4000, 3), time.Second, batch.WithGang(true, true)))
+	assert.Equal(t, []int{0, 1, 2, 3}, f.workersOf(f.advance(100*time.Millisecond), "wide"))
+}
