batch: all problems of a declaration are found at once

A declaration was refused with its first problem, so an operator with three mistakes needed three attempts, and a check before sending could list no more without rules of its own. NewDeclaration reports the first one, as before.

Cause of a second change: the search for two queues at one address compared each queue with all earlier ones of its host. It is a map now.

--- a/internal/batch/declaration.go
+++ b/internal/batch/declaration.go
@@ -1,7 +1,6 @@
 package batch
 
 import (
-	"errors"
 	"fmt"
 	"strings"
 	"time"
@@ -103,6 +102,9 @@
 	return Service{name: name, enforcesCapacity: enforcesCapacity, standby: standby}
 }
 
+// Name returns the name, which is unique in a declaration.
+func (s Service) Name() string { return s.name }
+
 // EnforcesCapacity reports whether the workers refuse runs that exceed their capacity.
 func (s Service) EnforcesCapacity() bool { return s.enforcesCapacity }
 
@@ -124,6 +126,9 @@
 // Name returns the name, which is unique in a declaration.
 func (w Workspace) Name() string { return w.name }
 
+// Keys returns the keys of the workspace's callers; the caller must not modify them.
+func (w Workspace) Keys() []string { return w.keys }
+
 // Guaranteed returns the number of accelerators that the workspace's jobs of priority 0 can always get.
 func (w Workspace) Guaranteed() int { return w.guaranteed }
 
@@ -147,69 +152,13 @@
 			err = fmt.Errorf("declaration %d: %w", version, err)
 		}
 	}()
-	d = Declaration{
-		version: version, queues: queues, byName: map[string]Queue{}, byHost: map[string][]Queue{},
-		services: map[string]Service{}, workspaces: map[string]Workspace{}, byKey: map[string]string{},
-	}
-	if version < 1 {
-		return d, errors.New("a version is a positive number")
-	}
-	for _, s := range services {
-		if _, known := d.services[s.name]; known || s.name == "" {
-			return d, fmt.Errorf("service %q is declared twice or has no name", s.name)
-		}
-		d.services[s.name] = s
-	}
-	for _, q := range queues {
-		if err = d.addQueue(q); err != nil {
-			return d, err
-		}
-	}
-	for _, w := range workspaces {
-		if err = d.addWorkspace(w); err != nil {
-			return d, err
-		}
+	d, problems := declare(version, queues, services, workspaces)
+	if len(problems) > 0 {
+		return d, problems[0]
 	}
 	return d, nil
 }
 
-func (d *Declaration) addQueue(q Queue) error {
-	_, known := d.byName[q.name]
-	_, served := d.services[q.service]
-	switch {
-	case known || q.name == "":
-		return fmt.Errorf("queue %q is declared twice or has no name", q.name)
-	case !served:
-		return fmt.Errorf("queue %q names the unknown service %q", q.name, q.service)
-	case q.timeout <= 0:
-		return fmt.Errorf("queue %q has no timeout", q.name)
-	case q.host == "" || !strings.HasPrefix(q.prefix, "/"):
-		return fmt.Errorf("queue %q has no host or no path prefix", q.name)
-	}
-	for _, o := range d.byHost[q.host] {
-		if o.prefix == q.prefix {
-			return fmt.Errorf("queues %q and %q share host %s and prefix %s", o.name, q.name, q.host, q.prefix)
-		}
-	}
-	d.byName[q.name] = q
-	d.byHost[q.host] = append(d.byHost[q.host], q)
-	return nil
-}
-
-func (d *Declaration) addWorkspace(w Workspace) error {
-	if _, known := d.workspaces[w.name]; known || w.name == "" {
-		return fmt.Errorf("workspace %q is declared twice or has no name", w.name)
-	}
-	d.workspaces[w.name] = w
-	for _, k := range w.keys {
-		if owner, taken := d.byKey[k]; taken && owner != w.name {
-			return fmt.Errorf("workspaces %q and %q share a key", owner, w.name)
-		}
-		d.byKey[k] = w.name
-	}
-	return nil
-}
-
 // Version returns the version, or 0 before the first declaration.
 func (d Declaration) Version() int64 { return d.version }
 
