--- a/internal/operator/commands.go
+++ b/internal/operator/commands.go
@@ -18,7 +18,7 @@
 // Commands returns the commands of the command line client, newly built at each call.
 func Commands() []*cli.Command {
 	return []*cli.Command{
-		applyCommand(), diffCommand(), submitCommand(), cancelCommand(), statusCommand(),
+		applyCommand(), diffCommand(), checkCommand(), submitCommand(), cancelCommand(), statusCommand(),
 		explainCommand(), drainCommand(), keysCommand(), settingsCommand(),
 	}
 }
--- a/internal/operator/exit.go
+++ b/internal/operator/exit.go
@@ -18,6 +18,10 @@
 	ExitUsage    = 2 // bad usage or settings
 	ExitConflict = 3 // the revision of the configuration differs from the base
 	ExitUnknown  = 4 // the request was sent, its outcome is unknown
+
+	ExitErrors      = 5 // a checked configuration has errors
+	ExitWarnings    = 6 // it has warnings and no errors
+	ExitDifferences = 7 // it has nothing but differences to the one in force
 )
 
 // exitError is an error that determines the exit code of the process.
