--- a/internal/operator/findings.go
+++ b/internal/operator/findings.go
@@ -45,12 +45,10 @@
 		for i, f := range findings {
 			forms[i] = findingFormOf(f, names)
 		}
-		data, err := json.MarshalIndent(forms, "", "  ")
-		if err != nil {
-			return err
-		}
-		_, err = fmt.Fprintln(w, string(data))
-		return err
+		e := json.NewEncoder(w)
+		e.SetIndent("", "  ")
+		e.SetEscapeHTML(false) // the arrow of a difference stays readable
+		return e.Encode(forms)
 	}
 	if len(findings) == 0 {
 		_, err = fmt.Fprintln(w, "no findings")
