batch: callers without a key are nobody, also where a workspace declares an empty one

An empty string among the keys of a workspace let every caller without a key act as that workspace. The check of a configuration says now that it admits nobody.

--- a/internal/batch/batch_test.go
+++ b/internal/batch/batch_test.go
@@ -220,6 +220,15 @@
 			assert.Error(t, err)
 		})
 	}
+	t.Run("an empty key admits nobody", func(t *testing.T) {
+		d, err := batch.NewDeclaration(1, nil, service(), []batch.Workspace{batch.NewWorkspace("a", 0, "", "k")})
+		require.NoError(t, err)
+		_, ok := d.Owner("")
+		assert.False(t, ok)
+		owner, ok := d.Owner("k")
+		assert.True(t, ok)
+		assert.Equal(t, "a", owner)
+	})
 	t.Run("the longest prefix wins", func(t *testing.T) {
 		d, err := batch.NewDeclaration(1, []batch.Queue{queue("a"), batch.NewQueue("b", "h", "/a/b/", "s").WithObjective(1, 0, time.Second)}, service(), nil)
 		require.NoError(t, err)
--- a/internal/batch/declaration.go
+++ b/internal/batch/declaration.go
@@ -198,8 +198,12 @@
 	return sum
 }
 
-// Owner returns the name of the workspace that a key belongs to.
+// Owner returns the name of the workspace that a key belongs to. An empty key, as of a caller without one, belongs to none,
+// whatever is declared.
 func (d Declaration) Owner(key string) (workspace string, ok bool) {
+	if key == "" {
+		return "", false
+	}
 	workspace, ok = d.byKey[key]
 	return workspace, ok
 }
--- a/internal/inspection/check_test.go
+++ b/internal/inspection/check_test.go
@@ -185,7 +185,7 @@
 	t.Run("empty key", func(t *testing.T) {
 		p := newParts()
 		p.workspaces = append(p.workspaces, batch.NewWorkspace("v", 0, ""))
-		assertOnly(t, check(p), inspection.Contradiction, "workspace 1 v", "callers without a key")
+		assertOnly(t, check(p), inspection.Contradiction, "workspace 1 v", "admits nobody")
 	})
 	t.Run("priority 0 without a guarantee", func(t *testing.T) {
 		p := newParts()
--- a/internal/inspection/contradiction.go
+++ b/internal/inspection/contradiction.go
@@ -30,7 +30,7 @@
 		}
 		if slices.Contains(w.Keys(), "") {
 			findings = append(findings, findingf(Contradiction, d.workspaceAt(i),
-				"workspace %q has an empty key, so callers without a key act as its callers", w.Name()))
+				"workspace %q has an empty key, which admits nobody", w.Name()))
 		}
 		sum += max(w.Guaranteed(), 0)
 	}
