batch: the queue of a request is found without a look at all queues of its host

Each call looked at all queues of its host, of which a configuration may have thousands, at the leader, through which all calls go. A lookup takes one step for each length of prefix now.

--- a/internal/batch/declaration.go
+++ b/internal/batch/declaration.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"strings"
 	"time"
 )
 
@@ -137,7 +136,7 @@
 	version    int64
 	queues     []Queue
 	byName     map[string]Queue
-	byHost     map[string][]Queue
+	byHost     map[string]*prefixes
 	services   map[string]Service
 	workspaces map[string]Workspace
 	byKey      map[string]string
@@ -170,12 +169,11 @@
 
 // QueueAt returns the queue whose prefix is the longest match for path on host, and the path after the prefix.
 func (d Declaration) QueueAt(host, path string) (found Queue, rest string, ok bool) {
-	for _, q := range d.byHost[host] {
-		if strings.HasPrefix(path, q.prefix) && (!ok || len(q.prefix) > len(found.prefix)) {
-			found, rest, ok = q, path[len(q.prefix):], true
-		}
+	found, ok = d.byHost[host].longest(path)
+	if !ok {
+		return Queue{}, "", false
 	}
-	return found, rest, ok
+	return found, path[len(found.prefix):], true
 }
 
 // Service returns the service of the given name and reports whether it is declared.
--- a/internal/batch/problem.go
+++ b/internal/batch/problem.go
@@ -53,7 +53,7 @@
 func declare(version int64, queues []Queue, services []Service, workspaces []Workspace) (Declaration, []Problem) {
 	b := builder{
 		declaration: Declaration{
-			version: version, queues: queues, byName: map[string]Queue{}, byHost: map[string][]Queue{},
+			version: version, queues: queues, byName: map[string]Queue{}, byHost: map[string]*prefixes{},
 			services: map[string]Service{}, workspaces: map[string]Workspace{}, byKey: map[string]string{},
 		},
 		names:     map[string]bool{},
@@ -114,7 +114,10 @@
 		return
 	}
 	d.byName[q.name] = q
-	d.byHost[q.host] = append(d.byHost[q.host], q)
+	if d.byHost[q.host] == nil {
+		d.byHost[q.host] = newPrefixes()
+	}
+	d.byHost[q.host].add(q)
 }
 
 func (b *builder) addWorkspace(i int, w Workspace) {
