--- a/internal/batch/evacuation.go
+++ b/internal/batch/evacuation.go
@@ -16,8 +16,8 @@
 	maxZoneBytes = 128
 	// maxReasonBytes bounds the reason of an evacuation.
 	maxReasonBytes = 1024
-	// maxEvacuations bounds the zones that are evacuated at once.
-	maxEvacuations = 64
+	// MaxEvacuations bounds the zones that are evacuated at once.
+	MaxEvacuations = 64
 )
 
 // Evacuation is the order of an operator that nothing more starts in an availability zone; it is immutable.
@@ -110,7 +110,7 @@
 	if err := c.evacuation.Check(); err != nil {
 		return s, Rejected{reason: err.Error()}
 	}
-	if len(s.evacuations) >= maxEvacuations {
+	if len(s.evacuations) >= MaxEvacuations {
 		return s, Rejected{reason: fmt.Sprintf("%d availability zones are evacuated already", len(s.evacuations))}
 	}
 	s.evacuations = withKey(s.evacuations, c.evacuation.zone, c.evacuation)
--- a/internal/control/api.go
+++ b/internal/control/api.go
@@ -43,6 +43,8 @@
 	a.route("GET /v1/endpoints", a.endpoints)
 	a.route("GET /v1/control", a.controlHosts)
 	a.route("POST /v1/endpoints/{name}/drain", a.drain)
+	a.route("GET /v1/evacuations", a.evacuations)
+	a.route("POST /v1/zones/{name}/evacuate", a.evacuate)
 	a.mux.Handle("/", c.monitor)
 	return a
 }
--- a/internal/control/jobs.go
+++ b/internal/control/jobs.go
@@ -105,6 +105,9 @@
 	if !ok || j.State() != job.Queued {
 		text = fmt.Sprintf("%s: %s", j.State(), j.Reason())
 	}
+	if j.State() == job.Queued {
+		text += explainEvacuations(a.control.board.state.Load())
+	}
 	writeJSON(w, http.StatusOK, client.ExplainBody{ID: j.Spec().ID(), Explanation: text})
 }
 
--- a/internal/control/roster_controller.go
+++ b/internal/control/roster_controller.go
@@ -11,6 +11,7 @@
 	"rosemarywind.example/rosemarywind/internal/declaration"
 	"rosemarywind.example/rosemarywind/internal/fleet"
 	"rosemarywind.example/rosemarywind/internal/lease"
+	"rosemarywind.example/rosemarywind/internal/registry"
 )
 
 const (
@@ -53,13 +54,14 @@
 	sweepAt      time.Time
 	flushAt      time.Time
 	drained      board.Table[bool]
+	evacuations  board.Table[registry.Evacuation]
 }
 
 func newRosterController(b *Board, defaultLease time.Duration, l hclog.Logger) *rosterController {
 	return &rosterController{
 		board: b, logger: l, defaultLease: defaultLease, requests: make(chan announceRequest),
 		live: map[string]liveEndpoint{}, lostAt: map[string]time.Time{}, warnedAt: map[string]time.Time{},
-		changed: map[string]bool{}, drained: b.state.Load().Drained(),
+		changed: map[string]bool{}, drained: b.state.Load().Drained(), evacuations: b.state.Load().Evacuations(),
 	}
 }
 
@@ -158,21 +160,21 @@
 	}
 }
 
-// syncDrains schedules the publication of all endpoints if the set of drained endpoints changed.
+// syncDrains schedules the publication of all endpoints if the set of drained endpoints or of evacuated zones changed.
 func (c *rosterController) syncDrains(now time.Time) {
-	drained := c.board.state.Load().Drained()
-	if drained == c.drained {
+	state := c.board.state.Load()
+	if state.Drained() == c.drained && state.Evacuations() == c.evacuations {
 		return
 	}
-	c.drained = drained
+	c.drained, c.evacuations = state.Drained(), state.Evacuations()
 	for name := range c.live {
 		c.markChanged(name, now)
 	}
 }
 
-// withDrain returns the endpoint, in state Leaving if an operator drained it.
+// withDrain returns the endpoint, in state Leaving if an operator drained it or evacuated its zone.
 func (c *rosterController) withDrain(e fleet.Endpoint) fleet.Endpoint {
-	if drained, _ := c.drained.Get(e.Name()); drained {
+	if keepsFromWork(c.board.state.Load(), e) {
 		return e.WithState(fleet.Leaving)
 	}
 	return e
--- a/internal/control/scheduler.go
+++ b/internal/control/scheduler.go
@@ -43,6 +43,7 @@
 	unfinished       board.Table[job.Job]
 	config           *workspace.Config
 	drained          board.Table[bool]
+	evacuations      board.Table[registry.Evacuation]
 	roster           *Roster
 	startOutcomes    uint64
 	orderQuarantines uint64
@@ -88,7 +89,7 @@
 	b := s.control.board
 	state := b.state.Load()
 	latest := planInput{
-		unfinished: state.Unfinished(), config: state.Config(), drained: state.Drained(),
+		unfinished: state.Unfinished(), config: state.Config(), drained: state.Drained(), evacuations: state.Evacuations(),
 		roster:        b.roster.Load(),
 		startOutcomes: b.startOutcomes.Version(), orderQuarantines: b.orderQuarantines.Version(),
 		rosterComplete: b.roster.Load().complete(s.control.node.Status().Load().Term(), now),
@@ -167,7 +168,7 @@
 	var drained, unreachable []string
 	for _, e := range roster.snapshot.All() {
 		workers = append(workers, e.Worker())
-		if d, _ := state.Drained().Get(e.Name()); d || e.State() == fleet.Leaving {
+		if keepsFromWork(state, e) || e.State() == fleet.Leaving {
 			drained = append(drained, e.Name())
 		}
 	}
--- a/internal/control/streams.go
+++ b/internal/control/streams.go
@@ -56,7 +56,7 @@
 		if c.checkLeader() != nil || !c.rosterController.announce(ctx, a, c.node.Status().Load().Term()) {
 			return
 		}
-		drained, _ := c.board.state.Load().Drained().Get(a.Endpoint().Name())
+		drained := keepsFromWork(c.board.state.Load(), a.Endpoint())
 		_ = s.SetDeadline(time.Now().Add(writeTimeout))
 		if wire.WriteReceipt(s, fleet.NewReceipt(c.rosterController.leaseDuration(a.Endpoint().Name()), drained)) != nil {
 			return
@@ -167,7 +167,8 @@
 	case registry.SettleKey:
 		return registry.NewSettleKey(t.Workspace(), t.Key(), t.AttemptNumber(), t.Result(), now), nil
 	case registry.ApplyConfig, registry.SubmitJob, registry.CancelJob, registry.ReserveGang, registry.StartGang,
-		registry.StopGang, registry.ThrottleGang, registry.RequeueJob, registry.EndJob, registry.DrainEndpoint, registry.Expire:
+		registry.StopGang, registry.ThrottleGang, registry.RequeueJob, registry.EndJob, registry.DrainEndpoint,
+		registry.EvacuateZone, registry.Expire:
 	}
 	return nil, fmt.Errorf("%s may not propose %T", peer, command)
 }
--- a/internal/registry/apply.go
+++ b/internal/registry/apply.go
@@ -20,6 +20,8 @@
 		return deduplicate(s, "cancel/"+c.workspace, c.requestID, c.proposedAt, func() (State, Result) { return cancel(s, c) })
 	case DrainEndpoint:
 		return deduplicate(s, "drain", c.requestID, c.proposedAt, func() (State, Result) { return drain(s, c) })
+	case EvacuateZone:
+		return deduplicate(s, "evacuate", c.requestID, c.proposedAt(), func() (State, Result) { return evacuate(s, c) })
 	case ReserveGang:
 		return reserve(s, c)
 	case StartGang:
--- a/internal/registry/fuzz_test.go
+++ b/internal/registry/fuzz_test.go
@@ -71,6 +71,7 @@
 			"submit":    m.submit,
 			"cancel":    m.cancel,
 			"drain":     m.drain,
+			"evacuate":  m.evacuate,
 			"place":     m.place,
 			"run":       m.run,
 			"end":       m.end,
@@ -164,6 +165,21 @@
 	m.once("drain", id, registry.NewDrainEndpoint(id, "w1", rapid.Bool().Draw(t, "drained"), m.now))
 }
 
+// evacuate orders or ends the evacuation of a zone; an order for an evacuated zone keeps the first one.
+func (m *model) evacuate(t *rapid.T) {
+	id, zone := requestID(t), rapid.SampledFrom([]string{"z1", "z2"}).Draw(t, "zone")
+	evacuated := rapid.Bool().Draw(t, "evacuated")
+	before, was := m.state.Evacuations().Get(zone)
+	if _, first := m.once("evacuate", id, registry.NewEvacuateZone(id, zone, "reason "+id, evacuated, m.now)); !first {
+		return
+	}
+	after, is := m.state.Evacuations().Get(zone)
+	require.Equal(t, evacuated, is)
+	if was && is {
+		require.Equal(t, before, after, "a second order replaced the first")
+	}
+}
+
 // place applies one step of a placement, under the current fencing token or the one before it.
 func (m *model) place(t *rapid.T) {
 	id := "j-" + requestID(t)
@@ -362,5 +378,8 @@
 	for k := range s.Drained().All() {
 		d["drained "+k] = ""
 	}
+	for k, v := range s.Evacuations().All() {
+		d["evacuated "+k] = fmt.Sprint(v.Zone(), v.Reason(), v.Since().UnixNano())
+	}
 	return d
 }
--- a/internal/registry/state.go
+++ b/internal/registry/state.go
@@ -20,6 +20,7 @@
 	archive            Archive
 	replies            board.Table[Reply]
 	drained            board.Table[bool]
+	evacuations        board.Table[Evacuation] // by availability zone
 	latestFencingToken lease.FencingToken
 	sequence           uint64
 }
@@ -33,10 +34,12 @@
 		claims:     board.NewTable[Claim](),
 		replies:    board.NewTable[Reply](),
 		drained:    board.NewTable[bool](),
+
+		evacuations: board.NewTable[Evacuation](),
 	}
 }
 
-// RestoreState returns the state of a snapshot; the index of unfinished jobs is rebuilt from jobs.
+// RestoreState returns the state of a snapshot without its evacuations; the index of unfinished jobs is rebuilt from jobs.
 func RestoreState(config *workspace.Config, jobs []job.Job, claims []Claim, archive Archive, replies []Reply,
 	drained []string, latestFencingToken lease.FencingToken, sequence uint64,
 ) State {
@@ -56,6 +59,7 @@
 				}
 			}
 		}),
+		evacuations:        board.NewTable[Evacuation](),
 		latestFencingToken: latestFencingToken,
 		sequence:           sequence,
 	}
--- a/internal/wire/batch.go
+++ b/internal/wire/batch.go
@@ -402,11 +402,7 @@
 	for i, w := range f.Waves {
 		waves[i] = w.wave()
 	}
-	evacuations := make([]batch.Evacuation, len(f.Evacuations))
-	for i, e := range f.Evacuations {
-		evacuations[i] = e.evacuation()
-	}
-	return s.WithWaves(waves).WithEvacuations(evacuations), nil
+	return s.WithWaves(waves).WithEvacuations(toEvacuations(f.Evacuations)), nil
 }
 
 func (f batchJobForm) job() (r batch.JobSnapshot, err error) {
--- a/internal/wire/command.go
+++ b/internal/wire/command.go
@@ -28,6 +28,7 @@
 	commandClaim    commandKind = "claim"
 	commandSettle   commandKind = "settle"
 	commandDrain    commandKind = "drain"
+	commandEvacuate commandKind = "evacuate"
 	commandExpire   commandKind = "expire"
 )
 
@@ -53,6 +54,7 @@
 	Attempt      string       `cbor:"20,keyasint,omitempty"`
 	Speed        job.Speed    `cbor:"21,keyasint,omitempty"`
 	Delta        *deltaForm   `cbor:"22,keyasint,omitempty"`
+	Evacuated    bool         `cbor:"23,keyasint,omitempty"`
 }
 
 type endingForm struct {
@@ -123,6 +125,11 @@
 		return commandForm{
 			Kind: commandDrain, RequestID: t.RequestID(), ID: t.Name(), Drained: t.Drained(), At: toNanos(t.ProposedAt()),
 		}
+	case registry.EvacuateZone:
+		e := t.Evacuation()
+		return commandForm{
+			Kind: commandEvacuate, RequestID: t.RequestID(), ID: e.Zone(), Reason: e.Reason(), Evacuated: t.Evacuated(), At: toNanos(e.Since()),
+		}
 	case registry.Expire:
 		return commandForm{Kind: commandExpire, At: toNanos(t.RecordsBefore()), Until: toNanos(t.ResponsesBefore())}
 	}
@@ -157,6 +164,8 @@
 		return registry.NewSettleKey(f.Workspace, f.Key, f.Number, f.Ending.ending(), at), nil
 	case commandDrain:
 		return registry.NewDrainEndpoint(f.RequestID, f.ID, f.Drained, at), nil
+	case commandEvacuate:
+		return registry.NewEvacuateZone(f.RequestID, f.ID, f.Reason, f.Evacuated, at), nil
 	case commandExpire:
 		return registry.NewExpire(at, fromNanos(f.Until)), nil
 	default:
--- a/internal/wire/evacuation.go
+++ b/internal/wire/evacuation.go
@@ -16,3 +16,11 @@
 func (f evacuationForm) evacuation() batch.Evacuation {
 	return batch.NewEvacuation(f.Zone, f.Reason, fromNanos(f.Since))
 }
+
+func toEvacuations(forms []evacuationForm) []batch.Evacuation {
+	list := make([]batch.Evacuation, len(forms))
+	for i, f := range forms {
+		list[i] = f.evacuation()
+	}
+	return list
+}
--- a/internal/wire/state.go
+++ b/internal/wire/state.go
@@ -23,6 +23,7 @@
 	FencingToken uint64            `cbor:"6,keyasint"`
 	Sequence     uint64            `cbor:"7,keyasint"`
 	Archive      [][]byte          `cbor:"8,keyasint,omitempty"`
+	Evacuations  []evacuationForm  `cbor:"9,keyasint,omitempty"`
 }
 
 // EncodeState returns a snapshot of the registry's state.
@@ -46,6 +47,9 @@
 	for name := range s.Drained().All() {
 		f.Drained = append(f.Drained, name)
 	}
+	for _, e := range s.EvacuationList() {
+		f.Evacuations = append(f.Evacuations, newEvacuationForm(e))
+	}
 	return cbor.Marshal(f)
 }
 
@@ -94,7 +98,7 @@
 		}
 	}
 	return registry.RestoreState(config, jobs, claims, registry.NewArchive(runs), replies, f.Drained,
-		lease.FencingToken(f.FencingToken), f.Sequence), nil
+		lease.FencingToken(f.FencingToken), f.Sequence).WithEvacuations(toEvacuations(f.Evacuations)), nil
 }
 
 // maxStateElements is large enough for the claims of a day at 100 per second, which are 8.64 million.
--- a/pkg/client/client_test.go
+++ b/pkg/client/client_test.go
@@ -217,6 +217,23 @@
 		require.NoError(t, o.Undrain(t.Context(), "w1", "k"))
 		assertRequests(t, h, `POST /v1/endpoints/w1/drain i {"drained":true}`, `POST /v1/endpoints/w1/drain k {"drained":false}`)
 	})
+	t.Run("evacuate and reopen", func(t *testing.T) {
+		h := newHost(t, answer(http.StatusOK, ""))
+		o := operator(t, h.url())
+		require.NoError(t, o.Evacuate(t.Context(), "z", "power cut", "i"))
+		require.NoError(t, o.Reopen(t.Context(), "z", "k"))
+		assertRequests(t, h, `POST /v1/zones/z/evacuate i {"evacuated":true,"reason":"power cut"}`, `POST /v1/zones/z/evacuate k {"evacuated":false}`)
+	})
+	t.Run("evacuations", func(t *testing.T) {
+		h := newHost(t, answer(http.StatusOK, `[{"availability_zone":"z","reason":"power cut","since":"2026-01-05T08:00:00Z"}]`))
+		list, err := operator(t, h.url()).Evacuations(t.Context())
+		require.NoError(t, err)
+		require.Len(t, list, 1)
+		assert.Equal(t, "z", list[0].AvailabilityZone())
+		assert.Equal(t, "power cut", list[0].Reason())
+		assert.Equal(t, int64(1767600000), list[0].Since().Unix())
+		assertRequests(t, h, "GET /v1/evacuations")
+	})
 	t.Run("explain", func(t *testing.T) {
 		h := newHost(t, answer(http.StatusOK, `{"id":"j1","explanation":"a"}`))
 		e, err := operator(t, h.url()).Explain(t.Context(), "j1")
--- a/pkg/client/encoding.go
+++ b/pkg/client/encoding.go
@@ -1,5 +1,7 @@
 package client
 
+import "time"
+
 // JobBody is the JSON form of a job; Job documents its fields.
 type JobBody struct {
 	ID           string       `json:"id"`
@@ -87,6 +89,19 @@
 	Drained bool `json:"drained"`
 }
 
+// EvacuateBody is the body of POST /v1/zones/{name}/evacuate and of its answer; Evacuated is false to end an evacuation.
+type EvacuateBody struct {
+	Evacuated bool   `json:"evacuated"`
+	Reason    string `json:"reason,omitempty"`
+}
+
+// EvacuationBody is an element of the answer to GET /v1/evacuations; Evacuation documents its fields.
+type EvacuationBody struct {
+	AvailabilityZone string    `json:"availability_zone"`
+	Reason           string    `json:"reason"`
+	Since            time.Time `json:"since"`
+}
+
 // ApplyBody is the answer to POST /v1/apply; Applied documents its fields.
 type ApplyBody struct {
 	Revision uint64   `json:"revision"`
--- a/pkg/client/request.go
+++ b/pkg/client/request.go
@@ -16,6 +16,9 @@
 	jobsPath      = "/v1/jobs"
 	endpointsPath = "/v1/endpoints"
 	controlPath   = "/v1/control"
+	zonesPath     = "/v1/zones"
+
+	evacuationsPath = "/v1/evacuations"
 )
 
 // Apply replaces the configuration with a TOML text, provided that its revision is base; otherwise it returns
