--- a/internal/operator/commands.go
+++ b/internal/operator/commands.go
@@ -19,7 +19,7 @@
 func Commands() []*cli.Command {
 	return []*cli.Command{
 		applyCommand(), diffCommand(), submitCommand(), cancelCommand(), statusCommand(),
-		explainCommand(), drainCommand(), keysCommand(), settingsCommand(),
+		explainCommand(), drainCommand(), evacuateCommand(), keysCommand(), settingsCommand(),
 	}
 }
 
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -45,6 +45,13 @@
 		r := run(t, newControlHost(t, http.StatusOK, `[{"name":"w1","state":"ready","slots":8}]`), "status", "--endpoints")
 		assertOutput(t, r, "ENDPOINT", "w1", "ready")
 	})
+	t.Run("evacuated zones", func(t *testing.T) {
+		zones := `[{"availability_zone":"z","reason":"power cut","since":"2026-01-05T08:00:00Z"}]`
+		c := newControlHost(t, http.StatusOK, zones)
+		assertOutput(t, run(t, c, "status", "--zones"), "EVACUATED ZONE  SINCE                 REASON\n", "z               2026-01-05T08:00:00Z  power cut\n")
+		assert.True(t, strings.HasPrefix(c.requestLine, "GET /v1/evacuations "), c.requestLine)
+		assert.JSONEq(t, zones, run(t, c, "status", "--zones", "--json").out)
+	})
 	t.Run("control hosts", func(t *testing.T) {
 		c := newControlHost(t, http.StatusOK, control)
 		assertOutput(t, run(t, c, "status", "--control"), "term 4, 3 voters, 2 are a majority, 0 more may be lost\n",
@@ -103,6 +110,15 @@
 		assertOutput(t, run(t, c, "drain", "--undo", "w1"), "w1 takes new work")
 		assert.Equal(t, `{"drained":false}`, c.body)
 	})
+	t.Run("evacuate", func(t *testing.T) {
+		c := newControlHost(t, http.StatusAccepted, "")
+		assertOutput(t, run(t, c, "evacuate", "z", "--reason", "power cut"), "z takes no new work")
+		assert.True(t, strings.HasPrefix(c.requestLine, "POST /v1/zones/z/evacuate "))
+		assert.Equal(t, `{"evacuated":true,"reason":"power cut"}`, c.body)
+		assertOutput(t, run(t, c, "evacuate", "--undo", "z"), "z takes new work")
+		assert.Equal(t, `{"evacuated":false}`, c.body)
+		assertFailed(t, run(t, c, "evacuate", "--undo", "--reason", "over", "z"), operator.ExitUsage, "no --reason")
+	})
 }
 
 // Guards against a change that overwrites a concurrent one, and an invalid declaration that is sent to a control host.
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -11,8 +11,9 @@
 )
 
 func statusCommand() *cli.Command {
-	return remoteCommand("status", "show jobs, endpoints, control hosts or the configuration", "[JOB]", status,
+	return remoteCommand("status", "show jobs, endpoints, evacuated zones, control hosts or the configuration", "[JOB]", status,
 		&cli.BoolFlag{Name: "endpoints", Usage: "show the endpoints"},
+		&cli.BoolFlag{Name: "zones", Usage: "show the evacuated availability zones"},
 		&cli.BoolFlag{Name: "control", Usage: "show the control hosts, their votes and how many more of them may be lost"},
 		&cli.BoolFlag{Name: "config", Usage: "show the configuration as a declaration with its revision"})
 }
@@ -24,16 +25,18 @@
 
 func status(s *session) (err error) {
 	given := 0
-	endpoints, control, config := s.cmd.Bool("endpoints"), s.cmd.Bool("control"), s.cmd.Bool("config")
-	for _, set := range []bool{endpoints, control, config, s.cmd.Args().Present()} {
+	endpoints, control, config, zones := s.cmd.Bool("endpoints"), s.cmd.Bool("control"), s.cmd.Bool("config"), s.cmd.Bool("zones")
+	for _, set := range []bool{endpoints, control, zones, config, s.cmd.Args().Present()} {
 		if set {
 			given++
 		}
 	}
 	if given > 1 {
-		return usageError("give one of JOB, --endpoints, --control and --config")
+		return usageError("give one of JOB, --endpoints, --zones, --control and --config")
 	}
 	switch {
+	case zones:
+		return s.statusZones()
 	case control:
 		return s.statusControl()
 	case config:
