dispatch: a gang is checked once a step for members in evacuated zones

Each run of a gang looked at all members, so a step grew with the square of the gang's size while a zone was evacuated. The answer is now kept for the step. The runs in evacuated zones are counted where runs are resolved, so that those of cancelled jobs count as well.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -146,7 +146,6 @@
 	c.sendHolds(now, s, &a)
 	c.forget(now, s, &a)
 	a.checkpoints = c.chooseCheckpoints(now, s)
-	a.evacuatedRuns = c.zones.atWork
 	a.decisions, c.decisions = c.decisions, nil
 	a.wake = now.Add(stepInterval)
 	return a
--- a/internal/dispatch/resolve.go
+++ b/internal/dispatch/resolve.go
@@ -23,6 +23,9 @@
 				c.recordEnd(now, e, c.hosts[t.Worker().Host()], a)
 				return
 			}
+			if h := hosts[t.Worker()]; c.evacuated(h) && h.listsRunning(id) {
+				a.evacuatedRuns++
+			}
 			reason := stopReason(j, id)
 			if reason == "" {
 				reason = c.zoneReason(now, j, id, t, hosts)
--- a/internal/dispatch/zone.go
+++ b/internal/dispatch/zone.go
@@ -15,15 +15,15 @@
 // zones holds what one step derives from the evacuated availability zones.
 type zones struct {
 	evacuated bool                                  // whether any zone is
-	atWork    int                                   // runs that a worker of such a zone lists
+	gangs     map[batch.TaskID]bool                 // results of gangAwaitsZone, by the key of the step
 	moves     map[batch.Incarnation]batch.Resources // room that runs are moved to
 	noRoom    map[placement.StepKey]bool            // steps of which no more tasks find room elsewhere
 }
 
 func newZones(s batch.State) zones {
 	return zones{
-		evacuated: len(s.Evacuations()) > 0,
-		moves:     map[batch.Incarnation]batch.Resources{}, noRoom: map[placement.StepKey]bool{},
+		evacuated: len(s.Evacuations()) > 0, gangs: map[batch.TaskID]bool{},
+		moves: map[batch.Incarnation]batch.Resources{}, noRoom: map[placement.StepKey]bool{},
 	}
 }
 
@@ -56,12 +56,22 @@
 	return c.toStart[id] || o != nil && (o.withheld || !o.startOrderedAt.IsZero())
 }
 
-// gangAwaitsZone reports whether a member of the run's gang awaits its start in an evacuated zone.
+// gangAwaitsZone reports whether a member of the run's gang awaits its start in an evacuated zone. The first answer for a
+// gang holds for the whole step: a member that awaits its start is not ordered to start there meanwhile.
 func (c *Core) gangAwaitsZone(j *batch.Job, id run.ID, hosts map[batch.Incarnation]*host) bool {
-	task := id.Task()
-	if !c.zones.evacuated || !j.Spec().Steps()[task.Step()].Gang() {
+	if !c.zones.evacuated || !j.Spec().Steps()[id.Task().Step()].Gang() {
 		return false
 	}
+	key := id.Task().StepKey()
+	awaits, known := c.zones.gangs[key]
+	if !known {
+		awaits = c.anyMemberAwaitsZone(j, id.Task(), hosts)
+		c.zones.gangs[key] = awaits
+	}
+	return awaits
+}
+
+func (c *Core) anyMemberAwaitsZone(j *batch.Job, task batch.TaskID, hosts map[batch.Incarnation]*host) bool {
 	for n, t := range j.Tasks(task.Occurrence(), task.Step()).In(batch.Placed) {
 		member := run.NewID(batch.NewTaskID(task.Job(), task.Occurrence(), task.Step(), n), t.Run())
 		if c.awaitsZone(member, t, hosts) {
@@ -79,12 +89,8 @@
 	if !c.zones.evacuated {
 		return ""
 	}
-	h := hosts[t.Worker()]
-	inZone := c.evacuated(h)
-	if inZone && h.listsRunning(id) {
-		c.zones.atWork++
-	}
-	if c.awaitsZone(id, t, hosts) || c.gangAwaitsZone(j, id, hosts) || inZone && c.movesFromZone(now, j, id) {
+	if c.awaitsZone(id, t, hosts) || c.gangAwaitsZone(j, id, hosts) ||
+		c.evacuated(hosts[t.Worker()]) && c.movesFromZone(now, j, id) {
 		return ZoneEvacuated
 	}
 	return ""
