dispatch: the moves away from a draining worker are named departure

The file, a constant, a function and a test were named after evacuation, which is now the order about an availability zone. Nothing else changes.

--- a/internal/dispatch/evacuation.go
+++ b/internal/dispatch/departure.go
@@ -7,19 +7,19 @@
 	"rosemarywind.example/rosemarywind/internal/run"
 )
 
-// evacuationMargin is the time before a worker's earliest departure at which its long-running tasks move in any case.
-const evacuationMargin = time.Second
+// departureMargin is the time before a worker's earliest departure at which its long-running tasks move in any case.
+const departureMargin = time.Second
 
-// evacuationReason returns why a long-running task has to leave a draining worker, or an empty string. The task
+// departureReason returns why a long-running task has to leave a draining worker, or an empty string. The task
 // moves while fewer other tasks of its step are not working than the step tolerates, and in any case if all others
-// work or evacuationMargin is reached. Other runs stay, since workers often stay longer than announced.
-func (c *Core) evacuationReason(now time.Time, j *batch.Job, id run.ID, h *host) string {
+// work or departureMargin is reached. Other runs stay, since workers often stay longer than announced.
+func (c *Core) departureReason(now time.Time, j *batch.Job, id run.ID, h *host) string {
 	step := j.Spec().Steps()[id.Task().Step()]
 	if h == nil || !h.announcement.Draining() || !step.LongRunning() {
 		return ""
 	}
 	leavesAt := h.announcedAt.Add(h.announcement.Remaining())
-	if c.countNotWorking(j, id) < max(step.MaxUnavailable(), 1) || now.After(leavesAt.Add(-evacuationMargin)) {
+	if c.countNotWorking(j, id) < max(step.MaxUnavailable(), 1) || now.After(leavesAt.Add(-departureMargin)) {
 		return "its worker leaves"
 	}
 	return ""
--- a/internal/dispatch/evacuation_test.go
+++ b/internal/dispatch/departure_test.go
@@ -53,7 +53,7 @@
 
 // Guards against services that lose their tasks with a leaving worker, services with more tasks missing at once than
 // they tolerate, and batch work that is stopped although its worker may stay long enough to finish it.
-func TestEvacuation(t *testing.T) {
+func TestDepartureOfWorkers(t *testing.T) {
 	t.Run("batch tasks stay", func(t *testing.T) {
 		batchStep := batch.NewStep(1, batch.NewResources(1, 1, 0), time.Second)
 		assert.Zero(t, newStepFixture(t, batchStep).stopsWhenDraining(2*time.Second, 0, 5, 1))
--- a/internal/dispatch/resolve.go
+++ b/internal/dispatch/resolve.go
@@ -34,7 +34,7 @@
 				reason = c.stallReason(now, id, j.Spec().Steps()[id.Task().Step()])
 			}
 			if reason == "" {
-				reason = c.evacuationReason(now, j, id, hosts[t.Worker()])
+				reason = c.departureReason(now, j, id, hosts[t.Worker()])
 			}
 			if reason != "" {
 				c.stop(now, id, hosts[t.Worker()], reason, a)
