--- a/internal/dispatch/resolve.go
+++ b/internal/dispatch/resolve.go
@@ -23,6 +23,9 @@
 				c.recordEnd(now, e, c.hosts[t.Worker().Host()], a)
 				return
 			}
+			if h := hosts[t.Worker()]; c.evacuated(h) && h.listsRunning(id) {
+				a.evacuatedRuns++
+			}
 			reason := stopReason(j, id)
 			if reason == "" {
 				reason = c.zoneReason(now, j, id, t, hosts)
@@ -31,7 +34,7 @@
 				reason = c.stallReason(now, id, j.Spec().Steps()[id.Task().Step()])
 			}
 			if reason == "" {
-				reason = c.evacuationReason(now, j, id, hosts[t.Worker()])
+				reason = c.departureReason(now, j, id, hosts[t.Worker()])
 			}
 			if reason != "" {
 				c.stop(now, id, hosts[t.Worker()], reason, a)
