placement: late runs move from surely slow workers to free faster ones

A run with checkpoints that had begun on a slow worker stayed there to its end, also while a faster worker was idle and its job became late.

While no task waits, a decision stops up to two tasks or gangs whose worker is surely slow, if their job would miss its objective, or three times that, where they are and meets it on free faster workers, with the checkpoint's cost and a quarter of the time left to spare. A gang moves whole, if it has checkpoints or has just begun. A task that is long by itself on a normal worker stays. Work that is behind its objective no longer starts on slow workers.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -36,6 +36,7 @@
 	used       map[batch.Incarnation]batch.Resources // in that state, once it is needed
 	lastForget time.Time
 	lastSave   time.Time
+	movedAt    time.Time // when runs to move were looked for last, without waiting tasks
 	decisions  []Decision
 }
 
@@ -142,7 +143,8 @@
 	c.maintain(now, s, hosts, &a)
 	if !waits {
 		a.waiting = &Waiting{}
-	} else if len(a.ends) == 0 && len(a.crashes) == 0 {
+	}
+	if (waits || c.looksForMoves(now)) && len(a.ends) == 0 && len(a.crashes) == 0 {
 		c.place(now, s, stopping, hosts, &a)
 	}
 	c.adjustPaces(now, s, &a)
@@ -238,11 +240,15 @@
 		a.waiting = newWaiting(now, p, uses)
 	}
 	a.groups = p.Groups()
-	for _, id := range p.Stops() {
-		j, _ := s.Job(id.Task().Job())
-		t, _ := j.Task(id.Task())
-		c.stop(now, id, hosts[t.Worker()], "preempted by a more urgent job", a)
+	stop := func(ids []run.ID, reason string) {
+		for _, id := range ids {
+			j, _ := s.Job(id.Task().Job())
+			t, _ := j.Task(id.Task())
+			c.stop(now, id, hosts[t.Worker()], reason, a)
+		}
 	}
+	stop(p.Stops(), "preempted by a more urgent job")
+	stop(p.Moves(), "its worker is slow, and a faster one is free")
 }
 
 // logWaits logs why each waiting step waits, again only when the reason changes.
--- a/internal/dispatch/speed.go
+++ b/internal/dispatch/speed.go
@@ -105,6 +105,18 @@
 	return true
 }
 
+// moveInterval is the interval at which runs to move to faster workers are looked for while no task waits.
+const moveInterval = 500 * time.Millisecond
+
+// looksForMoves reports whether it is time to look for runs to move.
+func (c *Core) looksForMoves(now time.Time) bool {
+	if now.Sub(c.movedAt) < moveInterval || !c.speeds.Estimates(now).Differ() {
+		return false
+	}
+	c.movedAt = now
+	return true
+}
+
 // surelySlow reports whether the worker on a host is surely far slower than a normal one.
 func (h *host) surelySlow(e speed.Estimates) bool {
 	return e.Of(h.announcement.Incarnation()).SurelyBelow(slowRatio)
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -81,6 +81,7 @@
 		p.recordInquiry(u, waiting)
 		p.recordWait(u, waiting)
 	}
+	p.moveRuns()
 	return p.plan
 }
 
--- a/internal/placement/speed.go
+++ b/internal/placement/speed.go
@@ -28,7 +28,7 @@
 // speedNeed says which workers suit a unit by their speed.
 type speedNeed struct {
 	fastest bool // the faster the better; otherwise the slowest from floor on
-	floor   int  // lowest level on which the unit is expected to meet its objective
+	floor   int  // lowest level on which the unit is expected to meet its objective; a normal one if it is already late
 }
 
 // speedNeed returns which workers suit a unit. Urgent work gets the fastest ones; other work leaves them free as far as
@@ -39,6 +39,8 @@
 		return speedNeed{fastest: true}
 	case u.nextSlack < 0:
 		return speedNeed{floor: math.MinInt}
+	case u.slack < 0:
+		return speedNeed{}
 	}
 	allowed := float64(u.duration) + slackShare*float64(u.nextSlack)
 	return speedNeed{floor: speed.LevelOf(float64(u.duration) / max(allowed, 1))}
--- a/internal/placement/unit.go
+++ b/internal/placement/unit.go
@@ -173,10 +173,7 @@
 // there are.
 func (p *planner) waitingIndexes(tasks batch.TaskList, count int) (indexes []int) {
 	if tasks.Count(batch.Waiting) == tasks.Len() {
-		for n := len(p.ascending); n < count; n++ {
-			p.ascending = append(p.ascending, n)
-		}
-		return p.ascending[:count:count]
+		return p.ascendingIndexes(count)
 	}
 	indexes = make([]int, 0, count)
 	for n := range tasks.In(batch.Waiting) {
@@ -188,6 +185,14 @@
 	return indexes
 }
 
+// ascendingIndexes returns the given number of indexes from 0, in a list that must not be changed.
+func (p *planner) ascendingIndexes(count int) []int {
+	for n := len(p.ascending); n < count; n++ {
+		p.ascending = append(p.ascending, n)
+	}
+	return p.ascending[:count:count]
+}
+
 // smallestStart returns the smallest part of the unit that can start on its own: the whole gang, or one task.
 func (u *unit) smallestStart() *unit {
 	if u.step.Gang() {
--- a/internal/placement/view.go
+++ b/internal/placement/view.go
@@ -57,10 +57,11 @@
 	return v
 }
 
-// Plan is the result of a decision: groups to start, runs to stop, steps that wait and an inquiry to the advisor.
+// Plan is the result of a decision: groups to start, runs to stop or to move, steps that wait and an inquiry to the advisor.
 type Plan struct {
 	groups  []batch.Group
 	stops   []run.ID
+	moves   []run.ID
 	inquiry Inquiry
 	waits   []Wait
 }
@@ -86,6 +87,7 @@
 	quarantined  bool
 	speed        float64 // 1 for a normal worker
 	level        int     // of the speed
+	slow         bool    // surely
 	runs         []*placedRun
 	reservations []reservation
 	reserved     batch.Resources         // sum of the reservations
@@ -127,7 +129,7 @@
 		ws := &workerState{
 			incarnation: a.Incarnation(), service: a.Service(), rack: a.Rack(), labels: a.Labels(),
 			capacity: a.Capacity(), free: a.Capacity(), suspect: w.suspect || w.quarantined,
-			quarantined: w.quarantined, speed: estimate.Relative(), level: estimate.Level(),
+			quarantined: w.quarantined, speed: estimate.Relative(), level: estimate.Level(), slow: estimate.Class() == speed.Slow,
 		}
 		list = append(list, ws)
 		byIncarnation[ws.incarnation] = ws
