speed: workers differ only if one that is slow for a step is so for the next

On a deployment of like workers, up to 28 of 70 counted as slow at times: the tasks of a step on one worker begin late together, and eight of them counted as eight independent observations. Observations that agreed with the mean of their worker also counted more, which made any mean look significant.

The spread of the workers is now the mean product of what two different steps show of the same worker, with weights that do not depend on each other. Tasks of one step on one worker count as two at most. The error of the time between two reports counts, and the mean over all workers no longer drifts.

--- a/internal/speed/fit.go
+++ b/internal/speed/fit.go
@@ -18,24 +18,26 @@
 	// outlierDeviation is the deviation beyond which an observation counts less, so that one task that is long by itself
 	// does not make its worker slow.
 	outlierDeviation = 0.6
-	// minWorkers is the number of observed workers from which it can be told whether workers differ.
+	// outlierSpeed is the deviation beyond which an observation counts less in the comparison of steps: that of a worker at
+	// less than a third of the normal speed, or more than three times that.
+	outlierSpeed = 1.2
+	// minWorkers is the number of workers with runs of different steps from which it can be told whether workers differ.
 	minWorkers = 6
 	// minSpread is the least standard deviation of workers' speeds that counts as a difference.
 	minSpread = 0.12
 	// chanceErrors is the number of standard errors from which the spread of the workers does not come from chance.
-	chanceErrors = 3
-	// maxSquareRatio bounds the squared deviation of a worker, as a multiple of the median.
-	maxSquareRatio = 25
+	chanceErrors = 3.5
 	// outlierRuns and outlierErrors are the number of runs and of standard errors from which a single worker counts as
 	// different though the others are alike.
 	outlierRuns   = 2
-	outlierErrors = 5
+	outlierErrors = 6
 )
 
 // service holds the variances of a service's tasks and of its workers' speeds.
 type service struct {
 	squares average // squared deviations of tasks from what is known of their step and worker
 	spread  float64 // variance of the workers' speeds; 0 while they are not known to differ
+	offset  float64 // mean of the workers' residuals; without it all of them would drift together
 }
 
 func newService() *service {
@@ -45,14 +47,13 @@
 // noise returns the variance of a task.
 func (s *service) noise() float64 { return s.squares.mean() }
 
-// addResidual takes in the residual of an ended run on a worker with the given mean, which counts as weight runs beside
-// it.
-func (s *service) addResidual(residual, mean, weight float64) {
-	if weight < 1 {
+// addResidual takes in the residual of a group of ended runs on a worker with the given evidence beside it.
+func (s *service) addResidual(own, others average) {
+	if others.weight < 1 || own.weight < minWeight {
 		return
 	}
-	deviation := min(math.Abs(residual-mean), outlierDeviation)
-	s.squares.add(deviation*deviation*(weight+1)/weight, 1)
+	deviation := min(math.Abs(own.mean()-others.mean()), outlierDeviation)
+	s.squares.add(deviation*deviation/(1/own.weight+1/others.weight), 1)
 	s.squares = s.squares.scaled(min(1, maxServiceWeight/s.squares.weight))
 }
 
@@ -84,7 +85,7 @@
 		c.median = (values[(len(values)-1)/2].corrected + values[len(values)/2].corrected) / 2
 	}
 	for _, v := range values {
-		weight := v.weight * robustness(v.corrected-c.median)
+		weight := v.weight * robustness(v.corrected-c.median, outlierDeviation)
 		c.all.add(v.corrected, weight)
 		own := c.byHost[v.host]
 		own.add(v.corrected, weight)
@@ -93,70 +94,80 @@
 	return c
 }
 
-// robustness returns the weight of an observation with the given deviation.
-func robustness(deviation float64) float64 {
+// robustness returns the weight of an observation with the given deviation, which is below 1 beyond the limit.
+func robustness(deviation, limit float64) float64 {
 	d := math.Abs(deviation)
-	if d <= outlierDeviation {
+	if d <= limit {
 		return 1
 	}
-	return (outlierDeviation / d) * (outlierDeviation / d)
+	return (limit / d) * (limit / d)
 }
 
-// fitStep updates what the runs at work of a step contribute to their workers. Each run is compared with the runs on other
+// fitStep updates what the runs at work of a step say of their workers. Each run is compared with the runs on other
 // workers.
 func (m *Model) fitStep(s *step) {
 	c, sv := m.center(s), m.services[s.service]
 	for _, r := range s.runs {
-		w := m.workers[r.host]
-		w.live = w.live.minus(average{r.residual * r.weight, r.weight})
-		r.residual, r.weight = 0, 0
 		others := c.all.minus(c.byHost[r.host])
 		if others.weight < minWeight {
 			continue
 		}
-		r.residual = others.mean() - r.logarithm
-		r.weight = sv.noise() / (sv.noise()*(1+1/others.weight) + r.variance) * robustness(r.residual-w.mean())
-		w.live.add(r.residual, r.weight)
+		w, g := m.workers[r.host], s.groups[r.host]
+		w.live = w.live.minus(g.evidence())
+		g.residuals = g.residuals.minus(r.residual)
+		residual := others.mean() - r.logarithm
+		weight := sv.noise() / (sv.noise()*(1+1/others.weight) + r.variance)
+		r.residual = residuals{}
+		r.residual.means.add(residual, weight*robustness(residual-w.mean(), outlierDeviation))
+		r.residual.pairs.add(residual, weight*robustness(residual, outlierSpeed))
+		g.residuals = g.residuals.plus(r.residual)
+		w.live = w.live.plus(g.evidence())
 	}
 }
 
 // fitServices estimates how much the workers of each service differ.
 func (m *Model) fitServices(now time.Time) {
-	means := map[string][]average{}
+	workers := map[string][]evidence{}
 	for _, host := range slices.Sorted(maps.Keys(m.workers)) {
 		w := m.workers[host]
-		if known := w.endedBy(now).plus(w.live); known.weight >= 1 {
-			means[w.service] = append(means[w.service], known)
-		}
+		workers[w.service] = append(workers[w.service], w.endedBy(now).plus(w.live))
 	}
 	for name, s := range m.services {
-		s.spread = spread(means[name], s.noise())
+		s.spread, s.offset = spread(workers[name]), offset(workers[name])
 	}
 }
 
-// spread returns the variance of workers' speeds beyond that of the tasks, or 0 if it may come from chance. A single
-// worker that differs from all others counts only so far.
-func spread(means []average, noise float64) float64 {
-	if len(means) < minWorkers {
-		return 0
+// offset returns the mean of the workers' residuals, by how well they are known.
+func offset(workers []evidence) float64 {
+	var sum average
+	for _, e := range workers {
+		sum.add(e.mean(), e.weight/(e.weight+1))
 	}
-	squares, expected, chance := make([]float64, 0, len(means)), 0.0, 0.0
-	for _, a := range means {
-		squares = append(squares, a.mean()*a.mean())
-		expected += noise / a.weight
-		chance += 2 * (noise / a.weight) * (noise / a.weight)
+	return sum.mean()
+}
+
+// spread returns the variance of workers' speeds, or 0 if it may come from chance. Workers differ if one that was slow for
+// one step is slow for the next.
+func spread(workers []evidence) float64 {
+	var values, squares average
+	count := 0.0
+	for _, e := range workers {
+		if value, weight := e.agreement(); weight > 0 {
+			weight = math.Sqrt(weight)
+			values.add(value, weight)
+			squares.add(value*value, weight)
+			count++
+		}
 	}
-	slices.Sort(squares)
-	limit, sum := maxSquareRatio*squares[len(squares)/2], 0.0
-	for _, square := range squares {
-		sum += min(square, limit)
+	if count < minWorkers {
+		return 0
 	}
-	count := float64(len(means))
-	excess := (sum - expected) / count
-	if excess <= max(minSpread*minSpread, chanceErrors*math.Sqrt(chance)/count) {
+	mean := values.mean()
+	deviation := math.Sqrt(max(squares.mean()-mean*mean, 0) / count)
+	if mean <= max(minSpread*minSpread, chanceErrors*deviation) {
 		return 0
 	}
-	return excess
+	return mean
 }
 
 // estimate returns the estimate of a worker: its mean, drawn towards that of a normal worker as far as it is uncertain.
@@ -165,7 +176,7 @@
 	if known.weight < minWeight {
 		return Estimate{observedAt: w.observedAt}
 	}
-	mean, variance, spread := known.mean(), s.noise()/known.weight, s.spread
+	mean, variance, spread := known.mean()-s.offset, s.noise()/known.weight, s.spread
 	if known.weight >= outlierRuns && mean*mean > outlierErrors*outlierErrors*variance {
 		spread = max(spread, mean*mean)
 	}
--- a/internal/speed/model.go
+++ b/internal/speed/model.go
@@ -31,6 +31,7 @@
 	steps     map[stepKey]*step
 	services  map[string]*service
 	changed   map[stepKey]bool // steps with observations since the last fit
+	restored  bool             // whether there are records since then
 	fittedAt  time.Time
 	estimates Estimates
 }
@@ -47,10 +48,9 @@
 type worker struct {
 	service     string
 	incarnation batch.Incarnation
-	ended       average // of runs that have ended
+	ended       evidence // of steps without runs at work
 	endedAt     time.Time
-	live        average // of runs at work
-	liveRuns    int
+	live        evidence // of steps with runs at work
 	observedAt  time.Time
 }
 
@@ -58,16 +58,16 @@
 type step struct {
 	service string
 	runs    map[run.ID]*observedRun
+	groups  map[string]*group // by host
 	ended   average
 }
 
-// observedRun is the latest observation of a run at work and what it contributes to its worker's average.
+// observedRun is the latest observation of a run at work and its part of its group.
 type observedRun struct {
 	host      string
 	logarithm float64
 	variance  float64
-	residual  float64
-	weight    float64
+	residual  residuals
 }
 
 // Observe takes in an observation of a run, in place of an earlier one of the same run.
@@ -80,14 +80,17 @@
 	key := newStepKey(o.id)
 	s, known := m.steps[key]
 	if !known {
-		s = &step{service: o.service, runs: map[run.ID]*observedRun{}}
+		s = &step{service: o.service, runs: map[run.ID]*observedRun{}, groups: map[string]*group{}}
 		m.steps[key] = s
 	}
 	r, known := s.runs[o.id]
 	if !known {
 		r = &observedRun{host: o.worker.Host()}
 		s.runs[o.id] = r
-		w.liveRuns++
+		if s.groups[r.host] == nil {
+			s.groups[r.host] = &group{}
+		}
+		s.groups[r.host].runs++
 	}
 	r.logarithm, r.variance = o.logarithm(), o.variance()
 	m.changed[key] = true
@@ -101,7 +104,7 @@
 		m.workers[o.worker.Host()] = w
 	}
 	if w.service != o.service {
-		w.service, w.ended = o.service, average{}
+		w.service, w.ended = o.service, evidence{}
 	}
 	if w.incarnation != o.worker {
 		w.incarnation, w.ended = o.worker, w.ended.scaled(predecessorShare)
@@ -123,33 +126,32 @@
 	if !observed {
 		return
 	}
-	if r.weight == 0 {
+	if r.residual.means.weight == 0 {
 		m.fitStep(s)
 	}
-	w := m.workers[r.host]
-	if r.weight > 0 {
-		m.services[s.service].addResidual(r.residual, w.mean(), w.weight()-r.weight)
-	}
-	contribution := average{r.residual * r.weight, r.weight}
-	m.dropRun(s, id)
-	w.ended = w.endedBy(now).plus(contribution)
-	w.ended = w.ended.scaled(min(1, maxWorkerWeight/max(w.ended.weight, minWeight)))
-	w.endedAt = now
-	value, variance := w.known(m.services[s.service])
-	s.ended.add(r.logarithm+value, m.services[s.service].noise()/(m.services[s.service].noise()+variance+r.variance))
+	sv := m.services[s.service]
+	value, variance := m.workers[r.host].known(sv)
+	s.ended.add(r.logarithm+value, sv.noise()/(sv.noise()+variance+r.variance))
 	s.ended = s.ended.scaled(min(1, maxStepWeight/s.ended.weight))
+	delete(s.runs, id)
 	m.changed[key] = true
+	if g := s.groups[r.host]; g.end() {
+		delete(s.groups, r.host)
+		m.endGroup(now, m.workers[r.host], g)
+	}
 }
 
-// dropRun removes a run at work and what it contributes to its worker's average.
-func (m *Model) dropRun(s *step, id run.ID) {
-	r := s.runs[id]
-	w := m.workers[r.host]
-	delete(s.runs, id)
-	w.live = w.live.minus(average{r.residual * r.weight, r.weight})
-	if w.liveRuns--; w.liveRuns == 0 {
-		w.live = average{}
+// endGroup adds the runs of a step on a worker, of which none is at work any more, to what is known of the worker.
+func (m *Model) endGroup(now time.Time, w *worker, g *group) {
+	sum := g.evidence()
+	w.live = w.live.minus(sum)
+	if w.live.weight < minWeight {
+		w.live = evidence{}
 	}
+	w.ended, w.endedAt = w.endedBy(now), now
+	m.services[w.service].addResidual(sum.average, w.ended.average)
+	w.ended = w.ended.plus(sum)
+	w.ended = w.ended.scaled(min(1, maxWorkerWeight/max(w.ended.weight, minWeight)))
 }
 
 // Forget drops the steps of jobs for which known returns false.
@@ -158,8 +160,9 @@
 		if known(key.job) {
 			continue
 		}
-		for id := range s.runs {
-			m.dropRun(s, id)
+		for host, g := range s.groups {
+			w := m.workers[host]
+			w.live = w.live.minus(g.evidence())
 		}
 		delete(m.steps, key)
 		delete(m.changed, key)
@@ -182,7 +185,7 @@
 
 // Estimates returns the estimates at a time.
 func (m *Model) Estimates(now time.Time) Estimates {
-	if len(m.changed) == 0 || now.Sub(m.fittedAt) < fitInterval {
+	if len(m.changed) == 0 && !m.restored || now.Sub(m.fittedAt) < fitInterval {
 		return m.estimates
 	}
 	m.fittedAt = now
@@ -190,6 +193,7 @@
 		m.fitStep(m.steps[key])
 	}
 	clear(m.changed)
+	m.restored = false
 	m.fitServices(now)
 	e := Estimates{byHost: make(map[string]hostEstimate, len(m.workers))}
 	for host, w := range m.workers {
@@ -201,8 +205,8 @@
 	return e
 }
 
-// endedBy returns the average of the ended runs with the weight that it has at a time.
-func (w *worker) endedBy(now time.Time) average {
+// endedBy returns the evidence of ended steps with the weight that it has at a time.
+func (w *worker) endedBy(now time.Time) evidence {
 	if w.endedAt.IsZero() {
 		return w.ended
 	}
@@ -212,14 +216,14 @@
 // mean returns the mean residual of the worker's runs.
 func (w *worker) mean() float64 { return w.ended.plus(w.live).mean() }
 
-// weight returns the number of runs that the mean counts as.
+// weight returns the number of independent runs that the mean counts as.
 func (w *worker) weight() float64 { return w.ended.plus(w.live).weight }
 
 // known returns the worker's speed and its variance as far as it is better known than that of any worker.
 func (w *worker) known(s *service) (value, variance float64) {
 	prior := max(s.spread, s.noise())
 	if weight := w.weight(); weight > minWeight && s.noise()/weight < prior {
-		return w.mean(), s.noise() / weight
+		return w.mean() - s.offset, s.noise() / weight
 	}
 	return 0, prior
 }
--- a/internal/speed/model_test.go
+++ b/internal/speed/model_test.go
@@ -125,6 +125,29 @@
 	}
 }
 
+// Guards against alike workers that seem to differ because the tasks of a step on one worker begin late together: their
+// errors are the same, so that many of them say no more than a few.
+func TestTasksThatDeviateTogether(t *testing.T) {
+	for seed := range uint64(5) {
+		f := newFleet(seed, 70, 1)
+		for n := range 60 {
+			f.jobs++
+			for i, w := range f.random.Perm(len(f.speeds))[:5] {
+				delay := math.Exp(0.4 * f.random.NormFloat64())
+				for k := range 8 {
+					f.observe(fmt.Sprintf("j%d", n), 8*i+k, w, time.Duration(delay*float64(f.task(3*time.Second))))
+				}
+			}
+			f.now = f.now.Add(300 * time.Millisecond)
+			assertAllNormal(t, f)
+			for _, id := range f.live {
+				f.model.End(f.now, id)
+			}
+			f.live = nil
+		}
+	}
+}
+
 // Guards against a worker that counts as slow because of one task that is long by itself.
 func TestSingleLongTask(t *testing.T) {
 	f := newFleet(1, 66, 0.6, 1, 1.6)
--- a/internal/speed/observation.go
+++ b/internal/speed/observation.go
@@ -30,8 +30,16 @@
 // logarithm returns the natural logarithm of the duration in seconds.
 func (o Observation) logarithm() float64 { return math.Log(o.duration.Seconds()) }
 
-// variance returns the variance of the logarithm that comes from progress in whole percents.
-func (o Observation) variance() float64 { return 1 / float64(o.percent*o.percent) }
+// timingError is the standard deviation of the time between two reports of a run's progress, of which a part may be the
+// wait of a gang for its last member.
+const timingError = 100 * time.Millisecond
+
+// variance returns the variance of the logarithm that comes from progress in whole percents and from timing.
+func (o Observation) variance() float64 {
+	elapsed := o.duration.Seconds() * float64(o.percent) / 100
+	timing := timingError.Seconds() / elapsed
+	return 1/float64(o.percent*o.percent) + timing*timing
+}
 
 // stepKey identifies a step of a job in all its occurrences.
 type stepKey struct {
