dispatch: a new leader gets the speeds of workers from their agents

The speeds that a leader had learned were lost with it.

The leader tells an agent what it knows of its worker with the renewal of the lease, when that has changed by about 10 percent or its weight has doubled, and once in each session. The agent reports it, with its age, when it opens a session. A leader takes it in unless it has observed the worker itself, and ignores what no worker can have. Records without the field are read as before.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -86,6 +86,9 @@
 	if h.update(now, r) {
 		c.observeProgress(now, h.list)
 	}
+	if s, ok := r.Speed(); ok && h.announced && s.Worker().Host() == h.agent {
+		c.speeds.Restore(now, h.announcement.Service(), s)
+	}
 	c.observeCrashes(now, h, r.Crashes())
 	for _, e := range r.Refused() {
 		c.ordersOf(e.ID()).refused = true
--- a/internal/dispatch/hold.go
+++ b/internal/dispatch/hold.go
@@ -28,7 +28,8 @@
 		if h.responsive(now) {
 			lease = h.grant(now, c.timing.lease)
 		}
-		a.orders = append(a.orders, AddressedOrder{h.agent, run.NewRenewLease(incarnation, lease, h.acknowledged, !h.hasCurrentList(c.fencingToken))})
+		renewal := run.NewRenewLease(incarnation, lease, h.acknowledged, !h.hasCurrentList(c.fencingToken))
+		a.orders = append(a.orders, AddressedOrder{h.agent, c.withSpeed(now, h, renewal)})
 	}
 }
 
--- a/internal/dispatch/host.go
+++ b/internal/dispatch/host.go
@@ -33,7 +33,8 @@
 	unreachable      bool // the agent cannot connect to the worker
 	health           health
 	crashes          []run.Crash // of earlier incarnations, as the agent reported them last
-	orderRoom        int         // orders that the agent's session can take now
+	toldSpeed        toldSpeed
+	orderRoom        int // orders that the agent's session can take now
 }
 
 // reservedOrders is the part of an agent's queue that is kept for renewals of its lease.
--- a/internal/run/order.go
+++ b/internal/run/order.go
@@ -36,6 +36,8 @@
 	lease        time.Duration
 	acknowledged int64
 	listNow      bool
+	speed        Speed
+	hasSpeed     bool
 }
 
 func (Start) order()      {}
--- a/internal/run/report.go
+++ b/internal/run/report.go
@@ -200,6 +200,7 @@
 	exited       bool
 	crashes      []Crash
 	unreachable  bool
+	speed        *Speed
 }
 
 // Refusal is a start order that the worker refused.
--- a/internal/runner/loop.go
+++ b/internal/runner/loop.go
@@ -150,6 +150,7 @@
 		}
 		acknowledges := l.renewed && o.Acknowledged() > l.renewal.Acknowledged()
 		l.renewal, l.renewed = o, true
+		l.holdSpeed(now, o)
 		if o.ListNow() {
 			l.listNow = true
 		}
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -24,6 +24,7 @@
 	logger    hclog.Logger
 	announced *board.Section[workerState]
 	outgoing  *board.Section[outgoingState]
+	speed     *board.Section[heldSpeed]
 	inputs    chan input
 	reports   chan run.Report
 	starting  chan struct{} // holds a value for each start call in progress
@@ -104,6 +105,7 @@
 	return &Runner{
 		name: name, worker: w, pool: p, client: c, logger: l,
 		announced: board.NewSection(workerState{}), outgoing: board.NewSection(outgoingState{}),
+		speed:  board.NewSection(heldSpeed{}),
 		inputs: make(chan input, inputBuffer), reports: make(chan run.Report, reportBuffer),
 		starting: make(chan struct{}, maxConcurrentCalls), stopping: make(chan struct{}, maxConcurrentCalls),
 	}
--- a/internal/runner/session_test.go
+++ b/internal/runner/session_test.go
@@ -15,8 +15,9 @@
 	"rosemarywind.example/rosemarywind/internal/wire"
 )
 
-// firstReport returns the first report of a session that an agent opens for a worker in the given state.
-func firstReport(t *testing.T, w workerState) run.Report {
+// firstReport returns the first report of a session that an agent opens for a worker in the given state and with the given
+// speed.
+func firstReport(t *testing.T, w workerState, held heldSpeed) run.Report {
 	t.Helper()
 	serverTLS, clientTLS, err := keys.Trusted.TLS(time.Now())
 	require.NoError(t, err)
@@ -39,6 +40,7 @@
 	pool := link.NewPool(clientTLS)
 	r := New("h", silentWorker{}, pool, nil, hclog.NewNullLogger())
 	r.outgoing.Publish(outgoingState{worker: w})
+	r.speed.Publish(held)
 	_ = r.runSession(ctx, s.Address().String())
 	pool.Close()
 	cancel()
@@ -58,7 +60,7 @@
 func TestSessionReportsTermination(t *testing.T) {
 	for name, terminating := range map[string]bool{"stays": false, "terminates": true} {
 		t.Run(name, func(t *testing.T) {
-			r := firstReport(t, workerState{announcement: run.NewAnnouncement(first, "s", "z", 1), known: true, terminating: terminating})
+			r := firstReport(t, workerState{announcement: run.NewAnnouncement(first, "s", "z", 1), known: true, terminating: terminating}, heldSpeed{})
 			_, announced := r.Announcement()
 			assert.True(t, announced)
 			assert.Equal(t, terminating, r.Terminating())
@@ -66,6 +68,16 @@
 	}
 }
 
+// Guards against a session that begins without the speed of the worker, which a new leader then has to learn again.
+func TestSessionReportsSpeed(t *testing.T) {
+	known := run.NewSpeed(first, 0.5, 0.2, 7, time.Second)
+	r := firstReport(t, workerState{announcement: run.NewAnnouncement(first, "s", "z", 1), known: true},
+		heldSpeed{speed: known, at: time.Now(), known: true})
+	s, ok := r.Speed()
+	assert.True(t, ok)
+	assert.InDelta(t, known.Logarithm(), s.Logarithm(), 1e-9)
+}
+
 // Guards against a list that the leader never gets because the queue of reports was full: later lists without news are not
 // reported, so the leader goes on to take the worker as its latest report showed it.
 func TestDroppedListIsRepeated(t *testing.T) {
--- a/internal/wire/batch_test.go
+++ b/internal/wire/batch_test.go
@@ -111,6 +111,7 @@
 		"stop":  run.NewStop(id),
 		"pace":  run.NewPace(id, 40),
 		"hold":  run.NewRenewLease(testIncarnation, time.Minute, 57, true),
+		"speed": run.NewRenewLease(testIncarnation, time.Minute, 57, true).WithSpeed(run.NewSpeed(testIncarnation, -0.5, 0.2, 3.25, time.Second)),
 	} {
 		t.Run(name, func(t *testing.T) {
 			var b bytes.Buffer
@@ -128,7 +129,8 @@
 			WithList(run.NewList(testIncarnation, 9, time.Hour, []run.Running{run.NewRunning(id, "c", 100, 5)},
 				[]run.Finished{run.NewFinished(58, testEnd)}, []run.ID{id}).WithTruncated(true)).
 			WithRefused([]run.Refusal{run.NewRefusal(id, "late")}).WithTerminating().WithExited().WithUnreachable().
-			WithCrashes([]run.Crash{run.NewCrash(testIncarnation, run.NewCrashedRun(id, time.Second))})
+			WithCrashes([]run.Crash{run.NewCrash(testIncarnation, run.NewCrashedRun(id, time.Second))}).
+			WithSpeed(run.NewSpeed(testIncarnation, 0.25, 0.05, 7, time.Minute))
 		require.NoError(t, wire.WriteRunReport(&b, r))
 		read, err := wire.ReadRunReport(&b)
 		require.NoError(t, err)
--- a/internal/wire/run.go
+++ b/internal/wire/run.go
@@ -39,6 +39,7 @@
 	ListNow      bool             `cbor:"9,keyasint,omitempty"`
 	Percent      int              `cbor:"10,keyasint,omitempty"`
 	Ticket       string           `cbor:"11,keyasint,omitempty"`
+	Speed        *speedForm       `cbor:"12,keyasint,omitempty"`
 }
 
 // WriteRunOrder writes an order about runs with its fencing token.
@@ -58,6 +59,7 @@
 	case run.RenewLease:
 		incarnation := newIncarnationForm(o.Incarnation())
 		f.Kind, f.Incarnation, f.Lease, f.Acknowledged, f.ListNow = runRenewLease, &incarnation, int64(o.Lease()), o.Acknowledged(), o.ListNow()
+		f.Speed = newSpeedForm(o.Speed())
 	}
 	return writeFrame(w, f)
 }
@@ -78,7 +80,11 @@
 	case f.Kind == runPace && f.ID != nil:
 		return run.NewEnvelope(f.FencingToken, run.NewPace(f.ID.id(), f.Percent)), nil
 	case f.Kind == runRenewLease && f.Incarnation != nil:
-		return run.NewEnvelope(f.FencingToken, run.NewRenewLease(f.Incarnation.incarnation(), time.Duration(f.Lease), f.Acknowledged, f.ListNow)), nil
+		o := run.NewRenewLease(f.Incarnation.incarnation(), time.Duration(f.Lease), f.Acknowledged, f.ListNow)
+		if f.Speed != nil {
+			o = o.WithSpeed(f.Speed.speed())
+		}
+		return run.NewEnvelope(f.FencingToken, o), nil
 	}
 	return e, fmt.Errorf("order of kind %q is unknown or incomplete", f.Kind)
 }
@@ -152,6 +158,7 @@
 	Unreachable  bool                 `cbor:"7,keyasint,omitempty"`
 	Truncated    bool                 `cbor:"8,keyasint,omitempty"` // of List, which cannot grow
 	Exited       bool                 `cbor:"9,keyasint,omitempty"`
+	Speed        *speedForm           `cbor:"10,keyasint,omitempty"`
 }
 
 func newRunAnnouncementForm(a run.Announcement) *runAnnouncementForm {
@@ -219,6 +226,7 @@
 	for _, c := range r.Crashes() {
 		f.Crashes = append(f.Crashes, newCrashForm(c))
 	}
+	f.Speed = newSpeedForm(r.Speed())
 	return writeFrame(w, f)
 }
 
@@ -271,5 +279,8 @@
 		crashes = append(crashes, c.crash())
 	}
 	report = report.WithCrashes(crashes)
+	if f.Speed != nil {
+		report = report.WithSpeed(f.Speed.speed())
+	}
 	return report, nil
 }
