scheduler: metrics and a log line of the speeds of workers, and of moves

The gauges scheduler.speeds.slow, .normal and .fast count the observed workers once a second, the counter scheduler.moves the runs that were moved to faster workers. The line 'speeds' says the same every 10 s if it has changed.

--- a/internal/dispatch/actions.go
+++ b/internal/dispatch/actions.go
@@ -6,6 +6,7 @@
 	"rosemarywind.example/rosemarywind/internal/batch"
 	"rosemarywind.example/rosemarywind/internal/placement"
 	"rosemarywind.example/rosemarywind/internal/run"
+	"rosemarywind.example/rosemarywind/internal/speed"
 )
 
 // Actions is the outcome of one step, which the caller carries out.
@@ -22,6 +23,8 @@
 	orders      []AddressedOrder
 	decisions   []Decision
 	waiting     *Waiting
+	speeds      map[speed.Class]int
+	moves       int
 	wake        time.Time
 }
 
@@ -64,6 +67,12 @@
 	return *a.waiting, true
 }
 
+// Speeds returns the number of observed workers by class of speed; it is nil if this step did not count them.
+func (a Actions) Speeds() map[speed.Class]int { return a.speeds }
+
+// Moves returns the number of runs that are ordered to stop because faster workers are free.
+func (a Actions) Moves() int { return a.moves }
+
 // Wake returns the latest time for the next step.
 func (a Actions) Wake() time.Time { return a.wake }
 
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -36,6 +36,7 @@
 	used       map[batch.Incarnation]batch.Resources // in that state, once it is needed
 	lastForget time.Time
 	lastSave   time.Time
+	speedLog   speedLog
 	movedAt    time.Time // when runs to move were looked for last, without waiting tasks
 	decisions  []Decision
 }
@@ -150,6 +151,7 @@
 	if (waits || c.looksForMoves(now)) && len(a.ends) == 0 && len(a.crashes) == 0 {
 		c.place(now, s, stopping, hosts, &a)
 	}
+	c.countSpeeds(now, &a)
 	c.adjustPaces(now, s, &a)
 	c.sendHolds(now, s, &a)
 	c.forget(now, s, &a)
@@ -252,6 +254,7 @@
 	}
 	stop(p.Stops(), "preempted by a more urgent job")
 	stop(p.Moves(), "its worker is slow, and a faster one is free")
+	a.moves = len(p.Moves())
 }
 
 // logWaits logs why each waiting step waits, again only when the reason changes.
--- a/internal/dispatch/handover_test.go
+++ b/internal/dispatch/handover_test.go
@@ -10,6 +10,7 @@
 	"rosemarywind.example/rosemarywind/internal/batch"
 	"rosemarywind.example/rosemarywind/internal/dispatch"
 	"rosemarywind.example/rosemarywind/internal/run"
+	"rosemarywind.example/rosemarywind/internal/speed"
 )
 
 // speedsTold returns the speeds that the orders of a step tell, by agent.
@@ -54,3 +55,24 @@
 	f.submit("gang", "urgent", batch.NewStep(3, batch.NewResources(4000, 4000, 4), time.Second, batch.WithGang(true, true)))
 	assert.Equal(t, []int{4, 7, 11}, f.workersOf(f.advance(100*time.Millisecond), "gang"))
 }
+
+// Guards against operators who cannot see which workers are slow.
+func TestSpeedsCounted(t *testing.T) {
+	f := newUnevenFleet(t, 0.5, 1, 0.5, 1, 2, 1, 0.5, 2, 1, 0.5, 1, 2)
+	for n := range 4 {
+		f.spread(fmt.Sprintf("j%d", n), sameLength)
+	}
+	f.advance(0)
+	f.advance(700 * time.Millisecond)
+	a := f.advance(time.Second)
+	assert.Equal(t, map[speed.Class]int{speed.Slow: 4, speed.Normal: 5, speed.Fast: 3}, a.Speeds())
+	var lines []string
+	for range 12 {
+		for _, d := range f.advance(time.Second).Decisions() {
+			if d.Kind() == dispatch.SpeedsLearned {
+				lines = append(lines, d.Reason())
+			}
+		}
+	}
+	assert.Equal(t, []string{"3 fast, 5 normal, 4 slow"}, lines)
+}
--- a/internal/dispatch/speed.go
+++ b/internal/dispatch/speed.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"rosemarywind.example/rosemarywind/internal/batch"
@@ -105,6 +106,41 @@
 	return true
 }
 
+const (
+	// speedCountInterval is the interval at which the workers are counted by class of speed.
+	speedCountInterval = time.Second
+	// speedLogInterval is the least time between two lines about the counts, which are logged when they change.
+	speedLogInterval = 10 * time.Second
+)
+
+// speedLog holds when the workers were counted by class of speed last, and what was logged last.
+type speedLog struct {
+	countedAt time.Time
+	loggedAt  time.Time
+	line      string
+}
+
+// countSpeeds counts the workers by class of speed for the metrics and the log.
+func (c *Core) countSpeeds(now time.Time, a *Actions) {
+	if now.Sub(c.speedLog.countedAt) < speedCountInterval {
+		return
+	}
+	c.speedLog.countedAt = now
+	a.speeds = c.speeds.Estimates(now).Counts()
+	if now.Sub(c.speedLog.loggedAt) < speedLogInterval {
+		return
+	}
+	line := strings.Join(formatCounts(a.speeds), ", ")
+	if line == c.speedLog.line {
+		return
+	}
+	c.speedLog.loggedAt, c.speedLog.line = now, line
+	c.logDecision(nil, now, run.ID{}, SpeedsLearned, line)
+}
+
+// SpeedsLearned is the kind of decision that records the number of workers by class of speed.
+const SpeedsLearned = "speeds"
+
 // moveInterval is the interval at which runs to move to faster workers are looked for while no task waits.
 const moveInterval = 500 * time.Millisecond
 
--- a/internal/scheduler/leader_loop.go
+++ b/internal/scheduler/leader_loop.go
@@ -159,6 +159,7 @@
 	if w, counted := a.Waiting(); counted {
 		l.metrics.updateWaiting(w)
 	}
+	l.metrics.updateSpeeds(a)
 	for _, o := range a.Orders() {
 		l.queueOrder(o, term)
 	}
--- a/internal/scheduler/metrics.go
+++ b/internal/scheduler/metrics.go
@@ -6,6 +6,7 @@
 	gometrics "github.com/rcrowley/go-metrics"
 
 	"rosemarywind.example/rosemarywind/internal/dispatch"
+	"rosemarywind.example/rosemarywind/internal/speed"
 	"rosemarywind.example/rosemarywind/internal/telemetry"
 )
 
@@ -25,6 +26,8 @@
 	waiting   gometrics.Gauge // tasks that are ready and wait for workers
 	longWaits gometrics.Gauge // steps with tasks that have waited for some seconds
 	workers   map[dispatch.WorkerUse]gometrics.Gauge
+	speeds    map[speed.Class]gometrics.Gauge // observed workers
+	moves     gometrics.Counter
 }
 
 func newMetrics(r *telemetry.Registry) metrics {
@@ -36,14 +39,26 @@
 		commit: r.Histogram("scheduler.commit"), decision: r.Histogram("scheduler.decision"),
 		answering: r.Histogram("scheduler.answering"),
 		waiting:   r.Gauge("scheduler.waiting_tasks"), longWaits: r.Gauge("scheduler.long_waits"),
-		workers: map[dispatch.WorkerUse]gometrics.Gauge{},
+		workers: map[dispatch.WorkerUse]gometrics.Gauge{}, speeds: map[speed.Class]gometrics.Gauge{},
+		moves: r.Counter("scheduler.moves"),
 	}
 	for _, u := range dispatch.WorkerUses() {
 		m.workers[u] = r.Gauge("scheduler.workers." + strings.ReplaceAll(string(u), " ", "_"))
 	}
+	for _, c := range speed.Classes() {
+		m.speeds[c] = r.Gauge("scheduler.speeds." + string(c))
+	}
 	return m
 }
 
+// updateSpeeds sets the gauges of workers by class of speed, if the step has counted them, and counts its moves.
+func (m metrics) updateSpeeds(a dispatch.Actions) {
+	m.moves.Inc(int64(a.Moves()))
+	for c, count := range a.Speeds() {
+		m.speeds[c].Update(int64(count))
+	}
+}
+
 // updateWaiting sets the gauges of waiting tasks and of workers by use.
 func (m metrics) updateWaiting(w dispatch.Waiting) {
 	m.waiting.Update(int64(w.Tasks()))
--- a/internal/speed/estimate.go
+++ b/internal/speed/estimate.go
@@ -17,6 +17,9 @@
 	Fast   Class = "fast"
 )
 
+// Classes returns all classes.
+func Classes() []Class { return []Class{Slow, Normal, Fast} }
+
 const (
 	// levelWidth is the difference between two levels, on the logarithmic scale of speeds. Smaller differences do not
 	// outweigh a tighter packing.
