dispatch: the look for runs to move is rarer with many workers

A look passes over all workers. With 7,200 of different speed and no waiting task it came twice a second and could have taken a good part of a core. The interval is now 1 ms for each worker, and 500 ms at least.

--- a/internal/dispatch/speed.go
+++ b/internal/dispatch/speed.go
@@ -141,12 +141,17 @@
 // SpeedsLearned is the kind of decision that records the number of workers by class of speed.
 const SpeedsLearned = "speeds"
 
-// moveInterval is the interval at which runs to move to faster workers are looked for while no task waits.
-const moveInterval = 500 * time.Millisecond
+const (
+	// moveInterval is the least interval at which runs to move to faster workers are looked for while no task waits.
+	moveInterval = 500 * time.Millisecond
+	// moveIntervalPerWorker is the interval for each known worker, since the look passes over all of them.
+	moveIntervalPerWorker = time.Millisecond
+)
 
 // looksForMoves reports whether it is time to look for runs to move.
 func (c *Core) looksForMoves(now time.Time) bool {
-	if now.Sub(c.movedAt) < moveInterval || !c.speeds.Estimates(now).Differ() {
+	interval := max(moveInterval, time.Duration(len(c.hosts))*moveIntervalPerWorker)
+	if now.Sub(c.movedAt) < interval || !c.speeds.Estimates(now).Differ() {
 		return false
 	}
 	c.movedAt = now
--- a/internal/dispatch/step_bench_test.go
+++ b/internal/dispatch/step_bench_test.go
@@ -56,6 +56,29 @@
 	return c, s, now
 }
 
+// tellSpeeds reports speeds of all workers to the leader, as agents do after an election: a third is slow, a third fast.
+func tellSpeeds(c *dispatch.Core, workers int, now time.Time) {
+	for n := range workers {
+		agent := fmt.Sprintf("h%d", n)
+		logarithm := 0.5 * float64(n%3-1)
+		c.Report(now, run.NewReport(agent).WithSpeed(
+			run.NewSpeed(batch.NewIncarnation(agent, "w"+agent, 1), logarithm, logarithm*logarithm, 8, time.Second)))
+	}
+}
+
+// BenchmarkStepWithSpeeds measures one step like BenchmarkStep, with workers of different speed.
+func BenchmarkStepWithSpeeds(b *testing.B) {
+	for _, waiting := range []int{0, benchWaiting} {
+		b.Run(fmt.Sprintf("%d waiting/7200 workers", waiting), func(b *testing.B) {
+			c, s, now := newFleet(b, 7200, waiting)
+			tellSpeeds(c, 7200, now)
+			for b.Loop() {
+				c.Step(now, s)
+			}
+		})
+	}
+}
+
 // BenchmarkStep measures one step with all workers fully used, without and with waiting jobs.
 func BenchmarkStep(b *testing.B) {
 	for _, waiting := range []int{0, benchWaiting} {
