--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -37,6 +37,8 @@
 	zones      zones                                 // of the current step
 	lastForget time.Time
 	lastSave   time.Time
+	speedLog   speedLog
+	movedAt    time.Time // when runs to move were looked for last, without waiting tasks
 	decisions  []Decision
 }
 
@@ -86,6 +88,9 @@
 	if h.update(now, r) {
 		c.observeProgress(now, h.list, h.startsSlowly(now))
 	}
+	if s, ok := r.Speed(); ok && h.announced && s.Worker().Host() == h.agent {
+		c.speeds.Restore(now, h.announcement.Service(), s)
+	}
 	c.observeCrashes(now, h, r.Crashes())
 	for _, e := range r.Refused() {
 		c.ordersOf(e.ID()).refused = true
@@ -143,9 +148,11 @@
 	c.maintain(now, s, hosts, &a)
 	if !waits {
 		a.waiting = &Waiting{}
-	} else if len(a.ends) == 0 && len(a.crashes) == 0 {
+	}
+	if (waits || c.looksForMoves(now)) && len(a.ends) == 0 && len(a.crashes) == 0 {
 		c.place(now, s, stopping, hosts, &a)
 	}
+	c.countSpeeds(now, &a)
 	c.adjustPaces(now, s, &a)
 	c.sendHolds(now, s, &a)
 	c.forget(now, s, &a)
@@ -248,11 +255,16 @@
 		a.waiting = newWaiting(now, p, uses)
 	}
 	a.groups = p.Groups()
-	for _, id := range p.Stops() {
-		j, _ := s.Job(id.Task().Job())
-		t, _ := j.Task(id.Task())
-		c.stop(now, id, hosts[t.Worker()], "preempted by a more urgent job", a)
+	stop := func(ids []run.ID, reason string) {
+		for _, id := range ids {
+			j, _ := s.Job(id.Task().Job())
+			t, _ := j.Task(id.Task())
+			c.stop(now, id, hosts[t.Worker()], reason, a)
+		}
 	}
+	stop(p.Stops(), "preempted by a more urgent job")
+	stop(p.Moves(), "its worker is slow, and a faster one is free")
+	a.moves = len(p.Moves())
 }
 
 // logWaits logs why each waiting step waits, again only when the reason changes.
--- a/internal/scheduler/leader_loop.go
+++ b/internal/scheduler/leader_loop.go
@@ -161,6 +161,7 @@
 		l.metrics.updateWaiting(w)
 	}
 	l.metrics.evacuated.Update(int64(a.EvacuatedRuns()))
+	l.metrics.updateSpeeds(a)
 	for _, o := range a.Orders() {
 		l.queueOrder(o, term)
 	}
