placement: capacity freed for an urgent unit stays reserved for it

A burst of urgent gangs on a full service kept stopping runs. Capacity that was freed for a gang went to patient tasks, which the next decision stopped again a few milliseconds later; with gangs of several widths the narrower ones never started. Three causes:

- Backfilling looked at each reservation of a worker on its own, so two units that had reserved the same worker left room for a third.
- A reservation moved to workers whose runs were declared to end soon, away from the stopping runs.
Urgent units now reserve free and stopping capacity first, and only observed ends let others backfill beside them.
- Beyond four reservations a unit freed capacity without reserving it.

--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -225,7 +225,8 @@
 			sets, u.reason = [][]*workerState{set}, CapacityPending
 		}
 	}
-	if p.reservedUnits < maxReservations {
+	// What is freed for a unit is always reserved, since it would be taken by others and freed once more.
+	if p.reservedUnits < maxReservations || u.reason == CapacityPending {
 		p.reservedUnits++
 		p.reserve(u, sets)
 	}
@@ -362,7 +363,7 @@
 }
 
 // fits reports whether one more task fits into the given free resources of a worker, within the step's limit per worker
-// and beside reservations. A task that ends before a reservation starts may backfill it if the reservation allows.
+// and beside reservations.
 func (p *planner) fits(u *unit, as *assignment, w *workerState, free batch.Resources) bool {
 	needs := u.step.Reserved()
 	if !needs.Fits(free) || !p.isolated(u, w) {
@@ -374,14 +375,7 @@
 	if u.waitPolicy != waitForAll {
 		return true
 	}
-	ends := p.view.now.Add(u.duration)
-	for _, rv := range w.reservations {
-		if (rv.noBackfill || ends.After(rv.from)) &&
-			!needs.Plus(rv.needs).Fits(free.Plus(p.releases(w, declaredEnds).until(rv.from))) {
-			return false
-		}
-	}
-	return true
+	return p.leavesReserved(u, w, free)
 }
 
 // countPlaced returns the number of tasks of the unit's step that were placed on a worker before this unit: earlier, or
--- a/internal/placement/reserve.go
+++ b/internal/placement/reserve.go
@@ -23,18 +23,65 @@
 		return false
 	}
 	left := len(u.indexes)
-	for _, w := range best {
-		n := min(u.maxTasks(p.availableAt(w, from, declaredEnds)), left)
-		left -= n
-		if n > 0 {
-			needs := u.step.Reserved().Times(n)
-			w.reservations = append(w.reservations, reservation{from: from, needs: needs, noBackfill: u.queue.Priority() == 0})
-			w.reserved = w.reserved.Plus(needs)
+	if u.queue.Priority() == 0 {
+		left -= p.reserveOn(u, best, from, left, p.freeOrStopping)
+	}
+	p.reserveOn(u, best, from, left, func(w *workerState) batch.Resources { return p.availableAt(w, from, declaredEnds) })
+	return true
+}
+
+// reserveOn reserves capacity for up to count tasks on the workers of a set, as much as available tells for each. It
+// returns for how many.
+func (p *planner) reserveOn(
+	u *unit, set []*workerState, from time.Time, count int, available func(*workerState) batch.Resources,
+) (reserved int) {
+	for _, w := range set {
+		n := min(u.maxTasks(available(w)), count-reserved)
+		if n <= 0 {
+			continue
+		}
+		reserved += n
+		needs := u.step.Reserved().Times(n)
+		w.reserve(reservation{from: from, needs: needs, noBackfill: u.queue.Priority() == 0})
+	}
+	return reserved
+}
+
+// freeOrStopping returns the resources of a worker that are free or held by stopping runs, less the reserved ones. An
+// urgent unit reserves them first, so that its reservation stays where runs are stopped for it, whatever ends others
+// declare.
+func (p *planner) freeOrStopping(w *workerState) batch.Resources {
+	return w.free.Plus(releasedByStops(w)).Minus(w.reserved)
+}
+
+// leavesReserved reports whether one more task of the unit leaves the given free resources of a worker sufficient for
+// all its reservations. A task that ends before a reservation starts may backfill it if the reservation allows. Where
+// it does not, only free capacity, observed ends and stopping runs count, since declared ends are often wrong.
+func (p *planner) leavesReserved(u *unit, w *workerState, free batch.Resources) bool {
+	ends, needs := p.view.now.Add(u.duration), u.step.Reserved()
+	for _, rv := range w.reservations {
+		if !rv.noBackfill && !ends.After(rv.from) {
+			continue
+		}
+		src := declaredEnds
+		if rv.noBackfill {
+			src = observedEnds
+		}
+		needs = needs.Plus(rv.needs)
+		if !needs.Fits(free.Plus(p.releases(w, src).until(rv.from))) {
+			return false
 		}
 	}
 	return true
 }
 
+// reserve adds a reservation, in the order of the times from which they hold.
+func (w *workerState) reserve(rv reservation) {
+	at := sort.Search(len(w.reservations), func(n int) bool { return w.reservations[n].from.After(rv.from) })
+	w.reservations = slices.Insert(w.reservations, at, rv)
+	w.reserved = w.reserved.Plus(rv.needs)
+}
+
 // endSource selects the runs whose expected ends are relied on.
 type endSource string
 
--- a/internal/placement/view.go
+++ b/internal/placement/view.go
@@ -83,7 +83,7 @@
 	suspect      bool
 	quarantined  bool
 	runs         []*placedRun
-	reservations []reservation
+	reservations []reservation           // by the times from which they hold
 	reserved     batch.Resources         // sum of the reservations
 	released     map[endSource]*releases // results of releases
 }
