batch: the checkpoint of a stop is kept for its gang

A stop saves a new checkpoint, which is valid for the whole gang. The members that end after it list earlier ones, and the last end replaced the checkpoint of the stop, so a preempted gang repeated up to a whole checkpoint interval.

--- a/internal/batch/batch_test.go
+++ b/internal/batch/batch_test.go
@@ -190,6 +190,21 @@
 		assert.Equal(t, "c1", j.Checkpoint(task(0, 0)))
 		assert.Equal(t, "c1", j.Checkpoint(task(0, 1)))
 	})
+	t.Run("the checkpoint of a stop replaces earlier ones and is not replaced by them", func(t *testing.T) {
+		for _, first := range []int{0, 1} {
+			s, _ := placeRuns(newState(t, gang), 0, 1, 0, 1)
+			s = endRun(s, 0, first, 1, batch.Stopped, "new")
+			s = endRun(s, 0, 1-first, 1, batch.Broken, "old")
+			j, _ := s.Job("j")
+			assert.Equal(t, "new", j.Checkpoint(task(0, 0)))
+
+			s, _ = placeRuns(s, 0, 2, 0, 1)
+			s = endRun(s, 0, first, 2, batch.Broken, "second")
+			s = endRun(s, 0, 1-first, 2, batch.Stopped, "third")
+			j, _ = s.Job("j")
+			assert.Equal(t, "third", j.Checkpoint(task(0, 0)))
+		}
+	})
 }
 
 // Guards against an older declaration that replaces a newer one, and against an invalid one that is accepted.
