--- a/internal/placement/view.go
+++ b/internal/placement/view.go
@@ -89,7 +89,7 @@
 	level        int     // of the speed
 	slow         bool    // surely
 	runs         []*placedRun
-	reservations []reservation
+	reservations []reservation           // by the times from which they hold
 	reserved     batch.Resources         // sum of the reservations
 	released     map[endSource]*releases // results of releases
 }
