dispatch: tasks of a service that do not work are counted once a step

Each run of a long-running step in an evacuated zone looked at all tasks of the step, so that one step of the leader grew with the square of the tasks: a step with 54,000 of them did not end within minutes. The count is kept for the step and updated when a run is told to stop or its end is recorded; draining workers and maintenance use the same count.

TestManyRunsOnWorker compares the two sizes also for gangs and services, with the zone evacuated or not.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -32,6 +32,7 @@
 	state      batch.State                           // of the current step
 	used       map[batch.Incarnation]batch.Resources // in that state, once it is needed
 	zones      zones                                 // of the current step
+	notWorking map[batch.TaskID]int                  // results of countNotWorking in the current step
 	lastForget time.Time
 	lastSave   time.Time
 	decisions  []Decision
@@ -131,7 +132,7 @@
 
 // Step decides what to do at the given time in the given state.
 func (c *Core) Step(now time.Time, s batch.State) (a Actions) {
-	c.state, c.used, c.zones = s, nil, newZones(s)
+	c.state, c.used, c.zones, c.notWorking = s, nil, newZones(s), map[batch.TaskID]int{}
 	hosts := c.hostsByIncarnation()
 	c.countCrashes(s, &a)
 	c.orderStarts(now, s, hosts, &a)
@@ -268,6 +269,7 @@
 	if h == nil || !h.connected || now.Sub(o.stopOrderedAt) < stopInterval || !h.takeOrderRoom() {
 		return
 	}
+	c.runStops(id)
 	o.stopOrderedAt = now
 	a.orders = append(a.orders, AddressedOrder{h.agent, run.NewStop(id)})
 	c.logDecision(h, now, id, "stop", reason)
--- a/internal/dispatch/crowded_test.go
+++ b/internal/dispatch/crowded_test.go
@@ -13,14 +13,15 @@
 	"rosemarywind.example/rosemarywind/internal/run"
 )
 
-// newCrowdedFleet returns a leader with the given number of workers, each of which lists the given number of runs.
-func newCrowdedFleet(t *testing.T, workers, runs int) (c *dispatch.Core, s batch.State) {
+// newCrowdedFleet returns a leader with the given number of workers, each of which lists the given number of runs of one
+// step with the given options. The workers are in availability zone z.
+func newCrowdedFleet(t *testing.T, workers, runs int, opts ...batch.StepOption) (c *dispatch.Core, s batch.State) {
 	t.Helper()
 	d, err := batch.NewDeclaration(1, []batch.Queue{
 		batch.NewQueue("q", "h", "/q/", "s").WithPolicy(1, attempts).WithObjective(3, time.Second, time.Second),
 	}, []batch.Service{batch.NewService("s", false, false)}, nil)
 	require.NoError(t, err)
-	spec, err := batch.NewSpec("j", "", batch.NewStep(workers*runs, batch.NewResources(10, 16, 0), time.Hour))
+	spec, err := batch.NewSpec("j", "", batch.NewStep(workers*runs, batch.NewResources(10, 16, 0), time.Hour, opts...))
 	require.NoError(t, err)
 	s, _ = batch.NewState(&stubDecoder{declaration: d, byJob: map[string]batch.Spec{"j": spec}}).Apply(batch.NewDeclare(nil))
 	s, _ = s.Apply(batch.NewSubmit("j", "q", "", nil, epoch))
@@ -45,10 +46,9 @@
 	return c, s
 }
 
-// stepTime returns the shortest time of a few steps of a crowded fleet.
-func stepTime(t *testing.T, workers, runs int) (shortest time.Duration) {
+// stepTime returns the shortest time of a few steps of a fleet with many runs.
+func stepTime(t *testing.T, c *dispatch.Core, s batch.State) (shortest time.Duration) {
 	t.Helper()
-	c, s := newCrowdedFleet(t, workers, runs)
 	shortest = time.Hour
 	for range 4 {
 		startedAt := time.Now()
@@ -56,7 +56,7 @@
 		shortest = min(shortest, time.Since(startedAt))
 		assert.Empty(t, a.Ends())
 	}
-	t.Logf("step of %d runs in %s", workers*runs, shortest)
+	t.Logf("step in %s", shortest)
 	return shortest
 }
 
@@ -65,6 +65,21 @@
 func TestManyRunsOnWorker(t *testing.T) {
 	// Ten times the runs take ten times as long if the time grows with their number, and a hundred times with its square.
 	const workers, runs, factor, maxRatio = 6, 900, 10, 30
-	few, many := stepTime(t, workers, runs), stepTime(t, workers, factor*runs)
-	assert.Less(t, many, maxRatio*few)
+	for name, opts := range map[string][]batch.StepOption{
+		"tasks": nil, "gang": {batch.WithGang(true, false)}, "service": {batch.WithLongRunning(true, 1)},
+	} {
+		for _, evacuated := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, zone evacuated %t", name, evacuated), func(t *testing.T) {
+				measure := func(runs int) time.Duration {
+					c, s := newCrowdedFleet(t, workers, runs, opts...)
+					if evacuated {
+						s, _ = s.Apply(batch.NewEvacuateZone(batch.NewEvacuation("z", "", epoch)))
+					}
+					return stepTime(t, c, s)
+				}
+				few, many := measure(runs), measure(factor*runs)
+				assert.Less(t, many, maxRatio*few)
+			})
+		}
+	}
 }
--- a/internal/dispatch/departure.go
+++ b/internal/dispatch/departure.go
@@ -25,17 +25,38 @@
 	return ""
 }
 
-// countNotWorking counts the other tasks of a long-running step that are not working.
+// countNotWorking counts the other tasks of a long-running step that are not working. The count of all tasks of the step is
+// kept for the step of the core, and updated by runStops.
 func (c *Core) countNotWorking(j *batch.Job, id run.ID) (count int) {
 	task := id.Task()
-	for n, t := range j.Tasks(task.Occurrence(), task.Step()).All() {
-		other := run.NewID(batch.NewTaskID(task.Job(), task.Occurrence(), task.Step(), n), t.Run())
-		p, listed := c.progress[other]
-		o := c.orders[other]
-		stopped := o != nil && !o.stopOrderedAt.IsZero()
-		if n != task.Index() && (t.Phase() != batch.Placed || !listed || p.percent() < fullProgress || stopped) {
-			count++
+	count, known := c.notWorking[task.StepKey()]
+	if !known {
+		for n, t := range j.Tasks(task.Occurrence(), task.Step()).All() {
+			other := run.NewID(batch.NewTaskID(task.Job(), task.Occurrence(), task.Step(), n), t.Run())
+			if t.Phase() != batch.Placed || !c.isWorking(other) {
+				count++
+			}
 		}
+		c.notWorking[task.StepKey()] = count
+	}
+	if !c.isWorking(id) {
+		count--
 	}
 	return count
 }
+
+// isWorking reports whether a placed run is complete, as that of a long-running task is while it serves, and was not told
+// to stop.
+func (c *Core) isWorking(id run.ID) bool {
+	p, listed := c.progress[id]
+	o := c.orders[id]
+	return listed && p.percent() >= fullProgress && (o == nil || o.stopOrderedAt.IsZero())
+}
+
+// runStops updates the count of tasks that are not working before a run is told to stop or its end is recorded.
+func (c *Core) runStops(id run.ID) {
+	key := id.Task().StepKey()
+	if count, known := c.notWorking[key]; known && c.isWorking(id) {
+		c.notWorking[key] = count + 1
+	}
+}
--- a/internal/dispatch/resolve.go
+++ b/internal/dispatch/resolve.go
@@ -145,6 +145,7 @@
 func (c *Core) recordEnd(now time.Time, e batch.End, h *host, a *Actions) {
 	a.ends = append(a.ends, e)
 	id := run.NewID(e.Task(), e.Run())
+	c.runStops(id)
 	delete(c.progress, id)
 	if h == nil {
 		return
--- a/internal/dispatch/zone_test.go
+++ b/internal/dispatch/zone_test.go
@@ -23,6 +23,7 @@
 	state   batch.State
 	decoder *stubDecoder
 	running map[string][]run.Running // by agent
+	ended   map[string][]run.Finished
 	settled map[string][]run.ID
 	slow    map[string]time.Duration
 }
@@ -42,7 +43,7 @@
 	require.NoError(t, err)
 	f := &zoneFixture{
 		t: t, now: epoch, decoder: &stubDecoder{declaration: d, byJob: map[string]batch.Spec{}},
-		running: map[string][]run.Running{}, settled: map[string][]run.ID{}, slow: map[string]time.Duration{},
+		running: map[string][]run.Running{}, ended: map[string][]run.Finished{}, settled: map[string][]run.ID{}, slow: map[string]time.Duration{},
 	}
 	f.state = batch.NewState(f.decoder)
 	f.apply(batch.NewDeclare(nil))
@@ -84,7 +85,7 @@
 		WithRack(agent, []string{"k", agent}).WithCapacity(batch.NewResources(8000, 8000, zoneCapacity)).WithClock(clock).
 		WithSlowStart(f.slow[agent])
 	f.core.Report(f.now, run.NewReport(agent).WithAnnouncement(a).
-		WithList(run.NewList(zoneWorker(agent), f.term, clock, f.running[agent], nil, f.settled[agent])))
+		WithList(run.NewList(zoneWorker(agent), f.term, clock, f.running[agent], f.ended[agent], f.settled[agent])))
 }
 
 // step advances time by 100 ms, reports all workers, and commits the runs that end and begin.
@@ -411,6 +412,12 @@
 		}
 		assert.Equal(t, 2, stops)
 	})
+	t.Run("a task that ends meanwhile counts", func(t *testing.T) {
+		f := serving(t, 1, 2, "a1", "b1", "a2")
+		end := batch.NewEnd(batch.NewTaskID("j", 0, 0, 1), zoneRun, batch.Failed, "")
+		f.running["b1"], f.ended["b1"] = nil, []run.Finished{run.NewFinished(1, end)}
+		assert.Equal(t, []string{"a1"}, f.stopped(1))
+	})
 	t.Run("only where there is room", func(t *testing.T) {
 		f := serving(t, zoneCapacity, 2, "a1", "a2", "b1")
 		assert.Len(t, f.stopped(1), 1, "one worker is free")
