dispatch: the leader counts lost work by cause

An operator could not tell what is thrown away when capacity is short, and by which decision. The leader logs the core-seconds of each run that ends without a result or a checkpoint and counts them by cause: preemption, another member of the gang, the worker, a failure, the job, another stop.

--- a/internal/dispatch/actions.go
+++ b/internal/dispatch/actions.go
@@ -86,6 +86,8 @@
 	kind      string
 	reason    string
 	reportAge time.Duration
+	lostWork  float64
+	cause     LossCause
 }
 
 // ID returns the run, or the zero ID if the decision is about a worker.
@@ -100,5 +102,9 @@
 // Reason returns why the decision was taken, as text for the log.
 func (d Decision) Reason() string { return d.reason }
 
+// LostWork returns the work that the end of a run loses, in core-seconds, and the cause; both are zero for any other
+// decision.
+func (d Decision) LostWork() (coreSeconds float64, cause LossCause) { return d.lostWork, d.cause }
+
 // ReportAge returns the age of the worker's latest report; it is 0 if no worker is involved.
 func (d Decision) ReportAge() time.Duration { return d.reportAge }
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -41,6 +41,7 @@
 	startOrderedAt time.Time
 	startSession   uint64 // the agent's session at the start order
 	stopOrderedAt  time.Time
+	stopReason     string // of the first stop order
 	savedAt        time.Time
 	refused        bool
 	withheld       bool // this leader placed the run, and its worker was not usable when the start was due
@@ -237,7 +238,7 @@
 	for _, id := range p.Stops() {
 		j, _ := s.Job(id.Task().Job())
 		t, _ := j.Task(id.Task())
-		c.stop(now, id, hosts[t.Worker()], "preempted by a more urgent job", a)
+		c.stop(now, id, hosts[t.Worker()], preempted, a)
 	}
 }
 
@@ -259,7 +260,7 @@
 	if h == nil || !h.connected || now.Sub(o.stopOrderedAt) < stopInterval || !h.takeOrderRoom() {
 		return
 	}
-	o.stopOrderedAt = now
+	o.stopOrderedAt, o.stopReason = now, cmp.Or(o.stopReason, reason)
 	a.orders = append(a.orders, AddressedOrder{h.agent, run.NewStop(id)})
 	c.logDecision(h, now, id, "stop", reason)
 }
--- a/internal/dispatch/resolve.go
+++ b/internal/dispatch/resolve.go
@@ -137,6 +137,9 @@
 func (c *Core) recordEnd(now time.Time, e batch.End, h *host, a *Actions) {
 	a.ends = append(a.ends, e)
 	id := run.NewID(e.Task(), e.Run())
+	if lost, cause := c.lossOf(now, e); lost > 0 {
+		c.decisions = append(c.decisions, Decision{id: id, kind: WorkLost, reason: string(cause), lostWork: lost, cause: cause})
+	}
 	delete(c.progress, id)
 	if h == nil {
 		return
--- a/internal/scheduler/leader_loop.go
+++ b/internal/scheduler/leader_loop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync/atomic"
 	"time"
 
@@ -271,8 +272,19 @@
 			l.metrics.crashes.Inc(1)
 		case "stop":
 			l.metrics.stops.Inc(1)
+		case dispatch.WorkLost:
+			l.countLostWork(e)
+			continue
 		}
 		l.logger.Info("run", "task", e.ID().Task().String(), "run", e.ID().Run(), "worker", e.Worker(),
 			"decision", e.Kind(), "reason", e.Reason(), "age_ms", e.ReportAge().Milliseconds())
 	}
 }
+
+// countLostWork counts and logs the work that a run loses.
+func (l *leaderLoop) countLostWork(d dispatch.Decision) {
+	lost, cause := d.LostWork()
+	l.metrics.lostWork[cause].Inc(int64(math.Round(lost)))
+	l.logger.Info("run", "task", d.ID().Task().String(), "run", d.ID().Run(), "decision", d.Kind(),
+		"reason", d.Reason(), "core_s", math.Round(lost))
+}
--- a/internal/scheduler/metrics.go
+++ b/internal/scheduler/metrics.go
@@ -25,6 +25,7 @@
 	waiting   gometrics.Gauge // tasks that are ready and wait for workers
 	longWaits gometrics.Gauge // steps with tasks that have waited for some seconds
 	workers   map[dispatch.WorkerUse]gometrics.Gauge
+	lostWork  map[dispatch.LossCause]gometrics.Counter // core-seconds
 }
 
 func newMetrics(r *telemetry.Registry) metrics {
@@ -36,7 +37,10 @@
 		commit: r.Histogram("scheduler.commit"), decision: r.Histogram("scheduler.decision"),
 		answering: r.Histogram("scheduler.answering"),
 		waiting:   r.Gauge("scheduler.waiting_tasks"), longWaits: r.Gauge("scheduler.long_waits"),
-		workers: map[dispatch.WorkerUse]gometrics.Gauge{},
+		workers: map[dispatch.WorkerUse]gometrics.Gauge{}, lostWork: map[dispatch.LossCause]gometrics.Counter{},
+	}
+	for _, c := range dispatch.LossCauses() {
+		m.lostWork[c] = r.Counter("scheduler.lost_work." + string(c))
 	}
 	for _, u := range dispatch.WorkerUses() {
 		m.workers[u] = r.Gauge("scheduler.workers." + strings.ReplaceAll(string(u), " ", "_"))
