--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -48,6 +48,7 @@
 	startOrderedAt time.Time
 	startSession   uint64 // the agent's session at the start order
 	stopOrderedAt  time.Time
+	stopReason     string // of the first stop order
 	savedAt        time.Time
 	refused        bool
 	withheld       bool // this leader placed the run, and its worker was not usable when the start was due
@@ -263,8 +264,8 @@
 			c.stop(now, id, hosts[t.Worker()], reason, a)
 		}
 	}
-	stop(p.Stops(), "preempted by a more urgent job")
-	stop(p.Moves(), "its worker is slow, and a faster one is free")
+	stop(p.Stops(), preempted)
+	stop(p.Moves(), movedFromSlow)
 	a.moves = len(p.Moves())
 }
 
@@ -287,7 +288,7 @@
 		return
 	}
 	c.runStops(id)
-	o.stopOrderedAt = now
+	o.stopOrderedAt, o.stopReason = now, cmp.Or(o.stopReason, reason)
 	a.orders = append(a.orders, AddressedOrder{h.agent, run.NewStop(id)})
 	c.logDecision(h, now, id, "stop", reason)
 }
--- a/internal/dispatch/resolve.go
+++ b/internal/dispatch/resolve.go
@@ -146,6 +146,9 @@
 	a.ends = append(a.ends, e)
 	id := run.NewID(e.Task(), e.Run())
 	c.runStops(id)
+	if lost, cause := c.lossOf(now, e); lost > 0 {
+		c.decisions = append(c.decisions, Decision{id: id, kind: WorkLost, reason: string(cause), lostWork: lost, cause: cause})
+	}
 	delete(c.progress, id)
 	c.speeds.End(now, id)
 	if h == nil {
--- a/internal/dispatch/speed.go
+++ b/internal/dispatch/speed.go
@@ -162,3 +162,6 @@
 func (h *host) surelySlow(e speed.Estimates) bool {
 	return e.Of(h.announcement.Incarnation()).SurelyBelow(slowRatio)
 }
+
+// movedFromSlow is the reason of a stop that moves a run to a faster worker.
+const movedFromSlow = "its worker is slow, and a faster one is free"
--- a/internal/scheduler/metrics.go
+++ b/internal/scheduler/metrics.go
@@ -30,6 +30,7 @@
 	workers   map[dispatch.WorkerUse]gometrics.Gauge
 	speeds    map[speed.Class]gometrics.Gauge // observed workers
 	moves     gometrics.Counter
+	lostWork  map[dispatch.LossCause]gometrics.Counter // core-seconds
 }
 
 func newMetrics(r *telemetry.Registry) metrics {
@@ -43,7 +44,10 @@
 		answering: r.Histogram("scheduler.answering"),
 		waiting:   r.Gauge("scheduler.waiting_tasks"), longWaits: r.Gauge("scheduler.long_waits"),
 		workers: map[dispatch.WorkerUse]gometrics.Gauge{}, speeds: map[speed.Class]gometrics.Gauge{},
-		moves: r.Counter("scheduler.moves"),
+		moves: r.Counter("scheduler.moves"), lostWork: map[dispatch.LossCause]gometrics.Counter{},
+	}
+	for _, c := range dispatch.LossCauses() {
+		m.lostWork[c] = r.Counter("scheduler.lost_work." + string(c))
 	}
 	for _, u := range dispatch.WorkerUses() {
 		m.workers[u] = r.Gauge("scheduler.workers." + strings.ReplaceAll(string(u), " ", "_"))
