speed: bounded work and memory for wide steps and for workers that have left

Each listed run computed the mean of its step anew, so a list of a step with thousands of runs at work cost thousands of operations for each of them. The mean is now that of the last fit. Workers are forgotten once hardly anything is known of them, a bit over an hour after their last run. The variance of tasks has a lower bound, so that exactly alike tasks do not divide by zero.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -303,7 +303,7 @@
 			delete(c.progress, id)
 		}
 	}
-	c.speeds.Forget(func(job string) bool {
+	c.speeds.Forget(now, func(job string) bool {
 		j, known := s.Job(job)
 		return known && j.Active()
 	})
--- a/internal/speed/fit.go
+++ b/internal/speed/fit.go
@@ -11,6 +11,8 @@
 const (
 	// initialDeviation is the standard deviation of the tasks of a step that is assumed before any is observed.
 	initialDeviation = 0.3
+	// minDeviation is the least standard deviation of tasks that is assumed, also where all have been alike.
+	minDeviation = 0.02
 	// initialWeight is the number of observations that the assumption counts as.
 	initialWeight = 20
 	// maxServiceWeight bounds the weight of the observations of a service's tasks.
@@ -45,7 +47,7 @@
 }
 
 // noise returns the variance of a task.
-func (s *service) noise() float64 { return s.squares.mean() }
+func (s *service) noise() float64 { return max(s.squares.mean(), minDeviation*minDeviation) }
 
 // addResidual takes in the residual of a group of ended runs on a worker with the given evidence beside it.
 func (s *service) addResidual(own, others average) {
@@ -107,6 +109,7 @@
 // workers.
 func (m *Model) fitStep(s *step) {
 	c, sv := m.center(s), m.services[s.service]
+	s.center = c.all
 	for _, r := range s.runs {
 		others := c.all.minus(c.byHost[r.host])
 		if others.weight < minWeight {
--- a/internal/speed/model.go
+++ b/internal/speed/model.go
@@ -20,6 +20,8 @@
 	// maxWorkerWeight bounds the weight of the earlier observations of a worker, so that a change of its speed shows after
 	// as many runs.
 	maxWorkerWeight = 16
+	// minWorkerWeight is the weight below which a worker without runs is forgotten.
+	minWorkerWeight = 0.05
 	// maxStepWeight bounds the weight of the ended runs of a step.
 	maxStepWeight = 64
 )
@@ -60,6 +62,7 @@
 	runs    map[run.ID]*observedRun
 	groups  map[string]*group // by host
 	ended   average
+	center  average // of all its runs, as of the last fit
 }
 
 // observedRun is the latest observation of a run at work and its part of its group.
@@ -154,10 +157,14 @@
 	w.ended = w.ended.scaled(min(1, maxWorkerWeight/max(w.ended.weight, minWeight)))
 }
 
-// Forget drops the steps of jobs for which known returns false.
-func (m *Model) Forget(known func(job string) bool) {
+// Forget drops the steps of jobs for which known returns false, and workers of which hardly anything is known any more.
+func (m *Model) Forget(now time.Time, known func(job string) bool) {
+	observed := map[string]bool{}
 	for key, s := range m.steps {
 		if known(key.job) {
+			for host := range s.groups {
+				observed[host] = true
+			}
 			continue
 		}
 		for host, g := range s.groups {
@@ -167,6 +174,11 @@
 		delete(m.steps, key)
 		delete(m.changed, key)
 	}
+	for host, w := range m.workers {
+		if !observed[host] && w.endedBy(now).weight < minWorkerWeight {
+			delete(m.workers, host)
+		}
+	}
 }
 
 // Duration returns how long a task of a step takes on a normal worker; ok is false if that is not known, or if the
@@ -176,11 +188,10 @@
 	if !known || m.services[s.service].spread == 0 {
 		return 0, false
 	}
-	center := m.center(s)
-	if center.all.weight < minWeight {
+	if s.center.weight < minWeight {
 		return 0, false
 	}
-	return time.Duration(math.Exp(center.all.mean()) * float64(time.Second)), true
+	return time.Duration(math.Exp(s.center.mean()) * float64(time.Second)), true
 }
 
 // Estimates returns the estimates at a time.
@@ -230,3 +241,6 @@
 
 // Steps returns the number of steps about which the model keeps observations.
 func (m *Model) Steps() int { return len(m.steps) }
+
+// Workers returns the number of workers about which the model keeps observations.
+func (m *Model) Workers() int { return len(m.workers) }
--- a/internal/speed/model_test.go
+++ b/internal/speed/model_test.go
@@ -220,8 +220,32 @@
 	f.play(30, 5)
 	f.observe("live", 0, 0, time.Second)
 	f.observe("live", 1, 1, time.Second)
-	f.model.Forget(func(job string) bool { return job == "live" })
+	f.model.Forget(f.now, func(job string) bool { return job == "live" })
 	assert.Equal(t, 1, f.model.Steps())
-	f.model.Forget(func(string) bool { return false })
+	assert.Equal(t, 12, f.model.Workers())
+	later := f.now.Add(3 * time.Hour)
+	f.model.Forget(later, func(job string) bool { return job == "live" })
+	assert.Equal(t, 2, f.model.Workers(), "those with runs at work stay")
+	f.model.Forget(later, func(string) bool { return false })
 	assert.Equal(t, 0, f.model.Steps())
+	assert.Equal(t, 0, f.model.Workers())
+}
+
+// Guards against estimates that are not numbers since all tasks have been exactly alike for a long time.
+func TestExactlyAlikeTasks(t *testing.T) {
+	f := newFleet(7, 12, 1)
+	for n := range 3000 {
+		f.jobs++
+		for i := range 12 {
+			f.observe(fmt.Sprintf("j%d", n), i, i, 3*time.Second)
+		}
+		f.now = f.now.Add(300 * time.Millisecond)
+		f.model.Estimates(f.now)
+		for _, id := range f.live {
+			f.model.End(f.now, id)
+		}
+		f.live = nil
+	}
+	f.now = f.now.Add(time.Second)
+	assertAllNormal(t, f)
 }
