--- a/internal/placement/load_test.go
+++ b/internal/placement/load_test.go
@@ -88,8 +88,9 @@
 	stopping        map[run.ID]bool
 	submittedAt     map[string]time.Time
 	startedAt       map[string]time.Time
-	wastedWork      float64 // core-seconds
-	acceleratorTime float64 // accelerator-seconds
+	wastedWork      float64                       // core-seconds
+	acceleratorTime float64                       // accelerator-seconds
+	actualSpeeds    map[batch.Incarnation]float64 // of workers that are not normal
 }
 
 func newSimulatedDay(t *testing.T, seed uint64) *simulatedDay {
@@ -169,8 +170,8 @@
 // applyDecision makes a decision, stops the runs that it preempts and starts its groups.
 func (d *simulatedDay) applyDecision() {
 	p := placement.Decide(placement.NewView(d.now, d.state, d.workers, d.stopping, remoteFactor).
-		WithForecast(d.forecast()))
-	for _, id := range p.Stops() {
+		WithForecast(d.forecast()).WithSpeeds(d.speeds))
+	for _, id := range slices.Concat(p.Stops(), p.Moves()) {
 		d.stop(id)
 	}
 	if len(p.Groups()) == 0 {
@@ -180,7 +181,7 @@
 	d.assertCapacityOf(262_144)
 	for _, g := range p.Groups() {
 		for _, m := range g.Members() {
-			d.ends[run.NewID(g.Task(m), m.Run())] = d.now.Add(d.remaining[g.Task(m)])
+			d.ends[run.NewID(g.Task(m), m.Run())] = d.now.Add(time.Duration(float64(d.remaining[g.Task(m)]) / d.actualSpeed(m.Worker())))
 		}
 		id := g.Step().Job()
 		if _, known := d.startedAt[id]; !known {
@@ -246,7 +247,7 @@
 		how := batch.Done
 		if d.stopping[id] {
 			how = batch.Stopped
-			d.interrupt(id, d.now.Sub(t.PhaseSince()), step)
+			d.interrupt(id, time.Duration(float64(d.now.Sub(t.PhaseSince()))*d.actualSpeed(t.Worker())), step)
 		}
 		d.acceleratorTime += d.now.Sub(t.PhaseSince()).Seconds() * float64(step.Resources().Accelerators())
 		d.apply(batch.NewEndRuns(d.now, batch.NewEnd(id.Task(), id.Run(), how, "")))
@@ -255,6 +256,14 @@
 	}
 }
 
+// actualSpeed returns the speed at which a worker runs tasks, whether it is known or not.
+func (d *simulatedDay) actualSpeed(w batch.Incarnation) float64 {
+	if s, known := d.actualSpeeds[w]; known {
+		return s
+	}
+	return 1
+}
+
 // interrupt accounts for the work of a run that was stopped: with checkpoints it counts, less resumeCost; without, it
 // is wasted.
 func (d *simulatedDay) interrupt(id run.ID, ran time.Duration, step batch.Step) {
