dispatch: the checkpoint of a stop is kept for its gang by the leader

The rule in the replicated state kept the first checkpoint of a gang's run unless a stop replaced it, so a gang whose first member was lost without a checkpoint began anew though the others had listed one, and replicas of two versions could have applied one record differently. The leader drops the checkpoint of a member that ends by itself after another was stopped; the state is as before.

--- a/internal/batch/job.go
+++ b/internal/batch/job.go
@@ -169,8 +169,7 @@
 	step := j.spec.steps[e.task.step]
 	tasks := next.open[position].steps[e.task.step].edit()
 	shared := j.sharedID(e.task).index
-	if e.checkpoint != "" && (e.outcome == Stopped || !step.gang || tasks.list.Count(Waiting) == 0) {
-		// A stop saves a new checkpoint. The other members of a gang, which end after the first, only list earlier ones.
+	if e.checkpoint != "" {
 		tasks.change(shared, func(t *Task) { t.checkpoint = e.checkpoint })
 	}
 	tasks.change(e.task.index, func(t *Task) { t.phase, t.phaseSince = Waiting, at })
--- a/internal/dispatch/checkpoints.go
+++ b/internal/dispatch/checkpoints.go
@@ -62,3 +62,30 @@
 	}
 	return j.Active() && j.Checkpoint(id) != r.Checkpoint()
 }
+
+// keepStopCheckpoint returns the end without its checkpoint if another member of its gang was stopped in the same run: a
+// stop saves a new checkpoint, and the members that end by themselves after it list earlier ones. A leader that takes
+// over meanwhile does not know of the stop, and the gang repeats up to one checkpoint interval.
+func (c *Core) keepStopCheckpoint(e batch.End) batch.End {
+	j, known := c.state.Job(e.Task().Job())
+	if !known || e.Checkpoint() == "" || !j.Spec().Steps()[e.Task().Step()].Gang() {
+		return e
+	}
+	key := e.Task().StepKey()
+	switch {
+	case e.Outcome() == batch.Stopped:
+		c.stoppedGangs[key] = e.Run()
+	case c.stoppedGangs[key] == e.Run():
+		return batch.NewEnd(e.Task(), e.Run(), e.Outcome(), "")
+	}
+	return e
+}
+
+// forgetStoppedGangs drops what is known of the gangs of jobs that have ended.
+func (c *Core) forgetStoppedGangs(s batch.State) {
+	for key := range c.stoppedGangs {
+		if j, known := s.Job(key.Job()); !known || !j.Active() {
+			delete(c.stoppedGangs, key)
+		}
+	}
+}
--- a/internal/dispatch/checkpoints_test.go
+++ b/internal/dispatch/checkpoints_test.go
@@ -21,6 +21,7 @@
 	state       batch.State
 	incarnation batch.Incarnation
 	decoder     *stubDecoder
+	ended       int64 // number of the end listed last
 }
 
 // newFixture returns a fixture with a job of the given number of tasks, all placed on the worker.
@@ -117,3 +118,72 @@
 		assert.Len(t, saved, tasks)
 	})
 }
+
+// Guards against a preempted gang that repeats up to a whole checkpoint interval: the checkpoint that a stop has saved
+// must not be replaced by earlier ones that the other members list at their ends, in whichever order the ends come.
+func TestCheckpointOfStoppedGang(t *testing.T) {
+	for _, first := range []int{0, 1} {
+		t.Run(fmt.Sprintf("member %d ends first", first), func(t *testing.T) {
+			f := newFixture(t, 1)
+			f.submitGang("gang")
+			f.end("gang", first, 1, batch.Stopped, "new")
+			f.end("gang", 1-first, 1, batch.Broken, "old")
+			f.assertCheckpoint("gang", "new")
+
+			f.placeGang("gang", 2)
+			f.end("gang", first, 2, batch.Broken, "second")
+			f.end("gang", 1-first, 2, batch.Stopped, "third")
+			f.assertCheckpoint("gang", "third")
+
+			f.placeGang("gang", 3)
+			f.end("gang", first, 3, batch.Broken, "fourth")
+			f.assertCheckpoint("gang", "fourth")
+		})
+	}
+}
+
+// submitGang accepts a job of one gang of two tasks with checkpoints, and places its first run.
+func (f *fixture) submitGang(id string) {
+	f.t.Helper()
+	spec, err := batch.NewSpec(id, "", batch.NewStep(2, batch.NewResources(1, 1, 0), time.Second, batch.WithGang(true, false), batch.WithCheckpoints(true)))
+	require.NoError(f.t, err)
+	f.decoder.byJob[id] = spec
+	f.apply(batch.NewSubmit(id, "q", "", nil, f.now))
+	f.placeGang(id, 1)
+}
+
+func (f *fixture) placeGang(id string, number int) {
+	f.apply(batch.NewPlaceRuns(f.now, batch.NewGroup(batch.NewTaskID(id, 0, 0, 0),
+		batch.NewMember(0, number, f.incarnation), batch.NewMember(1, number, f.incarnation))))
+}
+
+// end lets the worker list the end of a run, and commits what the leader makes of it.
+func (f *fixture) end(id string, index, number int, outcome batch.RunOutcome, checkpoint string) {
+	f.t.Helper()
+	f.now = f.now.Add(100 * time.Millisecond)
+	f.ended++
+	var running []run.Running
+	j, _ := f.state.Job(id)
+	for n, t := range j.Tasks(0, 0).In(batch.Placed) {
+		if n != index {
+			running = append(running, run.NewRunning(run.NewID(batch.NewTaskID(id, 0, 0, n), t.Run()), "", 50, 0))
+		}
+	}
+	finished := []run.Finished{run.NewFinished(f.ended, batch.NewEnd(batch.NewTaskID(id, 0, 0, index), number, outcome, checkpoint))}
+	clock := 2*time.Second + f.now.Sub(epoch)
+	f.core.Report(f.now, run.NewReport("h").WithList(run.NewList(f.incarnation, 1, clock, running, finished, nil)))
+	for _, e := range f.core.Step(f.now, f.state).Ends() {
+		if e.Task().Job() == id {
+			f.apply(batch.NewEndRuns(f.now, e))
+		}
+	}
+	after, _ := f.state.Job(id)
+	task, _ := after.Task(batch.NewTaskID(id, 0, 0, index))
+	require.Equal(f.t, batch.Waiting, task.Phase())
+}
+
+func (f *fixture) assertCheckpoint(id, want string) {
+	f.t.Helper()
+	j, _ := f.state.Job(id)
+	assert.Equal(f.t, want, j.Checkpoint(batch.NewTaskID(id, 0, 0, 0)))
+}
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -29,6 +29,8 @@
 	loggedWaits  map[batch.TaskID]placement.Reason // the reason logged last, by the key of the step's occurrence
 	longWaits    map[batch.TaskID]time.Time        // when a long wait was logged last, by the same key
 	explainedAt  time.Time                         // when long waits were explained last
+	// stoppedGangs holds the latest run in which a member was stopped and has left a checkpoint, by the key of the step.
+	stoppedGangs map[batch.TaskID]int
 	// drains holds the machines that are being drained for maintenance, by name.
 	drains     map[string]*machineDrain
 	uncounted  []batch.RunCrash                      // reported crashes that the state may not count yet
@@ -63,7 +65,7 @@
 		progress: map[run.ID]*progress{}, durations: map[placement.StepKey]time.Duration{}, speeds: speed.NewModel(),
 		advice: advice{verdicts: map[batch.TaskID]map[batch.Incarnation]verdict{}},
 		drains: map[string]*machineDrain{}, loggedWaits: map[batch.TaskID]placement.Reason{},
-		longWaits: map[batch.TaskID]time.Time{},
+		longWaits: map[batch.TaskID]time.Time{}, stoppedGangs: map[batch.TaskID]int{},
 	}
 }
 
@@ -311,6 +313,7 @@
 		}
 	}
 	c.forgetAdvice(s)
+	c.forgetStoppedGangs(s)
 	for id := range c.progress {
 		if j, known := s.Job(id.Task().Job()); !known || !j.HasPlaced() {
 			delete(c.progress, id)
--- a/internal/dispatch/resolve.go
+++ b/internal/dispatch/resolve.go
@@ -143,7 +143,7 @@
 
 // recordEnd adds an end to the commit and updates the health of the worker.
 func (c *Core) recordEnd(now time.Time, e batch.End, h *host, a *Actions) {
-	a.ends = append(a.ends, e)
+	a.ends = append(a.ends, c.keepStopCheckpoint(e))
 	id := run.NewID(e.Task(), e.Run())
 	c.runStops(id)
 	if lost, cause := c.lossOf(now, e); lost > 0 {
