--- a/internal/speed/model.go
+++ b/internal/speed/model.go
@@ -244,3 +244,21 @@
 
 // Workers returns the number of workers about which the model keeps observations.
 func (m *Model) Workers() int { return len(m.workers) }
+
+// Deviation returns how much longer a run takes than its step and worker make expect, on the logarithmic scale; ok is false
+// if too little is known of the run or its step.
+func (m *Model) Deviation(now time.Time, id run.ID) (d float64, ok bool) {
+	s, known := m.steps[newStepKey(id)]
+	if !known {
+		return 0, false
+	}
+	r, known := s.runs[id]
+	if !known || s.center.weight < minCenterWeight {
+		return 0, false
+	}
+	estimate := m.workers[r.host].estimate(now, m.services[s.service])
+	return r.logarithm + estimate.logarithm - s.center.mean(), true
+}
+
+// minCenterWeight is the least weight of a step's runs with which a single one is compared.
+const minCenterWeight = 2
