placement: images that slow each other down are kept apart within the rack

Cause: a task is packed beside an image that it slows down or that slows it down while another worker is free.

Change: in place of the preferred worker of a task, or workers of a gang, others of the same rack that suit the unit as well and run no such image. The rack and the amount stay the same, so that headroom, reservations and waits do not change.

--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -139,7 +139,7 @@
 		// A task makes its worker fuller, so that it stays the preferred one of the next task, unless the unit is under
 		// suspicion.
 		if w == nil || u.suspicion.any() || !p.fits(u, as, w, w.free) {
-			w = p.bestWorker(u, as, eligible)
+			w = p.keepApart(u, as, eligible, p.bestWorker(u, as, eligible))
 		}
 		if w != nil && (!p.leavesHeadroom(u, w) || !p.guaranteesPermit(u, 1)) {
 			heldBack, u.reason = true, CapacityReserved
@@ -210,6 +210,7 @@
 	if best == nil && u.waitPolicy == waitForNothing {
 		best = p.assignBySpeed(u, p.eligible(u))
 	}
+	best = p.keepGangApart(u, best)
 	if best != nil {
 		if !p.leavesHeadroom(u, best.workers...) || !p.guaranteesPermit(u, len(u.indexes)) {
 			u.reason = CapacityReserved
--- a/internal/placement/setup_test.go
+++ b/internal/placement/setup_test.go
@@ -32,13 +32,14 @@
 // fixture holds a state at a virtual time and six workers in three racks, each with 8 accelerators, 128 cores and 256
 // GB.
 type fixture struct {
-	t       *testing.T
-	decoder *specDecoder
-	state   batch.State
-	workers []placement.Worker
-	stopped map[run.ID]bool // runs that were ordered to stop
-	now     time.Time
-	speeds  speed.Estimates
+	t         *testing.T
+	decoder   *specDecoder
+	state     batch.State
+	workers   []placement.Worker
+	stopped   map[run.ID]bool // runs that were ordered to stop
+	now       time.Time
+	speeds    speed.Estimates
+	slowdowns speed.Slowdowns
 }
 
 // The queues of a fixture.
@@ -103,7 +104,8 @@
 // decide makes a decision, starts the runs of its plan and records the stops.
 func (f *fixture) decide() placement.Plan {
 	f.t.Helper()
-	p := placement.Decide(placement.NewView(f.now, f.state, f.workers, f.stopped, remoteFactor).WithSpeeds(f.speeds))
+	p := placement.Decide(placement.NewView(f.now, f.state, f.workers, f.stopped, remoteFactor).WithSpeeds(f.speeds).
+		WithSlowdowns(f.slowdowns))
 	for _, id := range p.Stops() {
 		f.stopped[id] = true
 	}
--- a/internal/placement/view.go
+++ b/internal/placement/view.go
@@ -40,6 +40,7 @@
 	forecast     Forecast
 	verdicts     Verdicts
 	speeds       speed.Estimates
+	slowdowns    speed.Slowdowns
 	explained    int           // how many waits the plan explains, see WithExplanations
 	explainAfter time.Duration // how long a step has waited before its wait is explained
 }
@@ -64,6 +65,8 @@
 	moves   []run.ID
 	inquiry Inquiry
 	waits   []Wait
+
+	keptApart int
 }
 
 // Inquiry returns the question to ask the advisor; ok is false if no step waits for advice.
