dispatch: which images slow each other down is learned from the lists

Cause: the leader knew from the lists which tasks share a worker and how they fare, and made nothing of it.

Change: once a second for each worker the images beside each run, the tail latency of serving tasks and the end of others go to speed.Interference, and its pairs to the placement.

--- a/internal/dispatch/actions.go
+++ b/internal/dispatch/actions.go
@@ -25,6 +25,8 @@
 	waiting     *Waiting
 	speeds      map[speed.Class]int
 	moves       int
+	pairs       int
+	keptApart   int
 	wake        time.Time
 
 	evacuatedRuns int
@@ -78,6 +80,12 @@
 // Moves returns the number of runs that are ordered to stop because faster workers are free.
 func (a Actions) Moves() int { return a.moves }
 
+// Pairs returns the number of pairs of images of which one is known to slow the other down.
+func (a Actions) Pairs() int { return a.pairs }
+
+// KeptApart returns the number of placements that chose another worker to keep such images apart.
+func (a Actions) KeptApart() int { return a.keptApart }
+
 // Wake returns the latest time for the next step.
 func (a Actions) Wake() time.Time { return a.wake }
 
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -24,7 +24,9 @@
 	progress     map[run.ID]*progress
 	durations    map[placement.StepKey]time.Duration
 	speeds       *speed.Model
-	listed       []run.ID // runs with progress reported since the last step
+	interference *speed.Interference
+	slowdowns    speed.Slowdowns // of the current step
+	listed       []run.ID        // runs with progress reported since the last step
 	advice       advice
 	loggedWaits  map[batch.TaskID]placement.Reason // the reason logged last, by the key of the step's occurrence
 	longWaits    map[batch.TaskID]time.Time        // when a long wait was logged last, by the same key
@@ -63,8 +65,9 @@
 		timing: t, fencingToken: fencingToken, electedAt: now, lastForget: now,
 		hosts: map[string]*host{}, orders: map[run.ID]*runOrders{}, toStart: map[run.ID]bool{},
 		progress: map[run.ID]*progress{}, durations: map[placement.StepKey]time.Duration{}, speeds: speed.NewModel(),
-		advice: advice{verdicts: map[batch.TaskID]map[batch.Incarnation]verdict{}},
-		drains: map[string]*machineDrain{}, loggedWaits: map[batch.TaskID]placement.Reason{},
+		interference: speed.NewInterference(),
+		advice:       advice{verdicts: map[batch.TaskID]map[batch.Incarnation]verdict{}},
+		drains:       map[string]*machineDrain{}, loggedWaits: map[batch.TaskID]placement.Reason{},
 		longWaits: map[batch.TaskID]time.Time{}, stoppedGangs: map[batch.TaskID]int{},
 	}
 }
@@ -146,6 +149,7 @@
 	c.state, c.used, c.zones, c.notWorking = s, nil, newZones(s), map[batch.TaskID]int{}
 	hosts := c.hostsByIncarnation()
 	c.observeSpeeds(now, s)
+	c.observeNeighbours(now, s, &a)
 	c.countCrashes(s, &a)
 	c.orderStarts(now, s, hosts, &a)
 	stopping, waits := c.resolve(now, s, hosts, &a)
@@ -245,7 +249,8 @@
 		case Disconnected, Unannounced, Unreachable, Leaving, Silent, RunsUnknown, ClockUnknown, Evacuated, Maintained, Stalled:
 		}
 	}
-	v := placement.NewView(now, s, workers, stopping, c.timing.remoteFactor).WithSpeeds(speeds)
+	v := placement.NewView(now, s, workers, stopping, c.timing.remoteFactor).WithSpeeds(speeds).
+		WithSlowdowns(c.slowdowns)
 	explain := now.Sub(c.explainedAt) >= explainInterval
 	if explain {
 		c.explainedAt = now
@@ -268,7 +273,7 @@
 	}
 	stop(p.Stops(), preempted)
 	stop(p.Moves(), movedFromSlow)
-	a.moves = len(p.Moves())
+	a.moves, a.keptApart = len(p.Moves()), p.KeptApart()
 }
 
 // logWaits logs why each waiting step waits, again only when the reason changes.
--- a/internal/dispatch/host.go
+++ b/internal/dispatch/host.go
@@ -19,6 +19,7 @@
 	list             run.List
 	listIndex        listIndex
 	listed           bool
+	neighboursAt     time.Time // when the images on the worker were observed last
 	listedAt         time.Time
 	pace             *pace
 	clock            time.Duration
--- a/internal/dispatch/resolve.go
+++ b/internal/dispatch/resolve.go
@@ -150,6 +150,7 @@
 		c.decisions = append(c.decisions, Decision{id: id, kind: WorkLost, reason: string(cause), lostWork: lost, cause: cause})
 	}
 	delete(c.progress, id)
+	c.endNeighbours(now, id)
 	c.speeds.End(now, id)
 	if h == nil {
 		return
--- a/internal/placement/interference_test.go
+++ b/internal/placement/interference_test.go
@@ -32,14 +32,14 @@
 		want      map[int]int
 		keptApart int
 	}{
-		"slowed down by it":     {"b", imageStep(1, 2, "a"), map[int]int{1: 1}, 1},
-		"slows it down":         {"a", imageStep(1, 2, "b"), map[int]int{1: 1}, 1},
-		"no pair":               {"c", imageStep(1, 2, "a"), map[int]int{0: 1}, 0},
-		"no image":              {"b", gang(1, 2, time.Second), map[int]int{0: 1}, 0},
-		"no room in the rack":   {"b", imageStep(6, 2, "a"), map[int]int{0: 2, 1: 4}, 1},
-		"a gang":                {"b", imageStep(2, 2, "a", batch.WithGang(true, true)), map[int]int{1: 2}, 1},
-		"a loose gang":          {"b", imageStep(2, 2, "a", batch.WithGang(true, false)), map[int]int{1: 2}, 1},
-		"a gang without room":   {"b", imageStep(3, 4, "a", batch.WithGang(true, true)), map[int]int{0: 1, 1: 2}, 0},
+		"slowed down by it":   {"b", imageStep(1, 2, "a"), map[int]int{1: 1}, 1},
+		"slows it down":       {"a", imageStep(1, 2, "b"), map[int]int{1: 1}, 1},
+		"no pair":             {"c", imageStep(1, 2, "a"), map[int]int{0: 1}, 0},
+		"no image":            {"b", gang(1, 2, time.Second), map[int]int{0: 1}, 0},
+		"no room in the rack": {"b", imageStep(6, 2, "a"), map[int]int{0: 2, 1: 4}, 1},
+		"a gang":              {"b", imageStep(2, 2, "a", batch.WithGang(true, true)), map[int]int{1: 2}, 1},
+		"a loose gang":        {"b", imageStep(2, 2, "a", batch.WithGang(true, false)), map[int]int{1: 2}, 1},
+		"a gang without room": {"b", imageStep(3, 4, "a", batch.WithGang(true, true)), map[int]int{0: 1, 1: 2}, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
 			f := newFixture(t)
--- a/internal/scheduler/metrics.go
+++ b/internal/scheduler/metrics.go
@@ -30,6 +30,8 @@
 	workers   map[dispatch.WorkerUse]gometrics.Gauge
 	speeds    map[speed.Class]gometrics.Gauge // observed workers
 	moves     gometrics.Counter
+	pairs     gometrics.Gauge                          // pairs of images of which one slows the other down
+	keptApart gometrics.Counter                        // placements that chose another worker because of that
 	lostWork  map[dispatch.LossCause]gometrics.Counter // core-seconds
 }
 
@@ -44,6 +46,7 @@
 		answering: r.Histogram("scheduler.answering"),
 		waiting:   r.Gauge("scheduler.waiting_tasks"), longWaits: r.Gauge("scheduler.long_waits"),
 		workers: map[dispatch.WorkerUse]gometrics.Gauge{}, speeds: map[speed.Class]gometrics.Gauge{},
+		pairs: r.Gauge("scheduler.image_pairs"), keptApart: r.Counter("scheduler.kept_apart"),
 		moves: r.Counter("scheduler.moves"), lostWork: map[dispatch.LossCause]gometrics.Counter{},
 	}
 	for _, c := range dispatch.LossCauses() {
@@ -58,9 +61,12 @@
 	return m
 }
 
-// updateSpeeds sets the gauges of workers by class of speed, if the step has counted them, and counts its moves.
+// updateSpeeds sets the gauges of workers by class of speed, if the step has counted them, and counts its moves and what it
+// knows of pairs of images.
 func (m metrics) updateSpeeds(a dispatch.Actions) {
 	m.moves.Inc(int64(a.Moves()))
+	m.pairs.Update(int64(a.Pairs()))
+	m.keptApart.Inc(int64(a.KeptApart()))
 	for c, count := range a.Speeds() {
 		m.speeds[c].Update(int64(count))
 	}
