intake: limits on what a process holds for clients

A process holds a body for each connection, and nothing bounds their sum, the time a body takes, or the connections. Package intake decides on this without a network: a budget of bytes with a reserve for small requests and a part for each address, the cost of a head as it arrives, a least rate and a time for a body, and which connection gives way to a new one. Listener and Limiter apply it to servers of net/http: a body's buffer grows with what has arrived and not with its length, and it is charged until the request is answered. Refusals are 413, 408, 431 and 503 with Retry-After; nothing of a refused request has run. Refusals are counted by reason and logged at most once in 5 s.

The defaults derive from the memory and the descriptors of the process; TestDefaults checks that ordinary loads stay within them.

--- /dev/null
+++ b/internal/intake/decisions_test.go
@@ -0,0 +1,222 @@
+package intake
+
+import (
+	"fmt"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// start is the time at which each of these tests begins.
+var start = time.Unix(1_700_000_000, 0)
+
+// at returns the time some seconds after the start.
+func at(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
+
+// assertRefused checks the reason of a refusal; an empty one stands for none.
+func assertRefused(t *testing.T, want Reason, r *Refusal) {
+	t.Helper()
+	if want == "" {
+		assert.Nil(t, r)
+		return
+	}
+	if assert.NotNil(t, r) {
+		assert.Equal(t, want, r.Reason())
+	}
+}
+
+// Guards against a budget that large bodies use up, that one address uses up, or that leaks.
+func TestBudget(t *testing.T) {
+	const limit = 1 << 20
+	t.Run("large bodies leave the reserve", func(t *testing.T) {
+		b := NewBudget(limit)
+		large := b.NewCharge(nil)
+		assertRefused(t, "", large.Add(limit*3/4))
+		assertRefused(t, BudgetSpent, b.NewCharge(nil).Add(2*smallBytes))
+		small := b.NewCharge(nil)
+		assertRefused(t, "", small.Add(smallBytes))
+		assertRefused(t, BudgetSpent, small.Add(1))
+		large.Release()
+		assertRefused(t, "", small.Add(1))
+		small.Release()
+		assert.Zero(t, b.Held())
+	})
+	t.Run("one address leaves a part", func(t *testing.T) {
+		b := NewBudget(limit)
+		peer, other := &Peer{}, &Peer{}
+		share := int64(limit * (1 - reserveShare) * peerShare)
+		c := b.NewCharge(peer)
+		assertRefused(t, "", c.Add(share))
+		assertRefused(t, ShareSpent, c.Add(1))
+		assert.Equal(t, share, b.Held())
+		assertRefused(t, "", b.NewCharge(other).Add(2*smallBytes))
+		c.Release()
+		assertRefused(t, "", c.Add(share))
+	})
+	t.Run("small bodies within all of it", func(t *testing.T) {
+		b, n := NewBudget(limit), 0
+		for b.NewCharge(nil).Add(smallBytes) == nil {
+			n++
+		}
+		assert.Equal(t, limit/smallBytes, n)
+	})
+}
+
+// Guards against a body that stays unfinished for as long as its sender likes, and against one that is cut although it
+// makes progress.
+func TestPace(t *testing.T) {
+	pace := NewPace(1000, 5*time.Second, 30*time.Second)
+	t.Run("nothing arrives", func(t *testing.T) {
+		p := pace.Begin(start)
+		assert.False(t, p.TooSlow(at(4.9)))
+		assert.True(t, p.TooSlow(at(5)))
+	})
+	t.Run("a byte now and then", func(t *testing.T) {
+		p := pace.Begin(start)
+		for s := range 5 {
+			p.Advance(at(float64(s)), 1)
+		}
+		assert.True(t, p.TooSlow(at(5)))
+	})
+	t.Run("the least rate", func(t *testing.T) {
+		p := pace.Begin(start)
+		for s := 4.0; s < 30; s += 4 {
+			assert.False(t, p.TooSlow(at(s)))
+			p.Advance(at(s), 1000)
+		}
+		assert.True(t, p.TooSlow(at(30)), "the whole body is late")
+	})
+}
+
+// Guards against a head whose cost is not counted up to its end, or counted beyond it.
+func TestHeadCost(t *testing.T) {
+	const head = "POST / HTTP/1.1\r\nHost: a\r\n\r\n"
+	lines := func(text string) int64 { return int64(strings.Count(text, "\n")) }
+	for name, text := range map[string]string{
+		"head":               head,
+		"line feeds only":    strings.ReplaceAll(head, "\r", ""),
+		"empty lines before": "\r\n\r\n\n" + head,
+		"no end":             head[:len(head)-2],
+	} {
+		t.Run(name, func(t *testing.T) {
+			for _, piece := range []int{1, 7, len(text)} {
+				var m headMeter
+				cost := int64(0)
+				for rest := text; rest != ""; {
+					n := min(piece, len(rest))
+					cost += m.next([]byte(rest[:n]))
+					rest = rest[n:]
+				}
+				assert.Equal(t, headByteCost*int64(len(text))+headLineCost*lines(text), cost)
+				assert.Equal(t, name != "no end", m.ended)
+				if m.ended {
+					assert.Zero(t, m.next([]byte("body\n")))
+					assert.EqualValues(t, len(text), m.bytes)
+				}
+			}
+		})
+	}
+}
+
+// addressNumber returns an address of a client.
+func addressNumber(n int) netip.Addr { return netip.AddrFrom4([4]byte{10, 0, 0, byte(n)}) }
+
+// fill admits connections of clients at different addresses, each in a phase since the given second.
+func fill(t *testing.T, table *table, phases ...Phase) (slots []*slot) {
+	t.Helper()
+	for i, p := range phases {
+		s := newSlot(at(float64(i)), addressNumber(i))
+		_, removed, refusal := table.admit(at(float64(i)), s)
+		require.Nil(t, refusal)
+		require.Nil(t, removed)
+		s.enter(at(float64(i)), p)
+		slots = append(slots, s)
+	}
+	return slots
+}
+
+// Guards against a new connection that is not accepted while idle ones are open, and against closing a connection whose
+// request may have run.
+func TestConnections(t *testing.T) {
+	for name, c := range map[string]struct {
+		phases []Phase
+		now    float64
+		closed int // number of the connection, -1 if the new one is refused
+	}{
+		"the oldest idle one":                    {[]Phase{Serving, Idle, Idle}, 3, 1},
+		"idle before receiving":                  {[]Phase{Receiving, Serving, Idle}, 3, 2},
+		"the oldest one that has been receiving": {[]Phase{Serving, Receiving, Receiving}, 3, 1},
+		"not one that has just begun":            {[]Phase{Serving, Serving, Receiving}, 2.5, -1},
+		"not one that is served":                 {[]Phase{Serving, Serving, Serving}, 100, -1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			table := newTable(len(c.phases))
+			slots := fill(t, table, c.phases...)
+			_, removed, refusal := table.admit(at(c.now), newSlot(at(c.now), addressNumber(100)))
+			if c.closed < 0 {
+				assertRefused(t, NoConnection, refusal)
+				return
+			}
+			assertRefused(t, "", refusal)
+			assert.Same(t, slots[c.closed], removed)
+			assert.False(t, removed.enter(at(c.now), Serving), "a request is served although its connection is closing")
+			assert.Equal(t, len(c.phases), table.size())
+			table.remove(removed)
+			assert.Equal(t, len(c.phases), table.size())
+		})
+	}
+	t.Run("one address takes its own part", func(t *testing.T) {
+		table := newTable(16)
+		other := newSlot(start, addressNumber(1))
+		_, _, refusal := table.admit(start, other)
+		require.Nil(t, refusal)
+		for n := range 100 {
+			_, removed, refusal := table.admit(at(float64(1+n)), newSlot(at(float64(1+n)), addressNumber(2)))
+			require.Nil(t, refusal)
+			assert.NotSame(t, other, removed)
+		}
+		assert.Equal(t, 15, table.size())
+	})
+	t.Run("nothing is kept of an address without connections", func(t *testing.T) {
+		table := newTable(4)
+		for n := range 100 {
+			s := newSlot(start, addressNumber(n))
+			_, _, _ = table.admit(start, s)
+			table.remove(s)
+		}
+		assert.Empty(t, table.peers)
+		assert.Zero(t, table.size())
+	})
+}
+
+// Guards against default limits that an ordinary load meets.
+func TestDefaults(t *testing.T) {
+	for _, c := range []struct {
+		memoryMB, clients int
+		share             float64
+		body, bodies      int64
+	}{
+		{152, 8, 1.0 / 16, 4 << 20, 1},
+		{184, 300, 1.0 / 4, 6000, 300},
+		{184, 1, 1.0 / 4, 262_144, 30},
+		{408, 8, 1.0 / 16, 4 << 20, 8},
+	} {
+		t.Run(fmt.Sprintf("%d MB and %d bodies of %d bytes", c.memoryMB, c.bodies, c.body), func(t *testing.T) {
+			l := NewLimits(int64(c.memoryMB)<<20, 3900, c.share)
+			assert.GreaterOrEqual(t, l.Connections(), c.clients)
+			b, peer := NewBudget(l.BudgetBytes()), &Peer{}
+			for range c.bodies {
+				charge := b.NewCharge(peer)
+				assertRefused(t, "", charge.Add(2000)) // the head
+				assertRefused(t, "", charge.Add(c.body+1))
+				if c.body <= smallBytes {
+					assertRefused(t, "", charge.Add(copiesPerBody*c.body))
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/intake/intake_test.go
@@ -0,0 +1,201 @@
+package intake_test
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"rosemarywind.example/rosemarywind/internal/intake"
+	"rosemarywind.example/rosemarywind/internal/telemetry"
+)
+
+const (
+	testTimeout = 10 * time.Second
+	// bodyLimit is the largest body that the server of these tests reads.
+	bodyLimit = 64 << 10
+)
+
+// server is an HTTP server behind a Limiter that answers with the length of the body.
+type server struct {
+	t        *testing.T
+	address  string
+	registry *telemetry.Registry
+	calls    chan int // lengths of the bodies that the handler has read
+}
+
+func newServer(t *testing.T, limits intake.Limits) *server {
+	t.Helper()
+	s := &server{t: t, registry: telemetry.NewRegistry(), calls: make(chan int, 100)}
+	limiter := intake.NewLimiter(limits, s.registry, hclog.NewNullLogger(), time.Now)
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	s.address = inner.Addr().String()
+	h := &http.Server{Handler: http.HandlerFunc(s.serve), ReadHeaderTimeout: testTimeout}
+	limiter.Prepare(h)
+	go func() { _ = h.Serve(limiter.Listen(inner, 1)) }()
+	t.Cleanup(func() { _ = h.Close() })
+	return s
+}
+
+func (s *server) serve(w http.ResponseWriter, r *http.Request) {
+	data, err := intake.ReadBody(w, r, bodyLimit)
+	if refusal := intake.RefusalOf(err); refusal != nil {
+		refusal.Write(w)
+		return
+	}
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.calls <- len(data)
+	_, _ = fmt.Fprint(w, len(data))
+}
+
+// client is a connection to a server.
+type client struct {
+	net.Conn
+	t      *testing.T
+	reader *bufio.Reader
+}
+
+func (s *server) dial() *client {
+	s.t.Helper()
+	c, err := net.Dial("tcp", s.address)
+	require.NoError(s.t, err)
+	s.t.Cleanup(func() { _ = c.Close() })
+	require.NoError(s.t, c.SetDeadline(time.Now().Add(testTimeout)))
+	return &client{Conn: c, t: s.t, reader: bufio.NewReader(c)}
+}
+
+// send writes text; the server may close the connection meanwhile.
+func (c *client) send(text string) { _, _ = io.WriteString(c.Conn, text) }
+
+// assertStatus checks the status of the next answer, and whether the connection ends with it.
+func (c *client) assertStatus(want int, closes bool) {
+	c.t.Helper()
+	r, err := http.ReadResponse(c.reader, nil)
+	require.NoError(c.t, err)
+	_, _ = io.Copy(io.Discard, r.Body)
+	assert.Equal(c.t, want, r.StatusCode)
+	assert.Equal(c.t, closes, r.Close)
+	if want == http.StatusServiceUnavailable {
+		assert.Equal(c.t, "1", r.Header.Get("Retry-After"))
+	}
+}
+
+// post returns a request with a body of the given length, of which only a part is there.
+func post(length, part int) string {
+	return fmt.Sprintf("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n%s", length, strings.Repeat("x", part))
+}
+
+// metric returns the value of a metric.
+func (s *server) metric(name string) (value string) {
+	var text bytes.Buffer
+	w := &recorder{Buffer: &text}
+	telemetry.TextHandler(s.registry).ServeHTTP(w, nil)
+	for line := range strings.Lines(text.String()) {
+		if rest, ok := strings.CutPrefix(line, name+" "); ok {
+			value = strings.TrimSpace(rest)
+		}
+	}
+	return value
+}
+
+// recorder is the part of a http.ResponseWriter that the metrics need.
+type recorder struct{ *bytes.Buffer }
+
+func (*recorder) Header() http.Header { return http.Header{} }
+func (*recorder) WriteHeader(int)     {}
+
+// assertReleased checks that nothing is held once all clients have left.
+func (s *server) assertReleased() {
+	s.t.Helper()
+	assert.Eventually(s.t, func() bool {
+		return s.metric("intake_held_bytes") == "0" && s.metric("intake_connections") == "0"
+	}, testTimeout, 5*time.Millisecond, "%s bytes, %s connections", s.metric("intake_held_bytes"), s.metric("intake_connections"))
+}
+
+func ordinaryLimits() intake.Limits { return intake.NewLimits(64<<20, 1000, 0.25) }
+
+// Guards against a request inside the limits that is not served, and against what it held that is not returned.
+func TestOrdinaryRequests(t *testing.T) {
+	for name, text := range map[string]string{
+		"no body":      "GET / HTTP/1.1\r\nHost: a\r\n\r\n",
+		"small":        post(10, 10),
+		"largest":      post(bodyLimit, bodyLimit),
+		"large head":   "GET / HTTP/1.1\r\nHost: a\r\nX: " + strings.Repeat("x", 16<<10) + "\r\n\r\n",
+		"chunks":       "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n1\r\nd\r\n0\r\n\r\n",
+		"many headers": "GET / HTTP/1.1\r\nHost: a\r\n" + strings.Repeat("X: y\r\n", 1000) + "\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newServer(t, ordinaryLimits())
+			c := s.dial()
+			for range 3 {
+				c.send(text)
+				c.assertStatus(http.StatusOK, false)
+			}
+			_ = c.Close()
+			s.assertReleased()
+		})
+	}
+}
+
+// Guards against a refusal with a status that says something else, and against a body that is handed on after it.
+func TestRefusals(t *testing.T) {
+	slow := ordinaryLimits().WithPace(intake.NewPace(100, 100*time.Millisecond, time.Second))
+	for name, c := range map[string]struct {
+		limits intake.Limits
+		text   string
+		want   int
+		reason intake.Reason
+	}{
+		"large head":               {ordinaryLimits(), "GET / HTTP/1.1\r\nHost: a\r\nX: " + strings.Repeat("x", 21<<10), http.StatusRequestHeaderFieldsTooLarge, intake.HeadTooLarge},
+		"head without end":         {ordinaryLimits(), "GET / HTTP/1.1\r\nHost: a\r\n" + strings.Repeat("X: y\r\n", 5000), http.StatusRequestHeaderFieldsTooLarge, intake.HeadTooLarge},
+		"large body":               {ordinaryLimits(), post(bodyLimit+1, 0), http.StatusRequestEntityTooLarge, intake.BodyTooLarge},
+		"large chunked body":       {ordinaryLimits(), "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n10001\r\n" + strings.Repeat("x", 0x10001), http.StatusRequestEntityTooLarge, intake.BodyTooLarge},
+		"body that stands still":   {slow, post(1000, 500), http.StatusRequestTimeout, intake.BodyTooSlow},
+		"body that does not begin": {slow, post(1000, 0), http.StatusRequestTimeout, intake.BodyTooSlow},
+		"body beyond the budget":   {ordinaryLimits().WithBudget(32 << 10), post(bodyLimit, bodyLimit), http.StatusServiceUnavailable, intake.BudgetSpent},
+		"head beyond the budget":   {ordinaryLimits().WithBudget(1 << 10), "GET / HTTP/1.1\r\nHost: a\r\nX: " + strings.Repeat("x", 4000), http.StatusServiceUnavailable, intake.BudgetSpent},
+		"body of a deletion":       {slow, "DELETE / HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\n", http.StatusRequestTimeout, intake.BodyTooSlow},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newServer(t, c.limits)
+			client := s.dial()
+			client.send(c.text)
+			client.assertStatus(c.want, true)
+			assert.Empty(t, s.calls)
+			assert.Equal(t, "1", s.metric("intake_refused_"+string(c.reason)))
+			_ = client.Close()
+			s.assertReleased()
+		})
+	}
+}
+
+// Guards against an idle connection that keeps a new one out, and against a connection that is closed while its request
+// is served.
+func TestConnectionLimit(t *testing.T) {
+	const limit = 8
+	s := newServer(t, ordinaryLimits().WithConnections(limit))
+	first := s.dial()
+	first.send(post(1, 1))
+	first.assertStatus(http.StatusOK, false)
+	for range 2 * limit {
+		c := s.dial()
+		c.send(post(1, 1))
+		c.assertStatus(http.StatusOK, false)
+	}
+	_, err := first.reader.ReadByte()
+	assert.Error(t, err, "the oldest connection is still open")
+	assert.Equal(t, "7", s.metric("intake_connections"), "the part of one address")
+}
--- /dev/null
+++ b/internal/intake/limiter.go
@@ -0,0 +1,120 @@
+package intake
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	gometrics "github.com/rcrowley/go-metrics"
+	"golang.org/x/sync/semaphore"
+
+	"rosemarywind.example/rosemarywind/internal/telemetry"
+)
+
+// logInterval is the least time between two log lines about refusals.
+const logInterval = 5 * time.Second
+
+// Limiter applies the limits of one process to the connections of its HTTP servers.
+type Limiter struct {
+	limits   Limits
+	budget   *Budget
+	copies   *semaphore.Weighted // bytes that large bodies take while they are passed on
+	open     atomic.Int64
+	refused  map[Reason]gometrics.Counter
+	logger   hclog.Logger
+	now      func() time.Time
+	logAfter atomic.Int64 // nanoseconds since 1970
+	unlogged atomic.Int64 // refusals since the last log line
+}
+
+// NewLimiter returns a limiter that registers its metrics in r and reads the time from now.
+func NewLimiter(limits Limits, r *telemetry.Registry, logger hclog.Logger, now func() time.Time) *Limiter {
+	l := &Limiter{
+		limits: limits, budget: NewBudget(limits.budgetBytes), copies: semaphore.NewWeighted(max(limits.budgetBytes, 1)),
+		refused: map[Reason]gometrics.Counter{}, logger: logger, now: now,
+	}
+	for _, reason := range Reasons() {
+		l.refused[reason] = r.Counter("intake.refused." + string(reason))
+	}
+	r.GaugeFunc("intake.held_bytes", l.budget.Held)
+	r.GaugeFunc("intake.connections", l.open.Load)
+	return l
+}
+
+// Listen returns a listener that wraps the connections of l. At most the given share of the process's connections are
+// open at once; Accept closes an idle one in favor of a new one, or refuses the new one.
+func (l *Limiter) Listen(inner net.Listener, share float64) *Listener {
+	limit := max(int(share*float64(l.limits.connections)), min(minimumConnections, l.limits.connections))
+	return &Listener{Listener: inner, limiter: l, table: newTable(limit)}
+}
+
+// Prepare sets up a server for the connections of a Listener, beside its own hooks.
+func (l *Limiter) Prepare(s *http.Server) {
+	observe, handler := s.ConnState, s.Handler
+	// The connection refuses a larger head before the server does.
+	s.MaxHeaderBytes = int(l.limits.headBytes)
+	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		return context.WithValue(ctx, connectionKey{}, c)
+	}
+	s.ConnState = func(c net.Conn, state http.ConnState) {
+		if own, ok := c.(*Connection); ok {
+			own.observe(state)
+		}
+		if observe != nil {
+			observe(c, state)
+		}
+	}
+	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if c := connectionOf(r.Context()); c != nil && !c.headEnded() {
+			panic(http.ErrAbortHandler)
+		}
+		if r.ContentLength != 0 {
+			l.boundUnread(w, r)
+		}
+		handler.ServeHTTP(w, r)
+	})
+}
+
+// boundUnread bounds what the server reads of a body that the handler does not read: nothing if the method has no use for
+// a body, else what arrives in an interval of the pace.
+func (l *Limiter) boundUnread(w http.ResponseWriter, r *http.Request) {
+	switch r.Method {
+	case http.MethodPost, http.MethodPut, http.MethodPatch:
+		_ = http.NewResponseController(w).SetReadDeadline(l.now().Add(l.limits.pace.interval))
+	default:
+		skipBody(w)
+	}
+}
+
+// skipBody ends the connection with the answer. net/http reads the rest of a body before that, until its read deadline,
+// which has passed then.
+func skipBody(w http.ResponseWriter) {
+	w.Header().Set("Connection", "close")
+	_ = http.NewResponseController(w).SetReadDeadline(time.Unix(1, 0))
+}
+
+// IgnoreBodies returns a handler that calls h and ends the connection of a request with a body, in place of reading the
+// body.
+func IgnoreBodies(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.ContentLength != 0 {
+			skipBody(w)
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
+// note counts a refusal and logs the refusals at most once in each logInterval.
+func (l *Limiter) note(now time.Time, peer net.Addr, r Reason) {
+	l.refused[r].Inc(1)
+	count, after := l.unlogged.Add(1), l.logAfter.Load()
+	if now.UnixNano() < after || !l.logAfter.CompareAndSwap(after, now.Add(logInterval).UnixNano()) {
+		return
+	}
+	l.unlogged.Add(-count)
+	l.logger.Warn("clients refused", "count", count, "last_reason", string(r), "last_peer", peer.String(),
+		"held_bytes", l.budget.Held(), "connections", l.open.Load())
+}
--- /dev/null
+++ b/internal/intake/listener.go
@@ -0,0 +1,186 @@
+package intake
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// refusalTimeout bounds how long the refusal of a connection may take to be written.
+const refusalTimeout = 50 * time.Millisecond
+
+// refusalForm is the answer to a client whose request is refused before it has been read.
+const refusalForm = "HTTP/1.1 %d %s\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+
+// Listener accepts connections within the limits of a Limiter.
+type Listener struct {
+	net.Listener
+	limiter *Limiter
+	table   *table
+}
+
+// Accept waits for the next connection; its type is *Connection.
+func (l *Listener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if own := l.admit(l.limiter.now(), c); own != nil {
+			return own, nil
+		}
+	}
+}
+
+// admit returns the connection if the limits have room for it, else it refuses and closes the connection.
+func (l *Listener) admit(now time.Time, c net.Conn) *Connection {
+	own := &Connection{Conn: c, listener: l, slot: newSlot(now, addressOf(c))}
+	own.slot.close = own.interrupt
+	peer, removed, refusal := l.table.admit(now, own.slot)
+	if refusal != nil {
+		l.limiter.note(now, c.RemoteAddr(), refusal.Reason())
+		writeRefusal(now, c, refusal)
+		_ = c.Close()
+		return nil
+	}
+	own.charge = l.limiter.budget.NewCharge(peer)
+	l.limiter.open.Add(1)
+	if removed != nil {
+		l.limiter.note(now, c.RemoteAddr(), Displaced)
+		removed.close()
+	}
+	return own
+}
+
+// writeRefusal tells a client that its request has not run. It does not wait for a client that does not read.
+func writeRefusal(now time.Time, c net.Conn, r *Refusal) {
+	_ = c.SetWriteDeadline(now.Add(refusalTimeout))
+	_, _ = fmt.Fprintf(c, refusalForm, r.Status(), http.StatusText(r.Status()))
+}
+
+func addressOf(c net.Conn) netip.Addr {
+	a, _ := netip.ParseAddrPort(c.RemoteAddr().String())
+	return a.Addr().Unmap()
+}
+
+// Connection is a client's connection that charges the heads of requests as they arrive.
+type Connection struct {
+	net.Conn
+	listener *Listener
+	slot     *slot
+	head     headMeter
+	refusal  *Refusal    // of a head
+	serving  atomic.Bool // whether the head of the current request has been read
+	chargeMu sync.Mutex  // a connection may be closed while its handler runs
+	charge   *Charge
+	ended    bool // whether the charge has been released for good
+	once     sync.Once
+}
+
+type connectionKey struct{}
+
+func connectionOf(ctx context.Context) *Connection {
+	c, _ := ctx.Value(connectionKey{}).(*Connection)
+	return c
+}
+
+// Read reads from the client, and charges the bytes of heads. If the budget is spent it refuses the request and returns
+// an error that ends the connection.
+func (c *Connection) Read(p []byte) (n int, err error) {
+	if c.refusal != nil {
+		return 0, c.readError()
+	}
+	n, err = c.Conn.Read(p)
+	if n == 0 || c.serving.Load() {
+		return n, err
+	}
+	if c.refusal = c.receiveHead(p[:n]); c.refusal != nil {
+		now := c.listener.limiter.now()
+		c.listener.limiter.note(now, c.RemoteAddr(), c.refusal.Reason())
+		writeRefusal(now, c.Conn, c.refusal)
+		return 0, c.readError()
+	}
+	return n, err
+}
+
+// readError returns the error of reads after a refusal; net/http writes no answer of its own after an error of this type.
+func (c *Connection) readError() error { return &net.OpError{Op: "read", Net: "tcp", Err: c.refusal} }
+
+// receiveHead charges the part of the head in the bytes that arrive.
+func (c *Connection) receiveHead(p []byte) *Refusal {
+	cost := c.head.next(p)
+	if c.head.bytes > c.listener.limiter.limits.headBytes {
+		return &Refusal{reason: HeadTooLarge}
+	}
+	return c.add(cost)
+}
+
+// add charges n bytes for the current request.
+func (c *Connection) add(n int64) *Refusal {
+	c.chargeMu.Lock()
+	defer c.chargeMu.Unlock()
+	if c.ended {
+		return &Refusal{reason: Displaced}
+	}
+	return c.charge.Add(n)
+}
+
+// release returns the charge of the current request, for good if the connection has ended.
+func (c *Connection) release(ended bool) {
+	c.chargeMu.Lock()
+	defer c.chargeMu.Unlock()
+	c.charge.Release()
+	c.ended = c.ended || ended
+}
+
+// observe follows the states of the connection in its server.
+func (c *Connection) observe(s http.ConnState) {
+	switch s {
+	case http.StateActive:
+		c.slot.enter(c.listener.limiter.now(), Receiving)
+	case http.StateIdle:
+		c.release(false)
+		c.head = headMeter{}
+		c.serving.Store(false)
+		c.slot.enter(c.listener.limiter.now(), Idle)
+	case http.StateNew, http.StateClosed, http.StateHijacked:
+	}
+}
+
+// headEnded records that a handler begins with the current request; it reports false if the connection is closing.
+func (c *Connection) headEnded() bool {
+	c.serving.Store(true)
+	return c.slot.enter(c.listener.limiter.now(), Serving)
+}
+
+// interrupt closes the connection from outside of its server; the server notices and ends it.
+func (c *Connection) interrupt() {
+	if c.slot.state.Load().from == Receiving {
+		writeRefusal(c.listener.limiter.now(), c.Conn, &Refusal{reason: Displaced})
+	}
+	_ = c.Conn.Close()
+}
+
+// Close ends the connection and returns what it holds.
+func (c *Connection) Close() error {
+	c.once.Do(func() {
+		c.listener.table.remove(c.slot)
+		c.listener.limiter.open.Add(-1)
+		c.release(true)
+	})
+	return c.Conn.Close()
+}
+
+// CloseWrite closes the writing side. net/http calls it before it closes the connection, so that the client can read
+// the answer.
+func (c *Connection) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
