scheduler: bound what the calls under way take at the leader

Many hosts may forward large bodies at once, and the leader read each of them whole whatever the others took. A call without room gets Unavailable with a time for the retry: nothing of it has run, and the sender keeps the leader. The gauge scheduler.call_bytes tells what is held.

A large body at an entry or a control host likewise waits a second at most.

--- a/internal/intake/body.go
+++ b/internal/intake/body.go
@@ -15,6 +15,9 @@
 	// copiesPerBody is how many further copies of a body exist while it is passed on: encoded, in a buffer that has grown
 	// to up to twice its length.
 	copiesPerBody = 2
+	// turnTimeout bounds how long a large body waits for its turn to be passed on. Clients turn to another host after about
+	// a second.
+	turnTimeout = time.Second
 )
 
 // ReadBody reads the body of a request that a Listener accepted, of at most limit bytes. What it holds is charged until
@@ -120,7 +123,7 @@
 }
 
 // AcquireCopies holds the bytes of the copies of a body of the given length that passing it on takes. A small body is
-// charged to its request; a large one waits for its turn until ctx ends. The caller releases it once it has an answer.
+// charged to its request; a large one waits for its turn for turnTimeout at most. The caller releases it once it has an answer.
 func AcquireCopies(ctx context.Context, r *http.Request, length int) (release func(), err error) {
 	c := connectionOf(r.Context())
 	if c == nil {
@@ -136,6 +139,8 @@
 		return func() {}, nil
 	}
 	bytes = min(bytes, max(l.limits.budgetBytes, 1))
+	ctx, cancel := context.WithTimeout(ctx, turnTimeout)
+	defer cancel()
 	if err := l.copies.Acquire(ctx, bytes); err != nil {
 		l.note(l.now(), c.RemoteAddr(), BudgetSpent)
 		return nil, &Refusal{reason: BudgetSpent}
--- a/internal/intake/reason.go
+++ b/internal/intake/reason.go
@@ -48,6 +48,9 @@
 // Refusal is the error of a request that is refused before any of it has run.
 type Refusal struct{ reason Reason }
 
+// NewRefusal returns a refusal for a reason.
+func NewRefusal(r Reason) *Refusal { return &Refusal{reason: r} }
+
 // Reason returns why the request is refused.
 func (r *Refusal) Reason() Reason { return r.reason }
 
--- a/internal/scheduler/calls.go
+++ b/internal/scheduler/calls.go
@@ -10,6 +10,7 @@
 	"rosemarywind.example/rosemarywind/internal/batch"
 	"rosemarywind.example/rosemarywind/internal/call"
 	"rosemarywind.example/rosemarywind/internal/clock"
+	"rosemarywind.example/rosemarywind/internal/intake"
 	"rosemarywind.example/rosemarywind/internal/ledger/driver"
 	"rosemarywind.example/rosemarywind/internal/link"
 	"rosemarywind.example/rosemarywind/internal/wire"
@@ -23,7 +24,14 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	_ = st.SetDeadline(time.Now().Add(callTimeout))
-	c, err := wire.ReadCall(st)
+	limited := s.callLimits.begin(ctx, st)
+	defer limited.release()
+	c, err := wire.ReadCall(limited)
+	if refusal := intake.RefusalOf(err); refusal != nil {
+		s.metrics.refused.Inc(1)
+		s.reply(st, refusedCall(refusal))
+		return
+	}
 	if err != nil {
 		s.logger.Warn("call refused", "peer", st.RemoteAddr().String(), "error", err)
 		return
@@ -33,8 +41,12 @@
 	s.metrics.calls.Inc(1)
 	s.metrics.answering.Update(time.Since(startedAt).Microseconds())
 	s.logCall(c, r, trace)
-	r = r.WithHosts(s.addresses())
-	if err = wire.WriteReply(st, r); err != nil {
+	s.reply(st, r)
+}
+
+// reply writes the reply to a call.
+func (s *Scheduler) reply(st *link.Stream, r call.Reply) {
+	if err := wire.WriteReply(st, r.WithHosts(s.addresses())); err != nil {
 		s.logger.Debug("reply not delivered", "peer", st.RemoteAddr().String(), "error", err)
 		return
 	}
--- a/internal/scheduler/options.go
+++ b/internal/scheduler/options.go
@@ -26,6 +26,7 @@
 	maintainer Maintainer
 	grace      time.Duration
 	jobBytes   int
+	callBytes  int
 }
 
 // Option configures a Scheduler.
@@ -54,6 +55,9 @@
 // WithTiming sets the durations and factors of the leader's decisions.
 func WithTiming(t dispatch.Timing) Option { return func(o *options) { o.timing = t } }
 
+// WithCallBytes sets how many bytes the calls that are under way may take, 32 MiB by default.
+func WithCallBytes(n int) Option { return func(o *options) { o.callBytes = n } }
+
 // WithAdvisor sets the advisor that approves workers for queues that require advice. Without one, the steps of these
 // queues wait.
 func WithAdvisor(a Advisor) Option { return func(o *options) { o.advisor = a } }
@@ -71,10 +75,13 @@
 // defaultJobBytes is half of the memory that a control host may use by default.
 const defaultJobBytes = 64 << 20
 
+// defaultCallBytes is what the calls under way take where no limit is set.
+const defaultCallBytes = 32 << 20
+
 func defaultOptions() options {
 	return options{
 		logger: hclog.NewNullLogger(), registry: telemetry.NewRegistry(),
-		timing: dispatch.DefaultTiming(), grace: 5 * time.Second, jobBytes: defaultJobBytes,
+		timing: dispatch.DefaultTiming(), grace: 5 * time.Second, jobBytes: defaultJobBytes, callBytes: defaultCallBytes,
 		ledger: []driver.Option{driver.WithTiming(ledger.ShortTiming())},
 	}
 }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -21,12 +21,13 @@
 // Scheduler serves the control role on one host, as leader or follower.
 type Scheduler struct {
 	options
-	state   *board.Section[batch.State]
-	node    *driver.Node[batch.Result]
-	pool    *link.Pool
-	peers   *transport.Peers
-	events  chan event
-	metrics metrics
+	state      *board.Section[batch.State]
+	node       *driver.Node[batch.Result]
+	pool       *link.Pool
+	peers      *transport.Peers
+	events     chan event
+	metrics    metrics
+	callLimits callLimits
 }
 
 // eventBuffer is the number of events that may wait for the leader's loop.
@@ -47,6 +48,8 @@
 		return nil, errors.New("decoder and server are required")
 	}
 	s.metrics = newMetrics(s.registry)
+	s.callLimits = newCallLimits(s.callBytes)
+	s.registry.GaugeFunc("scheduler.call_bytes", s.callLimits.budget.Held)
 	s.state = board.NewSection(batch.NewState(s.decoder))
 	s.registry.GaugeFunc("scheduler.job_bytes", func() int64 { return int64(s.state.Load().JobBytes()) })
 	s.pool = link.NewPool(s.client)
