platform: bound the memory that decoding takes

A configuration of 4 MiB of empty routes took 773 MB to decode (a lone call of the decoder), so one request of legal size ended each leader that it reached.

--- a/internal/scheduler/calls.go
+++ b/internal/scheduler/calls.go
@@ -182,7 +182,10 @@
 }
 
 func (s *Scheduler) declare(ctx context.Context, c call.Declare) call.Reply {
-	if _, err := s.decoder.Declaration(c.Document()); err != nil {
+	s.decoding.Lock()
+	_, err := s.decoder.Declaration(c.Document())
+	s.decoding.Unlock()
+	if err != nil {
 		return call.NewReply(call.Invalid, err.Error())
 	}
 	r, err := s.propose(ctx, batch.NewDeclare(c.Document()))
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -28,6 +29,7 @@
 	events     chan event
 	metrics    metrics
 	callLimits callLimits
+	decoding   sync.Mutex // held while a declaration is decoded, which takes many times the memory of its document
 }
 
 // eventBuffer is the number of events that may wait for the leader's loop.
