entry, control: limit what callers and operators can make a process hold

Bodies are now charged as they arrive, with a least rate (limits.body_rate, 1 KiB/s) and a reserve for small ones, and the connections are limited (limits.connections, 4096). The operators' interface, which had no such limits, reads a body only after the token is known and gets limits.connections (512), limits.buffered_bytes (32 MiB) and limits.body_rate; the ports for metrics have 64 connections. A control host refuses a body that is too large with 413 in place of 400.

--- a/cmd/rosemarywind/roles.go
+++ b/cmd/rosemarywind/roles.go
@@ -19,6 +19,7 @@
 	"rosemarywind.example/rosemarywind/internal/control"
 	"rosemarywind.example/rosemarywind/internal/entry"
 	"rosemarywind.example/rosemarywind/internal/fleet"
+	"rosemarywind.example/rosemarywind/internal/intake"
 	"rosemarywind.example/rosemarywind/internal/keys"
 	"rosemarywind.example/rosemarywind/internal/ledger"
 	"rosemarywind.example/rosemarywind/internal/ledger/driver"
@@ -71,6 +72,7 @@
 		entry.WithTLS(p.keys.Client("agent"), p.keys.Client("control")),
 		entry.WithControl(addressStrings(s.ControlAddresses())), entry.WithListener(l),
 		entry.WithBodyLimits(int(s.BodyBytes()), s.BufferedBytes()), entry.WithHeaderLimit(int(s.HeaderBytes())),
+		entry.WithBodyRate(int(s.BodyRate())), entry.WithConnectionLimit(s.Connections()),
 		entry.WithReadTimeouts(s.HeaderTimeout(), s.BodyTimeout()), entry.WithQueueWait(s.QueueWait()),
 		entry.WithDeadlines(s.DeadlineDefault(), s.DeadlineMax()),
 		entry.WithRetries(s.RetrySharePercent(), s.RetryAttempts(), s.RetryBasePause()),
@@ -142,6 +144,7 @@
 		control.WithPlanner(plan.WithWeights(s.CompletionWeight(), s.FragmentationWeight())),
 		control.WithServer(server), control.WithListener(l), control.WithLeases(s.AnnounceLease(), s.TaskLease()),
 		control.WithOperatorDigests(s.OperatorTokenDigests()), control.WithGrace(s.StopGrace()),
+		control.WithClientLimits(s.BufferedBytes(), s.Connections(), int(s.BodyRate())),
 		control.WithMonitor(p.monitorHandler()), control.WithMetrics(p.registry),
 		control.WithLedger(
 			driver.WithMember(ledger.MemberID(s.Name()), s.Listen().String()), driver.WithInitialMembers(members),
@@ -227,9 +230,20 @@
 	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	if p.listen.IsValid() {
-		server := &http.Server{Addr: p.listen.String(), Handler: p.monitorHandler(), ReadHeaderTimeout: monitorHeaderTimeout}
+		l, err := net.Listen("tcp", p.listen.String())
+		if err != nil {
+			return err
+		}
+		server := &http.Server{
+			Handler: intake.IgnoreBodies(p.monitorHandler()), ReadHeaderTimeout: monitorTimeout, WriteTimeout: monitorTimeout,
+			IdleTimeout: time.Minute,
+		}
+		limits := intake.NewServerLimits(monitorBytes, monitorBytes, monitorConnections, intake.DefaultPace())
+		// The metrics of the role's own limiter have the same names.
+		limiter := intake.NewLimiter(limits, telemetry.NewRegistry(), p.logger, time.Now)
+		limiter.Prepare(server)
 		g.Go(func() error {
-			if err := server.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+			if err := server.Serve(limiter.Listen(l, 1)); !errors.Is(err, http.ErrServerClosed) {
 				return err
 			}
 			return nil
@@ -246,5 +260,11 @@
 	return g.Wait()
 }
 
-// monitorHeaderTimeout bounds the reading of the header of a request for metrics or health.
-const monitorHeaderTimeout = 5 * time.Second
+const (
+	// monitorTimeout bounds the reading of a request for metrics or health and the writing of its answer.
+	monitorTimeout = 5 * time.Second
+	// monitorBytes bounds the head of such a request.
+	monitorBytes = 16 << 10
+	// monitorConnections bounds the connections of collectors of metrics.
+	monitorConnections = 64
+)
--- a/internal/control/api.go
+++ b/internal/control/api.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"bytes"
 	"cmp"
 	"context"
 	"encoding/json"
@@ -12,6 +13,7 @@
 	"strconv"
 	"time"
 
+	"rosemarywind.example/rosemarywind/internal/intake"
 	"rosemarywind.example/rosemarywind/internal/ledger/driver"
 	"rosemarywind.example/rosemarywind/internal/registry"
 	"rosemarywind.example/rosemarywind/pkg/client"
@@ -43,14 +45,36 @@
 	a.route("GET /v1/endpoints", a.endpoints)
 	a.route("GET /v1/control", a.controlHosts)
 	a.route("POST /v1/endpoints/{name}/drain", a.drain)
-	a.mux.Handle("/", c.monitor)
+	a.mux.Handle("/", intake.IgnoreBodies(c.monitor))
 	return a
 }
 
-// ServeHTTP serves one request and bounds its body to maxAPIBody bytes.
-func (a *api) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	r.Body = http.MaxBytesReader(w, r.Body, maxAPIBody)
-	a.mux.ServeHTTP(w, r)
+// ServeHTTP serves one request.
+func (a *api) ServeHTTP(w http.ResponseWriter, r *http.Request) { a.mux.ServeHTTP(w, r) }
+
+// receive reads the body of a request, of at most maxAPIBody bytes, for its handler; it writes the error response and
+// reports false if the body is refused.
+func receive(w http.ResponseWriter, r *http.Request) bool {
+	data, err := intake.ReadBody(w, r, maxAPIBody)
+	if refusal := intake.RefusalOf(err); refusal != nil {
+		reason := outcome.QueueFull
+		switch refusal.Status() {
+		case http.StatusRequestEntityTooLarge:
+			reason = outcome.TooLarge
+		case http.StatusRequestTimeout:
+			reason = outcome.BadRequest
+		}
+		writeError(w, refusal.Status(), client.RefusalBody{
+			Outcome: string(outcome.NotRun), Reason: string(reason), Message: refusal.Error(),
+		})
+		return false
+	}
+	if err != nil {
+		badRequest(w, err)
+		return false
+	}
+	r.Body = io.NopCloser(bytes.NewReader(data))
+	return true
 }
 
 // route registers an operation that only the leader serves and that requires a known token.
@@ -70,7 +94,9 @@
 			})
 			return
 		}
-		handle(w, r, p)
+		if receive(w, r) {
+			handle(w, r, p)
+		}
 	})
 }
 
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"rosemarywind.example/rosemarywind/internal/clock"
+	"rosemarywind.example/rosemarywind/internal/intake"
 	"rosemarywind.example/rosemarywind/internal/ledger/driver"
 	"rosemarywind.example/rosemarywind/internal/ledger/observer"
 	"rosemarywind.example/rosemarywind/internal/ledger/transport"
@@ -82,9 +83,11 @@
 	g.Go(func() error { return newGangDriver(c).run(runCtx) })
 	g.Go(func() error { return newExpirer(c).run(runCtx) })
 	g.Go(func() error { return c.server.Serve(runCtx, c.serveStream) })
-	api := &http.Server{Handler: newAPI(c), ReadHeaderTimeout: apiTimeout, ReadTimeout: apiTimeout}
+	api := &http.Server{Handler: newAPI(c), ReadHeaderTimeout: apiTimeout, ReadTimeout: apiTimeout, IdleTimeout: time.Minute}
+	limiter := intake.NewLimiter(c.clientLimits, c.metrics, c.logger, time.Now)
+	limiter.Prepare(api)
 	g.Go(func() error {
-		if err := api.Serve(c.listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := api.Serve(limiter.Listen(c.listener, 1)); !errors.Is(err, http.ErrServerClosed) {
 			return err
 		}
 		return nil
--- a/internal/control/options.go
+++ b/internal/control/options.go
@@ -10,6 +10,7 @@
 	"go.opentelemetry.io/otel/trace"
 	"go.opentelemetry.io/otel/trace/noop"
 
+	"rosemarywind.example/rosemarywind/internal/intake"
 	"rosemarywind.example/rosemarywind/internal/ledger/driver"
 	"rosemarywind.example/rosemarywind/internal/link"
 	"rosemarywind.example/rosemarywind/internal/plan"
@@ -34,13 +35,18 @@
 	operatorDigests []string
 	grace           time.Duration
 	monitor         http.Handler
+	clientLimits    intake.Limits
 }
 
+// defaultHeadBytes bounds the head of a request.
+const defaultHeadBytes = 64 << 10
+
 func defaults() options {
 	return options{
 		tracer: noop.NewTracerProvider().Tracer(""),
 		logger: hclog.NewNullLogger(), announceLease: 3 * time.Second, taskLease: 2 * time.Minute,
 		grace: 30 * time.Second, monitor: http.NotFoundHandler(), metrics: telemetry.NewRegistry(),
+		clientLimits: intake.NewServerLimits(32<<20, defaultHeadBytes, 512, intake.DefaultPace()),
 	}
 }
 
@@ -61,6 +67,14 @@
 // WithListener sets the listener of the operators' HTTP interface, which Run closes.
 func WithListener(l net.Listener) Option { return func(o *options) { o.listener = l } }
 
+// WithClientLimits sets what is held for the clients of the operators' HTTP interface.
+func WithClientLimits(bodies int64, connections, bodyRate int) Option {
+	return func(o *options) {
+		pace := intake.NewPaceOf(bodyRate, apiTimeout)
+		o.clientLimits = intake.NewServerLimits(bodies, defaultHeadBytes, connections, pace)
+	}
+}
+
 // WithLedger adds options of the ledger: its member, peers and storage.
 func WithLedger(opts ...driver.Option) Option {
 	return func(o *options) { o.ledgerOptions = append(o.ledgerOptions, opts...) }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"rosemarywind.example/rosemarywind/internal/clock"
+	"rosemarywind.example/rosemarywind/internal/intake"
 	"rosemarywind.example/rosemarywind/internal/link"
 )
 
@@ -22,7 +23,7 @@
 	leaders            *link.Pool
 	queue              *dispatcher
 	releaser           *releaser
-	buffered           atomic.Int64
+	limiter            *intake.Limiter
 	ids                *requestIDs
 	closingConnections atomic.Bool
 	metrics            *metrics
@@ -41,6 +42,8 @@
 	e.queue = newDispatcher(e.board)
 	e.releaser = newReleaser(e)
 	e.ids = newRequestIDs()
+	limits := intake.NewServerLimits(e.bufferedLimit, int64(e.headerLimit), e.connectionLimit, intake.NewPaceOf(e.bodyRate, e.bodyTimeout))
+	e.limiter = intake.NewLimiter(limits, e.registry, e.logger, time.Now)
 	e.metrics = newMetrics(e.registry, e.queue.waiting.Load)
 	return e
 }
@@ -69,7 +72,7 @@
 	g.Go(func() error { return e.releaser.run(inner) })
 	server := e.server()
 	g.Go(func() error {
-		if err := server.Serve(listener{e.listener}); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(e.limiter.Listen(listener{e.listener}, 1)); !errors.Is(err, http.ErrServerClosed) {
 			cancel()
 			return err
 		}
@@ -107,15 +110,16 @@
 }
 
 func (e *Entry) server() *http.Server {
-	return &http.Server{
+	s := &http.Server{
 		Handler:           e,
 		ReadHeaderTimeout: e.headerTimeout,
-		MaxHeaderBytes:    e.headerLimit,
 		IdleTimeout:       time.Minute,
 		ErrorLog:          e.logger.StandardLogger(nil),
 		ConnContext:       withConnection,
 		ConnState:         e.trackConnection,
 	}
+	e.limiter.Prepare(s)
+	return s
 }
 
 // InFlight returns the number of requests that count against the in-flight limit of a workspace, 0 if it is unknown.
@@ -134,5 +138,5 @@
 	return 0
 }
 
-// BufferedBytes returns the number of bytes reserved for callers' bodies, including those of requests in flight.
-func (e *Entry) BufferedBytes() int64 { return e.buffered.Load() }
+// BufferedBytes returns the number of bytes held for callers' requests, including those in flight.
+func (e *Entry) BufferedBytes() int64 { return e.limiter.HeldBytes() }
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"rosemarywind.example/rosemarywind/internal/intake"
 	"rosemarywind.example/rosemarywind/internal/keys"
 	"rosemarywind.example/rosemarywind/internal/request"
 	"rosemarywind.example/rosemarywind/internal/telemetry"
@@ -23,12 +24,11 @@
 	_ = control.SetWriteDeadline(time.Time{})
 	ctx, span := e.tracer.Start(telemetry.ExtractHeader(h.Context(), h.Header), "request")
 	defer span.End()
-	b := newBody(h)
-	result := e.handle(ctx, h, b, control, start)
+	result, received := e.handle(ctx, w, h, start)
 	e.logResult(h, result)
 	now := time.Now()
 	e.metrics.record(result, now.Sub(start))
-	if !b.ended {
+	if !received && h.ContentLength != 0 {
 		_ = control.SetReadDeadline(now.Add(bodyDrainTimeout))
 		w.Header().Set("Connection", "close")
 	}
@@ -39,35 +39,35 @@
 	reply(w, h.Method, result)
 }
 
-// handle returns the result for the caller. Wherever possible, it refuses a request before it is dispatched.
+// handle returns the result for the caller, and whether the whole body has been read. Wherever possible, it refuses a request before it is dispatched.
 func (e *Entry) handle(
-	ctx context.Context, h *http.Request, b *body, control *http.ResponseController, now time.Time,
-) request.Result {
+	ctx context.Context, w http.ResponseWriter, h *http.Request, now time.Time,
+) (result request.Result, received bool) {
+	defer intake.Release(h)
 	if e.stopping.Load() {
-		return request.NewRefused(outcome.Stopping, "the entry host is stopping", retryLater)
+		return request.NewRefused(outcome.Stopping, "the entry host is stopping", retryLater), false
 	}
 	head, err := parseHead(h, e.defaultDeadline, e.maxDeadline)
 	if err != nil {
-		return request.NewRefused(outcome.BadRequest, err.Error(), 0)
+		return request.NewRefused(outcome.BadRequest, err.Error(), 0), false
 	}
 	s, refusal := e.authorize(head)
 	if refusal != nil {
-		return refusal
+		return refusal, false
 	}
 	ctx, cancel := context.WithDeadline(ctx, now.Add(head.timeout))
 	defer cancel()
-	data, refusal := e.receiveBody(ctx, b, control, now.Add(min(head.timeout, e.bodyTimeout)))
-	defer e.buffered.Add(-b.reserved)
+	data, refusal := e.receiveBody(ctx, w, h, now.Add(min(head.timeout, e.bodyTimeout)))
 	if refusal != nil {
-		return refusal
+		return refusal, false
 	}
 	r := head.request(e.ids.newID(), data, now)
 	p, refusal := e.queue.acquire(ctx, s, r.Urgency(), e.queueWait)
 	if refusal != nil {
-		return refusal
+		return refusal, true
 	}
 	defer e.queue.release(&p)
-	return e.serve(ctx, r, &p)
+	return e.serve(ctx, r, &p), true
 }
 
 // authorize returns the workspace of a request if the token is valid for it, else the refusal.
--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -27,6 +27,8 @@
 	bodyLimit         int
 	bufferedLimit     int64
 	headerLimit       int
+	bodyRate          int
+	connectionLimit   int
 	headerTimeout     time.Duration
 	bodyTimeout       time.Duration
 	queueWait         time.Duration
@@ -43,7 +45,7 @@
 	return options{
 		tracer:   noop.NewTracerProvider().Tracer(""),
 		registry: telemetry.NewRegistry(),
-		logger:   hclog.NewNullLogger(), bodyLimit: 4 << 20, bufferedLimit: 64 << 20, headerLimit: 64 << 10,
+		logger:   hclog.NewNullLogger(), bodyLimit: 4 << 20, bufferedLimit: 64 << 20, headerLimit: 64 << 10, bodyRate: 1 << 10, connectionLimit: 4096,
 		headerTimeout: 5 * time.Second, bodyTimeout: 30 * time.Second, queueWait: 2 * time.Second,
 		defaultDeadline: 30 * time.Second, maxDeadline: 10 * time.Minute, retrySharePercent: 10, retryAttempts: 3,
 		retryPause: 25 * time.Millisecond, quarantine: route.NewQuarantineRule(5, time.Second), grace: 30 * time.Second,
@@ -75,6 +77,12 @@
 // WithHeaderLimit sets the maximum size of a request's headers in bytes.
 func WithHeaderLimit(n int) Option { return func(o *options) { o.headerLimit = n } }
 
+// WithBodyRate sets the least rate at which a body has to arrive, in bytes per second.
+func WithBodyRate(n int) Option { return func(o *options) { o.bodyRate = n } }
+
+// WithConnectionLimit sets how many callers' connections are open at once; idle ones give way to new ones.
+func WithConnectionLimit(n int) Option { return func(o *options) { o.connectionLimit = n } }
+
 // WithReadTimeouts sets how long a caller may take to send the headers and the body of a request.
 func WithReadTimeouts(header, body time.Duration) Option {
 	return func(o *options) { o.headerTimeout, o.bodyTimeout = header, body }
--- a/internal/intake/body.go
+++ b/internal/intake/body.go
@@ -24,6 +24,11 @@
 // the request is answered; a body that is too large, arrives too slowly or finds the budget spent is refused, and the
 // connection ends with the answer.
 func ReadBody(w http.ResponseWriter, r *http.Request, limit int64) (data []byte, err error) {
+	return ReadBodyUntil(w, r, limit, time.Time{})
+}
+
+// ReadBodyUntil is ReadBody for a body that has to be whole by a time, unless that is zero.
+func ReadBodyUntil(w http.ResponseWriter, r *http.Request, limit int64, until time.Time) (data []byte, err error) {
 	c := connectionOf(r.Context())
 	if c == nil {
 		return readUncharged(r, limit)
@@ -46,7 +51,7 @@
 	}()
 	b := body{
 		request: r, control: http.NewResponseController(w), connection: c, limit: limit,
-		now: l.now, progress: l.limits.pace.Begin(l.now()),
+		now: l.now, progress: l.limits.pace.Begin(l.now()).endingBy(until),
 	}
 	return b.read()
 }
--- a/internal/intake/limiter.go
+++ b/internal/intake/limiter.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -51,12 +52,16 @@
 	return &Listener{Listener: inner, limiter: l, table: newTable(limit)}
 }
 
-// Prepare sets up a server for the connections of a Listener, beside its own hooks.
+// Prepare sets up a server for the connections of a Listener. The server's own hooks get the connections of the inner
+// listener.
 func (l *Limiter) Prepare(s *http.Server) {
-	observe, handler := s.ConnState, s.Handler
+	observe, handler, connContext := s.ConnState, s.Handler, s.ConnContext
 	// The connection refuses a larger head before the server does.
 	s.MaxHeaderBytes = int(l.limits.headBytes)
 	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		if connContext != nil {
+			ctx = connContext(ctx, innerOf(c))
+		}
 		return context.WithValue(ctx, connectionKey{}, c)
 	}
 	s.ConnState = func(c net.Conn, state http.ConnState) {
@@ -64,7 +69,7 @@
 			own.observe(state)
 		}
 		if observe != nil {
-			observe(c, state)
+			observe(innerOf(c), state)
 		}
 	}
 	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -72,23 +77,13 @@
 			panic(http.ErrAbortHandler)
 		}
 		if r.ContentLength != 0 {
-			l.boundUnread(w, r)
+			// The server reads what the handler leaves of the body.
+			_ = http.NewResponseController(w).SetReadDeadline(l.now().Add(l.limits.pace.interval))
 		}
 		handler.ServeHTTP(w, r)
 	})
 }
 
-// boundUnread bounds what the server reads of a body that the handler does not read: nothing if the method has no use for
-// a body, else what arrives in an interval of the pace.
-func (l *Limiter) boundUnread(w http.ResponseWriter, r *http.Request) {
-	switch r.Method {
-	case http.MethodPost, http.MethodPut, http.MethodPatch:
-		_ = http.NewResponseController(w).SetReadDeadline(l.now().Add(l.limits.pace.interval))
-	default:
-		skipBody(w)
-	}
-}
-
 // skipBody ends the connection with the answer. net/http reads the rest of a body before that, until its read deadline,
 // which has passed then.
 func skipBody(w http.ResponseWriter) {
@@ -97,16 +92,19 @@
 }
 
 // IgnoreBodies returns a handler that calls h and ends the connection of a request with a body, in place of reading the
-// body.
-func IgnoreBodies(h http.Handler) http.Handler {
+// body, unless h reads the bodies of requests with the method.
+func IgnoreBodies(h http.Handler, read ...string) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.ContentLength != 0 {
+		if r.ContentLength != 0 && !slices.Contains(read, r.Method) {
 			skipBody(w)
 		}
 		h.ServeHTTP(w, r)
 	})
 }
 
+// HeldBytes returns the number of bytes that are held for all clients.
+func (l *Limiter) HeldBytes() int64 { return l.budget.Held() }
+
 // note counts a refusal and logs the refusals at most once in each logInterval.
 func (l *Limiter) note(now time.Time, peer net.Addr, r Reason) {
 	l.refused[r].Inc(1)
--- a/internal/intake/limits.go
+++ b/internal/intake/limits.go
@@ -20,6 +20,8 @@
 	descriptorShare = 3.0 / 4
 	// minimumConnections lets a process with very low limits still be reached.
 	minimumConnections = 16
+	// headCostFactor is how many times its size a head costs at most.
+	headCostFactor = 32
 	// defaultHeadBytes has room for 16 KiB of header fields and a request line.
 	defaultHeadBytes = 20 << 10
 )
@@ -43,6 +45,13 @@
 	}
 }
 
+// NewServerLimits returns the limits of a process that may hold the given number of bytes of bodies for the clients at one
+// address, and has heads of the given size and a number of connections.
+func NewServerLimits(bodies, head int64, connections int, pace Pace) Limits {
+	budget := float64(bodies)/(1-reserveShare)/peerShare + float64(headCostFactor*head)
+	return Limits{budgetBytes: int64(budget), connections: connections, headBytes: head, pace: pace}
+}
+
 // WithPace returns a copy with another pace.
 func (l Limits) WithPace(p Pace) Limits {
 	l.pace = p
@@ -86,8 +95,16 @@
 	return Pace{interval: interval, minimum: minimum, total: total}
 }
 
+// paceInterval is the time in which a body has to arrive at its least rate.
+const paceInterval = 5 * time.Second
+
+// NewPaceOf returns a pace of the given bytes per second, counted over paceInterval, for bodies that arrive within total.
+func NewPaceOf(rate int, total time.Duration) Pace {
+	return NewPace(int64(rate)*int64(paceInterval/time.Second), paceInterval, total)
+}
+
 // DefaultPace returns the pace for clients whose links may lose packets for some seconds.
-func DefaultPace() Pace { return NewPace(4<<10, 5*time.Second, 30*time.Second) }
+func DefaultPace() Pace { return NewPaceOf(1<<10, 30*time.Second) }
 
 // Progress is how far a body has arrived.
 type Progress struct {
@@ -100,6 +117,14 @@
 // Begin returns the progress of a body of which nothing has arrived.
 func (p Pace) Begin(now time.Time) Progress { return Progress{pace: p, begunAt: now, intervalAt: now} }
 
+// endingBy returns a copy whose body has to be whole by a time, unless that is zero or later than the pace's.
+func (p Progress) endingBy(until time.Time) Progress {
+	if total := until.Sub(p.begunAt); !until.IsZero() && total < p.pace.total {
+		p.pace.total = total
+	}
+	return p
+}
+
 // Advance records n bytes that arrived.
 func (p *Progress) Advance(now time.Time, n int) {
 	if p.bytes += int64(n); p.bytes >= p.pace.minimum {
--- a/internal/intake/listener.go
+++ b/internal/intake/listener.go
@@ -89,6 +89,21 @@
 	return c
 }
 
+// innerOf returns the connection of the inner listener.
+func innerOf(c net.Conn) net.Conn {
+	if own, ok := c.(*Connection); ok {
+		return own.Conn
+	}
+	return c
+}
+
+// Release returns what is held for a request, whose body and head its handler needs no more.
+func Release(r *http.Request) {
+	if c := connectionOf(r.Context()); c != nil {
+		c.release(false)
+	}
+}
+
 // Read reads from the client, and charges the bytes of heads. If the budget is spent it refuses the request and returns
 // an error that ends the connection.
 func (c *Connection) Read(p []byte) (n int, err error) {
--- a/internal/settings/control.go
+++ b/internal/settings/control.go
@@ -29,6 +29,15 @@
 // TaskLease returns the duration of a task lease, the time for which a task runs without a renewal.
 func (c Control) TaskLease() time.Duration { return taskLeaseKey.get(c.v) }
 
+// BufferedBytes returns the maximum total size of the buffered request bodies of one address in bytes.
+func (c Control) BufferedBytes() int64 { return operatorBufferedKey.get(c.v) }
+
+// Connections returns the number of operators' connections that are open at once.
+func (c Control) Connections() int { return int(operatorConnectionsKey.get(c.v)) }
+
+// BodyRate returns the least rate at which a body has to arrive, in bytes per second.
+func (c Control) BodyRate() int64 { return bodyRateKey.get(c.v) }
+
 // OperatorTokenDigests returns the digests of the bearer tokens that operators may use; if empty, all operators are
 // refused.
 func (c Control) OperatorTokenDigests() []string { return tokenDigestsKey.get(c.v) }
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -35,9 +35,16 @@
 // QueueWait returns the maximum time that a request waits for a slot before it is refused.
 func (e Entry) QueueWait() time.Duration { return queueWaitKey.get(e.v) }
 
-// BufferedBytes returns the maximum total size of buffered request bodies in bytes, at least BodyBytes.
+// BufferedBytes returns the maximum total size of the buffered request bodies of one address in bytes, at least
+// BodyBytes.
 func (e Entry) BufferedBytes() int64 { return bufferedBytesKey.get(e.v) }
 
+// BodyRate returns the least rate at which a body has to arrive, in bytes per second.
+func (e Entry) BodyRate() int64 { return bodyRateKey.get(e.v) }
+
+// Connections returns the number of callers' connections that are open at once.
+func (e Entry) Connections() int { return int(clientConnectionsKey.get(e.v)) }
+
 // DeadlineDefault returns the deadline of a request that states none.
 func (e Entry) DeadlineDefault() time.Duration { return deadlineDefaultKey.get(e.v) }
 
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -38,12 +38,15 @@
 
 // The keys that more than one role has.
 var (
-	controlAddressesKey = addresses("control.addresses", "QUIC addresses of the control hosts").asRequired([]any{"127.0.0.1:9601"})
-	bodyBytesKey        = integer("limits.body_bytes", "bytes", 1, gibibyte, "largest request or answer body").withDefault(int64(4 * mebibyte))
-	quicListenKey       = listenAddress("listen", "QUIC address").asRequired("127.0.0.1:9600")
-	httpListenKey       = listenAddress("listen", "HTTP address").asRequired("127.0.0.1:8080")
-	coresKey            = integer("cores", "cores", 0, 4096, "processor cores of the worker").withDefault(int64(0))
-	acceleratorsKey     = integer("accelerators", "accelerators", 0, 1024, "accelerators of the worker").withDefault(int64(0))
+	controlAddressesKey  = addresses("control.addresses", "QUIC addresses of the control hosts").asRequired([]any{"127.0.0.1:9601"})
+	bodyBytesKey         = integer("limits.body_bytes", "bytes", 1, gibibyte, "largest request or answer body").withDefault(int64(4 * mebibyte))
+	clientConnectionsKey = integer("limits.connections", "connections", 16, 1<<20, "clients' connections that are open at once, 7/8 of them of one address; idle ones give way to new ones").withDefault(int64(4096))
+	bodyRateKey          = integer("limits.body_rate", "bytes/s", 1, gibibyte, "least rate at which a client's body has to arrive, counted over 5 s").withDefault(int64(1024))
+	bufferedBytesKey     = integer("limits.buffered_bytes", "bytes", 1, 16*gibibyte, "total of buffered request bodies of one address, at least the largest body; all addresses get a seventh more, small bodies and headers half as much again").withDefault(int64(64 * mebibyte))
+	quicListenKey        = listenAddress("listen", "QUIC address").asRequired("127.0.0.1:9600")
+	httpListenKey        = listenAddress("listen", "HTTP address").asRequired("127.0.0.1:8080")
+	coresKey             = integer("cores", "cores", 0, 4096, "processor cores of the worker").withDefault(int64(0))
+	acceleratorsKey      = integer("accelerators", "accelerators", 0, 1024, "accelerators of the worker").withDefault(int64(0))
 )
 
 // The keys of the entry role.
@@ -52,7 +55,6 @@
 	headerTimeoutKey      = duration("limits.header_timeout", 100*time.Millisecond, time.Minute, "time for a caller to send its header").withDefault("5s")
 	bodyTimeoutKey        = duration("limits.body_timeout", 100*time.Millisecond, 10*time.Minute, "time for a caller to send its body").withDefault("30s")
 	queueWaitKey          = duration("limits.queue_wait", 0, time.Minute, "longest wait for a slot before a refusal").withDefault("2s")
-	bufferedBytesKey      = integer("limits.buffered_bytes", "bytes", 1, 16*gibibyte, "total of buffered request bodies; at least limits.body_bytes").withDefault(int64(64 * mebibyte))
 	deadlineDefaultKey    = duration("deadline.default", time.Millisecond, 24*time.Hour, "deadline of a request that states none; at most deadline.max").withDefault("30s")
 	deadlineMaxKey        = duration("deadline.max", time.Millisecond, 24*time.Hour, "longest deadline that a caller may state").withDefault("10m")
 	retryShareKey         = integer("retry.share_percent", "percent", 0, 100, "retries allowed in percent of first attempts; retries after a full endpoint have a share of their own, 50 percent").withDefault(int64(10))
@@ -63,7 +65,7 @@
 
 	entryKeys = []definition{
 		httpListenKey.definition, controlAddressesKey.definition, bodyBytesKey.definition, headerBytesKey.definition,
-		headerTimeoutKey.definition, bodyTimeoutKey.definition, queueWaitKey.definition, bufferedBytesKey.definition,
+		headerTimeoutKey.definition, bodyTimeoutKey.definition, bodyRateKey.definition, queueWaitKey.definition, bufferedBytesKey.definition, clientConnectionsKey.definition,
 		deadlineDefaultKey.definition, deadlineMaxKey.definition, retryShareKey.definition, retryAttemptsKey.definition,
 		retryPauseKey.definition, quarantineFailuresKey.definition, quarantinePauseKey.definition,
 	}
@@ -102,10 +104,17 @@
 
 	controlKeys = []definition{
 		dataKey.definition, controlListenKey.definition, announceLeaseKey.definition, taskLeaseKey.definition,
+		operatorBufferedKey.definition, operatorConnectionsKey.definition, bodyRateKey.definition,
 		tokenDigestsKey.definition, membersKey.definition, completionWeightKey.definition, fragmentationWeightKey.definition,
 	}
 )
 
+// The limits on the clients of a control host.
+var (
+	operatorConnectionsKey = integer("limits.connections", "connections", 16, 1<<20, clientConnectionsKey.doc).withDefault(int64(512))
+	operatorBufferedKey    = integer("limits.buffered_bytes", "bytes", 4*mebibyte, 16*gibibyte, bufferedBytesKey.doc).withDefault(int64(32 * mebibyte))
+)
+
 // The keys of the operator role.
 var (
 	controlURLsKey = hostURLs("control.urls", "HTTP addresses of the control hosts").asRequired([]any{"http://127.0.0.1:9700"})
