wire: allocate frames as their data arrives

A peer that opened thousands of streams and announced a frame of up to 64 KiB on each made the receiver allocate all of them: 1000 streams took 66 MB (TestAnnouncedFrame on the code before). A frame now begins with 4 KiB and grows with its data. A call is bounded by the largest document, 4 MiB, in place of 16 MiB.

--- a/internal/wire/call.go
+++ b/internal/wire/call.go
@@ -58,11 +58,14 @@
 	return writeFrames(w, nil, NewOpening(KindCall, trace).form(), f)
 }
 
+// maxCallBytes bounds a call, which carries a document of at most 4 MiB.
+const maxCallBytes = 4<<20 + 64<<10
+
 // ReadCall reads the call that follows the opening of a stream.
 func ReadCall(r io.Reader) (c call.Call, err error) {
 	defer annotate("read call", &err)
 	var f callForm
-	if err = readFrame(r, &f, MaxFrameBytes); err != nil {
+	if err = readFrame(r, &f, maxCallBytes); err != nil {
 		return nil, err
 	}
 	target := call.NewTarget(f.Host, f.Path, f.Key)
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -145,23 +145,26 @@
 	return cbor.Unmarshal(data, v)
 }
 
-// readData reads a frame of size bytes, and allocates a large frame only as its data arrives: the size is a claim of
-// the sender.
+// readData reads a frame of size bytes. It allocates a large frame only as its data arrives: the size is a claim of the
+// sender, which may open thousands of streams.
 func readData(r io.Reader, size int) (data []byte, err error) {
-	if size <= maxPreallocatedBytes {
-		data = make([]byte, size)
-		_, err = io.ReadFull(r, data)
-		return data, err
-	}
-	var b bytes.Buffer
-	if _, err = io.CopyN(&b, r, int64(size)); err != nil {
-		return nil, err
+	data = make([]byte, min(size, maxPreallocatedBytes))
+	for read := 0; ; {
+		n, err := io.ReadFull(r, data[read:])
+		if err != nil {
+			return nil, err
+		}
+		if read += n; read == size {
+			return data, nil
+		}
+		grown := make([]byte, min(2*len(data), size))
+		copy(grown, data)
+		data = grown
 	}
-	return b.Bytes(), nil
 }
 
 // maxPreallocatedBytes bounds what a sender can make a receiver allocate by stating a size.
-const maxPreallocatedBytes = 64 << 10
+const maxPreallocatedBytes = 4 << 10
 
 // unexpectedEOF replaces io.EOF, which means the end of a stream between messages, by io.ErrUnexpectedEOF.
 func unexpectedEOF(err error) error {
