--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -23,6 +23,8 @@
 	testTimeout = 10 * time.Second
 	// bodyLimit is the largest body that the server of these tests reads.
 	bodyLimit = 64 << 10
+	// panicPath is the path of requests whose handler panics.
+	panicPath = "/panic"
 )
 
 // server is an HTTP server behind a Limiter that answers with the length of the body.
@@ -57,6 +59,9 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	if r.URL.Path == panicPath {
+		panic(http.ErrAbortHandler)
+	}
 	s.calls <- len(data)
 	_, _ = fmt.Fprint(w, len(data))
 }
@@ -199,3 +204,21 @@
 	assert.Error(t, err, "the oldest connection is still open")
 	assert.Equal(t, "7", s.metric("intake_connections"), "the part of one address")
 }
+
+// Guards against a request that keeps what it holds because its handler panics, or because its client leaves early.
+func TestReleased(t *testing.T) {
+	for name, text := range map[string]string{
+		"panic":           strings.Replace(post(10_000, 10_000), "/", panicPath, 1),
+		"unfinished body": post(10_000, 5000),
+		"unfinished head": "GET / HTTP/1.1\r\nHost: a\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newServer(t, ordinaryLimits())
+			c := s.dial()
+			c.send(text)
+			assert.Eventually(t, func() bool { return s.metric("intake_connections") != "0" || name == "panic" }, testTimeout, time.Millisecond)
+			require.NoError(t, c.Close())
+			s.assertReleased()
+		})
+	}
+}
