--- a/internal/intake/body.go
+++ b/internal/intake/body.go
@@ -128,7 +128,8 @@
 }
 
 // AcquireCopies holds the bytes of the copies of a body of the given length that passing it on takes. A small body is
-// charged to its request; a large one waits for its turn for turnTimeout at most. The caller releases it once it has an answer.
+// charged to its request; a large one waits for its turn for turnTimeout at most. The caller releases it once it has an
+// answer.
 func AcquireCopies(ctx context.Context, r *http.Request, length int) (release func(), err error) {
 	c := connectionOf(r.Context())
 	if c == nil {
--- a/internal/intake/limiter.go
+++ b/internal/intake/limiter.go
@@ -27,7 +27,8 @@
 	refused  map[Reason]gometrics.Counter
 	logger   hclog.Logger
 	now      func() time.Time
-	logAfter atomic.Int64 // nanoseconds since 1970
+	begunAt  time.Time
+	logAfter atomic.Int64 // nanoseconds since begunAt, since the time of day may jump
 	unlogged atomic.Int64 // refusals since the last log line
 }
 
@@ -35,7 +36,7 @@
 func NewLimiter(limits Limits, r *telemetry.Registry, logger hclog.Logger, now func() time.Time) *Limiter {
 	l := &Limiter{
 		limits: limits, budget: NewBudget(limits.budgetBytes), copies: semaphore.NewWeighted(max(limits.budgetBytes, 1)),
-		refused: map[Reason]gometrics.Counter{}, logger: logger, now: now,
+		refused: map[Reason]gometrics.Counter{}, logger: logger, now: now, begunAt: now(),
 	}
 	for _, reason := range Reasons() {
 		l.refused[reason] = r.Counter("intake.refused." + string(reason))
@@ -108,8 +109,8 @@
 // note counts a refusal and logs the refusals at most once in each logInterval.
 func (l *Limiter) note(now time.Time, peer net.Addr, r Reason) {
 	l.refused[r].Inc(1)
-	count, after := l.unlogged.Add(1), l.logAfter.Load()
-	if now.UnixNano() < after || !l.logAfter.CompareAndSwap(after, now.Add(logInterval).UnixNano()) {
+	count, after, age := l.unlogged.Add(1), l.logAfter.Load(), now.Sub(l.begunAt)
+	if int64(age) < after || !l.logAfter.CompareAndSwap(after, int64(age+logInterval)) {
 		return
 	}
 	l.unlogged.Add(-count)
