placement: reservations keep the limit per worker, and none holds small tasks up while the service is idle

An urgent gang reserved capacity in two passes that did not share their counts, so that it could reserve one worker for more of its tasks than may run there and lose the other one. Beside a reservation without backfill, tasks of a job at work waited for observed ends even while less than half of the service was in use. The limit on the number of reservations is exceeded only where runs are being stopped for the unit, no more where it merely waits for ends.

--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -221,13 +221,14 @@
 		p.plan.groups = append(p.plan.groups, best.group())
 		return
 	}
+	freed := false
 	if u.queue.Priority() == 0 {
 		if set := p.preempt(u, sets, maxLostWorkRatio*u.work()); set != nil {
-			sets, u.reason = [][]*workerState{set}, CapacityPending
+			sets, u.reason, freed = [][]*workerState{set}, CapacityPending, awaitsStops(set)
 		}
 	}
 	// What is freed for a unit is always reserved, since it would be taken by others and freed once more.
-	if p.reservedUnits < maxReservations || u.reason == CapacityPending {
+	if p.reservedUnits < maxReservations || freed {
 		p.reservedUnits++
 		p.reserve(u, sets)
 	}
--- a/internal/placement/reserve.go
+++ b/internal/placement/reserve.go
@@ -22,25 +22,29 @@
 	if best == nil {
 		return false
 	}
-	left := len(u.indexes)
+	left, counts := len(u.indexes), map[*workerState]int{}
 	if u.queue.Priority() == 0 {
-		left -= p.reserveOn(u, best, from, left, p.freeOrStopping)
+		left -= p.reserveOn(u, best, from, left, counts, p.freeOrStopping)
 	}
-	p.reserveOn(u, best, from, left, func(w *workerState) batch.Resources { return p.availableAt(w, from, declaredEnds) })
+	p.reserveOn(u, best, from, left, counts, func(w *workerState) batch.Resources { return p.availableAt(w, from, declaredEnds) })
 	return true
 }
 
-// reserveOn reserves capacity for up to count tasks on the workers of a set, as much as available tells for each. It
-// returns for how many.
+// reserveOn reserves capacity for up to limit tasks on the workers of a set, as much as available tells for each. It
+// returns for how many, and adds them to the counts by worker, which the step's limit per worker bounds.
 func (p *planner) reserveOn(
-	u *unit, set []*workerState, from time.Time, count int, available func(*workerState) batch.Resources,
+	u *unit, set []*workerState, from time.Time, limit int, counts map[*workerState]int, available func(*workerState) batch.Resources,
 ) (reserved int) {
 	for _, w := range set {
-		n := min(u.maxTasks(available(w)), count-reserved)
+		n := min(u.maxTasks(available(w)), limit-reserved)
+		if m := u.step.MaxPerWorker(); m > 0 {
+			n = min(n, m-counts[w])
+		}
 		if n <= 0 {
 			continue
 		}
 		reserved += n
+		counts[w] += n
 		needs := u.step.Reserved().Times(n)
 		w.reserve(reservation{from: from, needs: needs, noBackfill: u.queue.Priority() == 0})
 	}
@@ -54,9 +58,20 @@
 	return w.free.Plus(releasedByStops(w)).Minus(w.reserved)
 }
 
+// awaitsStops reports whether a run stops on a worker of a set.
+func awaitsStops(set []*workerState) bool {
+	for _, w := range set {
+		if slices.ContainsFunc(w.runs, func(r *placedRun) bool { return r.stopping }) {
+			return true
+		}
+	}
+	return false
+}
+
 // leavesReserved reports whether one more task of the unit leaves the given free resources of a worker sufficient for
 // all its reservations. A task that ends before a reservation starts may backfill it if the reservation allows. Where
-// it does not, only free capacity, observed ends and stopping runs count, since declared ends are often wrong.
+// it does not, only free capacity, observed ends and stopping runs count, since declared ends are often wrong; while most
+// of the service is idle, small tasks do not wait for that.
 func (p *planner) leavesReserved(u *unit, w *workerState, free batch.Resources) bool {
 	ends, needs := p.view.now.Add(w.taskTime(u.duration)), u.step.Reserved()
 	for _, rv := range w.reservations {
@@ -64,7 +79,7 @@
 			continue
 		}
 		src := declaredEnds
-		if rv.noBackfill {
+		if rv.noBackfill && !p.idle(w.service) {
 			src = observedEnds
 		}
 		needs = needs.Plus(rv.needs)
--- a/internal/placement/scarcity_test.go
+++ b/internal/placement/scarcity_test.go
@@ -47,3 +47,38 @@
 		})
 	}
 }
+
+// Guards against a reservation of an urgent gang on one worker for more tasks than may run there, while the other worker
+// is given away.
+func TestReservationWithinLimitPerWorker(t *testing.T) {
+	f := newFixture(t)
+	var on []int
+	for w := 1; w < 6; w++ {
+		on = append(on, w, w, w, w)
+	}
+	f.startOn("run", urgent, batch.NewStep(20, gpus(2), 20*time.Second), on...)
+	f.submit("gang", urgent, "nobody", batch.NewStep(2, gpus(4), time.Second, batch.WithGang(true, false), batch.WithMaxPerWorker(1)))
+	f.decide()
+	f.assertPlaced("gang", 0)
+	f.submit("task", patient, "nobody", batch.NewStep(4, gpus(2), time.Hour))
+	f.end(batch.NewTaskID("run", 0, 0, 0), batch.Done)
+	f.decide()
+	f.end(batch.NewTaskID("run", 0, 0, 1), batch.Done)
+	f.decide()
+	f.assertPlaced("gang", 2)
+}
+
+// Guards against tasks of a job at work that wait beside a reservation while less than half of the service is in use: the
+// runs beside them report no progress, and the reserved capacity would still be there at its time.
+func TestSmallTasksBesideReservation(t *testing.T) {
+	f := newFixture(t)
+	f.startOn("run", urgent, batch.NewStep(6, gpus(3), 20*time.Second), 0, 1, 2, 3, 4, 5)
+	f.startOn("small", patient, batch.NewStep(6, gpus(1), 10*time.Second), 0)
+	f.submit("gang", urgent, "nobody", batch.NewStep(6, gpus(6), 20*time.Second, batch.WithGang(true, false)))
+	for range 8 {
+		f.decide()
+		f.advance(500 * time.Millisecond)
+	}
+	f.assertPlaced("gang", 0)
+	f.assertPlaced("small", 6)
+}
