placement: runs that are moved do not share a free worker

Each move looked for a free place without regard to the moves before it, so that two runs were stopped for one free worker and one of them waited. The same happened while a run that was moved by an earlier decision was still stopping.

The look for moves now takes the place of each moved run or gang from its workers for the rest of the decision, and nothing moves while a run stops whose task has to run again. TestMovesHavePlacesOfTheirOwn covers both; three of its five subtests fail without the change.

--- a/internal/placement/assignment.go
+++ b/internal/placement/assignment.go
@@ -35,6 +35,15 @@
 
 func (as *assignment) group() batch.Group { return batch.NewGroup(as.unit.key, as.members...) }
 
+// slowestSpeed returns the speed of the slowest worker of the placement, which must not be empty.
+func (as *assignment) slowestSpeed() float64 {
+	slowest := as.workers[0].speed
+	for _, w := range as.workers {
+		slowest = min(slowest, w.speed)
+	}
+	return slowest
+}
+
 // assignGang assigns all tasks of a gang to workers of a set, with the least leftover accelerators first. It returns
 // nil if they do not fit.
 func (p *planner) assignGang(u *unit, set []*workerState) *assignment {
--- a/internal/placement/move.go
+++ b/internal/placement/move.go
@@ -25,9 +25,10 @@
 func (p Plan) Moves() []run.ID { return p.moves }
 
 // moveRuns stops runs on surely slow workers whose job would be late there and is not on faster workers that are free. A
-// task that is long by itself on a normal worker stays. Nothing moves while tasks wait for capacity.
+// task that is long by itself on a normal worker stays. Nothing moves while tasks wait for capacity or a run stops whose
+// task has to run again, since that task may need the free workers.
 func (p *planner) moveRuns() {
-	if !p.view.speeds.Differ() || len(p.plan.waits) > 0 {
+	if !p.view.speeds.Differ() || len(p.plan.waits) > 0 || p.restarts() {
 		return
 	}
 	considered := map[batch.TaskID]bool{}
@@ -45,10 +46,12 @@
 				continue
 			}
 			considered[key] = true
-			if !p.gainsByMove(r) {
+			place := p.fastestPlace(r)
+			if place == nil || !p.gainsByMove(r, place) {
 				continue
 			}
 			p.stopForMove(r)
+			p.take(place)
 			if count++; count == maxMoves {
 				return
 			}
@@ -56,6 +59,20 @@
 	}
 }
 
+// restarts reports whether a run of an active job is stopping, so that its task will wait for a worker.
+func (p *planner) restarts() bool {
+	for id := range p.view.stopping {
+		j, known := p.view.state.Job(id.Task().Job())
+		if !known || !j.Active() {
+			continue
+		}
+		if t, _ := j.Task(id.Task()); t.Phase() == batch.Placed && t.Run() == id.Run() {
+			return true
+		}
+	}
+	return false
+}
+
 // movable reports whether a run, or the gang that it belongs to, may be stopped to run elsewhere.
 func (p *planner) movable(r *placedRun) bool {
 	if r.stopping || r.id.Run() == 0 || r.id.Run() > maxMovedRun || r.step.LongRunning() {
@@ -64,23 +81,18 @@
 	return r.step.Checkpoints() && r.observed || r.step.Gang() && p.view.now.Sub(r.started) <= justBegun
 }
 
-// gainsByMove reports whether the run, or its gang, would miss a bound on its end where it is and meet it on free faster
-// workers.
-func (p *planner) gainsByMove(r *placedRun) bool {
-	members := p.membersOf(r)
+// gainsByMove reports whether the run, or its gang, would miss a bound on its end where it is and meet it at the given
+// place.
+func (p *planner) gainsByMove(r *placedRun, place *assignment) bool {
 	stays, work := p.view.now, time.Duration(0)
-	for _, m := range members {
+	for _, m := range p.membersOf(r) {
 		if m.ends.After(stays) {
 			stays = m.ends
 		}
 		work = max(work, time.Duration(float64(m.ends.Sub(p.view.now)+p.lostByMove(m))*m.worker.speed))
 	}
-	slowest := p.fastestPlace(r, len(members))
-	if slowest == 0 {
-		return false
-	}
 	left := stays.Sub(p.view.now)
-	ends := p.view.now.Add(moveDelay + time.Duration(float64(work)/slowest))
+	ends := p.view.now.Add(moveDelay + time.Duration(float64(work)/place.slowestSpeed()))
 	if stays.Sub(ends) < max(moveDelay, time.Duration(minMoveGain*float64(left))) {
 		return false
 	}
@@ -124,40 +136,59 @@
 	return members
 }
 
-// fastestPlace returns the speed of the slowest worker that a task or a whole gang would use if it began now on the
-// fastest free workers, or 0 if it does not fit.
-func (p *planner) fastestPlace(r *placedRun, members int) float64 {
-	id := r.id.Task()
+// fastestPlace returns the placement of a task or a whole gang if it began now on the fastest free workers, or nil if it
+// does not fit.
+func (p *planner) fastestPlace(r *placedRun) *assignment {
+	u := p.movedUnit(r)
+	if u == nil {
+		return nil
+	}
+	return p.fastestAssignment(u)
+}
+
+// movedUnit returns the unit that a run, or its gang, would be placed as after a move; nil if members of the gang run on
+// workers that are not known.
+func (p *planner) movedUnit(r *placedRun) *unit {
+	id, members := r.id.Task(), len(p.membersOf(r))
 	if r.step.Gang() && members < r.step.Count() {
-		return 0
+		return nil
 	}
 	u := &unit{
 		job: r.job, queue: p.view.state.CurrentQueue(r.job), step: r.step, key: id.StepKey(),
 		tasks: r.job.Tasks(id.Occurrence(), id.Step()), waiting: members, duration: p.view.taskDuration(r.job, id.Step()),
 		readySince: p.view.now, speeds: speedNeed{fastest: true}, waitPolicy: waitForAll,
 	}
-	if !r.step.Gang() {
-		u.indexes = []int{id.Index()}
-		if w := p.bestWorker(u, newAssignment(u), p.eligible(u)); w != nil && !u.avoids(w) {
-			return w.speed
+	u.indexes = []int{id.Index()}
+	if r.step.Gang() {
+		u.indexes = p.ascendingIndexes(members)
+	}
+	return u
+}
+
+// fastestAssignment assigns a task or a whole gang to the fastest free workers. It returns nil if it does not fit.
+func (p *planner) fastestAssignment(u *unit) (best *assignment) {
+	if !u.step.Gang() {
+		as := newAssignment(u)
+		w := p.bestWorker(u, as, p.eligible(u))
+		if w == nil || u.avoids(w) {
+			return nil
 		}
-		return 0
+		as.add(u.indexes[0], w)
+		return as
 	}
-	u.indexes = p.ascendingIndexes(members)
-	var best *assignment
 	for _, set := range p.candidateSets(u) {
 		if as := p.assignBySpeed(u, set); as != nil && as.avoided == 0 && (best == nil || compareAssignments(as, best) < 0) {
 			best = as
 		}
 	}
-	if best == nil {
-		return 0
-	}
-	slowest := best.workers[0].speed
-	for _, w := range best.workers {
-		slowest = min(slowest, w.speed)
+	return best
+}
+
+// take takes the resources of a placement from its workers.
+func (p *planner) take(as *assignment) {
+	for _, w := range as.workers {
+		p.assign(as.unit, w)
 	}
-	return slowest
 }
 
 // stopForMove stops a run, or its whole gang.
--- a/internal/placement/move_test.go
+++ b/internal/placement/move_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"rosemarywind.example/rosemarywind/internal/batch"
 	"rosemarywind.example/rosemarywind/internal/placement"
@@ -19,12 +20,20 @@
 // decideWithEnds makes a decision in which the runs of a job are expected to end after the given times by their progress;
 // the last one holds for all further tasks.
 func (f *fixture) decideWithEnds(id string, after ...time.Duration) placement.Plan {
+	f.t.Helper()
+	return f.decideWithJobEnds(map[string][]time.Duration{id: after})
+}
+
+// decideWithJobEnds makes a decision like decideWithEnds with the ends of the runs of several jobs.
+func (f *fixture) decideWithJobEnds(jobs map[string][]time.Duration) placement.Plan {
 	f.t.Helper()
 	ends := map[run.ID]time.Time{}
-	j, _ := f.state.Job(id)
-	for n, t := range j.Tasks(0, 0).All() {
-		if t.Phase() == batch.Placed {
-			ends[run.NewID(batch.NewTaskID(id, 0, 0, n), t.Run())] = f.now.Add(after[min(n, len(after)-1)])
+	for id, after := range jobs {
+		j, _ := f.state.Job(id)
+		for n, t := range j.Tasks(0, 0).All() {
+			if t.Phase() == batch.Placed {
+				ends[run.NewID(batch.NewTaskID(id, 0, 0, n), t.Run())] = f.now.Add(after[min(n, len(after)-1)])
+			}
 		}
 	}
 	return placement.Decide(placement.NewView(f.now, f.state, f.workers, f.stopped, remoteFactor).
@@ -133,3 +142,62 @@
 		})
 	}
 }
+
+// Guards against runs that are stopped for a free worker that another moved run takes, so that one of them waits.
+func TestMovesHavePlacesOfTheirOwn(t *testing.T) {
+	late := []time.Duration{15 * time.Second}
+	newSlowPair := func(t *testing.T) *fixture {
+		f := newFixture(t)
+		f.setSpeeds(slowSpeed, slowSpeed, 1, 1, 1, fastSpeed)
+		f.startOn("first", patient, checkpointed(1, 8, 5*time.Second), 0)
+		f.startOn("second", patient, checkpointed(1, 8, 5*time.Second), 1)
+		f.fill(0, 1, 5)
+		f.advance(4 * time.Second)
+		return f
+	}
+	t.Run("in one decision", func(t *testing.T) {
+		f := newSlowPair(t)
+		p := f.decideWithJobEnds(map[string][]time.Duration{"first": late, "second": late})
+		assert.Len(t, p.Moves(), 1)
+	})
+	t.Run("until the moved run has stopped", func(t *testing.T) {
+		f := newSlowPair(t)
+		f.stopMoved(f.decideWithEnds("first", late...), 1)
+		f.advance(500 * time.Millisecond)
+		assert.Empty(t, f.decideWithEnds("second", late...).Moves())
+	})
+	t.Run("while its worker is not known", func(t *testing.T) {
+		f := newSlowPair(t)
+		f.stopMoved(f.decideWithEnds("first", late...), 1)
+		f.workers = f.workers[1:]
+		assert.Empty(t, f.decideWithEnds("second", late...).Moves())
+	})
+	t.Run("until its task is placed again", func(t *testing.T) {
+		f := newSlowPair(t)
+		f.stopMoved(f.decideWithEnds("first", late...), 1)
+		f.apply(batch.NewEndRuns(f.now, batch.NewEnd(batch.NewTaskID("first", 0, 0, 0), 1, batch.Stopped, "c")))
+		f.workers = f.workers[1:] // so that the moved task has one worker to go to
+		p := f.decideWithEnds("second", late...)
+		assert.Len(t, p.Groups(), 1)
+		assert.Empty(t, p.Moves())
+	})
+	t.Run("a place for each", func(t *testing.T) {
+		f := newFixture(t)
+		f.setSpeeds(slowSpeed, slowSpeed, 1, 1, fastSpeed, fastSpeed)
+		f.startOn("first", patient, checkpointed(1, 8, 5*time.Second), 0)
+		f.startOn("second", patient, checkpointed(1, 8, 5*time.Second), 1)
+		f.fill(0, 1, 4, 5)
+		f.advance(4 * time.Second)
+		p := f.decideWithJobEnds(map[string][]time.Duration{"first": late, "second": late})
+		assert.Len(t, p.Moves(), 2)
+	})
+}
+
+// stopMoved records that the runs which a decision moves, of the given number, were ordered to stop.
+func (f *fixture) stopMoved(p placement.Plan, want int) {
+	f.t.Helper()
+	require.Len(f.t, p.Moves(), want)
+	for _, id := range p.Moves() {
+		f.stopped[id] = true
+	}
+}
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -215,9 +215,7 @@
 			u.reason = CapacityReserved
 			return
 		}
-		for _, w := range best.workers {
-			p.assign(u, w)
-		}
+		p.take(best)
 		p.plan.groups = append(p.plan.groups, best.group())
 		return
 	}
