placement: guaranteed work stays, and a moved task can start at once

A move stopped gangs within their workspace's guarantee, which nothing else may preempt. It also stopped runs whose tasks then waited up to 8 s, because their start would have taken the headroom for urgent work.

A run within a guarantee no longer moves, and a place counts for a move only if the task could start there beside the headroom and the guarantees. The condition is the one of placement, now mayStart. TestGuaranteedWorkStays and TestMoveLeavesHeadroom fail without the change.

--- a/internal/placement/move.go
+++ b/internal/placement/move.go
@@ -73,9 +73,10 @@
 	return false
 }
 
-// movable reports whether a run, or the gang that it belongs to, may be stopped to run elsewhere.
+// movable reports whether a run, or the gang that it belongs to, may be stopped to run elsewhere. A run within a guarantee
+// is never stopped for a better place.
 func (p *planner) movable(r *placedRun) bool {
-	if r.stopping || r.id.Run() == 0 || r.id.Run() > maxMovedRun || r.step.LongRunning() {
+	if r.stopping || r.guaranteed || r.id.Run() == 0 || r.id.Run() > maxMovedRun || r.step.LongRunning() {
 		return false
 	}
 	return r.step.Checkpoints() && r.observed || r.step.Gang() && p.view.now.Sub(r.started) <= justBegun
@@ -137,13 +138,17 @@
 }
 
 // fastestPlace returns the placement of a task or a whole gang if it began now on the fastest free workers, or nil if it
-// does not fit.
+// does not fit or would be held back.
 func (p *planner) fastestPlace(r *placedRun) *assignment {
 	u := p.movedUnit(r)
 	if u == nil {
 		return nil
 	}
-	return p.fastestAssignment(u)
+	as := p.fastestAssignment(u)
+	if as == nil || !p.mayStart(u, as.workers...) {
+		return nil
+	}
+	return as
 }
 
 // movedUnit returns the unit that a run, or its gang, would be placed as after a move; nil if members of the gang run on
@@ -158,6 +163,7 @@
 		tasks: r.job.Tasks(id.Occurrence(), id.Step()), waiting: members, duration: p.view.taskDuration(r.job, id.Step()),
 		readySince: p.view.now, speeds: speedNeed{fastest: true}, waitPolicy: waitForAll,
 	}
+	u.setSlack(p.view.now, p.objective(r.job), p.remainingTimes(r.job)[id.Step()])
 	u.indexes = []int{id.Index()}
 	if r.step.Gang() {
 		u.indexes = p.ascendingIndexes(members)
--- a/internal/placement/move_test.go
+++ b/internal/placement/move_test.go
@@ -193,6 +193,55 @@
 	})
 }
 
+// Guards against a move that stops work within a guarantee.
+func TestGuaranteedWorkStays(t *testing.T) {
+	for workspace, moves := range map[string]int{"a": 0, "nobody": 2} {
+		t.Run("gang of workspace "+workspace, func(t *testing.T) {
+			f := newFixture(t)
+			f.setSpeeds(slowSpeed, 1, 1, fastSpeed, fastSpeed, 1)
+			f.submit("gang", urgent, workspace, looseGang(2, 8, 8*time.Second))
+			f.apply(batch.NewPlaceRuns(f.now, batch.NewGroup(batch.NewTaskID("gang", 0, 0, 0),
+				batch.NewMember(0, 1, incarnation(0)), batch.NewMember(1, 1, incarnation(1)))))
+			f.advance(500 * time.Millisecond)
+			assert.Len(t, f.decideWithEnds("gang", 12800*time.Millisecond, 7500*time.Millisecond).Moves(), moves)
+		})
+	}
+}
+
+// Guards against a move of a run whose task then waits, since its start would take the headroom for urgent work.
+func TestMoveLeavesHeadroom(t *testing.T) {
+	for name, c := range map[string]struct {
+		urgentBefore bool // the headroom is kept once there has been an urgent job
+		free         []int
+		moves        int
+	}{
+		"no headroom to keep":    {false, []int{0, 4, 5}, 1},
+		"takes the headroom":     {true, []int{0, 4, 5}, 0},
+		"headroom in other rack": {true, []int{0, 2, 3, 4, 5}, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			if c.urgentBefore {
+				f.submit("early", urgent, "nobody", batch.NewStep(1, gpus(1), time.Second))
+				f.decide()
+				f.end(batch.NewTaskID("early", 0, 0, 0), batch.Done)
+			}
+			f.setSpeeds(slowSpeed, 1, 1, 1, 1, fastSpeed)
+			f.startOn("j", patient, checkpointed(1, 8, 20*time.Second), 0)
+			f.fill(c.free...)
+			f.startOn("beside", patient, batch.NewStep(1, gpus(4), time.Hour), 4)
+			f.advance(4 * time.Second)
+			f.stopMoved(f.decideWithEnds("j", 60*time.Second), c.moves)
+			if c.moves == 0 {
+				return
+			}
+			f.apply(batch.NewEndRuns(f.now, batch.NewEnd(batch.NewTaskID("j", 0, 0, 0), 1, batch.Stopped, "c")))
+			f.decide()
+			f.assertPlaced("j", 1)
+		})
+	}
+}
+
 // stopMoved records that the runs which a decision moves, of the given number, were ordered to stop.
 func (f *fixture) stopMoved(p placement.Plan, want int) {
 	f.t.Helper()
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -141,7 +141,7 @@
 		if w == nil || u.suspicion.any() || !p.fits(u, as, w, w.free) {
 			w = p.bestWorker(u, as, eligible)
 		}
-		if w != nil && (!p.leavesHeadroom(u, w) || !p.guaranteesPermit(u, 1)) {
+		if w != nil && !p.mayStart(u, w) {
 			heldBack, u.reason = true, CapacityReserved
 			break
 		}
@@ -165,6 +165,12 @@
 	}
 }
 
+// mayStart reports whether tasks of a unit may start on the given workers, one for each task, beside the headroom for urgent
+// work and the guarantees of all workspaces.
+func (p *planner) mayStart(u *unit, workers ...*workerState) bool {
+	return p.leavesHeadroom(u, workers...) && p.guaranteesPermit(u, len(workers))
+}
+
 // preemptOrReserve preempts runs for urgent tasks that did not fit, and reserves capacity for each of the given tasks
 // in turn.
 func (p *planner) preemptOrReserve(u *unit, indexes []int) {
@@ -211,7 +217,7 @@
 		best = p.assignBySpeed(u, p.eligible(u))
 	}
 	if best != nil {
-		if !p.leavesHeadroom(u, best.workers...) || !p.guaranteesPermit(u, len(u.indexes)) {
+		if !p.mayStart(u, best.workers...) {
 			u.reason = CapacityReserved
 			return
 		}
