wire: progress of a run is limited to 0 to 100 percent

The list of an agent's runs was decoded with any progress. A huge value made the duration derived from it 0, by which later figures were divided.

The decoded progress is limited to 0 to 100, as the client of the worker already does. TestProgressOutOfRange covers it; TestProgressThatJumps checks that no jump within the range makes a duration shorter than the least time between reports from which it is derived.

--- a/internal/dispatch/progress_test.go
+++ b/internal/dispatch/progress_test.go
@@ -43,6 +43,35 @@
 	})
 }
 
+// Guards against durations that are shorter than the time between two reports, or 0, because progress jumps.
+func TestProgressThatJumps(t *testing.T) {
+	for name, percents := range map[string][]int{
+		"back":                {60, 20, 30, 40},
+		"back to nothing":     {50, 0, 0, 0},
+		"complete at once":    {0, 100, 100},
+		"back from complete":  {100, 0, 10, 20},
+		"to and fro":          {0, 100, 0, 100, 0, 100},
+		"complete from begin": {100, 100, 100},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newProgress()
+			for i, n := range percents {
+				p.addSample(start.Add(time.Duration(i)*500*time.Millisecond), n)
+				if d, ok := p.duration(); ok {
+					assert.GreaterOrEqual(t, d, minRateWindow)
+				}
+				if at, ok := p.expectedEnd(); ok {
+					assert.False(t, at.Before(start))
+				}
+				if d, observed, ok := p.window.duration(); ok {
+					assert.GreaterOrEqual(t, d, minRateWindow)
+					assert.Positive(t, observed)
+				}
+			}
+		})
+	}
+}
+
 // Guards against a leak of the progress of runs whose jobs no longer exist.
 func TestProgressForgotten(t *testing.T) {
 	c := NewCore(DefaultTiming(), 1, start)
--- a/internal/wire/batch_test.go
+++ b/internal/wire/batch_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"math"
 	"testing"
 	"time"
 
@@ -143,6 +144,31 @@
 	})
 }
 
+// Guards against progress outside 0 to 100 percent, from which durations of 0 would be derived.
+func TestProgressOutOfRange(t *testing.T) {
+	for name, c := range map[string]struct{ percent, want int }{
+		"none":           {0, 0},
+		"part":           {41, 41},
+		"complete":       {100, 100},
+		"below 0":        {-1, 0},
+		"far below 0":    {math.MinInt, 0},
+		"above complete": {101, 100},
+		"huge":           {math.MaxInt, 100},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var b bytes.Buffer
+			running := []run.Running{run.NewRunning(run.NewID(testTask, 2), "", c.percent, 5)}
+			r := run.NewReport("h").WithList(run.NewList(testIncarnation, 9, time.Hour, running, nil, nil))
+			require.NoError(t, wire.WriteRunReport(&b, r))
+			read, err := wire.ReadRunReport(&b)
+			require.NoError(t, err)
+			l, ok := read.List()
+			require.True(t, ok)
+			assert.Equal(t, []run.Running{run.NewRunning(run.NewID(testTask, 2), "", c.want, 5)}, l.Running())
+		})
+	}
+}
+
 // Guards against calls and replies that differ after they were encoded and decoded.
 func TestCalls(t *testing.T) {
 	target := call.NewTarget("h", "/q/j", "key")
--- a/internal/wire/run.go
+++ b/internal/wire/run.go
@@ -196,10 +196,14 @@
 	return f
 }
 
+// fullProgress is the progress of a complete run, in percent. Durations are derived from the progress, and a value beyond it
+// would make them 0.
+const fullProgress = 100
+
 func (f listForm) list() run.List {
 	running := make([]run.Running, len(f.Running))
 	for i, r := range f.Running {
-		running[i] = run.NewRunning(r.ID.id(), r.Checkpoint, r.Percent, r.Measurement)
+		running[i] = run.NewRunning(r.ID.id(), r.Checkpoint, min(max(r.Percent, 0), fullProgress), r.Measurement)
 	}
 	finished := make([]run.Finished, len(f.Finished))
 	for i, e := range f.Finished {
