registry: evacuations and their ends have request ids of their own

Cause: both orders kept their replies under one scope, so the end of an evacuation that repeated the request id of the evacuation was taken for its retry: it was acknowledged and the zone stayed evacuated.

Change: each order has a scope. A reply that an earlier version recorded under the shared scope still answers retries of either order, until it expires. The model of the fuzz test had the shared scope too and now has one for each order.

--- a/internal/registry/apply.go
+++ b/internal/registry/apply.go
@@ -21,7 +21,10 @@
 	case DrainEndpoint:
 		return deduplicate(s, "drain", c.requestID, c.proposedAt, func() (State, Result) { return drain(s, c) })
 	case EvacuateZone:
-		return deduplicate(s, "evacuate", c.requestID, c.proposedAt(), func() (State, Result) { return evacuate(s, c) })
+		if old, ok := s.replies.Get(c.sharedReplyKey()); ok {
+			return s, old.result
+		}
+		return deduplicate(s, c.scope(), c.requestID, c.proposedAt(), func() (State, Result) { return evacuate(s, c) })
 	case ReserveGang:
 		return reserve(s, c)
 	case StartGang:
--- a/internal/registry/fuzz_test.go
+++ b/internal/registry/fuzz_test.go
@@ -170,7 +170,7 @@
 	id, zone := requestID(t), rapid.SampledFrom([]string{"z1", "z2"}).Draw(t, "zone")
 	evacuated := rapid.Bool().Draw(t, "evacuated")
 	before, was := m.state.Evacuations().Get(zone)
-	if _, first := m.once("evacuate", id, registry.NewEvacuateZone(id, zone, "reason "+id, evacuated, m.now)); !first {
+	if _, first := m.once(fmt.Sprint("evacuated ", evacuated), id, registry.NewEvacuateZone(id, zone, "reason "+id, evacuated, m.now)); !first {
 		return
 	}
 	after, is := m.state.Evacuations().Get(zone)
--- a/internal/registry/zone.go
+++ b/internal/registry/zone.go
@@ -85,5 +85,16 @@
 	return s, accepted
 }
 
+// scope separates the request IDs of evacuations from those of their ends, so that neither is taken for a retry of the other.
+func (c EvacuateZone) scope() string {
+	if c.evacuated {
+		return "evacuate zone"
+	}
+	return "reopen zone"
+}
+
+// sharedReplyKey returns the key of the reply in records of earlier versions, in which both had one scope.
+func (c EvacuateZone) sharedReplyKey() string { return "evacuate\x00" + c.requestID }
+
 // proposedAt returns the time on the leader's clock at which it proposed the command.
 func (c EvacuateZone) proposedAt() time.Time { return c.evacuation.Since() }
