placement: a long-running task leaves an evacuated zone only to a place where it may start

Cause: the leader stopped a long-running task in an evacuated zone when another worker of its service had room for it. It did not look at the other rules for a start: the limit per worker, the guarantees of workspaces, the advisor's approval, reservations, isolation and quarantine. A task that one of them kept from its start was stopped and waited. Nor did tasks that were leaving already keep their room in the next steps, so that two tasks could leave for one place.

Change: the leader gives the planner the tasks that should leave, within the number that their step may miss. If only the advisor's approval lacks, it asks for it. A long-running gang stays until it ends, since its members would all have to stop; until now its members in the zone were stopped, and the others with them.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -151,7 +151,7 @@
 	if !waits {
 		a.waiting = &Waiting{}
 	}
-	if (waits || c.looksForMoves(now)) && len(a.ends) == 0 && len(a.crashes) == 0 {
+	if (waits || len(c.zones.candidates) > 0 || c.looksForMoves(now)) && len(a.ends) == 0 && len(a.crashes) == 0 {
 		c.place(now, s, stopping, hosts, &a)
 	}
 	c.countSpeeds(now, &a)
@@ -249,7 +249,8 @@
 		c.explainedAt = now
 		v = v.WithExplanations(maxExplanations, longWait)
 	}
-	p := placement.Decide(v.WithForecast(c.forecast(now, s)).WithVerdicts(c.verdicts(now)))
+	v = v.WithForecast(c.forecast(now, s)).WithVerdicts(c.verdicts(now)).WithDepartures(c.departures())
+	p := placement.Decide(v)
 	c.inquire(now, p, a)
 	c.logWaits(now, p)
 	if explain {
@@ -267,6 +268,7 @@
 	stop(p.Stops(), preempted)
 	stop(p.Moves(), movedFromSlow)
 	a.moves = len(p.Moves())
+	c.stopDepartures(now, p.Departures(), hosts, a)
 }
 
 // logWaits logs why each waiting step waits, again only when the reason changes.
--- a/internal/dispatch/resolve.go
+++ b/internal/dispatch/resolve.go
@@ -28,7 +28,7 @@
 			}
 			reason := stopReason(j, id)
 			if reason == "" {
-				reason = c.zoneReason(now, j, id, t, hosts)
+				reason = c.zoneReason(j, id, t, hosts)
 			}
 			if reason == "" {
 				reason = c.stallReason(now, id, j.Spec().Steps()[id.Task().Step()])
--- a/internal/dispatch/zone.go
+++ b/internal/dispatch/zone.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"rosemarywind.example/rosemarywind/internal/batch"
-	"rosemarywind.example/rosemarywind/internal/placement"
 	"rosemarywind.example/rosemarywind/internal/run"
 )
 
@@ -14,16 +13,16 @@
 
 // zones holds what one step derives from the evacuated availability zones.
 type zones struct {
-	evacuated bool                                  // whether any zone is
-	gangs     map[batch.TaskID]bool                 // results of gangAwaitsZone, by the key of the step
-	moves     map[batch.Incarnation]batch.Resources // room that runs are moved to
-	noRoom    map[placement.StepKey]bool            // steps of which no more tasks find room elsewhere
+	evacuated  bool                  // whether any zone is
+	gangs      map[batch.TaskID]bool // results of gangAwaitsZone, by the key of the step
+	leaving    []run.ID              // long-running tasks that were told to leave
+	candidates []run.ID              // long-running tasks that leave once they have a place elsewhere
+	offered    map[batch.TaskID]int  // candidates by the key of the step
 }
 
 func newZones(s batch.State) zones {
 	return zones{
-		evacuated: len(s.Evacuations()) > 0, gangs: map[batch.TaskID]bool{},
-		moves: map[batch.Incarnation]batch.Resources{}, noRoom: map[placement.StepKey]bool{},
+		evacuated: len(s.Evacuations()) > 0, gangs: map[batch.TaskID]bool{}, offered: map[batch.TaskID]int{},
 	}
 }
 
@@ -83,48 +82,54 @@
 
 // zoneReason returns why a placed run has to stop for an evacuation, or an empty string. Work that has begun may end; a
 // long-running task moves.
-func (c *Core) zoneReason(
-	now time.Time, j *batch.Job, id run.ID, t batch.Task, hosts map[batch.Incarnation]*host,
-) string {
+func (c *Core) zoneReason(j *batch.Job, id run.ID, t batch.Task, hosts map[batch.Incarnation]*host) string {
 	if !c.zones.evacuated {
 		return ""
 	}
-	if c.awaitsZone(id, t, hosts) || c.gangAwaitsZone(j, id, hosts) ||
-		c.evacuated(hosts[t.Worker()]) && c.movesFromZone(now, j, id) {
+	if c.awaitsZone(id, t, hosts) || c.gangAwaitsZone(j, id, hosts) {
 		return ZoneEvacuated
 	}
+	if c.evacuated(hosts[t.Worker()]) {
+		return c.departure(j, id)
+	}
 	return ""
 }
 
-// movesFromZone reports whether a long-running task leaves an evacuated zone now: while fewer other tasks of its step are
-// not working than the step tolerates, and only if another worker has room for it.
-func (c *Core) movesFromZone(now time.Time, j *batch.Job, id run.ID) bool {
+// departure decides about a run at work in an evacuated zone. A long-running task that was told to leave leaves; another one
+// becomes a candidate while fewer other tasks of its step are not working than the step tolerates. A gang stays, since all its
+// members would have to stop.
+func (c *Core) departure(j *batch.Job, id run.ID) (reason string) {
 	step := j.Spec().Steps()[id.Task().Step()]
-	return step.LongRunning() && c.countNotWorking(j, id) < max(step.MaxUnavailable(), 1) && c.takeRoomElsewhere(now, j, id)
-}
-
-// takeRoomElsewhere reports whether a usable worker has room for the task of a run, and keeps that room for it during
-// this step. A run that is being stopped already has its room.
-func (c *Core) takeRoomElsewhere(now time.Time, j *batch.Job, id run.ID) bool {
+	if !step.LongRunning() || step.Gang() {
+		return ""
+	}
 	if o := c.orders[id]; o != nil && !o.stopOrderedAt.IsZero() {
-		return true
+		c.zones.leaving = append(c.zones.leaving, id)
+		return ZoneEvacuated
 	}
-	key, step := placement.NewStepKey(id.Task()), j.Spec().Steps()[id.Task().Step()]
-	if c.zones.noRoom[key] {
-		return false
+	key := id.Task().StepKey()
+	if c.countNotWorking(j, id)+c.zones.offered[key] < max(step.MaxUnavailable(), 1) {
+		c.zones.offered[key]++
+		c.zones.candidates = append(c.zones.candidates, id)
 	}
-	service := c.state.CurrentQueue(j).Service()
-	for _, h := range sortedHosts(c.hosts) {
-		worker := h.announcement.Incarnation()
-		used := c.placedOn(worker).Plus(c.zones.moves[worker]).Plus(step.Reserved())
-		if h.announcement.Service() != service || !used.Fits(h.announcement.Capacity()) ||
-			step.Label() != "" && !slices.Contains(h.announcement.Labels(), step.Label()) ||
-			c.workerUse(now, h, nil) != Usable {
-			continue
+	return ""
+}
+
+// departures returns the long-running tasks that the planner finds places for: those that leave already, and the candidates.
+func (c *Core) departures() []run.ID {
+	slices.SortFunc(c.zones.leaving, compareIDs)
+	slices.SortFunc(c.zones.candidates, compareIDs)
+	return append(c.zones.leaving, c.zones.candidates...)
+}
+
+// stopDepartures stops the runs that have a place elsewhere. It counts the tasks that are not working once more, since the
+// same decision may have preempted some.
+func (c *Core) stopDepartures(now time.Time, ids []run.ID, hosts map[batch.Incarnation]*host, a *Actions) {
+	for _, id := range ids {
+		j, _ := c.state.Job(id.Task().Job())
+		t, _ := j.Task(id.Task())
+		if c.countNotWorking(j, id) < max(j.Spec().Steps()[id.Task().Step()].MaxUnavailable(), 1) {
+			c.stop(now, id, hosts[t.Worker()], ZoneEvacuated, a)
 		}
-		c.zones.moves[worker] = c.zones.moves[worker].Plus(step.Reserved())
-		return true
 	}
-	c.zones.noRoom[key] = true
-	return false
 }
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -20,6 +20,7 @@
 // planner is the working state of one decision.
 type planner struct {
 	view              View
+	guaranteed        map[string]bool // jobs that a guarantee covers, by id
 	workers           []*workerState
 	quarantined       []*workerState // not among workers
 	racks             map[string][]*workerState
@@ -57,12 +58,12 @@
 	}
 	p.setHeadroom()
 	p.setUnitsPerJob()
-	guaranteed := v.guaranteedJobs()
+	p.guaranteed = v.guaranteedJobs()
 	var units []*unit
 	for id, j := range v.state.Jobs().All() {
 		p.suspects = p.suspects || j.Active() && j.HasCrashes()
-		v.addRuns(j, byIncarnation, guaranteed[id])
-		units = append(units, p.units(j, guaranteed[id])...)
+		v.addRuns(j, byIncarnation, p.guaranteed[id])
+		units = append(units, p.units(j, p.guaranteed[id])...)
 	}
 	for _, w := range p.workers {
 		for _, r := range w.runs {
@@ -81,6 +82,7 @@
 		p.recordInquiry(u, waiting)
 		p.recordWait(u, waiting)
 	}
+	p.chooseDepartures()
 	p.moveRuns()
 	return p.plan
 }
--- a/internal/placement/view.go
+++ b/internal/placement/view.go
@@ -36,6 +36,7 @@
 	state        batch.State
 	workers      []Worker
 	stopping     map[run.ID]bool
+	departures   []run.ID // see WithDepartures
 	remoteFactor float64
 	forecast     Forecast
 	verdicts     Verdicts
@@ -59,11 +60,12 @@
 
 // Plan is the result of a decision: groups to start, runs to stop or to move, steps that wait and an inquiry to the advisor.
 type Plan struct {
-	groups  []batch.Group
-	stops   []run.ID
-	moves   []run.ID
-	inquiry Inquiry
-	waits   []Wait
+	groups     []batch.Group
+	stops      []run.ID
+	moves      []run.ID
+	departures []run.ID
+	inquiry    Inquiry
+	waits      []Wait
 }
 
 // Inquiry returns the question to ask the advisor; ok is false if no step waits for advice.
