dispatch: bounded work for the tasks that leave evacuated zones

Cause: a step looked at all hosts, sorted, for each long-running task in an evacuated zone. With 2000 tasks on as many hosts, and as many free hosts in another zone, it took 2.3 s, and 20 ms with 200: time that grows with the square.

The next step goes on behind the last task that it looked for a place for, so that tasks without a place keep no others in the zone.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -40,7 +40,9 @@
 	lastSave   time.Time
 	speedLog   speedLog
 	movedAt    time.Time // when runs to move were looked for last, without waiting tasks
-	decisions  []Decision
+	// lastCandidate is the last run that the planner was asked to find a place outside an evacuated zone for.
+	lastCandidate run.ID
+	decisions     []Decision
 }
 
 // runOrders records the orders that this leader gave about a run.
--- a/internal/dispatch/zone.go
+++ b/internal/dispatch/zone.go
@@ -95,6 +95,9 @@
 	return ""
 }
 
+// maxDepartures bounds the long-running tasks that leave evacuated zones at a time, and so the places that a step looks for.
+const maxDepartures = 64
+
 // departure decides about a run at work in an evacuated zone. A long-running task that was told to leave leaves; another one
 // becomes a candidate while fewer other tasks of its step are not working than the step tolerates. A gang stays, since all its
 // members would have to stop.
@@ -115,11 +118,24 @@
 	return ""
 }
 
-// departures returns the long-running tasks that the planner finds places for: those that leave already, and the candidates.
+// departures returns the long-running tasks that the planner finds places for: those that leave already, and candidates up
+// to maxDepartures in all. The next step goes on behind the last one, so that tasks without a place keep no others back.
 func (c *Core) departures() []run.ID {
 	slices.SortFunc(c.zones.leaving, compareIDs)
 	slices.SortFunc(c.zones.candidates, compareIDs)
-	return append(c.zones.leaving, c.zones.candidates...)
+	all := c.zones.candidates
+	count := min(len(all), max(maxDepartures-len(c.zones.leaving), 0))
+	if count == 0 {
+		return nil
+	}
+	from, found := slices.BinarySearchFunc(all, c.lastCandidate, compareIDs)
+	if found {
+		from++
+	}
+	chosen := slices.Concat(all[from:], all[:from])[:count]
+	c.lastCandidate = chosen[count-1]
+	slices.SortFunc(chosen, compareIDs)
+	return append(c.zones.leaving, chosen...)
 }
 
 // stopDepartures stops the runs that have a place elsewhere. It counts the tasks that are not working once more, since the
