gang, control: no member starts in an evacuated zone

Cause: the driver of the control role's gangs did not look at evacuations.

Change: the progress of a gang tells which members' workers are in evacuated zones. A gang that is reserved is stopped and queued again; so is one that was started, if a member in such a zone has not begun. A member that an earlier leader may have ordered to start gets no order again. The jobs are stepped by the state from which their progress was updated. An order that waits behind others to its worker is dropped when its member is stopped. A case fails without each of these: the check of a reservation, the check of a started gang, no second order to start, the look at changed evacuations, and the drop of a waiting order. That jobs are stepped by the state that was read has no test.

--- a/internal/control/gang_driver.go
+++ b/internal/control/gang_driver.go
@@ -54,12 +54,13 @@
 	reports        board.Table[[]task.Report]
 	roster         *Roster
 	rosterComplete bool
+	evacuations    board.Table[registry.Evacuation]
 }
 
 func newGangDriver(c *Control) *gangDriver {
 	return &gangDriver{
 		control: c, jobs: map[string]*trackedJob{}, outbox: newOutbox(c.sendOrders), commits: make(chan commitDone),
-		reports: board.NewTable[[]task.Report](),
+		reports: board.NewTable[[]task.Report](), evacuations: board.NewTable[registry.Evacuation](),
 	}
 }
 
@@ -98,9 +99,8 @@
 
 // pass steps the jobs that changed or are due and returns the time until the next step is due.
 func (g *gangDriver) pass(ctx context.Context, term uint64, now time.Time) time.Duration {
-	g.sync(term, now)
+	jobs := g.sync(term, now).Jobs()
 	next := now.Add(idleInterval)
-	jobs := g.control.board.state.Load().Jobs()
 	for id, tracked := range g.jobs {
 		if (tracked.dirty || !now.Before(tracked.nextStep)) && !tracked.committing {
 			if j, ok := jobs.Get(id); ok {
--- a/internal/control/gang_driver_test.go
+++ b/internal/control/gang_driver_test.go
@@ -10,6 +10,7 @@
 
 	"rosemarywind.example/rosemarywind/internal/gang"
 	"rosemarywind.example/rosemarywind/internal/job"
+	"rosemarywind.example/rosemarywind/internal/lease"
 	"rosemarywind.example/rosemarywind/internal/registry"
 	"rosemarywind.example/rosemarywind/internal/task"
 	"rosemarywind.example/rosemarywind/internal/workspace"
@@ -36,6 +37,15 @@
 		assertBatches(ctx, t, o, map[queueKey]int{{"slow", true}: 1, {"quick", true}: 40})
 		assert.Len(t, o.waiting[queueKey{"slow", false}], 1, "the next batch waits for the one in flight")
 	})
+	t.Run("an order that waits is not sent after a stop of its member", func(t *testing.T) {
+		o := newOutbox(func(_ context.Context, b batch) []task.Reply { return make([]task.Reply, len(b.orders)) })
+		for token, id := range []string{"stopped", "kept"} {
+			o.add("w", 1, task.NewStart(task.NewID(id, 0), 1))
+			o.add("w", lease.FencingToken(1-token), task.NewStop(task.NewID(id, 0), 1, false))
+		}
+		o.flush(t.Context())
+		assertBatches(t.Context(), t, o, map[queueKey]int{{"w", false}: 1, {"w", true}: 2})
+	})
 	t.Run("an order that is added again while it waits is sent once", func(t *testing.T) {
 		o := newOutbox(func(_ context.Context, b batch) []task.Reply { return make([]task.Reply, len(b.orders)) })
 		for range 3 {
@@ -61,6 +71,47 @@
 	})
 }
 
+// Guards against a gang that is started in an availability zone that was evacuated after its placement.
+func TestEvacuatedGang(t *testing.T) {
+	evacuate := func(t *testing.T, g *gangDriver, zone string) {
+		t.Helper()
+		requireApplied(t, g.control.board, registry.NewEvacuateZone("", zone, "", true, start))
+	}
+	t.Run("reserved", func(t *testing.T) {
+		g := newTestGangDriver(t)
+		g.sync(1, start)
+		requireAccepted(t, g.control.rosterController, announced("w1", "a:1", 1, 0), 1, start)
+		j := requirePlaced(t, g.control.board, "j1", "w1")
+		g.sync(1, start)
+		evacuate(t, g, "z2")
+		g.sync(1, start)
+		assertKeepsRunning(t, g, j, start)
+		evacuate(t, g, "z1")
+		g.sync(1, start)
+		assertStops(t, g, j, "was evacuated", start)
+	})
+	t.Run("started, and its worker lost meanwhile", func(t *testing.T) {
+		g := newTestGangDriver(t)
+		g.sync(1, start)
+		requireAccepted(t, g.control.rosterController, announced("w1", "a:1", 1, 0), 1, start)
+		j := requireStarted(t, g.control.board, "j1", "w1")
+		g.sync(1, start)
+		g.control.rosterController.runDue(start.Add(2 * announceLease))
+		evacuate(t, g, "z1")
+		g.sync(1, start.Add(2*announceLease))
+		assertStops(t, g, j, "was evacuated", start.Add(2*announceLease))
+	})
+	t.Run("evacuated before it is tracked", func(t *testing.T) {
+		g := newTestGangDriver(t)
+		g.sync(1, start)
+		requireAccepted(t, g.control.rosterController, announced("w1", "a:1", 1, 0), 1, start)
+		evacuate(t, g, "z1")
+		j := requirePlaced(t, g.control.board, "j1", "w1")
+		g.sync(1, start)
+		assertStops(t, g, j, "was evacuated", start)
+	})
+}
+
 func assertQuarantinedUntil(t *testing.T, g *gangDriver, worker string, until time.Time) {
 	t.Helper()
 	m, _ := g.control.board.orderQuarantines.Load().Get(worker)
--- a/internal/control/gang_sync.go
+++ b/internal/control/gang_sync.go
@@ -6,11 +6,13 @@
 	"rosemarywind.example/rosemarywind/internal/board"
 	"rosemarywind.example/rosemarywind/internal/gang"
 	"rosemarywind.example/rosemarywind/internal/job"
+	"rosemarywind.example/rosemarywind/internal/registry"
 	"rosemarywind.example/rosemarywind/internal/task"
 )
 
-// sync updates the tracked jobs from the sections of the board that changed since the latest pass.
-func (g *gangDriver) sync(term uint64, now time.Time) {
+// sync updates the tracked jobs from the sections of the board that changed since the latest pass. It returns the state that
+// it has read, by which the jobs have to be stepped: a later one may hold an evacuation that their progress does not know.
+func (g *gangDriver) sync(term uint64, now time.Time) registry.State {
 	b := g.control.board
 	state, roster, reports := b.state.Load(), b.roster.Load(), b.reports.Load()
 	if term != g.term {
@@ -20,17 +22,20 @@
 	if reports != g.reports {
 		g.syncReports(reports)
 	}
+	evacuationsChanged := state.Evacuations() != g.evacuations
+	g.evacuations = state.Evacuations()
 	if state.Unfinished() != g.unfinished {
 		g.syncJobs(state.Unfinished(), roster, now)
 	}
-	if complete := roster.complete(term, now); roster != g.roster || complete != g.rosterComplete {
+	if complete := roster.complete(term, now); roster != g.roster || complete != g.rosterComplete || evacuationsChanged {
 		g.roster, g.rosterComplete = roster, complete
 		for id, tracked := range g.jobs {
 			if j, ok := g.unfinished.Get(id); ok {
-				g.syncSilence(j, tracked, now)
+				g.syncWorkers(j, tracked, now)
 			}
 		}
 	}
+	return state
 }
 
 // syncJobs starts to track jobs that were placed and drops those that no longer hold accelerators.
@@ -61,7 +66,7 @@
 		tracked.progress = tracked.progress.Adopted()
 	}
 	for i, m := range j.Members() {
-		tracked.progress = tracked.progress.WithUnreachable(i, roster.silent(m.Worker(), g.term, now))
+		tracked.progress = g.withWorker(tracked.progress, i, m.Worker(), roster, now)
 		reports, _ := g.reports.Get(m.Worker())
 		for _, r := range reports {
 			if r.ID() == task.NewID(j.Spec().ID(), i) {
@@ -72,13 +77,20 @@
 	return tracked
 }
 
-func (g *gangDriver) syncSilence(j job.Job, tracked *trackedJob, now time.Time) {
+func (g *gangDriver) syncWorkers(j job.Job, tracked *trackedJob, now time.Time) {
 	for i, m := range j.Members() {
-		tracked.progress = tracked.progress.WithUnreachable(i, g.roster.silent(m.Worker(), g.term, now))
+		tracked.progress = g.withWorker(tracked.progress, i, m.Worker(), g.roster, now)
 	}
 	tracked.dirty = true
 }
 
+// withWorker returns the progress with what the roster and the evacuations tell about the worker of a member.
+func (g *gangDriver) withWorker(p gang.Progress, index int, worker string, roster *Roster, now time.Time) gang.Progress {
+	zone, known := roster.zone(worker)
+	_, evacuated := g.evacuations.Get(zone)
+	return p.WithUnreachable(index, roster.silent(worker, g.term, now)).WithEvacuated(index, known && evacuated)
+}
+
 // syncReports adds the reports of each worker whose list was replaced since the latest pass.
 func (g *gangDriver) syncReports(reports board.Table[[]task.Report]) {
 	old := g.reports
--- a/internal/control/outbox.go
+++ b/internal/control/outbox.go
@@ -43,7 +43,8 @@
 	}
 }
 
-// add queues an order; it replaces a queued order for the same member.
+// add queues an order; it replaces a queued order for the same member. A stop also replaces one in the other queue, so that
+// the order to start is not sent after it.
 func (o *outbox) add(worker string, token lease.FencingToken, order task.Order) {
 	_, isStop := order.(task.Stop)
 	k := queueKey{worker: worker, stops: isStop}
@@ -51,6 +52,10 @@
 		o.waiting[k] = map[task.ID]fencedOrder{}
 	}
 	o.waiting[k][task.IDOf(order)] = fencedOrder{token: token, order: order}
+	others := o.waiting[queueKey{worker: worker}]
+	if isStop && others[task.IDOf(order)].token == token {
+		delete(others, task.IDOf(order))
+	}
 }
 
 // flush sends the orders of each queue that has no batch in flight.
--- a/internal/control/roster.go
+++ b/internal/control/roster.go
@@ -48,3 +48,12 @@
 	_, lost := r.lost.Get(worker)
 	return lost || r.complete(term, now)
 }
+
+// zone returns the availability zone of a worker that is live or was lost lately.
+func (r *Roster) zone(worker string) (zone string, known bool) {
+	if e, live := r.snapshot.Find(worker); live {
+		return string(e.Worker().AvailabilityZone()), true
+	}
+	w, lost := r.lost.Get(worker)
+	return string(w.AvailabilityZone()), lost
+}
--- a/internal/gang/progress.go
+++ b/internal/gang/progress.go
@@ -41,6 +41,7 @@
 	refusedAt         time.Time // first refused renewal or throttling since one was accepted
 	reportedState     task.State
 	unreachable       bool
+	evacuated         bool // whether the availability zone of the worker is evacuated
 	throttle          throttleProgress
 }
 
@@ -130,6 +131,23 @@
 	return p.withMember(index, func(m *memberProgress) { m.unreachable = unreachable })
 }
 
+// WithEvacuated returns a copy in which the availability zone of a member's worker is marked as evacuated or not.
+func (p Progress) WithEvacuated(index int, evacuated bool) Progress {
+	if p.members[index].evacuated == evacuated {
+		return p
+	}
+	return p.withMember(index, func(m *memberProgress) { m.evacuated = evacuated })
+}
+
+// awaitsZone reports whether a member of a started gang has not begun in an evacuated zone. What an earlier leader may have
+// ordered counts as begun, unless the worker still reports a reservation when an answer to that order is overdue.
+func (p Progress) awaitsZone(m *memberProgress, now time.Time) bool {
+	if !m.evacuated || m.started || m.reportedState == task.Running {
+		return false
+	}
+	return !p.adopted || m.reportedState == task.Reserved && !now.Before(p.takenOverAt.Add(resendInterval))
+}
+
 func (p Progress) withMember(index int, change func(*memberProgress)) Progress {
 	p.members = slices.Clone(p.members)
 	change(&p.members[index])
--- a/internal/gang/step.go
+++ b/internal/gang/step.go
@@ -51,6 +51,8 @@
 	for i, m := range j.Members() {
 		mp := &p.members[i]
 		switch {
+		case mp.evacuated:
+			return []Action{Stop{reason: zoneEvacuated(m.Worker(), i)}}
 		case mp.refusalReason != "":
 			return []Action{Stop{reason: fmt.Sprintf("worker %s refused member %d: %s", m.Worker(), i, mp.refusalReason)}}
 		case mp.reportedState.Final():
@@ -88,6 +90,9 @@
 		if reason := lossReason(mp, now); reason != "" {
 			return []Action{Stop{reason: fmt.Sprintf("member %d on worker %s: %s", i, m.Worker(), reason)}}
 		}
+		if p.awaitsZone(mp, now) {
+			return []Action{Stop{reason: zoneEvacuated(m.Worker(), i)}}
+		}
 		if o := p.nextOrder(j, i, answered, now); o != nil {
 			actions = append(actions, Send{worker: m.Worker(), order: o})
 		}
@@ -104,6 +109,10 @@
 	return actions
 }
 
+func zoneEvacuated(worker string, index int) string {
+	return fmt.Sprintf("the availability zone of worker %s was evacuated before member %d began", worker, index)
+}
+
 // lossReason returns why a member of a started gang counts as lost, empty if it does not.
 func lossReason(m *memberProgress, now time.Time) string {
 	switch {
@@ -130,7 +139,7 @@
 		return task.NewRenew(id, p.fencingToken, p.sequence+1, 0, p.leaseDuration)
 	case !answered:
 		return nil
-	case !m.started:
+	case !m.started && !m.evacuated:
 		return task.NewStart(id, p.fencingToken)
 	case !m.throttle.confirmed(j.Speed()):
 		return task.NewThrottle(id, p.fencingToken, p.sequence+1, percentOf(j.Speed()))
