--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -42,7 +42,9 @@
 	lastSave   time.Time
 	speedLog   speedLog
 	movedAt    time.Time // when runs to move were looked for last, without waiting tasks
-	decisions  []Decision
+	// lastCandidate is the last run that the planner was asked to find a place outside an evacuated zone for.
+	lastCandidate run.ID
+	decisions     []Decision
 }
 
 // runOrders records the orders that this leader gave about a run.
@@ -153,7 +155,7 @@
 	if !waits {
 		a.waiting = &Waiting{}
 	}
-	if (waits || c.looksForMoves(now)) && len(a.ends) == 0 && len(a.crashes) == 0 {
+	if (waits || len(c.zones.candidates) > 0 || c.looksForMoves(now)) && len(a.ends) == 0 && len(a.crashes) == 0 {
 		c.place(now, s, stopping, hosts, &a)
 	}
 	c.countSpeeds(now, &a)
@@ -251,7 +253,8 @@
 		c.explainedAt = now
 		v = v.WithExplanations(maxExplanations, longWait)
 	}
-	p := placement.Decide(v.WithForecast(c.forecast(now, s)).WithVerdicts(c.verdicts(now)))
+	v = v.WithForecast(c.forecast(now, s)).WithVerdicts(c.verdicts(now)).WithDepartures(c.departures())
+	p := placement.Decide(v)
 	c.inquire(now, p, a)
 	c.logWaits(now, p)
 	if explain {
@@ -269,6 +272,7 @@
 	stop(p.Stops(), preempted)
 	stop(p.Moves(), movedFromSlow)
 	a.moves = len(p.Moves())
+	c.stopDepartures(now, p.Departures(), hosts, a)
 }
 
 // logWaits logs why each waiting step waits, again only when the reason changes.
