--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -20,6 +20,7 @@
 // planner is the working state of one decision.
 type planner struct {
 	view              View
+	guaranteed        map[string]bool // jobs that a guarantee covers, by id
 	workers           []*workerState
 	quarantined       []*workerState // not among workers
 	racks             map[string][]*workerState
@@ -57,12 +58,12 @@
 	}
 	p.setHeadroom()
 	p.setUnitsPerJob()
-	guaranteed := v.guaranteedJobs()
+	p.guaranteed = v.guaranteedJobs()
 	var units []*unit
 	for id, j := range v.state.Jobs().All() {
 		p.suspects = p.suspects || j.Active() && j.HasCrashes()
-		v.addRuns(j, byIncarnation, guaranteed[id])
-		units = append(units, p.units(j, guaranteed[id])...)
+		v.addRuns(j, byIncarnation, p.guaranteed[id])
+		units = append(units, p.units(j, p.guaranteed[id])...)
 	}
 	for _, w := range p.workers {
 		for _, r := range w.runs {
@@ -81,6 +82,7 @@
 		p.recordInquiry(u, waiting)
 		p.recordWait(u, waiting)
 	}
+	p.chooseDepartures()
 	p.moveRuns()
 	return p.plan
 }
@@ -141,7 +143,7 @@
 		if w == nil || u.suspicion.any() || !p.fits(u, as, w, w.free) {
 			w = p.keepApart(u, as, eligible, p.bestWorker(u, as, eligible))
 		}
-		if w != nil && (!p.leavesHeadroom(u, w) || !p.guaranteesPermit(u, 1)) {
+		if w != nil && !p.mayStart(u, w) {
 			heldBack, u.reason = true, CapacityReserved
 			break
 		}
@@ -165,6 +167,12 @@
 	}
 }
 
+// mayStart reports whether tasks of a unit may start on the given workers, one for each task, beside the headroom for urgent
+// work and the guarantees of all workspaces.
+func (p *planner) mayStart(u *unit, workers ...*workerState) bool {
+	return p.leavesHeadroom(u, workers...) && p.guaranteesPermit(u, len(workers))
+}
+
 // preemptOrReserve preempts runs for urgent tasks that did not fit, and reserves capacity for each of the given tasks
 // in turn.
 func (p *planner) preemptOrReserve(u *unit, indexes []int) {
@@ -212,23 +220,22 @@
 	}
 	best = p.keepGangApart(u, best)
 	if best != nil {
-		if !p.leavesHeadroom(u, best.workers...) || !p.guaranteesPermit(u, len(u.indexes)) {
+		if !p.mayStart(u, best.workers...) {
 			u.reason = CapacityReserved
 			return
 		}
-		for _, w := range best.workers {
-			p.assign(u, w)
-		}
+		p.take(best)
 		p.plan.groups = append(p.plan.groups, best.group())
 		return
 	}
+	freed := false
 	if u.queue.Priority() == 0 {
 		if set := p.preempt(u, sets, maxLostWorkRatio*u.work()); set != nil {
-			sets, u.reason = [][]*workerState{set}, CapacityPending
+			sets, u.reason, freed = [][]*workerState{set}, CapacityPending, awaitsStops(set)
 		}
 	}
 	// What is freed for a unit is always reserved, since it would be taken by others and freed once more.
-	if p.reservedUnits < maxReservations || u.reason == CapacityPending {
+	if p.reservedUnits < maxReservations || freed {
 		p.reservedUnits++
 		p.reserve(u, sets)
 	}
