--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -141,7 +141,7 @@
 		// A task makes its worker fuller, so that it stays the preferred one of the next task, unless the unit is under
 		// suspicion.
 		if w == nil || u.suspicion.any() || !p.fits(u, as, w, w.free) {
-			w = p.bestWorker(u, as, eligible)
+			w = p.keepApart(u, as, eligible, p.bestWorker(u, as, eligible))
 		}
 		if w != nil && !p.mayStart(u, w) {
 			heldBack, u.reason = true, CapacityReserved
@@ -218,6 +218,7 @@
 	if best == nil && u.waitPolicy == waitForNothing {
 		best = p.assignBySpeed(u, p.eligible(u))
 	}
+	best = p.keepGangApart(u, best)
 	if best != nil {
 		if !p.mayStart(u, best.workers...) {
 			u.reason = CapacityReserved
