dispatch, gang: names that say what a function reports about evacuated zones, stops and moves

awaitsZone read as if a run waited for a zone; it is pending in an evacuated one. keepStopCheckpoint removes a checkpoint, runStops changes a count and looksForMoves records the time of the search: their names now say so. The comment on departures says why it returns nothing without room for a candidate. No change of behaviour.

--- a/internal/dispatch/actions.go
+++ b/internal/dispatch/actions.go
@@ -18,16 +18,15 @@
 	inquiry      placement.Inquiry
 	hasInquiry   bool
 
-	maintenance []Maintenance
-	groups      []batch.Group
-	orders      []AddressedOrder
-	decisions   []Decision
-	waiting     *Waiting
-	speeds      map[speed.Class]int
-	moves       int
-	wake        time.Time
-
+	maintenance   []Maintenance
+	groups        []batch.Group
+	orders        []AddressedOrder
+	decisions     []Decision
+	waiting       *Waiting
+	speeds        map[speed.Class]int
+	moves         int
 	evacuatedRuns int
+	wake          time.Time
 }
 
 // Crashes returns the runs to commit under which workers crashed. They are committed before the ends, so that no run
--- a/internal/dispatch/checkpoints.go
+++ b/internal/dispatch/checkpoints.go
@@ -63,10 +63,10 @@
 	return j.Active() && j.Checkpoint(id) != r.Checkpoint()
 }
 
-// keepStopCheckpoint returns the end without its checkpoint if another member of its gang was stopped in the same run: a
+// withoutOlderCheckpoint returns the end without its checkpoint if another member of its gang was stopped in the same run: a
 // stop saves a new checkpoint, and the members that end by themselves after it list earlier ones. A leader that takes
 // over meanwhile does not know of the stop, and the gang repeats up to one checkpoint interval.
-func (c *Core) keepStopCheckpoint(e batch.End) batch.End {
+func (c *Core) withoutOlderCheckpoint(e batch.End) batch.End {
 	j, known := c.state.Job(e.Task().Job())
 	if !known || e.Checkpoint() == "" || !j.Spec().Steps()[e.Task().Step()].Gang() {
 		return e
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -155,7 +155,7 @@
 	if !waits {
 		a.waiting = &Waiting{}
 	}
-	if (waits || len(c.zones.candidates) > 0 || c.looksForMoves(now)) && len(a.ends) == 0 && len(a.crashes) == 0 {
+	if (waits || len(c.zones.candidates) > 0 || c.beginMoveSearch(now)) && len(a.ends) == 0 && len(a.crashes) == 0 {
 		c.place(now, s, stopping, hosts, &a)
 	}
 	c.countSpeeds(now, &a)
@@ -205,7 +205,7 @@
 			o.withheld = true
 			continue
 		}
-		if c.mayNotStart(j, id, h, hosts) {
+		if c.startForbidden(j, id, h, hosts) {
 			o.withheld = true
 			c.logDecision(h, now, id, "not started", ZoneEvacuated)
 			continue
@@ -293,7 +293,7 @@
 	if h == nil || !h.connected || now.Sub(o.stopOrderedAt) < stopInterval || !h.takeOrderRoom() {
 		return
 	}
-	c.runStops(id)
+	c.countAsNotWorking(id)
 	o.stopOrderedAt, o.stopReason = now, cmp.Or(o.stopReason, reason)
 	a.orders = append(a.orders, AddressedOrder{h.agent, run.NewStop(id)})
 	c.logDecision(h, now, id, "stop", reason)
--- a/internal/dispatch/departure.go
+++ b/internal/dispatch/departure.go
@@ -26,7 +26,7 @@
 }
 
 // countNotWorking counts the other tasks of a long-running step that are not working. The count of all tasks of the step is
-// kept for the step of the core, and updated by runStops.
+// kept for the step of the core, and updated by countAsNotWorking.
 func (c *Core) countNotWorking(j *batch.Job, id run.ID) (count int) {
 	task := id.Task()
 	count, known := c.notWorking[task.StepKey()]
@@ -53,8 +53,8 @@
 	return listed && p.percent() >= fullProgress && (o == nil || o.stopOrderedAt.IsZero())
 }
 
-// runStops updates the count of tasks that are not working before a run is told to stop or its end is recorded.
-func (c *Core) runStops(id run.ID) {
+// countAsNotWorking updates the count of tasks that are not working before a run is told to stop or its end is recorded.
+func (c *Core) countAsNotWorking(id run.ID) {
 	key := id.Task().StepKey()
 	if count, known := c.notWorking[key]; known && c.isWorking(id) {
 		c.notWorking[key] = count + 1
--- a/internal/dispatch/resolve.go
+++ b/internal/dispatch/resolve.go
@@ -143,9 +143,9 @@
 
 // recordEnd adds an end to the commit and updates the health of the worker.
 func (c *Core) recordEnd(now time.Time, e batch.End, h *host, a *Actions) {
-	a.ends = append(a.ends, c.keepStopCheckpoint(e))
+	a.ends = append(a.ends, c.withoutOlderCheckpoint(e))
 	id := run.NewID(e.Task(), e.Run())
-	c.runStops(id)
+	c.countAsNotWorking(id)
 	if lost, cause := c.lossOf(now, e); lost > 0 {
 		c.decisions = append(c.decisions, Decision{id: id, kind: WorkLost, reason: string(cause), lostWork: lost, cause: cause})
 	}
--- a/internal/dispatch/speed.go
+++ b/internal/dispatch/speed.go
@@ -142,14 +142,14 @@
 const SpeedsLearned = "speeds"
 
 const (
-	// moveInterval is the least interval at which runs to move to faster workers are looked for while no task waits.
+	// moveInterval is the least interval between searches for runs to move to faster workers while no task waits.
 	moveInterval = 500 * time.Millisecond
-	// moveIntervalPerWorker is the interval for each known worker, since the look passes over all of them.
+	// moveIntervalPerWorker is the least interval for each known worker, since a search passes over all of them.
 	moveIntervalPerWorker = time.Millisecond
 )
 
-// looksForMoves reports whether it is time to look for runs to move.
-func (c *Core) looksForMoves(now time.Time) bool {
+// beginMoveSearch reports whether it is time to look for runs to move, and if so records the time of the search.
+func (c *Core) beginMoveSearch(now time.Time) bool {
 	interval := max(moveInterval, time.Duration(len(c.hosts))*moveIntervalPerWorker)
 	if now.Sub(c.movedAt) < interval || !c.speeds.Estimates(now).Differ() {
 		return false
--- a/internal/dispatch/zone.go
+++ b/internal/dispatch/zone.go
@@ -14,7 +14,7 @@
 // zones holds what one step derives from the evacuated availability zones.
 type zones struct {
 	evacuated  bool                  // whether any zone is
-	gangs      map[batch.TaskID]bool // results of gangAwaitsZone, by the key of the step
+	gangs      map[batch.TaskID]bool // results of gangPendingInEvacuatedZone, by the key of the step
 	leaving    []run.ID              // long-running tasks that were told to leave
 	candidates []run.ID              // long-running tasks that leave once they have a place elsewhere
 	offered    map[batch.TaskID]int  // candidates by the key of the step
@@ -35,15 +35,16 @@
 	return evacuated
 }
 
-// mayNotStart reports whether the start of a run is forbidden by an evacuation: of the run's own zone, or of the zone of
+// startForbidden reports whether the start of a run is forbidden by an evacuation: of the run's own zone, or of the zone of
 // another member of its gang that has not begun.
-func (c *Core) mayNotStart(j *batch.Job, id run.ID, h *host, hosts map[batch.Incarnation]*host) bool {
-	return c.evacuated(h) || c.gangAwaitsZone(j, id, hosts)
+func (c *Core) startForbidden(j *batch.Job, id run.ID, h *host, hosts map[batch.Incarnation]*host) bool {
+	return c.evacuated(h) || c.gangPendingInEvacuatedZone(j, id, hosts)
 }
 
-// awaitsZone reports whether a run has not begun, as far as this leader knows, on a worker in an evacuated zone, and this
-// leader is to order its start or has done so. A run that an earlier leader placed is lost if it is not listed.
-func (c *Core) awaitsZone(id run.ID, t batch.Task, hosts map[batch.Incarnation]*host) bool {
+// pendingInEvacuatedZone reports whether a run has not begun, as far as this leader knows, on a worker in an evacuated
+// zone, and this leader is to order its start or has done so. A run that an earlier leader placed is lost if it is not
+// listed.
+func (c *Core) pendingInEvacuatedZone(id run.ID, t batch.Task, hosts map[batch.Incarnation]*host) bool {
 	h := hosts[t.Worker()]
 	if !c.evacuated(h) || c.progress[id] != nil {
 		return false
@@ -55,25 +56,25 @@
 	return c.toStart[id] || o != nil && (o.withheld || !o.startOrderedAt.IsZero())
 }
 
-// gangAwaitsZone reports whether a member of the run's gang awaits its start in an evacuated zone. The first answer for a
-// gang holds for the whole step: a member that awaits its start is not ordered to start there meanwhile.
-func (c *Core) gangAwaitsZone(j *batch.Job, id run.ID, hosts map[batch.Incarnation]*host) bool {
+// gangPendingInEvacuatedZone reports whether a member of the run's gang has not begun in an evacuated zone. The first
+// answer for a gang holds for the whole step of the core: no such member is ordered to start meanwhile.
+func (c *Core) gangPendingInEvacuatedZone(j *batch.Job, id run.ID, hosts map[batch.Incarnation]*host) bool {
 	if !c.zones.evacuated || !j.Spec().Steps()[id.Task().Step()].Gang() {
 		return false
 	}
 	key := id.Task().StepKey()
-	awaits, known := c.zones.gangs[key]
+	pending, known := c.zones.gangs[key]
 	if !known {
-		awaits = c.anyMemberAwaitsZone(j, id.Task(), hosts)
-		c.zones.gangs[key] = awaits
+		pending = c.anyMemberPendingInEvacuatedZone(j, id.Task(), hosts)
+		c.zones.gangs[key] = pending
 	}
-	return awaits
+	return pending
 }
 
-func (c *Core) anyMemberAwaitsZone(j *batch.Job, task batch.TaskID, hosts map[batch.Incarnation]*host) bool {
+func (c *Core) anyMemberPendingInEvacuatedZone(j *batch.Job, task batch.TaskID, hosts map[batch.Incarnation]*host) bool {
 	for n, t := range j.Tasks(task.Occurrence(), task.Step()).In(batch.Placed) {
 		member := run.NewID(batch.NewTaskID(task.Job(), task.Occurrence(), task.Step(), n), t.Run())
-		if c.awaitsZone(member, t, hosts) {
+		if c.pendingInEvacuatedZone(member, t, hosts) {
 			return true
 		}
 	}
@@ -86,7 +87,7 @@
 	if !c.zones.evacuated {
 		return ""
 	}
-	if c.awaitsZone(id, t, hosts) || c.gangAwaitsZone(j, id, hosts) {
+	if c.pendingInEvacuatedZone(id, t, hosts) || c.gangPendingInEvacuatedZone(j, id, hosts) {
 		return ZoneEvacuated
 	}
 	if c.evacuated(hosts[t.Worker()]) {
@@ -119,7 +120,9 @@
 }
 
 // departures returns the long-running tasks that the planner finds places for: those that leave already, and candidates up
-// to maxDepartures in all. The next step goes on behind the last one, so that tasks without a place keep no others back.
+// to maxDepartures in all. It returns none if there is no room for a candidate, since the places of those that leave are
+// held only so that candidates do not count on them. The next step starts behind the last candidate of this one, so that
+// candidates without a place do not keep others from a try.
 func (c *Core) departures() []run.ID {
 	slices.SortFunc(c.zones.leaving, compareIDs)
 	slices.SortFunc(c.zones.candidates, compareIDs)
--- a/internal/gang/progress.go
+++ b/internal/gang/progress.go
@@ -139,9 +139,10 @@
 	return p.withMember(index, func(m *memberProgress) { m.evacuated = evacuated })
 }
 
-// awaitsZone reports whether a member of a started gang has not begun in an evacuated zone. What an earlier leader may have
-// ordered counts as begun, unless the worker still reports a reservation when an answer to that order is overdue.
-func (p Progress) awaitsZone(m *memberProgress, now time.Time) bool {
+// pendingInEvacuatedZone reports whether a member of a started gang has not begun in an evacuated zone. What an earlier
+// leader may have ordered counts as begun, unless the worker still reports a reservation when an answer to that order is
+// overdue.
+func (p Progress) pendingInEvacuatedZone(m *memberProgress, now time.Time) bool {
 	if !m.evacuated || m.started || m.reportedState == task.Running {
 		return false
 	}
--- a/internal/gang/step.go
+++ b/internal/gang/step.go
@@ -90,7 +90,7 @@
 		if reason := lossReason(mp, now); reason != "" {
 			return []Action{Stop{reason: fmt.Sprintf("member %d on worker %s: %s", i, m.Worker(), reason)}}
 		}
-		if p.awaitsZone(mp, now) {
+		if p.pendingInEvacuatedZone(mp, now) {
 			return []Action{Stop{reason: zoneEvacuated(m.Worker(), i)}}
 		}
 		if o := p.nextOrder(j, i, answered, now); o != nil {
