speed, placement: names and comments that say what a value holds

spread held a variance while minSpread was a standard deviation; the fields means and pairs held two averages of the same residuals; unit.speeds was a need and View.speeds are estimates. Comments with a riddle or a missing half are rewritten. No change of behaviour.

--- a/internal/placement/move.go
+++ b/internal/placement/move.go
@@ -10,7 +10,7 @@
 const (
 	// maxMoves bounds the tasks and gangs that a decision moves to faster workers.
 	maxMoves = 2
-	// maxMovedRun is the last run of a task that is moved, so that the same task is not moved again and again.
+	// maxMovedRun is the highest number of a run that is moved, so that the same task is not moved again and again.
 	maxMovedRun = 3
 	// moveDelay is the time from the stop of a run until it works elsewhere: the stop, the start and the loading of its
 	// checkpoint.
@@ -161,7 +161,7 @@
 	u := &unit{
 		job: r.job, queue: p.view.state.CurrentQueue(r.job), step: r.step, key: id.StepKey(),
 		tasks: r.job.Tasks(id.Occurrence(), id.Step()), waiting: members, duration: p.view.taskDuration(r.job, id.Step()),
-		readySince: p.view.now, speeds: speedNeed{fastest: true}, waitPolicy: waitForAll,
+		readySince: p.view.now, speedNeed: speedNeed{fastest: true}, waitPolicy: waitForAll,
 	}
 	u.setSlack(p.view.now, p.objective(r.job), p.remainingTimes(r.job)[id.Step()])
 	u.indexes = []int{id.Index()}
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -73,7 +73,7 @@
 	sortUnits(units)
 	for _, u := range units {
 		placed := len(p.plan.groups)
-		u.waitPolicy, u.speeds = p.waitPolicyOf(u), u.speedNeed()
+		u.waitPolicy, u.speedNeed = p.waitPolicyOf(u), u.chooseSpeedNeed()
 		p.place(u)
 		waiting := u.waitingAfter(p.plan.groups[placed:])
 		if waiting > 0 && u.waiting-waiting == len(u.indexes) {
--- a/internal/placement/speed.go
+++ b/internal/placement/speed.go
@@ -31,9 +31,9 @@
 	floor   int  // lowest level on which the unit is expected to meet its objective; a normal one if it is already late
 }
 
-// speedNeed returns which workers suit a unit. Urgent work gets the fastest ones; other work leaves them free as far as
+// chooseSpeedNeed returns which workers suit a unit. Urgent work gets the fastest ones; other work leaves them free as far as
 // its slack allows.
-func (u *unit) speedNeed() speedNeed {
+func (u *unit) chooseSpeedNeed() speedNeed {
 	switch {
 	case u.queue.Priority() == 0:
 		return speedNeed{fastest: true}
@@ -70,13 +70,13 @@
 	}
 	var ranks []int
 	for _, w := range set {
-		ranks = append(ranks, u.speeds.rank(w.level))
+		ranks = append(ranks, u.speedNeed.rank(w.level))
 	}
 	slices.Sort(ranks)
 	for _, limit := range slices.Compact(ranks) {
 		var subset []*workerState
 		for _, w := range set {
-			if u.speeds.rank(w.level) <= limit && !w.quarantined && !u.avoids(w) {
+			if u.speedNeed.rank(w.level) <= limit && !w.quarantined && !u.avoids(w) {
 				subset = append(subset, w)
 			}
 		}
@@ -106,7 +106,7 @@
 	}
 	worst := math.MinInt
 	for _, w := range as.workers {
-		worst = max(worst, u.speeds.rank(w.level))
+		worst = max(worst, u.speedNeed.rank(w.level))
 	}
 	return worst
 }
@@ -114,8 +114,8 @@
 // usesSpeeds reports whether the speeds of workers matter for a unit.
 func (p *planner) usesSpeeds(u *unit) bool { return p.view.speeds.Differ() && !u.step.LongRunning() }
 
-// compareAssignments orders the placements of a gang on two sets. Speeds go before packing, and after that no worker is
-// used that the unit avoids.
+// compareAssignments orders the placements of a gang on two sets. Where their speeds suit equally, the cost decides, which
+// counts packing and workers that the unit avoids. Otherwise fewer workers to avoid come first, then the better speeds.
 func compareAssignments(a, b *assignment) int {
 	if a.rank == b.rank {
 		return cmp.Compare(a.cost, b.cost)
@@ -128,5 +128,5 @@
 	if !p.usesSpeeds(u) {
 		return 0
 	}
-	return u.speeds.rank(a.level) - u.speeds.rank(b.level)
+	return u.speedNeed.rank(a.level) - u.speedNeed.rank(b.level)
 }
--- a/internal/placement/unit.go
+++ b/internal/placement/unit.go
@@ -24,7 +24,7 @@
 	nextSlack  time.Duration // like slack, but for three times the objective once slack is negative
 	guaranteed bool          // whether the workspace's guarantee covers the job
 	waitPolicy waitPolicy
-	speeds     speedNeed
+	speedNeed  speedNeed
 	reason     Reason // why tasks were not placed; empty if not known
 	suspicion  suspicion
 	readySince time.Time // the latest of acceptance, due time and the times since which its tasks wait
--- a/internal/placement/view.go
+++ b/internal/placement/view.go
@@ -89,7 +89,7 @@
 	quarantined  bool
 	speed        float64 // 1 for a normal worker
 	level        int     // of the speed
-	slow         bool    // surely
+	slow         bool    // whether it is surely slower than a normal one
 	runs         []*placedRun
 	reservations []reservation           // by the times from which they hold
 	reserved     batch.Resources         // sum of the reservations
--- a/internal/speed/evidence.go
+++ b/internal/speed/evidence.go
@@ -10,20 +10,20 @@
 	residuals residuals
 }
 
-// residuals holds the weighted residuals of runs twice. Those in means count less the further they are off the mean of
-// their worker, which makes the mean robust. Those in pairs count less the further they are off zero, so that their weights
-// do not depend on other groups.
+// residuals holds two averages of the same residuals, which differ in the weights of outliers. In forMean a residual counts
+// less the further it is off the mean of its worker, which makes that mean robust. In forAgreement it counts less the
+// further it is off zero, so that its weight does not depend on other groups.
 type residuals struct {
-	means average
-	pairs average
+	forMean      average
+	forAgreement average
 }
 
 func (r residuals) plus(s residuals) residuals {
-	return residuals{r.means.plus(s.means), r.pairs.plus(s.pairs)}
+	return residuals{r.forMean.plus(s.forMean), r.forAgreement.plus(s.forAgreement)}
 }
 
 func (r residuals) minus(s residuals) residuals {
-	return residuals{r.means.minus(s.means), r.pairs.minus(s.pairs)}
+	return residuals{r.forMean.minus(s.forMean), r.forAgreement.minus(s.forAgreement)}
 }
 
 // end counts the end of a run and reports whether it was the last one at work. Its residual stays in the group.
@@ -34,9 +34,10 @@
 
 // evidence returns what the group says of its worker.
 func (g *group) evidence() evidence {
-	means, pairs := independent(g.residuals.means), independent(g.residuals.pairs)
+	own := independent(g.residuals.forAgreement)
 	return evidence{
-		average: means, pairs: pairs, sumSquares: pairs.sum * pairs.sum, weightSquares: pairs.weight * pairs.weight,
+		average: independent(g.residuals.forMean), forAgreement: own,
+		sumSquares: own.sum * own.sum, weightSquares: own.weight * own.weight,
 	}
 }
 
@@ -49,23 +50,23 @@
 	return average{a.mean() * weight, weight}
 }
 
-// evidence is a weighted mean of the residuals of groups, with what it takes to tell whether groups of one worker agree.
+// evidence is a weighted mean of the residuals of groups, with the sums from which agreement is computed.
 type evidence struct {
 	average
-	pairs         average
-	sumSquares    float64 // of the groups' weighted residuals in pairs
-	weightSquares float64 // of the groups' weights there
+	forAgreement  average
+	sumSquares    float64 // sum of the squares of the groups' forAgreement.sum
+	weightSquares float64 // sum of the squares of the groups' forAgreement.weight
 }
 
 func (e evidence) plus(f evidence) evidence {
 	return evidence{
-		e.average.plus(f.average), e.pairs.plus(f.pairs), e.sumSquares + f.sumSquares, e.weightSquares + f.weightSquares,
+		e.average.plus(f.average), e.forAgreement.plus(f.forAgreement), e.sumSquares + f.sumSquares, e.weightSquares + f.weightSquares,
 	}
 }
 
 func (e evidence) minus(f evidence) evidence {
 	return evidence{
-		e.average.minus(f.average), e.pairs.minus(f.pairs), max(e.sumSquares-f.sumSquares, 0),
+		e.average.minus(f.average), e.forAgreement.minus(f.forAgreement), max(e.sumSquares-f.sumSquares, 0),
 		max(e.weightSquares-f.weightSquares, 0),
 	}
 }
@@ -73,18 +74,18 @@
 // scaled returns the evidence with a share of its weight.
 func (e evidence) scaled(share float64) evidence {
 	return evidence{
-		e.average.scaled(share), e.pairs.scaled(share), e.sumSquares * share * share, e.weightSquares * share * share,
+		e.average.scaled(share), e.forAgreement.scaled(share), e.sumSquares * share * share, e.weightSquares * share * share,
 	}
 }
 
 // agreement returns the mean product of the residuals of two different groups, and the weight of all such pairs. Errors
 // that the runs of one group have in common do not enter into it.
 func (e evidence) agreement() (mean, weight float64) {
-	weight = e.pairs.weight*e.pairs.weight - e.weightSquares
+	weight = e.forAgreement.weight*e.forAgreement.weight - e.weightSquares
 	if weight < minPairWeight {
 		return 0, 0
 	}
-	return (e.pairs.sum*e.pairs.sum - e.sumSquares) / weight, weight
+	return (e.forAgreement.sum*e.forAgreement.sum - e.sumSquares) / weight, weight
 }
 
 // minPairWeight is the least weight of the pairs of groups from which their agreement counts: a pair of groups counts
--- a/internal/speed/fit.go
+++ b/internal/speed/fit.go
@@ -25,9 +25,9 @@
 	outlierSpeed = 1.2
 	// minWorkers is the number of workers with runs of different steps from which it can be told whether workers differ.
 	minWorkers = 6
-	// minSpread is the least standard deviation of workers' speeds that counts as a difference.
-	minSpread = 0.12
-	// chanceErrors is the number of standard errors from which the spread of the workers does not come from chance.
+	// minSpeedDeviation is the least standard deviation of workers' speeds that counts as a difference.
+	minSpeedDeviation = 0.12
+	// chanceErrors is the number of standard errors from which the variance of the speeds does not come from chance.
 	chanceErrors = 3.5
 	// outlierRuns and outlierErrors are the number of runs and of standard errors from which a single worker counts as
 	// different though the others are alike.
@@ -37,9 +37,9 @@
 
 // service holds the variances of a service's tasks and of its workers' speeds.
 type service struct {
-	squares average // squared deviations of tasks from what is known of their step and worker
-	spread  float64 // variance of the workers' speeds; 0 while they are not known to differ
-	offset  float64 // mean of the workers' residuals; without it all of them would drift together
+	squares       average // squared deviations of tasks from what is known of their step and worker
+	speedVariance float64 // of the workers; 0 while they are not known to differ
+	offset        float64 // mean of the workers' residuals; it is subtracted, or all speeds would drift in one direction
 }
 
 func newService() *service {
@@ -121,8 +121,8 @@
 		residual := others.mean() - r.logarithm
 		weight := sv.noise() / (sv.noise()*(1+1/others.weight) + r.variance)
 		r.residual = residuals{}
-		r.residual.means.add(residual, weight*robustness(residual-w.mean(), outlierDeviation))
-		r.residual.pairs.add(residual, weight*robustness(residual, outlierSpeed))
+		r.residual.forMean.add(residual, weight*robustness(residual-w.mean(), outlierDeviation))
+		r.residual.forAgreement.add(residual, weight*robustness(residual, outlierSpeed))
 		g.residuals = g.residuals.plus(r.residual)
 		w.live = w.live.plus(g.evidence())
 	}
@@ -136,11 +136,11 @@
 		workers[w.service] = append(workers[w.service], w.endedBy(now).plus(w.live))
 	}
 	for name, s := range m.services {
-		s.spread, s.offset = spread(workers[name]), offset(workers[name])
+		s.speedVariance, s.offset = speedVariance(workers[name]), offset(workers[name])
 	}
 }
 
-// offset returns the mean of the workers' residuals, by how well they are known.
+// offset returns the mean of the workers' residuals, each weighted by how well it is known.
 func offset(workers []evidence) float64 {
 	var sum average
 	for _, e := range workers {
@@ -149,9 +149,9 @@
 	return sum.mean()
 }
 
-// spread returns the variance of workers' speeds, or 0 if it may come from chance. Workers differ if one that was slow for
+// speedVariance returns the variance of workers' speeds, or 0 if it may come from chance. Workers differ if one that was slow for
 // one step is slow for the next.
-func spread(workers []evidence) float64 {
+func speedVariance(workers []evidence) float64 {
 	var values, squares average
 	count := 0.0
 	for _, e := range workers {
@@ -167,7 +167,7 @@
 	}
 	mean := values.mean()
 	deviation := math.Sqrt(max(squares.mean()-mean*mean, 0) / count)
-	if mean <= max(minSpread*minSpread, chanceErrors*deviation) {
+	if mean <= max(minSpeedDeviation*minSpeedDeviation, chanceErrors*deviation) {
 		return 0
 	}
 	return mean
@@ -179,13 +179,13 @@
 	if known.weight < minWeight {
 		return Estimate{observedAt: w.observedAt}
 	}
-	mean, variance, spread := known.mean()-s.offset, s.noise()/known.weight, s.spread
+	mean, variance, prior := known.mean()-s.offset, s.noise()/known.weight, s.speedVariance
 	if known.weight >= outlierRuns && mean*mean > outlierErrors*outlierErrors*variance {
-		spread = max(spread, mean*mean)
+		prior = max(prior, mean*mean)
 	}
-	if spread == 0 {
+	if prior == 0 {
 		return Estimate{observedAt: w.observedAt}
 	}
-	share := spread / (spread + variance)
+	share := prior / (prior + variance)
 	return Estimate{logarithm: share * mean, uncertainty: math.Sqrt(share * variance), observedAt: w.observedAt}
 }
--- a/internal/speed/model.go
+++ b/internal/speed/model.go
@@ -33,7 +33,7 @@
 	steps     map[stepKey]*step
 	services  map[string]*service
 	changed   map[stepKey]bool // steps with observations since the last fit
-	restored  bool             // whether there are records since then
+	restored  bool             // whether records were restored since the last fit
 	fittedAt  time.Time
 	estimates Estimates
 }
@@ -129,7 +129,7 @@
 	if !observed {
 		return
 	}
-	if r.residual.means.weight == 0 {
+	if r.residual.forMean.weight == 0 {
 		m.fitStep(s)
 	}
 	sv := m.services[s.service]
@@ -185,7 +185,7 @@
 // workers of the service do not differ.
 func (m *Model) Duration(job string, index int) (d time.Duration, ok bool) {
 	s, known := m.steps[stepKey{job, index}]
-	if !known || m.services[s.service].spread == 0 {
+	if !known || m.services[s.service].speedVariance == 0 {
 		return 0, false
 	}
 	if s.center.weight < minWeight {
@@ -230,9 +230,10 @@
 // weight returns the number of independent runs that the mean counts as.
 func (w *worker) weight() float64 { return w.ended.plus(w.live).weight }
 
-// known returns the worker's speed and its variance as far as it is better known than that of any worker.
+// known returns the worker's speed and the variance of its estimate, or those of an unobserved worker while they are no
+// worse.
 func (w *worker) known(s *service) (value, variance float64) {
-	prior := max(s.spread, s.noise())
+	prior := max(s.speedVariance, s.noise())
 	if weight := w.weight(); weight > minWeight && s.noise()/weight < prior {
 		return w.mean() - s.offset, s.noise() / weight
 	}
