intake, docs: names and sentences that say what is held, refused and not built

- intake: a slot is a unit of an endpoint's capacity in the glossary; the connections of a listener are now trackedConnection. note, ofPeer, once and from get names that say what they do or hold.
- comments that were a riddle, too wide or wrong (CheckRevision returns findings, not an error).

No change of behaviour.

--- a/cmd/rosemarywind/roles.go
+++ b/cmd/rosemarywind/roles.go
@@ -263,7 +263,7 @@
 const (
 	// monitorTimeout bounds the reading of a request for metrics or health and the writing of its answer.
 	monitorTimeout = 5 * time.Second
-	// monitorBytes bounds the head of such a request.
+	// monitorBytes bounds the head of such a request, and the bodies of all of them from one address.
 	monitorBytes = 16 << 10
 	// monitorConnections bounds the connections of collectors of metrics.
 	monitorConnections = 64
--- a/internal/entry/handler.go
+++ b/internal/entry/handler.go
@@ -39,7 +39,8 @@
 	reply(w, h.Method, result)
 }
 
-// handle returns the result for the caller, and whether the whole body has been read. Wherever possible, it refuses a request before it is dispatched.
+// handle returns the result for the caller, and whether the whole body has been read. Wherever possible, it refuses a
+// request before it is dispatched.
 func (e *Entry) handle(
 	ctx context.Context, w http.ResponseWriter, h *http.Request, now time.Time,
 ) (result request.Result, received bool) {
--- a/internal/inspection/config.go
+++ b/internal/inspection/config.go
@@ -14,7 +14,7 @@
 	workspacePrefix = "workspace/"
 )
 
-// CheckRevision returns an error if a declaration was made from another revision than the one in force.
+// CheckRevision returns a finding of kind Error if a declaration was made from another revision than the one in force.
 func CheckRevision(base uint64, inForce *workspace.Config) []Finding {
 	if base == inForce.Revision() {
 		return nil
--- a/internal/intake/body.go
+++ b/internal/intake/body.go
@@ -37,15 +37,15 @@
 	defer func() {
 		if refusal := RefusalOf(err); refusal != nil {
 			skipBody(w)
-			l.note(l.now(), c.RemoteAddr(), refusal.Reason())
+			l.recordRefusal(l.now(), c.RemoteAddr(), refusal.Reason())
 		}
 	}()
 	if r.ContentLength > limit {
 		return nil, &Refusal{reason: BodyTooLarge}
 	}
-	c.slot.enter(l.now(), Receiving)
+	c.tracked.enter(l.now(), Receiving)
 	defer func() {
-		if !c.slot.enter(l.now(), Serving) {
+		if !c.tracked.enter(l.now(), Serving) {
 			data, err = nil, &Refusal{reason: Displaced}
 		}
 	}()
@@ -139,7 +139,7 @@
 	bytes := copiesPerBody * int64(length)
 	if length <= smallBytes {
 		if refusal := c.add(bytes); refusal != nil {
-			l.note(l.now(), c.RemoteAddr(), refusal.Reason())
+			l.recordRefusal(l.now(), c.RemoteAddr(), refusal.Reason())
 			return nil, refusal
 		}
 		return func() {}, nil
@@ -148,7 +148,7 @@
 	ctx, cancel := context.WithTimeout(ctx, turnTimeout)
 	defer cancel()
 	if err := l.copies.Acquire(ctx, bytes); err != nil {
-		l.note(l.now(), c.RemoteAddr(), BudgetSpent)
+		l.recordRefusal(l.now(), c.RemoteAddr(), BudgetSpent)
 		return nil, &Refusal{reason: BudgetSpent}
 	}
 	return func() { l.copies.Release(bytes) }, nil
--- a/internal/intake/connections.go
+++ b/internal/intake/connections.go
@@ -25,29 +25,29 @@
 // receiveGrace is how long a request may arrive before its connection may be closed in favor of a new one.
 const receiveGrace = time.Second
 
-// slot is the place that a connection takes among those of its listener.
-type slot struct {
+// trackedConnection is a connection as the table of its listener counts it.
+type trackedConnection struct {
 	address netip.Addr
-	state   atomic.Pointer[slotState]
+	state   atomic.Pointer[connectionState]
 	close   func() // closes the connection in favor of a new one
 }
 
-// slotState is a phase with its begin; it is immutable.
-type slotState struct {
-	phase Phase
-	since time.Time
-	from  Phase // before Closing
+// connectionState is a phase and the time at which it began; it is immutable.
+type connectionState struct {
+	phase    Phase
+	since    time.Time
+	previous Phase // before Closing
 }
 
-func newSlot(now time.Time, address netip.Addr) *slot {
-	s := &slot{address: address}
+func newTrackedConnection(now time.Time, address netip.Addr) *trackedConnection {
+	s := &trackedConnection{address: address}
 	s.enter(now, Idle)
 	return s
 }
 
 // enter begins a phase; it reports false if the connection is closing.
-func (s *slot) enter(now time.Time, p Phase) bool {
-	for next := (&slotState{phase: p, since: now}); ; {
+func (s *trackedConnection) enter(now time.Time, p Phase) bool {
+	for next := (&connectionState{phase: p, since: now}); ; {
 		current := s.state.Load()
 		if current != nil && current.phase == Closing {
 			return false
@@ -60,7 +60,7 @@
 
 // closable reports whether the connection may be closed in favor of a new one: nothing of a request is lost that has
 // run, since it has not arrived as a whole.
-func (s *slotState) closable(now time.Time) bool {
+func (s *connectionState) closable(now time.Time) bool {
 	switch s.phase {
 	case Idle:
 		return true
@@ -73,7 +73,7 @@
 
 // before reports whether a connection in this state is closed before one in the other: idle ones first, the oldest
 // first.
-func (s *slotState) before(other *slotState) bool {
+func (s *connectionState) before(other *connectionState) bool {
 	if s.phase != other.phase {
 		return s.phase == Idle
 	}
@@ -84,7 +84,7 @@
 type table struct {
 	limit int
 	mu    sync.Mutex
-	open  map[*slot]bool
+	open  map[*trackedConnection]bool
 	peers map[netip.Addr]*peerEntry
 }
 
@@ -95,18 +95,18 @@
 }
 
 func newTable(limit int) *table {
-	return &table{limit: limit, open: map[*slot]bool{}, peers: map[netip.Addr]*peerEntry{}}
+	return &table{limit: limit, open: map[*trackedConnection]bool{}, peers: map[netip.Addr]*peerEntry{}}
 }
 
 // admit adds a connection. Where the limit of the listener or of the address is reached it removes another connection,
 // which the caller closes, or refuses the new one.
-func (t *table) admit(now time.Time, s *slot) (peer *Peer, removed *slot, refusal *Refusal) {
+func (t *table) admit(now time.Time, s *trackedConnection) (peer *Peer, removed *trackedConnection, refusal *Refusal) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	entry := t.peers[s.address]
-	ofPeer := entry != nil && entry.connections >= max(int(peerShare*float64(t.limit)), 1)
-	if ofPeer || len(t.open) >= t.limit {
-		if removed = t.displace(now, s.address, ofPeer); removed == nil {
+	sameAddress := entry != nil && entry.connections >= max(int(peerShare*float64(t.limit)), 1)
+	if sameAddress || len(t.open) >= t.limit {
+		if removed = t.displace(now, s.address, sameAddress); removed == nil {
 			return nil, nil, &Refusal{reason: NoConnection}
 		}
 		t.drop(removed)
@@ -122,20 +122,20 @@
 
 // displace chooses a connection and lets it begin to close; it returns nil if there is none. A connection that has
 // received its request meanwhile is left alone.
-func (t *table) displace(now time.Time, address netip.Addr, ofPeer bool) *slot {
+func (t *table) displace(now time.Time, address netip.Addr, sameAddress bool) *trackedConnection {
 	for {
-		chosen, state := t.choose(now, address, ofPeer)
-		if chosen == nil || chosen.state.CompareAndSwap(state, &slotState{phase: Closing, since: state.since, from: state.phase}) {
+		chosen, state := t.choose(now, address, sameAddress)
+		if chosen == nil || chosen.state.CompareAndSwap(state, &connectionState{phase: Closing, since: state.since, previous: state.phase}) {
 			return chosen
 		}
 	}
 }
 
-// choose returns the connection to close in favor of a new one, of the same address if ofPeer is set, or nil.
-func (t *table) choose(now time.Time, address netip.Addr, ofPeer bool) (chosen *slot, first *slotState) {
+// choose returns the connection to close in favor of a new one, only of the given address if sameAddress is set, or nil.
+func (t *table) choose(now time.Time, address netip.Addr, sameAddress bool) (chosen *trackedConnection, first *connectionState) {
 	for s := range t.open {
 		state := s.state.Load()
-		if ofPeer && s.address != address || !state.closable(now) {
+		if sameAddress && s.address != address || !state.closable(now) {
 			continue
 		}
 		if first == nil || state.before(first) {
@@ -146,14 +146,14 @@
 }
 
 // remove removes a connection that has ended.
-func (t *table) remove(s *slot) {
+func (t *table) remove(s *trackedConnection) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.drop(s)
 }
 
 // drop removes a connection if it is in the table; the caller holds mu.
-func (t *table) drop(s *slot) {
+func (t *table) drop(s *trackedConnection) {
 	if !t.open[s] {
 		return
 	}
--- a/internal/intake/decisions_test.go
+++ b/internal/intake/decisions_test.go
@@ -126,10 +126,10 @@
 func addressNumber(n int) netip.Addr { return netip.AddrFrom4([4]byte{10, 0, 0, byte(n)}) }
 
 // fill admits connections of clients at different addresses, each in a phase since the given second.
-func fill(t *testing.T, table *table, phases ...Phase) (slots []*slot) {
+func fill(t *testing.T, table *table, phases ...Phase) (slots []*trackedConnection) {
 	t.Helper()
 	for i, p := range phases {
-		s := newSlot(at(float64(i)), addressNumber(i))
+		s := newTrackedConnection(at(float64(i)), addressNumber(i))
 		_, removed, refusal := table.admit(at(float64(i)), s)
 		require.Nil(t, refusal)
 		require.Nil(t, removed)
@@ -156,7 +156,7 @@
 		t.Run(name, func(t *testing.T) {
 			table := newTable(len(c.phases))
 			slots := fill(t, table, c.phases...)
-			_, removed, refusal := table.admit(at(c.now), newSlot(at(c.now), addressNumber(100)))
+			_, removed, refusal := table.admit(at(c.now), newTrackedConnection(at(c.now), addressNumber(100)))
 			if c.closed < 0 {
 				assertRefused(t, NoConnection, refusal)
 				return
@@ -171,11 +171,11 @@
 	}
 	t.Run("one address takes its own part", func(t *testing.T) {
 		table := newTable(16)
-		other := newSlot(start, addressNumber(1))
+		other := newTrackedConnection(start, addressNumber(1))
 		_, _, refusal := table.admit(start, other)
 		require.Nil(t, refusal)
 		for n := range 100 {
-			_, removed, refusal := table.admit(at(float64(1+n)), newSlot(at(float64(1+n)), addressNumber(2)))
+			_, removed, refusal := table.admit(at(float64(1+n)), newTrackedConnection(at(float64(1+n)), addressNumber(2)))
 			require.Nil(t, refusal)
 			assert.NotSame(t, other, removed)
 		}
@@ -184,7 +184,7 @@
 	t.Run("nothing is kept of an address without connections", func(t *testing.T) {
 		table := newTable(4)
 		for n := range 100 {
-			s := newSlot(start, addressNumber(n))
+			s := newTrackedConnection(start, addressNumber(n))
 			_, _, _ = table.admit(start, s)
 			table.remove(s)
 		}
--- a/internal/intake/limiter.go
+++ b/internal/intake/limiter.go
@@ -106,8 +106,8 @@
 // HeldBytes returns the number of bytes that are held for all clients.
 func (l *Limiter) HeldBytes() int64 { return l.budget.Held() }
 
-// note counts a refusal and logs the refusals at most once in each logInterval.
-func (l *Limiter) note(now time.Time, peer net.Addr, r Reason) {
+// recordRefusal counts a refusal and logs the refusals at most once in each logInterval.
+func (l *Limiter) recordRefusal(now time.Time, peer net.Addr, r Reason) {
 	l.refused[r].Inc(1)
 	count, after, age := l.unlogged.Add(1), l.logAfter.Load(), now.Sub(l.begunAt)
 	if int64(age) < after || !l.logAfter.CompareAndSwap(after, int64(age+logInterval)) {
--- a/internal/intake/listener.go
+++ b/internal/intake/listener.go
@@ -39,11 +39,11 @@
 
 // admit returns the connection if the limits have room for it, else it refuses and closes the connection.
 func (l *Listener) admit(now time.Time, c net.Conn) *Connection {
-	own := &Connection{Conn: c, listener: l, slot: newSlot(now, addressOf(c))}
-	own.slot.close = own.interrupt
-	peer, removed, refusal := l.table.admit(now, own.slot)
+	own := &Connection{Conn: c, listener: l, tracked: newTrackedConnection(now, addressOf(c))}
+	own.tracked.close = own.interrupt
+	peer, removed, refusal := l.table.admit(now, own.tracked)
 	if refusal != nil {
-		l.limiter.note(now, c.RemoteAddr(), refusal.Reason())
+		l.limiter.recordRefusal(now, c.RemoteAddr(), refusal.Reason())
 		writeRefusal(now, c, refusal)
 		_ = c.Close()
 		return nil
@@ -51,7 +51,7 @@
 	own.charge = l.limiter.budget.NewCharge(peer)
 	l.limiter.open.Add(1)
 	if removed != nil {
-		l.limiter.note(now, c.RemoteAddr(), Displaced)
+		l.limiter.recordRefusal(now, c.RemoteAddr(), Displaced)
 		removed.close()
 	}
 	return own
@@ -71,15 +71,15 @@
 // Connection is a client's connection that charges the heads of requests as they arrive.
 type Connection struct {
 	net.Conn
-	listener *Listener
-	slot     *slot
-	head     headMeter
-	refusal  *Refusal    // of a head
-	serving  atomic.Bool // whether the head of the current request has been read
-	chargeMu sync.Mutex  // a connection may be closed while its handler runs
-	charge   *Charge
-	ended    bool // whether the charge has been released for good
-	once     sync.Once
+	listener  *Listener
+	tracked   *trackedConnection
+	head      headMeter
+	refusal   *Refusal    // of a head
+	serving   atomic.Bool // whether the head of the current request has been read
+	chargeMu  sync.Mutex  // a connection may be closed while its handler runs
+	charge    *Charge
+	ended     bool // whether the charge has been released for good
+	closeOnce sync.Once
 }
 
 type connectionKey struct{}
@@ -116,7 +116,7 @@
 	}
 	if c.refusal = c.receiveHead(p[:n]); c.refusal != nil {
 		now := c.listener.limiter.now()
-		c.listener.limiter.note(now, c.RemoteAddr(), c.refusal.Reason())
+		c.listener.limiter.recordRefusal(now, c.RemoteAddr(), c.refusal.Reason())
 		writeRefusal(now, c.Conn, c.refusal)
 		return 0, c.readError()
 	}
@@ -157,12 +157,12 @@
 func (c *Connection) observe(s http.ConnState) {
 	switch s {
 	case http.StateActive:
-		c.slot.enter(c.listener.limiter.now(), Receiving)
+		c.tracked.enter(c.listener.limiter.now(), Receiving)
 	case http.StateIdle:
 		c.release(false)
 		c.head = headMeter{}
 		c.serving.Store(false)
-		c.slot.enter(c.listener.limiter.now(), Idle)
+		c.tracked.enter(c.listener.limiter.now(), Idle)
 	case http.StateNew, http.StateClosed, http.StateHijacked:
 	}
 }
@@ -170,12 +170,12 @@
 // headEnded records that a handler begins with the current request; it reports false if the connection is closing.
 func (c *Connection) headEnded() bool {
 	c.serving.Store(true)
-	return c.slot.enter(c.listener.limiter.now(), Serving)
+	return c.tracked.enter(c.listener.limiter.now(), Serving)
 }
 
 // interrupt closes the connection from outside of its server; the server notices and ends it.
 func (c *Connection) interrupt() {
-	if c.slot.state.Load().from == Receiving {
+	if c.tracked.state.Load().previous == Receiving {
 		writeRefusal(c.listener.limiter.now(), c.Conn, &Refusal{reason: Displaced})
 	}
 	_ = c.Conn.Close()
@@ -183,8 +183,8 @@
 
 // Close ends the connection and returns what it holds.
 func (c *Connection) Close() error {
-	c.once.Do(func() {
-		c.listener.table.remove(c.slot)
+	c.closeOnce.Do(func() {
+		c.listener.table.remove(c.tracked)
 		c.listener.limiter.open.Add(-1)
 		c.release(true)
 	})
--- a/internal/registry/state.go
+++ b/internal/registry/state.go
@@ -28,13 +28,12 @@
 // NewState returns the state before the first command, with an empty configuration at revision 0.
 func NewState() State {
 	return State{
-		config:     workspace.EmptyConfig(),
-		jobs:       board.NewTable[job.Job](),
-		unfinished: board.NewTable[job.Job](),
-		claims:     board.NewTable[Claim](),
-		replies:    board.NewTable[Reply](),
-		drained:    board.NewTable[bool](),
-
+		config:      workspace.EmptyConfig(),
+		jobs:        board.NewTable[job.Job](),
+		unfinished:  board.NewTable[job.Job](),
+		claims:      board.NewTable[Claim](),
+		replies:     board.NewTable[Reply](),
+		drained:     board.NewTable[bool](),
 		evacuations: board.NewTable[Evacuation](),
 	}
 }
--- a/internal/scheduler/call_limits.go
+++ b/internal/scheduler/call_limits.go
@@ -19,7 +19,8 @@
 	// turnTimeout bounds how long a large call waits. It leaves the sender time for the reply, since a leader that does not
 	// answer an attempt counts as lost.
 	turnTimeout = 250 * time.Millisecond
-	// refusedCallRetryAfter is a time after which the calls that are under way have ended.
+	// refusedCallRetryAfter is the time after which the sender may retry a refused call; the calls that were under way have
+	// usually ended by then.
 	refusedCallRetryAfter = time.Second
 )
 
