--- a/internal/scheduler/call_limits.go
+++ b/internal/scheduler/call_limits.go
@@ -19,8 +19,7 @@
 	// turnTimeout bounds how long a large call waits. It leaves the sender time for the reply, since a leader that does not
 	// answer an attempt counts as lost.
 	turnTimeout = 250 * time.Millisecond
-	// refusedCallRetryAfter is the time after which the sender may retry a refused call; the calls that were under way have
-	// usually ended by then.
+	// refusedCallRetryAfter is the time after which the sender of a refused call may retry it.
 	refusedCallRetryAfter = time.Second
 )
 
