inspection: one place for the finding about excess guarantees, and for findings about a whole section

The same text and the same literal stood twice and eight times. No change of behaviour: a negative number of accelerators is still treated as unknown by one of the two checks only.

--- a/internal/inspection/check.go
+++ b/internal/inspection/check.go
@@ -7,7 +7,7 @@
 func Check(d Draft, inForce *Draft, f Fleet) []Finding {
 	findings := d.refusals()
 	if inForce != nil && d.version <= inForce.version {
-		findings = append(findings, findingf(Error, Entry{section: VersionSection, index: unlisted},
+		findings = append(findings, findingf(Error, wholeSection(VersionSection),
 			"version %d is not higher than version %d, which is in force; it would change nothing", d.version, inForce.version))
 	}
 	findings = append(findings, d.addressFindings()...)
@@ -44,5 +44,5 @@
 		return d.workspaceAt(p.Index())
 	case batch.VersionSection:
 	}
-	return Entry{section: VersionSection, index: unlisted}
+	return wholeSection(VersionSection)
 }
--- a/internal/inspection/config.go
+++ b/internal/inspection/config.go
@@ -19,7 +19,7 @@
 	if base == inForce.Revision() {
 		return nil
 	}
-	return []Finding{findingf(Error, Entry{section: VersionSection, index: unlisted},
+	return []Finding{findingf(Error, wholeSection(VersionSection),
 		"the declaration was made from revision %d and revision %d is in force", base, inForce.Revision())}
 }
 
@@ -90,11 +90,16 @@
 	for _, w := range c.Workspaces() {
 		sum += w.Guarantee().Total()
 	}
-	if f.accelerators == 0 || sum <= f.accelerators {
+	return excessGuarantees(sum, f)
+}
+
+// excessGuarantees returns a finding if more accelerators are guaranteed than the workers are known to have.
+func excessGuarantees(guaranteed int, f Fleet) []Finding {
+	if f.accelerators == 0 || guaranteed <= f.accelerators {
 		return nil
 	}
-	return []Finding{findingf(Contradiction, Entry{section: WorkspaceSection, index: unlisted},
-		"%d accelerators are guaranteed in total and the workers have %d", sum, f.accelerators)}
+	return []Finding{findingf(Contradiction, wholeSection(WorkspaceSection),
+		"%d accelerators are guaranteed in total and the workers have %d", guaranteed, f.accelerators)}
 }
 
 // inFlightContradictions returns the limits on requests in flight that exceed the slots of all endpoints. A limit that
--- a/internal/inspection/contradiction.go
+++ b/internal/inspection/contradiction.go
@@ -34,9 +34,8 @@
 		}
 		sum += max(w.Guaranteed(), 0)
 	}
-	if f.accelerators > 0 && sum > f.accelerators {
-		findings = append(findings, findingf(Contradiction, Entry{section: WorkspaceSection, index: unlisted},
-			"%d accelerators are guaranteed in total and the workers have %d", sum, f.accelerators))
+	if f.accelerators > 0 {
+		findings = append(findings, excessGuarantees(sum, f)...)
 	}
 	urgent := slices.IndexFunc(d.queues, func(q Queue) bool { return q.queue.Priority() == 0 })
 	switch {
@@ -44,7 +43,7 @@
 		findings = append(findings, findingf(Contradiction, d.queueAt(urgent),
 			"the queue has priority 0 and no workspace has guaranteed accelerators"))
 	case urgent < 0 && sum > 0:
-		findings = append(findings, findingf(Contradiction, Entry{section: WorkspaceSection, index: unlisted},
+		findings = append(findings, findingf(Contradiction, wholeSection(WorkspaceSection),
 			"%d accelerators are guaranteed for jobs of priority 0 and no queue has priority 0", sum))
 	}
 	return findings
@@ -52,7 +51,7 @@
 
 // limitContradictions returns limits on messages that contradict each other.
 func (d Draft) limitContradictions() (findings []Finding) {
-	at := Entry{section: LimitsSection, index: unlisted}
+	at := wholeSection(LimitsSection)
 	l := d.limits
 	if l.bodyBytes > 0 && l.headerBytes > l.bodyBytes {
 		findings = append(findings, findingf(Contradiction, at, "the limit on the head, %d bytes, is above that on the body, %d bytes", l.headerBytes, l.bodyBytes))
--- a/internal/inspection/difference.go
+++ b/internal/inspection/difference.go
@@ -110,7 +110,7 @@
 
 func (d Draft) limitItems() []item {
 	l := d.limits
-	return []item{{entry: Entry{section: LimitsSection, index: unlisted}, values: []value{
+	return []item{{entry: wholeSection(LimitsSection), values: []value{
 		{"head bytes", fmt.Sprint(l.headerBytes)},
 		{"body bytes", fmt.Sprint(l.bodyBytes)},
 		{"header timeout", l.headerTimeout.String()},
--- a/internal/inspection/finding.go
+++ b/internal/inspection/finding.go
@@ -51,6 +51,9 @@
 	name    string
 }
 
+// wholeSection returns the place of a finding about no single entry of a section.
+func wholeSection(s Section) Entry { return Entry{section: s, index: unlisted} }
+
 // Section returns the section of the entry.
 func (e Entry) Section() Section { return e.section }
 
