--- a/internal/intake/reason.go
+++ b/internal/intake/reason.go
@@ -34,9 +34,9 @@
 	case BodyTooSlow:
 		return "the body arrives too slowly"
 	case BudgetSpent:
-		return "too much is held for all clients"
+		return "the memory budget for heads and bodies of requests is used up"
 	case ShareSpent:
-		return "too much is held for clients at this address"
+		return "the part of the memory budget for this address is used up"
 	case NoConnection:
 		return "too many connections are open"
 	case Displaced:
--- a/internal/placement/interference.go
+++ b/internal/placement/interference.go
@@ -63,7 +63,7 @@
 	var undisturbed []*workerState
 	for _, w := range p.eligible(u) {
 		if w.rack == preferred.workers[0].rack && !w.quarantined && !u.avoids(w) &&
-			(!p.usesSpeeds(u) || u.speeds.rank(w.level) <= preferred.rank) && !p.disturbed(u, w) {
+			(!p.usesSpeeds(u) || u.speedNeed.rank(w.level) <= preferred.rank) && !p.disturbed(u, w) {
 			undisturbed = append(undisturbed, w)
 		}
 	}
