--- a/internal/placement/reserve.go
+++ b/internal/placement/reserve.go
@@ -71,19 +71,23 @@
 // leavesReserved reports whether one more task of the unit leaves the given free resources of a worker sufficient for
 // all its reservations. A task that ends before a reservation starts may backfill it if the reservation allows. Where
 // it does not, only free capacity, observed ends and stopping runs count, since declared ends are often wrong; while most
-// of the service is idle, small tasks do not wait for that.
+// of the service is idle, tasks wait for that no longer than reservationWait.
 func (p *planner) leavesReserved(u *unit, w *workerState, free batch.Resources) bool {
 	ends, needs := p.view.now.Add(w.taskTime(u.duration)), u.step.Reserved()
+	strict := observedEnds
+	if p.view.now.Sub(u.readySince) >= reservationWait && p.idle(w.service) {
+		strict = declaredEnds
+	}
 	for _, rv := range w.reservations {
 		if !rv.noBackfill && !ends.After(rv.from) {
 			continue
 		}
-		src := declaredEnds
-		if rv.noBackfill && !p.idle(w.service) {
-			src = observedEnds
-		}
 		needs = needs.Plus(rv.needs)
-		if !needs.Fits(free.Plus(p.releases(w, src).until(rv.from))) {
+		expected := declaredEnds
+		if rv.noBackfill {
+			expected = strict
+		}
+		if !needs.Fits(free.Plus(p.releases(w, expected).until(rv.from))) {
 			return false
 		}
 	}
