--- a/cmd/rosemarywind/crowd_test.go
+++ b/cmd/rosemarywind/crowd_test.go
@@ -78,21 +78,21 @@
 // crowdKinds returns what each crowd sends.
 func crowdKinds() map[string]crowd.Kind {
 	return map[string]crowd.Kind{
-		"large heads": crowd.LargeHead{Bytes: crowdLargeHeadBytes}, "endless heads": crowd.EndlessHead{Bytes: crowdEndlessBytes},
-		"unfinished heads":           crowd.UnfinishedHead{},
-		"empty lines":                crowd.EmptyLines{Bytes: crowdEndlessBytes},
-		"empty lines after requests": crowd.EmptyLines{Bytes: crowdEndlessBytes, AfterRequest: true},
-		"bodies":                     crowd.Body{Piece: crowdBodyBytes},
-		"unfinished bodies":          crowd.Body{Piece: crowdBodyBytes, Missing: crowdMissingBytes},
-		"unfinished pieces":          crowd.Body{Piece: crowdPieceBytes, Missing: crowdMissingBytes},
-		"large chunks":               crowd.Chunks{Size: crowdPieceBytes},
-		"unfinished large chunks":    crowd.Chunks{Size: crowdPieceBytes, Short: true},
-		"small chunks":               crowd.Chunks{Size: crowdChunkBytes},
-		"unfinished small chunks":    crowd.Chunks{Size: crowdChunkBytes, Short: true},
-		"chunk extensions":           crowd.Chunks{Size: crowdChunkBytes, Extension: crowdExtensionBytes, Short: true},
-		"trailers":                   crowd.Chunks{Size: crowdPieceBytes, Trailer: crowdEndlessBytes},
-		"second requests":            crowd.SecondRequest{},
-		"silent connections":         crowd.Silence{},
+		"large heads": crowd.LargeHead(crowdLargeHeadBytes), "endless heads": crowd.EndlessHead(crowdEndlessBytes),
+		"unfinished heads":           crowd.UnfinishedHead(),
+		"empty lines":                crowd.EmptyLines(crowdEndlessBytes),
+		"empty lines after requests": crowd.EmptyLinesAfterRequest(crowdEndlessBytes),
+		"bodies":                     crowd.Body(crowdBodyBytes, 0),
+		"unfinished bodies":          crowd.Body(crowdBodyBytes, crowdMissingBytes),
+		"unfinished pieces":          crowd.Body(crowdPieceBytes, crowdMissingBytes),
+		"large chunks":               crowd.Chunks(crowdPieceBytes),
+		"unfinished large chunks":    crowd.UnfinishedChunks(crowdPieceBytes),
+		"small chunks":               crowd.Chunks(crowdChunkBytes),
+		"unfinished small chunks":    crowd.UnfinishedChunks(crowdChunkBytes),
+		"chunk extensions":           crowd.ChunksWithExtensions(crowdChunkBytes, crowdExtensionBytes),
+		"trailers":                   crowd.ChunksWithTrailer(crowdPieceBytes, crowdEndlessBytes),
+		"second requests":            crowd.SecondRequest(),
+		"silent connections":         crowd.Silence(),
 	}
 }
 
@@ -100,23 +100,25 @@
 func manyLines() map[string]crowd.Kind {
 	kinds := map[string]crowd.Kind{}
 	for _, shape := range crowd.LineShapes() {
-		kinds[string(shape)] = crowd.ManyLines{Shape: shape}
+		kinds[string(shape)] = crowd.ManyLines(shape)
 	}
 	return kinds
 }
 
 // unreadAnswers returns a crowd that does not read the answers to its requests.
 func unreadAnswers() map[string]crowd.Kind {
-	return map[string]crowd.Kind{"requests": crowd.UnreadAnswers{Bytes: crowdUnreadBytes}}
+	return map[string]crowd.Kind{"requests": crowd.UnreadAnswers(crowdUnreadBytes)}
 }
 
 // allCrowdKinds returns a mixture of what all crowds send.
 func allCrowdKinds() crowd.Kind {
-	m := crowd.Mixture{}
+	var all []crowd.Kind
 	for _, kinds := range []map[string]crowd.Kind{crowdKinds(), manyLines(), unreadAnswers()} {
-		m.Kinds = append(m.Kinds, slices.Collect(maps.Values(kinds))...)
+		for _, name := range slices.Sorted(maps.Keys(kinds)) {
+			all = append(all, kinds[name])
+		}
 	}
-	return m
+	return crowd.Mixture(all...)
 }
 
 // assertCrowdsHeld sends one crowd after another to each port of a new system. While the connections of a crowd stay
--- a/internal/crowd/crowd.go
+++ b/internal/crowd/crowd.go
@@ -39,7 +39,7 @@
 		if len(from) > 0 {
 			d.LocalAddr = &net.TCPAddr{IP: from[n%len(from)]}
 		}
-		if _, ok := own.(UnreadAnswers); ok {
+		if _, ok := own.(unreadAnswers); ok {
 			d.Control = shrinkBuffers
 		}
 		g.Go(func() { c.run(d, t, own) })
@@ -50,8 +50,8 @@
 
 // kindOf returns what the client with the given number sends.
 func kindOf(k Kind, number int) Kind {
-	if m, ok := k.(Mixture); ok {
-		return m.Kinds[number%len(m.Kinds)]
+	if m, ok := k.(mixture); ok {
+		return m.kinds[number%len(m.kinds)]
 	}
 	return k
 }
@@ -68,7 +68,7 @@
 	until := time.Now().Add(sendTime)
 	_ = connection.SetWriteDeadline(until)
 	var w io.Writer = connection
-	if _, ok := k.(UnreadAnswers); ok {
+	if _, ok := k.(unreadAnswers); ok {
 		w = stallingWriter{connection, until}
 	}
 	// A client that is refused and cut off has done its part.
--- a/internal/crowd/kind.go
+++ b/internal/crowd/kind.go
@@ -3,78 +3,90 @@
 // Kind is what a client sends.
 type Kind interface{ kind() }
 
+type (
+	silence        struct{}
+	unfinishedHead struct{}
+	secondRequest  struct{}
+	largeHead      struct{ bytes int }
+	endlessHead    struct{ bytes int }
+	unreadAnswers  struct{ bytes int }
+	manyLines      struct{ shape LineShape }
+	mixture        struct{ kinds []Kind }
+
+	emptyLines struct {
+		bytes        int
+		afterRequest bool
+	}
+
+	body struct {
+		piece   int // bytes sent at once
+		missing int // bytes that are not sent
+	}
+
+	chunks struct {
+		size      int  // of a chunk
+		short     bool // without the last chunk and the end
+		extension int  // bytes added to each chunk
+		trailer   int  // bytes of trailer lines without an end
+	}
+)
+
+func (silence) kind()        {}
+func (unfinishedHead) kind() {}
+func (secondRequest) kind()  {}
+func (largeHead) kind()      {}
+func (endlessHead) kind()    {}
+func (unreadAnswers) kind()  {}
+func (manyLines) kind()      {}
+func (mixture) kind()        {}
+func (emptyLines) kind()     {}
+func (body) kind()           {}
+func (chunks) kind()         {}
+
 // Silence sends nothing.
-type Silence struct{}
+func Silence() Kind { return silence{} }
 
-// LargeHead sends a head with one line of Bytes, which exceeds the limit.
-type LargeHead struct{ Bytes int }
+// LargeHead sends a head with one line of the given number of bytes.
+func LargeHead(bytes int) Kind { return largeHead{bytes} }
 
-// EndlessHead sends Bytes of different header lines.
-type EndlessHead struct{ Bytes int }
+// EndlessHead sends the given number of bytes of different header lines.
+func EndlessHead(bytes int) Kind { return endlessHead{bytes} }
 
 // UnfinishedHead sends a head of legal size without its end.
-type UnfinishedHead struct{}
+func UnfinishedHead() Kind { return unfinishedHead{} }
 
-// EmptyLines sends Bytes of empty lines, on a new connection or after a whole request.
-type EmptyLines struct {
-	Bytes        int
-	AfterRequest bool
-}
+// EmptyLines sends the given number of bytes of empty lines in place of a request.
+func EmptyLines(bytes int) Kind { return emptyLines{bytes: bytes} }
 
-// ManyLines sends a head of legal size that consists of short lines, and a body without its last byte.
-type ManyLines struct{ Shape LineShape }
-
-// LineShape is how the lines of a head look.
-type LineShape string
-
-// The shapes of lines.
-const (
-	// DifferentNames are short lines, each with a name of its own.
-	DifferentNames LineShape = "different names"
-	// EqualNames are short lines of one name.
-	EqualNames LineShape = "equal names"
-	// FoldedLines are continuations of one line, as HTTP once allowed them.
-	FoldedLines LineShape = "folded lines"
-	// OddLines are lines with unusual names and spaces around their values.
-	OddLines LineShape = "odd lines"
-)
+// EmptyLinesAfterRequest sends a whole request and then the given number of bytes of empty lines.
+func EmptyLinesAfterRequest(bytes int) Kind { return emptyLines{bytes: bytes, afterRequest: true} }
 
-// LineShapes returns all shapes.
-func LineShapes() []LineShape {
-	return []LineShape{DifferentNames, EqualNames, FoldedLines, OddLines}
-}
+// ManyLines sends a head of legal size that consists of short lines, and a body without its last byte.
+func ManyLines(shape LineShape) Kind { return manyLines{shape} }
 
-// Body sends a body with its length, in pieces of the given size; the last bytes may be missing.
-type Body struct{ Piece, Missing int }
+// Body sends a body with its length, in pieces of the given size; the given number of its last bytes is missing.
+func Body(piece, missing int) Kind { return body{piece: piece, missing: missing} }
 
 // Chunks sends a body in chunks of the given size.
-type Chunks struct {
-	Size int
-	// Short leaves out the last chunk and the end.
-	Short bool
-	// Extension is added to each chunk, in bytes.
-	Extension int
-	// Trailer is what follows the last chunk, in bytes of trailer lines without an end.
-	Trailer int
+func Chunks(size int) Kind { return chunks{size: size} }
+
+// UnfinishedChunks is Chunks without the last chunk and the end.
+func UnfinishedChunks(size int) Kind { return chunks{size: size, short: true} }
+
+// ChunksWithExtensions is UnfinishedChunks with the given number of bytes added to each chunk.
+func ChunksWithExtensions(size, extension int) Kind {
+	return chunks{size: size, short: true, extension: extension}
 }
 
+// ChunksWithTrailer is Chunks with the given number of bytes of trailer lines behind them, which have no end.
+func ChunksWithTrailer(size, trailer int) Kind { return chunks{size: size, trailer: trailer} }
+
 // SecondRequest sends a request and behind it, without waiting, one with many header lines and an unfinished body.
-type SecondRequest struct{}
+func SecondRequest() Kind { return secondRequest{} }
 
-// UnreadAnswers sends Bytes of requests without reading an answer, or less if the server stops reading.
-type UnreadAnswers struct{ Bytes int }
+// UnreadAnswers sends the given number of bytes of requests without reading an answer, or fewer if the server stops
+// reading.
+func UnreadAnswers(bytes int) Kind { return unreadAnswers{bytes} }
 
 // Mixture sends one of several kinds, in turn.
-type Mixture struct{ Kinds []Kind }
-
-func (Silence) kind()        {}
-func (LargeHead) kind()      {}
-func (EndlessHead) kind()    {}
-func (UnfinishedHead) kind() {}
-func (EmptyLines) kind()     {}
-func (ManyLines) kind()      {}
-func (Body) kind()           {}
-func (Chunks) kind()         {}
-func (SecondRequest) kind()  {}
-func (UnreadAnswers) kind()  {}
-func (Mixture) kind()        {}
+func Mixture(kinds ...Kind) Kind { return mixture{kinds} }
--- a/internal/crowd/send.go
+++ b/internal/crowd/send.go
@@ -19,28 +19,28 @@
 // send sends what a client sends.
 func send(w io.Writer, t Target, k Kind) error {
 	switch k := k.(type) {
-	case LargeHead:
-		return t.writeHead(w, "Large: "+strings.Repeat("x", k.Bytes))
-	case EndlessHead:
-		return sendEndlessHead(w, t, k.Bytes)
-	case UnfinishedHead:
-		_, err := io.WriteString(w, t.fill(t.method, DifferentNames))
+	case largeHead:
+		return t.writeHead(w, "Large: "+strings.Repeat("x", k.bytes))
+	case endlessHead:
+		return sendEndlessHead(w, t, k.bytes)
+	case unfinishedHead:
+		_, err := io.WriteString(w, t.fill(DifferentNames))
 		return err
-	case EmptyLines:
+	case emptyLines:
 		return sendEmptyLines(w, t, k)
-	case ManyLines:
-		return sendManyLines(w, t, k.Shape)
-	case Body:
+	case manyLines:
+		return sendManyLines(w, t, k.shape)
+	case body:
 		return sendBody(w, t, k)
-	case Chunks:
+	case chunks:
 		return sendChunks(w, t, k)
-	case SecondRequest:
+	case secondRequest:
 		return sendSecondRequest(w, t)
-	case UnreadAnswers:
+	case unreadAnswers:
 		one := []byte(t.head("GET") + "\r\n")
 		perWrite := pieceBytes / len(one)
-		return repeat(w, bytes.Repeat(one, perWrite), k.Bytes/pieceBytes)
-	case Silence, Mixture:
+		return repeat(w, bytes.Repeat(one, perWrite), k.bytes/pieceBytes)
+	case silence, mixture:
 	}
 	return nil
 }
@@ -71,47 +71,17 @@
 	return nil
 }
 
-func sendEmptyLines(w io.Writer, t Target, k EmptyLines) error {
-	if k.AfterRequest {
+func sendEmptyLines(w io.Writer, t Target, k emptyLines) error {
+	if k.afterRequest {
 		if _, err := io.WriteString(w, t.head("POST", "Content-Length: 0")+"\r\n"); err != nil {
 			return err
 		}
 	}
-	return repeat(w, bytes.Repeat([]byte("\r\n"), emptyLinesPerPiece), k.Bytes/pieceBytes)
-}
-
-// fill returns a head of legal size without its end, filled with lines of the given shape.
-func (t Target) fill(method string, shape LineShape, lines ...string) string {
-	var b strings.Builder
-	b.WriteString(t.head(method, lines...))
-	if shape == FoldedLines {
-		b.WriteString("Folded: a\r\n")
-	}
-	for n := 0; ; n++ {
-		line := shape.line(n)
-		if b.Len()+len(line) >= t.headBytes {
-			return b.String()
-		}
-		b.WriteString(line)
-	}
-}
-
-// line returns line number n with its end.
-func (s LineShape) line(n int) string {
-	switch s {
-	case DifferentNames:
-	case EqualNames:
-		return "A:\r\n"
-	case FoldedLines:
-		return " a\r\n"
-	case OddLines:
-		return fmt.Sprintf("~%x!#$%%&'*:\t \t\xff \r\n", n)
-	}
-	return fmt.Sprintf("%x:\r\n", n)
+	return repeat(w, bytes.Repeat([]byte("\r\n"), emptyLinesPerPiece), k.bytes/pieceBytes)
 }
 
 func sendManyLines(w io.Writer, t Target, shape LineShape) error {
-	head := t.fill(t.method, shape, fmt.Sprintf("Content-Length: %d", unfinishedBytes))
+	head := t.fill(shape, fmt.Sprintf("Content-Length: %d", unfinishedBytes))
 	if _, err := io.WriteString(w, head+"\r\n"); err != nil {
 		return err
 	}
@@ -119,33 +89,33 @@
 	return err
 }
 
-func sendBody(w io.Writer, t Target, k Body) error {
+func sendBody(w io.Writer, t Target, k body) error {
 	if err := t.writeHead(w, fmt.Sprintf("Content-Length: %d", t.bodyBytes)); err != nil {
 		return err
 	}
-	body := bytes.Repeat([]byte(" "), t.bodyBytes-k.Missing)
-	for len(body) > 0 {
-		n := min(len(body), k.Piece)
-		if _, err := w.Write(body[:n]); err != nil {
+	rest := bytes.Repeat([]byte(" "), t.bodyBytes-k.missing)
+	for len(rest) > 0 {
+		n := min(len(rest), k.piece)
+		if _, err := w.Write(rest[:n]); err != nil {
 			return err
 		}
-		body = body[n:]
+		rest = rest[n:]
 	}
 	return nil
 }
 
-func sendChunks(w io.Writer, t Target, k Chunks) error {
+func sendChunks(w io.Writer, t Target, k chunks) error {
 	if err := t.writeHead(w, "Transfer-Encoding: chunked"); err != nil {
 		return err
 	}
 	extension := ""
-	if k.Extension > 0 {
-		extension = ";" + strings.Repeat("x", k.Extension)
+	if k.extension > 0 {
+		extension = ";" + strings.Repeat("x", k.extension)
 	}
-	one := fmt.Appendf(nil, "%x%s\r\n%s\r\n", k.Size, extension, strings.Repeat(" ", k.Size))
+	one := fmt.Appendf(nil, "%x%s\r\n%s\r\n", k.size, extension, strings.Repeat(" ", k.size))
 	perWrite := max(pieceBytes/len(one), 1)
-	count := t.bodyBytes / k.Size
-	if k.Short {
+	count := t.bodyBytes / k.size
+	if k.short {
 		count--
 	}
 	for ; count > 0; count -= perWrite {
@@ -153,10 +123,10 @@
 			return err
 		}
 	}
-	if k.Short {
+	if k.short {
 		return nil
 	}
-	return endChunks(w, k.Trailer)
+	return endChunks(w, k.trailer)
 }
 
 // endChunks ends a body of chunks with trailer lines that have no end, or with none.
@@ -174,7 +144,7 @@
 
 func sendSecondRequest(w io.Writer, t Target) error {
 	first := t.head("GET") + "\r\n"
-	second := t.fill(t.method, EqualNames, "Content-Length: 1")
+	second := t.fill(EqualNames, "Content-Length: 1")
 	_, err := io.WriteString(w, first+second+"\r\n")
 	return err
 }
