intake: heads of many short lines are charged what parsing them takes

Callers saw: an entry with limits.buffered_bytes of 16 MiB on a host of 96 MB took 102 to 116 MB while 300 clients sent legal heads of 60 KB that consist of short lines and then stopped short of the end of their bodies.

Cause: a head was charged 4 bytes a byte and 64 a line. net/http allocates up to 200 bytes a line, since its map of names and its slices of values grow by copying to larger ones, and up to 6 a byte for one long line, whose buffer grows too.

Change: 6 bytes a byte and 224 a line. The budget for the legal size of one head is derived from them, and takes the shares of peers and of the reserve into account: before, a head of legal size of empty continuation lines exceeded the share of its peer on a process with a small budget (TestOneLegalRequest).

--- a/internal/intake/decisions_test.go
+++ b/internal/intake/decisions_test.go
@@ -211,7 +211,7 @@
 			b, peer := NewBudget(l.BudgetBytes()), &Peer{}
 			for range c.bodies {
 				charge := b.NewCharge(peer)
-				assertRefused(t, "", charge.Add(2000)) // the head
+				assertRefused(t, "", charge.Add(4000)) // the head
 				assertRefused(t, "", charge.Add(c.body+1))
 				if c.body <= smallBytes {
 					assertRefused(t, "", charge.Add(copiesPerBody*c.body))
--- a/internal/intake/head.go
+++ b/internal/intake/head.go
@@ -2,9 +2,14 @@
 
 const (
 	// headByteCost is how many bytes of memory a byte of a head takes while lines grow and are copied.
-	headByteCost = 4
-	// headLineCost is how many bytes of memory a line of a head takes beside its text, in a map of names and values.
-	headLineCost = 64
+	headByteCost = 6
+	// headLineCost is how many bytes of memory a line of a head takes beside its text: its place in a map of names and in
+	// a slice of values, and in the smaller ones that these replace while they grow.
+	headLineCost = 224
+	// shortestLineBytes is the length of the shortest line that continues a head.
+	shortestLineBytes = 2
+	// headCostFactor is how many times its size a head costs at most.
+	headCostFactor = headByteCost + headLineCost/shortestLineBytes
 )
 
 // headMeter finds the end of a head in the bytes that arrive, and computes what it costs to hold the head.
--- a/internal/intake/limits.go
+++ b/internal/intake/limits.go
@@ -1,6 +1,9 @@
 package intake
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// budgetShare is the part of a process's memory that bodies and heads of requests may take.
@@ -20,8 +23,6 @@
 	descriptorShare = 3.0 / 4
 	// minimumConnections lets a process with very low limits still be reached.
 	minimumConnections = 16
-	// headCostFactor is how many times its size a head costs at most.
-	headCostFactor = 32
 	// defaultHeadBytes has room for 16 KiB of header fields and a request line.
 	defaultHeadBytes = 20 << 10
 )
@@ -46,9 +47,9 @@
 }
 
 // NewServerLimits returns the limits of a process that may hold the given number of bytes of bodies for the clients at one
-// address, and has heads of the given size and a number of connections.
+// address beside one head of the given size, and has a number of connections.
 func NewServerLimits(bodies, head int64, connections int, pace Pace) Limits {
-	budget := float64(bodies)/(1-reserveShare)/peerShare + float64(headCostFactor*head)
+	budget := math.Ceil(float64(bodies+headCostFactor*head) / (1 - reserveShare) / peerShare)
 	return Limits{budgetBytes: int64(budget), connections: connections, headBytes: head, pace: pace}
 }
 
