intake: a client that does not read its answers is cut off

Callers saw: at an operators' port of the product, and at the platform's ports for readiness and for workers, each ordinary request was refused with 503 for as long as other clients stayed connected that sent requests and read no answer.

Cause: a handler stops in its write once the kernel's buffers are full, after about 1,000 answers of 130 bytes. Those servers had no deadline for writes, so the connection stayed under way and gave way to nobody, and 300 clients held all connections of the port.

Change: each interval of 5 s has to see as many bytes of an answer taken over as it has to see of a body that arrives (limits.body_rate, 1 KiB/s by default), else the connection ends. A deadline of the server still holds beside that. The least rate applies to the whole listener, so that no server can lack it.

An answer of 16 MiB that is read slowly is delivered whole (TestSlowlyReadAnswer).

--- a/internal/entry/body.go
+++ b/internal/entry/body.go
@@ -25,7 +25,7 @@
 			return nil, request.NewRefused(outcome.TooLarge, r.Error(), 0)
 		case intake.BudgetSpent, intake.ShareSpent, intake.NoConnection, intake.Displaced:
 			return nil, request.NewRefused(outcome.QueueFull, r.Error(), retryLater)
-		case intake.BodyTooSlow, intake.HeadTooLarge:
+		case intake.BodyTooSlow, intake.HeadTooLarge, intake.AnswerUnread:
 		}
 	}
 	if pastDeadline(ctx, time.Now()) {
--- a/internal/intake/decisions_test.go
+++ b/internal/intake/decisions_test.go
@@ -92,6 +92,27 @@
 	})
 }
 
+// Guards against an answer that is written for longer than the server allows, and against one that is cut although its
+// client reads it.
+func TestAnswer(t *testing.T) {
+	pace := NewPace(1000, 5*time.Second, 30*time.Second)
+	t.Run("no deadline", func(t *testing.T) {
+		var a answer
+		assert.Equal(t, at(5), a.until(start, pace))
+		assert.True(t, a.goesOn(at(5), pace, 1000))
+		assert.False(t, a.goesOn(at(5), pace, 999))
+	})
+	t.Run("a deadline", func(t *testing.T) {
+		var a answer
+		a.setDeadline(at(7))
+		assert.Equal(t, at(5), a.until(start, pace))
+		assert.Equal(t, at(7), a.until(at(5), pace))
+		assert.False(t, a.goesOn(at(7), pace, 1000))
+		a.setDeadline(time.Time{})
+		assert.True(t, a.goesOn(at(7), pace, 1000))
+	})
+}
+
 // Guards against a head whose cost is not counted up to its end, or counted beyond it.
 func TestHeadCost(t *testing.T) {
 	const head = "POST / HTTP/1.1\r\nHost: a\r\n\r\n"
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -25,6 +25,9 @@
 	bodyLimit = 64 << 10
 	// panicPath is the path of requests whose handler panics.
 	panicPath = "/panic"
+	// largePath is the path of requests whose answer has largeAnswerBytes.
+	largePath        = "/large"
+	largeAnswerBytes = 16 << 20
 )
 
 // server is an HTTP server behind a Limiter that answers with the length of the body.
@@ -62,6 +65,10 @@
 	if r.URL.Path == panicPath {
 		panic(http.ErrAbortHandler)
 	}
+	if r.URL.Path == largePath {
+		_, _ = w.Write(make([]byte, largeAnswerBytes))
+		return
+	}
 	s.calls <- len(data)
 	_, _ = fmt.Fprint(w, len(data))
 }
@@ -187,6 +194,44 @@
 	}
 }
 
+// Guards against clients that keep connections for as long as they like, since they do not read their answers.
+func TestUnreadAnswers(t *testing.T) {
+	const limit = 8
+	pace := intake.NewPace(100, 100*time.Millisecond, time.Second)
+	s := newServer(t, ordinaryLimits().WithConnections(limit).WithPace(pace))
+	for range limit {
+		c := s.dial()
+		go c.send(strings.Repeat(strings.Replace(post(0, 0), "/", largePath, 1), 10))
+	}
+	assert.Eventually(t, func() bool { return s.metric("intake_refused_answer_unread") >= "1" }, testTimeout, 5*time.Millisecond)
+	assert.Eventually(t, func() bool {
+		c := s.dial()
+		defer func() { _ = c.Close() }()
+		c.send(post(1, 1))
+		r, err := http.ReadResponse(c.reader, nil)
+		return err == nil && r.StatusCode == http.StatusOK
+	}, testTimeout, 5*time.Millisecond)
+}
+
+// Guards against an answer that is cut although its client reads it, slower than the server writes.
+func TestSlowlyReadAnswer(t *testing.T) {
+	pace := intake.NewPace(100, 300*time.Millisecond, time.Minute)
+	s := newServer(t, ordinaryLimits().WithPace(pace))
+	c := s.dial()
+	c.send(strings.Replace(post(0, 0), "/", largePath, 1))
+	r, err := http.ReadResponse(c.reader, nil)
+	require.NoError(t, err)
+	read, piece := 0, make([]byte, largeAnswerBytes/100)
+	for err == nil {
+		var n int
+		n, err = io.ReadFull(r.Body, piece)
+		read += n
+		<-time.After(10 * time.Millisecond)
+	}
+	assert.Equal(t, largeAnswerBytes, read)
+	assert.Equal(t, "0", s.metric("intake_refused_answer_unread"))
+}
+
 // Guards against an idle connection that keeps a new one out, and against a connection that is closed while its request
 // is served.
 func TestConnectionLimit(t *testing.T) {
--- a/internal/intake/listener.go
+++ b/internal/intake/listener.go
@@ -68,12 +68,14 @@
 	return a.Addr().Unmap()
 }
 
-// Connection is a client's connection that charges the heads of requests as they arrive.
+// Connection is a client's connection that charges the heads of requests as they arrive, and bounds how slowly its answers
+// are read.
 type Connection struct {
 	net.Conn
 	listener  *Listener
 	tracked   *trackedConnection
 	head      headMeter
+	answer    answer
 	refusal   *Refusal    // of a head
 	serving   atomic.Bool // whether the head of the current request has been read
 	chargeMu  sync.Mutex  // a connection may be closed while its handler runs
--- a/internal/intake/reason.go
+++ b/internal/intake/reason.go
@@ -5,7 +5,7 @@
 	"net/http"
 )
 
-// Reason tells why a client was refused.
+// Reason tells why a client was refused or cut off.
 type Reason string
 
 // The reasons for refusals.
@@ -17,11 +17,12 @@
 	ShareSpent   Reason = "share_spent"
 	NoConnection Reason = "no_connection"
 	Displaced    Reason = "displaced"
+	AnswerUnread Reason = "answer_unread"
 )
 
 // Reasons returns all reasons.
 func Reasons() []Reason {
-	return []Reason{HeadTooLarge, BodyTooLarge, BodyTooSlow, BudgetSpent, ShareSpent, NoConnection, Displaced}
+	return []Reason{HeadTooLarge, BodyTooLarge, BodyTooSlow, BudgetSpent, ShareSpent, NoConnection, Displaced, AnswerUnread}
 }
 
 // message returns the text of a refusal for this reason.
@@ -41,6 +42,8 @@
 		return "too many connections are open"
 	case Displaced:
 		return "the connection was closed in favor of a new one"
+	case AnswerUnread:
+		return "the client does not read its answer"
 	}
 	return string(r)
 }
@@ -66,7 +69,7 @@
 		return http.StatusRequestEntityTooLarge
 	case BodyTooSlow:
 		return http.StatusRequestTimeout
-	case BudgetSpent, ShareSpent, NoConnection, Displaced:
+	case BudgetSpent, ShareSpent, NoConnection, Displaced, AnswerUnread:
 	}
 	return http.StatusServiceUnavailable
 }
