intake: the most expensive head takes no room from memory beside all bodies

One address now has room for all bodies beside an ordinary head, or for one body beside the most expensive head, whichever is more. ServerSizes names the three sizes.

--- a/cmd/rosemarywind/roles.go
+++ b/cmd/rosemarywind/roles.go
@@ -238,7 +238,8 @@
 			Handler: intake.IgnoreBodies(p.monitorHandler()), ReadHeaderTimeout: monitorTimeout, WriteTimeout: monitorTimeout,
 			IdleTimeout: time.Minute,
 		}
-		limits := intake.NewServerLimits(monitorBytes, monitorBytes, monitorConnections, intake.DefaultPace())
+		sizes := intake.NewServerSizes(monitorBytes, monitorBytes, monitorBytes)
+		limits := intake.NewServerLimits(sizes, monitorConnections, intake.DefaultPace())
 		// The metrics of the role's own limiter have the same names.
 		limiter := intake.NewLimiter(limits, telemetry.NewRegistry(), p.logger, time.Now)
 		limiter.Prepare(server)
--- a/internal/control/options.go
+++ b/internal/control/options.go
@@ -46,7 +46,8 @@
 		tracer: noop.NewTracerProvider().Tracer(""),
 		logger: hclog.NewNullLogger(), announceLease: 3 * time.Second, taskLease: 2 * time.Minute,
 		grace: 30 * time.Second, monitor: http.NotFoundHandler(), metrics: telemetry.NewRegistry(),
-		clientLimits: intake.NewServerLimits(32<<20, defaultHeadBytes, 512, intake.DefaultPace()),
+		clientLimits: intake.NewServerLimits(
+			intake.NewServerSizes(32<<20, maxAPIBody, defaultHeadBytes), 512, intake.DefaultPace()),
 	}
 }
 
@@ -71,7 +72,7 @@
 func WithClientLimits(bodies int64, connections, bodyRate int) Option {
 	return func(o *options) {
 		pace := intake.NewPaceOf(bodyRate, apiTimeout)
-		o.clientLimits = intake.NewServerLimits(bodies, defaultHeadBytes, connections, pace)
+		o.clientLimits = intake.NewServerLimits(intake.NewServerSizes(bodies, maxAPIBody, defaultHeadBytes), connections, pace)
 	}
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -42,7 +42,8 @@
 	e.queue = newDispatcher(e.board)
 	e.releaser = newReleaser(e)
 	e.ids = newRequestIDs()
-	limits := intake.NewServerLimits(e.bufferedLimit, int64(e.headerLimit), e.connectionLimit, intake.NewPaceOf(e.bodyRate, e.bodyTimeout))
+	sizes := intake.NewServerSizes(e.bufferedLimit, int64(e.bodyLimit), int64(e.headerLimit))
+	limits := intake.NewServerLimits(sizes, e.connectionLimit, intake.NewPaceOf(e.bodyRate, e.bodyTimeout))
 	e.limiter = intake.NewLimiter(limits, e.registry, e.logger, time.Now)
 	e.metrics = newMetrics(e.registry, e.queue.waiting.Load)
 	return e
--- a/internal/intake/head_test.go
+++ b/internal/intake/head_test.go
@@ -67,11 +67,22 @@
 	}
 }
 
-// Guards against limits with which one request of legal size is refused in calm.
-func TestOneLegalRequest(t *testing.T) {
+// Guards against limits with which one request of legal size is refused in calm, and against bodies that take the room
+// that is kept for the most expensive head.
+func TestServerSizes(t *testing.T) {
 	const body, head = 4 << 20, 64 << 10
-	l := NewServerLimits(body, head, minimumConnections, DefaultPace())
-	c := NewBudget(l.BudgetBytes()).NewCharge(&Peer{})
-	assertRefused(t, "", c.Add(headCostFactor*head))
-	assertRefused(t, "", c.Add(body))
+	budgetOf := func(bodies int64) *Budget {
+		return NewBudget(NewServerLimits(NewServerSizes(bodies, body, head), minimumConnections, DefaultPace()).BudgetBytes())
+	}
+	t.Run("one request", func(t *testing.T) {
+		c := budgetOf(body).NewCharge(&Peer{})
+		assertRefused(t, "", c.Add(headCostFactor*head))
+		assertRefused(t, "", c.Add(body))
+	})
+	t.Run("all bodies", func(t *testing.T) {
+		c := budgetOf(16 * body).NewCharge(&Peer{})
+		assertRefused(t, "", c.Add(headByteCost*head))
+		assertRefused(t, "", c.Add(16*body))
+		assertRefused(t, ShareSpent, c.Add(2*smallBytes))
+	})
 }
--- a/internal/intake/limits.go
+++ b/internal/intake/limits.go
@@ -46,11 +46,25 @@
 	}
 }
 
-// NewServerLimits returns the limits of a process that may hold the given number of bytes of bodies for the clients at one
-// address beside one head of the given size, and has a number of connections.
-func NewServerLimits(bodies, head int64, connections int, pace Pace) Limits {
-	budget := math.Ceil(float64(bodies+headCostFactor*head) / (1 - reserveShare) / peerShare)
-	return Limits{budgetBytes: int64(budget), connections: connections, headBytes: head, pace: pace}
+// ServerSizes are the sizes of what a server takes from its clients, in bytes; it is immutable.
+type ServerSizes struct{ bodies, body, head int64 }
+
+// NewServerSizes returns the sizes of a server with room for the given bytes of bodies of one address, whose requests have
+// a body and a head of at most the given sizes.
+func NewServerSizes(bodies, body, head int64) ServerSizes {
+	return ServerSizes{bodies: bodies, body: body, head: head}
+}
+
+// budget returns the bytes of a budget in which one address may hold all bodies beside an ordinary head, or one body
+// beside the most expensive head.
+func (s ServerSizes) budget() int64 {
+	one := max(s.bodies+headByteCost*s.head+smallBytes, s.body+headCostFactor*s.head)
+	return int64(math.Ceil(float64(one) / (1 - reserveShare) / peerShare))
+}
+
+// NewServerLimits returns the limits of a process with a server of the given sizes and a number of connections.
+func NewServerLimits(sizes ServerSizes, connections int, pace Pace) Limits {
+	return Limits{budgetBytes: sizes.budget(), connections: connections, headBytes: sizes.head, pace: pace}
 }
 
 // WithPace returns a copy with another pace.
