settings: limits.memory_bytes, the memory that a process may use

Callers saw: with the limits that the settings have by default, an entry took 253 to 277 MB while 300 clients sent heads of short lines, and 208 to 225 MB with bodies, a control host up to 128 MB. On a host of 96 MB both end, and no key of the settings told them.

Cause: limits.buffered_bytes and limits.connections bound what is held for clients, whatever the host has, and the garbage collector lets the heap grow to twice what is in use.

Change: limits.memory_bytes for entries, control hosts and agents. Bodies and heads take an eighth of it at most, connections a quarter at an entry and a sixteenth at a control host, and the collector keeps the heap to three quarters, as on the platform (internal/memory, which platform/ uses as well). The default, 0, is the memory of the host, or the least limit of the process's control groups: on hosts of 1 GiB or more the limits are those of before, so no client within them meets it. Settings whose memory leaves no room for one body are refused.

Evidence: TestCrowdsOnSmallHosts has the same crowds and the same bound; its settings now state the memory.

--- a/cmd/rosemarywind/crowd_test.go
+++ b/cmd/rosemarywind/crowd_test.go
@@ -55,7 +55,10 @@
 var crowdLimits = []string{"e:limits.buffered_bytes = 16777216", "e:limits.connections = 128", "c:limits.buffered_bytes = 8388608", "c:limits.connections = 128"}
 
 // smallHosts are the lines that tell the processes what memory their hosts have.
-var smallHosts = []string{}
+var smallHosts = []string{
+	fmt.Sprintf("e:limits.memory_bytes = %d", crowdMemoryBytes), fmt.Sprintf("c:limits.memory_bytes = %d", crowdMemoryBytes),
+	fmt.Sprintf("w:limits.memory_bytes = %d", crowdMemoryBytes),
+}
 
 // crowdPort is a port that a crowd calls.
 type crowdPort struct {
@@ -154,7 +157,11 @@
 
 // Guards against processes that keep to the limits that they have by default, and with them exceed the memory of a
 // small host.
-func TestCrowdsOnSmallHosts(t *testing.T) { assertCrowdsHeld(t, smallScript, smallHosts, manyLines()) }
+func TestCrowdsOnSmallHosts(t *testing.T) {
+	kinds := manyLines()
+	maps.Copy(kinds, crowdKinds())
+	assertCrowdsHeld(t, smallScript, smallHosts, kinds)
+}
 
 // Guards against crowds that come together, from several addresses: each is held by itself, but not their sum.
 func TestCrowdsTogether(t *testing.T) {
--- a/cmd/rosemarywind/roles.go
+++ b/cmd/rosemarywind/roles.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -25,6 +26,7 @@
 	"rosemarywind.example/rosemarywind/internal/ledger/driver"
 	"rosemarywind.example/rosemarywind/internal/ledger/storage"
 	"rosemarywind.example/rosemarywind/internal/link"
+	"rosemarywind.example/rosemarywind/internal/memory"
 	"rosemarywind.example/rosemarywind/internal/operator"
 	"rosemarywind.example/rosemarywind/internal/plan"
 	"rosemarywind.example/rosemarywind/internal/settings"
@@ -72,7 +74,7 @@
 		entry.WithTLS(p.keys.Client("agent"), p.keys.Client("control")),
 		entry.WithControl(addressStrings(s.ControlAddresses())), entry.WithListener(l),
 		entry.WithBodyLimits(int(s.BodyBytes()), s.BufferedBytes()), entry.WithHeaderLimit(int(s.HeaderBytes())),
-		entry.WithBodyRate(int(s.BodyRate())), entry.WithConnectionLimit(s.Connections()),
+		entry.WithBodyRate(int(s.BodyRate())), entry.WithConnectionLimit(s.Connections()), entry.WithMemory(keepWithin(s.MemoryBytes())),
 		entry.WithReadTimeouts(s.HeaderTimeout(), s.BodyTimeout()), entry.WithQueueWait(s.QueueWait()),
 		entry.WithDeadlines(s.DeadlineDefault(), s.DeadlineMax()),
 		entry.WithRetries(s.RetrySharePercent(), s.RetryAttempts(), s.RetryBasePause()),
@@ -106,6 +108,7 @@
 		agent.WithProbe(s.ProbeInterval(), s.ProbeTimeout()), agent.WithBodyLimit(int(s.BodyBytes())),
 		agent.WithGrace(s.StopGrace()), agent.WithMetrics(p.registry),
 	)
+	keepWithin(s.MemoryBytes())
 	registerAgentChecks(p.health, a.Board(), time.Now)
 	return p.run(ctx, a.Run)
 }
@@ -145,6 +148,7 @@
 		control.WithServer(server), control.WithListener(l), control.WithLeases(s.AnnounceLease(), s.TaskLease()),
 		control.WithOperatorDigests(s.OperatorTokenDigests()), control.WithGrace(s.StopGrace()),
 		control.WithClientLimits(s.BufferedBytes(), s.Connections(), int(s.BodyRate())),
+		control.WithMemory(keepWithin(s.MemoryBytes())),
 		control.WithMonitor(p.monitorHandler()), control.WithMetrics(p.registry),
 		control.WithLedger(
 			driver.WithMember(ledger.MemberID(s.Name()), s.Listen().String()), driver.WithInitialMembers(members),
@@ -159,6 +163,14 @@
 	return p.run(ctx, c.Run)
 }
 
+// keepWithin makes the garbage collector keep to the memory of the settings, or to that of the host if they state none,
+// and returns it in bytes.
+func keepWithin(setting int64) (bytes int64) {
+	bytes = cmp.Or(setting, memory.Available(os.DirFS("/")))
+	memory.CollectWithin(bytes)
+	return bytes
+}
+
 func addressStrings(addresses []netip.AddrPort) []string {
 	list := make([]string, len(addresses))
 	for i, a := range addresses {
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -84,7 +84,8 @@
 	g.Go(func() error { return newExpirer(c).run(runCtx) })
 	g.Go(func() error { return c.server.Serve(runCtx, c.serveStream) })
 	api := &http.Server{Handler: newAPI(c), ReadHeaderTimeout: apiTimeout, ReadTimeout: apiTimeout, IdleTimeout: time.Minute}
-	limiter := intake.NewLimiter(c.clientLimits, c.metrics, c.logger, time.Now)
+	limits := c.clientLimits.WithinMemory(c.memory, connectionMemoryShare)
+	limiter := intake.NewLimiter(limits, c.metrics, c.logger, time.Now)
 	limiter.Prepare(api)
 	g.Go(func() error {
 		if err := api.Serve(limiter.Listen(c.listener, 1)); !errors.Is(err, http.ErrServerClosed) {
--- a/internal/control/options.go
+++ b/internal/control/options.go
@@ -36,10 +36,16 @@
 	grace           time.Duration
 	monitor         http.Handler
 	clientLimits    intake.Limits
+	memory          int64
 }
 
-// defaultHeadBytes bounds the head of a request.
-const defaultHeadBytes = 64 << 10
+const (
+	// defaultHeadBytes bounds the head of a request.
+	defaultHeadBytes = 64 << 10
+	// connectionMemoryShare is the part of the process's memory that operators' connections may take; the ledger needs most
+	// of it.
+	connectionMemoryShare = 1.0 / 16
+)
 
 func defaults() options {
 	return options{
@@ -76,6 +82,10 @@
 	}
 }
 
+// WithMemory sets how many bytes of memory the process may use, 0 for no limit; the clients of the operators' HTTP
+// interface take no more than their part of it.
+func WithMemory(bytes int64) Option { return func(o *options) { o.memory = bytes } }
+
 // WithLedger adds options of the ledger: its member, peers and storage.
 func WithLedger(opts ...driver.Option) Option {
 	return func(o *options) { o.ledgerOptions = append(o.ledgerOptions, opts...) }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -15,6 +15,9 @@
 	"rosemarywind.example/rosemarywind/internal/link"
 )
 
+// connectionMemoryShare is the part of the process's memory that callers' connections may take.
+const connectionMemoryShare = 1.0 / 4
+
 // Entry runs the entry role in one process. It is an http.Handler for callers' requests.
 type Entry struct {
 	options
@@ -44,6 +47,7 @@
 	e.ids = newRequestIDs()
 	sizes := intake.NewServerSizes(e.bufferedLimit, int64(e.bodyLimit), int64(e.headerLimit))
 	limits := intake.NewServerLimits(sizes, e.connectionLimit, intake.NewPaceOf(e.bodyRate, e.bodyTimeout))
+	limits = limits.WithinMemory(e.memory, connectionMemoryShare)
 	e.limiter = intake.NewLimiter(limits, e.registry, e.logger, time.Now)
 	e.metrics = newMetrics(e.registry, e.queue.waiting.Load)
 	return e
--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -29,6 +29,7 @@
 	headerLimit       int
 	bodyRate          int
 	connectionLimit   int
+	memory            int64
 	headerTimeout     time.Duration
 	bodyTimeout       time.Duration
 	queueWait         time.Duration
@@ -83,6 +84,10 @@
 // WithConnectionLimit sets how many callers' connections are open at once; idle ones give way to new ones.
 func WithConnectionLimit(n int) Option { return func(o *options) { o.connectionLimit = n } }
 
+// WithMemory sets how many bytes of memory the process may use, 0 for no limit; callers' connections and requests take no
+// more than their part of it.
+func WithMemory(bytes int64) Option { return func(o *options) { o.memory = bytes } }
+
 // WithReadTimeouts sets how long a caller may take to send the headers and the body of a request.
 func WithReadTimeouts(header, body time.Duration) Option {
 	return func(o *options) { o.headerTimeout, o.bodyTimeout = header, body }
--- a/internal/intake/decisions_test.go
+++ b/internal/intake/decisions_test.go
@@ -214,6 +214,18 @@
 	})
 }
 
+// Guards against limits of the settings that exceed the memory of the host, and against a large host that lowers them.
+func TestWithinMemory(t *testing.T) {
+	const bodies, body, head, connections = 64 << 20, 4 << 20, 64 << 10, 4096
+	l := NewServerLimits(NewServerSizes(bodies, body, head), connections, DefaultPace())
+	assert.Equal(t, l, l.WithinMemory(0, 0.25))
+	assert.Equal(t, l, l.WithinMemory(1<<30, 0.25))
+	small := l.WithinMemory(96<<20, 0.25)
+	assert.EqualValues(t, 12<<20, small.BudgetBytes())
+	assert.Equal(t, 384, small.Connections())
+	assertRefused(t, "", NewBudget(small.BudgetBytes()).NewCharge(&Peer{}).Add(body+headByteCost*head))
+}
+
 // Guards against default limits that an ordinary load meets.
 func TestDefaults(t *testing.T) {
 	for _, c := range []struct {
--- a/internal/intake/limits.go
+++ b/internal/intake/limits.go
@@ -67,6 +67,18 @@
 	return Limits{budgetBytes: sizes.budget(), connections: connections, headBytes: sizes.head, pace: pace}
 }
 
+// WithinMemory returns a copy that holds no more than NewLimits allows a process that may use the given memory; 0 stands
+// for no limit on it.
+func (l Limits) WithinMemory(memory int64, connectionShare float64) Limits {
+	if memory == 0 {
+		return l
+	}
+	allowed := NewLimits(memory, math.MaxInt32, connectionShare)
+	l.budgetBytes = min(l.budgetBytes, allowed.budgetBytes)
+	l.connections = min(l.connections, allowed.connections)
+	return l
+}
+
 // WithPace returns a copy with another pace.
 func (l Limits) WithPace(p Pace) Limits {
 	l.pace = p
--- a/internal/settings/agent.go
+++ b/internal/settings/agent.go
@@ -61,3 +61,6 @@
 
 // BodyBytes returns the maximum size of a request or response body in bytes.
 func (a Agent) BodyBytes() int64 { return bodyBytesKey.get(a.v) }
+
+// MemoryBytes returns the memory that the process may use in bytes, 0 for that of its host or control group.
+func (a Agent) MemoryBytes() int64 { return memoryBytesKey.get(a.v) }
--- a/internal/settings/control.go
+++ b/internal/settings/control.go
@@ -49,3 +49,6 @@
 // completion weight it is the minutes that a small patient job waits before it takes part of an idle worker, 0 for no
 // such wait.
 func (c Control) FragmentationWeight() float64 { return fragmentationWeightKey.get(c.v) }
+
+// MemoryBytes returns the memory that the process may use in bytes, 0 for that of its host or control group.
+func (c Control) MemoryBytes() int64 { return memoryBytesKey.get(c.v) }
--- a/internal/settings/entry.go
+++ b/internal/settings/entry.go
@@ -67,3 +67,6 @@
 // QuarantinePause returns the duration of an endpoint's first quarantine, which doubles with each further failure up to
 // 8 times the first.
 func (e Entry) QuarantinePause() time.Duration { return quarantinePauseKey.get(e.v) }
+
+// MemoryBytes returns the memory that the process may use in bytes, 0 for that of its host or control group.
+func (e Entry) MemoryBytes() int64 { return memoryBytesKey.get(e.v) }
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -43,6 +43,7 @@
 	clientConnectionsKey = integer("limits.connections", "connections", 16, 1<<20, "clients' connections that are open at once, 7/8 of them of one address; idle ones give way to new ones").withDefault(int64(4096))
 	bodyRateKey          = integer("limits.body_rate", "bytes/s", 1, gibibyte, "least rate at which a client's body has to arrive, counted over 5 s").withDefault(int64(1024))
 	bufferedBytesKey     = integer("limits.buffered_bytes", "bytes", 1, 16*gibibyte, "total of buffered request bodies of one address, at least the largest body; all addresses get a seventh more, small bodies and headers half as much again").withDefault(int64(64 * mebibyte))
+	memoryBytesKey       = integer("limits.memory_bytes", "bytes", 0, 1<<50, "memory that the process may use; 0 for that of its host or control group").withDefault(int64(0))
 	quicListenKey        = listenAddress("listen", "QUIC address").asRequired("127.0.0.1:9600")
 	httpListenKey        = listenAddress("listen", "HTTP address").asRequired("127.0.0.1:8080")
 	coresKey             = integer("cores", "cores", 0, 4096, "processor cores of the worker").withDefault(int64(0))
@@ -65,7 +66,7 @@
 
 	entryKeys = []definition{
 		httpListenKey.definition, controlAddressesKey.definition, bodyBytesKey.definition, headerBytesKey.definition,
-		headerTimeoutKey.definition, bodyTimeoutKey.definition, bodyRateKey.definition, queueWaitKey.definition, bufferedBytesKey.definition, clientConnectionsKey.definition,
+		headerTimeoutKey.definition, bodyTimeoutKey.definition, bodyRateKey.definition, queueWaitKey.definition, bufferedBytesKey.definition, clientConnectionsKey.definition, memoryBytesKey.definition,
 		deadlineDefaultKey.definition, deadlineMaxKey.definition, retryShareKey.definition, retryAttemptsKey.definition,
 		retryPauseKey.definition, quarantineFailuresKey.definition, quarantinePauseKey.definition,
 	}
@@ -87,7 +88,7 @@
 		rackKey.definition, coresKey.definition, memoryKey.definition, acceleratorsKey.definition, slotsKey.definition,
 		connectionsKey.definition, quicListenKey.definition, advertiseKey.definition, endpointURLKey.definition,
 		workerURLKey.definition, probeIntervalKey.definition, probeTimeoutKey.definition,
-		controlAddressesKey.definition, bodyBytesKey.definition,
+		controlAddressesKey.definition, bodyBytesKey.definition, memoryBytesKey.definition,
 	}
 )
 
@@ -104,7 +105,7 @@
 
 	controlKeys = []definition{
 		dataKey.definition, controlListenKey.definition, announceLeaseKey.definition, taskLeaseKey.definition,
-		operatorBufferedKey.definition, operatorConnectionsKey.definition, bodyRateKey.definition,
+		operatorBufferedKey.definition, operatorConnectionsKey.definition, bodyRateKey.definition, memoryBytesKey.definition,
 		tokenDigestsKey.definition, membersKey.definition, completionWeightKey.definition, fragmentationWeightKey.definition,
 	}
 )
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -156,6 +156,12 @@
 	t.Run("buffer smaller than one body", func(t *testing.T) {
 		assertRefused(t, settings.RoleEntry, entryText+"limits.buffered_bytes = 1", 7, "limits.buffered_bytes", "limits.body_bytes")
 	})
+	t.Run("memory too small for one body", func(t *testing.T) {
+		assertRefused(t, settings.RoleEntry, entryText+"limits.memory_bytes = 67108863", 7, "limits.memory_bytes", "at least 67108864")
+	})
+	t.Run("least memory", func(t *testing.T) {
+		require.NoError(t, settings.Check(settings.RoleEntry, write(t, entryText+"limits.memory_bytes = 67108864")))
+	})
 	t.Run("own name missing from the members", func(t *testing.T) {
 		text := strings.Replace(settings.Example(settings.RoleControl), `name = "control1"`, `name = "c9"`, 1)
 		assertRefused(t, settings.RoleControl, text, lineOf(text, "[members]"), "members", `"c9"`)
