intake: a connection whose head is arriving is not closed as an idle one

Callers saw: where new connections came in at the limit, a caller in the middle of a head found its connection closed without an answer; the docs promise 503 once the request has been arriving for a second, and nothing before.

Cause: a connection began to count as receiving when net/http reported it as active, which it does only after the head has been read. Until then it counted as idle and gave way first.

Evidence: TestArrivingRequests: 7 of 7 such connections were closed without an answer, in 2 of 2 runs before.

Change: the connection counts as receiving from the first byte that arrives. The time of that is kept when net/http reports it later, so that a body does not begin the second anew.

--- a/internal/intake/connections.go
+++ b/internal/intake/connections.go
@@ -58,6 +58,13 @@
 	}
 }
 
+// arrive begins Receiving unless a request is arriving already.
+func (s *trackedConnection) arrive(now time.Time) {
+	if s.state.Load().phase == Idle {
+		s.enter(now, Receiving)
+	}
+}
+
 // closable reports whether the connection may be closed in favor of a new one: nothing of a request is lost that has
 // run, since it has not arrived as a whole.
 func (s *connectionState) closable(now time.Time) bool {
--- a/internal/intake/decisions_test.go
+++ b/internal/intake/decisions_test.go
@@ -190,6 +190,15 @@
 			assert.Equal(t, len(c.phases), table.size())
 		})
 	}
+	t.Run("a request arrives from its first byte on", func(t *testing.T) {
+		s := newTrackedConnection(start, addressNumber(1))
+		s.arrive(at(1))
+		s.arrive(at(2))
+		assert.Equal(t, &connectionState{phase: Receiving, since: at(1)}, s.state.Load())
+		s.enter(at(3), Serving)
+		s.arrive(at(4))
+		assert.Equal(t, Serving, s.state.Load().phase)
+	})
 	t.Run("one address takes its own part", func(t *testing.T) {
 		table := newTable(16)
 		other := newTrackedConnection(start, addressNumber(1))
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -250,6 +250,28 @@
 	assert.Equal(t, "7", s.metric("intake_connections"), "the part of one address")
 }
 
+// Guards against a connection whose request arrives and that is closed without an answer in favor of a new one.
+func TestArrivingRequests(t *testing.T) {
+	const limit = 8
+	s := newServer(t, ordinaryLimits().WithConnections(limit))
+	arriving := make([]*client, limit-1) // the part of one address
+	for i := range arriving {
+		arriving[i] = s.dial()
+		arriving[i].send("GET / HTTP/1.1\r\nHost: a\r\n")
+	}
+	assert.Eventually(t, func() bool { return s.metric("intake_connections") == "7" }, testTimeout, time.Millisecond)
+	for range limit {
+		s.dial().send(post(1, 1))
+	}
+	for _, c := range arriving {
+		c.send("\r\n")
+		r, err := http.ReadResponse(c.reader, nil)
+		if assert.NoError(t, err, "closed without an answer") {
+			assert.Contains(t, []int{http.StatusOK, http.StatusServiceUnavailable}, r.StatusCode)
+		}
+	}
+}
+
 // Guards against a request that keeps what it holds because its handler panics, or because its client leaves early.
 func TestReleased(t *testing.T) {
 	for name, text := range map[string]string{
--- a/internal/intake/listener.go
+++ b/internal/intake/listener.go
@@ -116,6 +116,7 @@
 	if n == 0 || c.serving.Load() {
 		return n, err
 	}
+	c.tracked.arrive(c.listener.limiter.now())
 	if c.refusal = c.receiveHead(p[:n]); c.refusal != nil {
 		now := c.listener.limiter.now()
 		c.listener.limiter.recordRefusal(now, c.RemoteAddr(), c.refusal.Reason())
@@ -159,7 +160,7 @@
 func (c *Connection) observe(s http.ConnState) {
 	switch s {
 	case http.StateActive:
-		c.tracked.enter(c.listener.limiter.now(), Receiving)
+		c.tracked.arrive(c.listener.limiter.now())
 	case http.StateIdle:
 		c.release(false)
 		c.head = headMeter{}
