intake: what arrives behind a request is charged once the request is answered

Cause: net/http reads up to 4 KiB at once. The part of a second head that came with the first request lay in its buffer; no read saw it again, and the meter of heads began behind it. 1,000 short lines, which take up to 200 KB to parse, were charged nothing, and a head of legal size began with as much less on its count.

Evidence: TestSecondRequests: 0 bytes were held for such a head behind a request without a body, with one, and with a chunked one, and a second request beyond the budget was served.

Change: a connection keeps the bytes behind the head of a request, 4 KiB at most, and when the request ends takes those that the body has not used for the beginning of the next head. Where the budget has no room the next request is refused with 503 and Retry-After: by its handler if it has arrived whole, else in place of the read that would follow.

--- a/internal/intake/decisions_test.go
+++ b/internal/intake/decisions_test.go
@@ -143,6 +143,64 @@
 	}
 }
 
+// Guards against bytes of a next request that are charged to nobody, and against bytes of a body that are charged as such.
+func TestSurplus(t *testing.T) {
+	const (
+		head  = "GET / HTTP/1.1\r\n\r\n"
+		begun = "GET / HTTP/1.1\r\nA:\r\n"
+	)
+	costOf := func(text string) int64 {
+		return headByteCost*int64(len(text)) + headLineCost*int64(strings.Count(text, "\n"))
+	}
+	assertNext := func(t *testing.T, s *surplus, length, cost int64, ended bool) {
+		t.Helper()
+		m, got := s.next(length)
+		assert.Equal(t, cost, got)
+		assert.Equal(t, ended, m.ended)
+	}
+	t.Run("none", func(t *testing.T) {
+		assertNext(t, &surplus{}, 0, 0, false)
+	})
+	t.Run("a body", func(t *testing.T) {
+		var s surplus
+		s.read([]byte("a\nb\n"))
+		assertNext(t, &s, 4, 0, false)
+	})
+	t.Run("a body that was left unread", func(t *testing.T) {
+		var s surplus
+		s.read([]byte("a\n"))
+		assertNext(t, &s, 1000, 0, false)
+	})
+	t.Run("a head behind a body, in pieces", func(t *testing.T) {
+		var s surplus
+		s.read([]byte("a\nb\nGE"))
+		s.read([]byte(begun[2:]))
+		assertNext(t, &s, 4, costOf(begun), false)
+		assertNext(t, &s, 0, 0, false)
+	})
+	t.Run("two heads", func(t *testing.T) {
+		var s surplus
+		s.read([]byte(head + begun))
+		assertNext(t, &s, 0, costOf(head), true)
+		assertNext(t, &s, 0, costOf(begun), false)
+		assertNext(t, &s, 0, 0, false)
+	})
+	t.Run("behind a long body", func(t *testing.T) {
+		var s surplus
+		s.read(make([]byte, 10*readerBytes))
+		s.read(make([]byte, 1000))
+		s.read([]byte(begun))
+		assertNext(t, &s, 10*readerBytes+1000, costOf(begun), false)
+	})
+	t.Run("behind a body of unknown length", func(t *testing.T) {
+		var s surplus
+		s.read([]byte("3\r\nabc\r\n0\r\n\r\n" + begun))
+		m, cost := s.next(-1)
+		assert.GreaterOrEqual(t, cost, costOf(begun))
+		assert.Equal(t, headMeter{}, m)
+	})
+}
+
 // addressNumber returns an address of a client.
 func addressNumber(n int) netip.Addr { return netip.AddrFrom4([4]byte{10, 0, 0, byte(n)}) }
 
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -272,6 +273,44 @@
 	}
 }
 
+// Guards against requests that arrive behind others and are charged to nobody until the server reads them.
+func TestSecondRequests(t *testing.T) {
+	const lines = 500
+	second := "GET / HTTP/1.1\r\nHost: a\r\n" + strings.Repeat("A:\r\n", lines)
+	for name, first := range map[string]string{
+		"no body": "GET / HTTP/1.1\r\nHost: a\r\n\r\n",
+		"body":    post(100, 100),
+		"chunks":  "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newServer(t, ordinaryLimits())
+			c := s.dial()
+			c.send(first + second)
+			c.assertStatus(http.StatusOK, false)
+			assert.Eventually(t, func() bool {
+				held, _ := strconv.Atoi(s.metric("intake_held_bytes"))
+				return held >= 64*lines
+			}, testTimeout, time.Millisecond, "%s bytes are held", s.metric("intake_held_bytes"))
+			c.send("\r\n")
+			c.assertStatus(http.StatusOK, false)
+			assert.Eventually(t, func() bool { return s.metric("intake_held_bytes") == "0" }, testTimeout, time.Millisecond)
+			_ = c.Close()
+			s.assertReleased()
+		})
+	}
+	for name, end := range map[string]string{"whole": "\r\n", "unfinished": ""} {
+		t.Run(name+" beyond the budget", func(t *testing.T) {
+			s := newServer(t, ordinaryLimits().WithBudget(64<<10))
+			c := s.dial()
+			c.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n" + second + end)
+			c.assertStatus(http.StatusOK, false)
+			c.assertStatus(http.StatusServiceUnavailable, true)
+			assert.Len(t, s.calls, 1)
+			assert.Equal(t, "1", s.metric("intake_refused_budget_spent"))
+		})
+	}
+}
+
 // Guards against a request that keeps what it holds because its handler panics, or because its client leaves early.
 func TestReleased(t *testing.T) {
 	for name, text := range map[string]string{
--- a/internal/intake/limiter.go
+++ b/internal/intake/limiter.go
@@ -74,8 +74,8 @@
 		}
 	}
 	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if c := connectionOf(r.Context()); c != nil && !c.headEnded() {
-			panic(http.ErrAbortHandler)
+		if c := connectionOf(r.Context()); c != nil && !l.begin(c, w, r) {
+			return
 		}
 		if r.ContentLength != 0 {
 			// The server reads what the handler leaves of the body.
@@ -85,6 +85,21 @@
 	})
 }
 
+// begin lets a handler begin with a request; it refuses a request that net/http has read together with an earlier one and
+// for which there is no room, and ends a connection that is closing.
+func (l *Limiter) begin(c *Connection, w http.ResponseWriter, r *http.Request) bool {
+	if !c.headEnded(r.ContentLength) {
+		panic(http.ErrAbortHandler)
+	}
+	if c.pending == nil {
+		return true
+	}
+	l.recordRefusal(l.now(), c.RemoteAddr(), c.pending.Reason())
+	skipBody(w)
+	c.pending.Write(w)
+	return false
+}
+
 // skipBody ends the connection with the answer. net/http reads the rest of a body before that, until its read deadline,
 // which has passed then.
 func skipBody(w http.ResponseWriter) {
--- a/internal/intake/listener.go
+++ b/internal/intake/listener.go
@@ -75,8 +75,12 @@
 	listener  *Listener
 	tracked   *trackedConnection
 	head      headMeter
+	surplus   surplus
+	length    int64 // of the body of the current request, negative if it is not known
 	answer    answer
-	refusal   *Refusal    // of a head
+	refusal   *Refusal    // of a head, for reads
+	pending   *Refusal    // of a head that no read follows, for its handler
+	refused   bool        // whether the refusal has been written
 	serving   atomic.Bool // whether the head of the current request has been read
 	chargeMu  sync.Mutex  // a connection may be closed while its handler runs
 	charge    *Charge
@@ -110,34 +114,67 @@
 // an error that ends the connection.
 func (c *Connection) Read(p []byte) (n int, err error) {
 	if c.refusal != nil {
-		return 0, c.readError()
+		return 0, c.refuse()
 	}
 	n, err = c.Conn.Read(p)
-	if n == 0 || c.serving.Load() {
+	if n == 0 {
+		return n, err
+	}
+	if c.serving.Load() {
+		c.surplus.read(p[:n])
 		return n, err
 	}
 	c.tracked.arrive(c.listener.limiter.now())
 	if c.refusal = c.receiveHead(p[:n]); c.refusal != nil {
+		return 0, c.refuse()
+	}
+	return n, err
+}
+
+// refuse writes the refusal of a head, once, and returns the error of reads after it; net/http writes no answer of its own
+// after an error of this type.
+func (c *Connection) refuse() error {
+	if !c.refused {
+		c.refused = true
 		now := c.listener.limiter.now()
 		c.listener.limiter.recordRefusal(now, c.RemoteAddr(), c.refusal.Reason())
 		writeRefusal(now, c.Conn, c.refusal)
-		return 0, c.readError()
 	}
-	return n, err
+	return &net.OpError{Op: "read", Net: "tcp", Err: c.refusal}
 }
 
-// readError returns the error of reads after a refusal; net/http writes no answer of its own after an error of this type.
-func (c *Connection) readError() error { return &net.OpError{Op: "read", Net: "tcp", Err: c.refusal} }
-
 // receiveHead charges the part of the head in the bytes that arrive.
 func (c *Connection) receiveHead(p []byte) *Refusal {
+	before := c.head.bytes
 	cost := c.head.next(p)
+	c.surplus.read(p[c.head.bytes-before:])
 	if c.head.bytes > c.listener.limiter.limits.headBytes {
 		return &Refusal{reason: HeadTooLarge}
 	}
 	return c.add(cost)
 }
 
+// beginNext charges what has already arrived of the next request.
+func (c *Connection) beginNext() {
+	length := c.length
+	var cost int64
+	c.head, cost = c.surplus.next(length)
+	c.pending = nil
+	if cost == 0 {
+		return
+	}
+	refusal := c.add(cost)
+	switch {
+	case length < 0:
+		// Whether it is a whole request is not known, so neither can the refusal be written here nor is it certain that a
+		// read or a handler follows that could write it.
+	case c.head.ended:
+		c.pending = refusal
+	default:
+		c.refusal = refusal
+	}
+}
+
 // add charges n bytes for the current request.
 func (c *Connection) add(n int64) *Refusal {
 	c.chargeMu.Lock()
@@ -163,15 +200,17 @@
 		c.tracked.arrive(c.listener.limiter.now())
 	case http.StateIdle:
 		c.release(false)
-		c.head = headMeter{}
+		c.beginNext()
 		c.serving.Store(false)
 		c.tracked.enter(c.listener.limiter.now(), Idle)
 	case http.StateNew, http.StateClosed, http.StateHijacked:
 	}
 }
 
-// headEnded records that a handler begins with the current request; it reports false if the connection is closing.
-func (c *Connection) headEnded() bool {
+// headEnded records that a handler begins with the current request, whose body has the given length or an unknown one,
+// which is negative; it reports false if the connection is closing.
+func (c *Connection) headEnded(length int64) bool {
+	c.length = length
 	c.serving.Store(true)
 	return c.tracked.enter(c.listener.limiter.now(), Serving)
 }
