intake: a request that begins to be served does not count as arriving again

Found by reading: net/http reads on in the background while it starts a handler. For a request that lay whole in its buffer that read could see the connection as idle, and put it back to receiving after the handler had begun; the connection then gave way to a new one although its request was served. The change from idle to receiving is one compare-and-swap now, as the others are. No test shows it: the order of the two goroutines cannot be forced from outside.

--- a/internal/intake/table.go
+++ b/internal/intake/table.go
@@ -58,10 +58,11 @@
 	}
 }
 
-// arrive begins Receiving unless a request is arriving already.
+// arrive begins Receiving if the connection is idle. It does not replace another phase that begins meanwhile, since
+// net/http may read on while a handler begins.
 func (s *trackedConnection) arrive(now time.Time) {
-	if s.state.Load().phase == Idle {
-		s.enter(now, Receiving)
+	if current := s.state.Load(); current.phase == Idle {
+		s.state.CompareAndSwap(current, &connectionState{phase: Receiving, since: now})
 	}
 }
 
