--- a/cmd/rosemarywind/crowd_test.go
+++ b/cmd/rosemarywind/crowd_test.go
@@ -4,7 +4,6 @@
 	"errors"
 	"fmt"
 	"maps"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -170,7 +169,7 @@
 	crowds := make([]*crowd.Crowd, len(ports))
 	var g sync.WaitGroup
 	for i, p := range ports {
-		g.Go(func() { crowds[i] = crowd.New(p.target(), allCrowdKinds(), crowdSize, crowdAddresses()...) })
+		g.Go(func() { crowds[i] = crowd.New(p.target(), allCrowdKinds(), crowdSize, crowd.Addresses()...) })
 	}
 	g.Wait()
 	for _, c := range crowds {
@@ -258,11 +257,3 @@
 		t.Log(name, u)
 	}
 }
-
-// crowdAddresses returns the addresses of clients that are not on one host.
-func crowdAddresses() (addresses []net.IP) {
-	for n := range byte(8) {
-		addresses = append(addresses, net.IPv4(127, 250, 0, 1+n))
-	}
-	return addresses
-}
--- a/internal/crowd/crowd.go
+++ b/internal/crowd/crowd.go
@@ -28,6 +28,17 @@
 	connections []net.Conn
 }
 
+// addressCount is the number of addresses of a crowd that does not come from one host.
+const addressCount = 8
+
+// Addresses returns the loopback addresses of clients that are not on one host.
+func Addresses() (list []net.IP) {
+	for n := range byte(addressCount) {
+		list = append(list, net.IPv4(127, 250, 0, 1+n))
+	}
+	return list
+}
+
 // New starts a crowd from the given IP addresses, in turn, and returns once each of its clients has sent everything, has
 // been cut off, or has been sending for sendTime. The kernel chooses the address if there is none.
 func New(t Target, k Kind, clients int, from ...net.IP) *Crowd {
