intake: connections leave descriptors to the process

Callers saw: on a host whose processes may open 160 descriptors, no ordinary request was answered at the callers' and the operators' port of the product while 300 other clients kept connections open that were idle.

Cause: the limit on connections did not know the descriptors of the process, 4,096 against 160. A process without a free descriptor accepts nobody, so that no idle connection can give way, until one has been idle for a minute. A control host could not have opened the files of its ledger either.

Evidence: TestCrowdsBeyondDescriptors failed at both ports on the code before, after 20 s without an answer; the process had 150 and 152 sockets.

Change: connections take three quarters of the descriptors that the process may open at most, those of collectors of metrics beside callers an eighth. Where the descriptors suffice for the limits of the settings these stay as they are.

After: it passes, with 109 sockets at most.

--- a/cmd/rosemarywind/crowd_test.go
+++ b/cmd/rosemarywind/crowd_test.go
@@ -37,6 +37,8 @@
 	crowdUnreadBytes = 8 << 20
 	// crowdLargeHeadBytes is the size of a head far beyond the limit.
 	crowdLargeHeadBytes = 900 << 10
+	// crowdDescriptors is the number of descriptors of each process on a host that has few.
+	crowdDescriptors = 160
 	// crowdExtensionBytes is the size of what a crowd adds to each chunk.
 	crowdExtensionBytes = 2 << 10
 )
@@ -48,6 +50,8 @@
 	linesScript    = 130
 	unreadScript   = 140
 	smallScript    = 150
+
+	descriptorScript = 180
 )
 
 // crowdLimits are the lines by which the processes of a crowd's test hold less for their clients than by default.
@@ -62,7 +66,6 @@
 // crowdPort is a port that a crowd calls.
 type crowdPort struct {
 	name    string
-	process string
 	address string
 	path    string
 	token   string
@@ -70,10 +73,10 @@
 
 func (s *script) crowdPorts() []crowdPort {
 	return []crowdPort{
-		{"callers", "e1", s.address(entryPort + 1), "/w/previews/print", s.tokens["previews"]},
-		{"entry monitor", "e1", s.address(operatorPort + 11), "/health", ""},
-		{"agent monitor", "w1", s.address(operatorPort + 31), "/health", ""},
-		{"operators", "c1", s.address(operatorPort + 1), "/v1/jobs", s.tokens["previews"]},
+		{"callers", s.address(entryPort + 1), "/w/previews/print", s.tokens["previews"]},
+		{"entry monitor", s.address(operatorPort + 11), "/health", ""},
+		{"agent monitor", s.address(operatorPort + 31), "/health", ""},
+		{"operators", s.address(operatorPort + 1), "/v1/jobs", s.tokens["previews"]},
 	}
 }
 
@@ -180,6 +183,34 @@
 	}
 }
 
+// Guards against processes whose descriptors are used up by open connections, although fewer are open than their settings
+// allow.
+func TestCrowdsBeyondDescriptors(t *testing.T) {
+	path := buildPrograms(t)
+	limitDescriptors(t, path)
+	for i, kind := range []crowd.Kind{crowd.Idle(), crowd.Silence()} {
+		t.Run([]string{"idle", "silent"}[i], func(t *testing.T) {
+			s := newCrowdedCluster(t, path, descriptorScript+int64(i), nil)
+			for _, p := range s.crowdPorts() {
+				t.Run(p.name, func(t *testing.T) {
+					c := crowd.New(p.target(), kind, crowdSize)
+					defer c.Close()
+					s.assertHeld(t, p)
+				})
+			}
+		})
+	}
+}
+
+// limitDescriptors replaces the program in path by one that starts it with few descriptors.
+func limitDescriptors(t *testing.T, path string) {
+	t.Helper()
+	program, limited := filepath.Join(path, "rosemarywind"), filepath.Join(path, "unlimited")
+	require.NoError(t, os.Rename(program, limited))
+	text := fmt.Sprintf("#!/bin/sh\nulimit -n %d\nexec %s \"$@\"\n", crowdDescriptors, limited)
+	require.NoError(t, os.WriteFile(program, []byte(text), 0o700))
+}
+
 // buildPrograms builds the programs that operators run, without the race detector, which needs several times the memory.
 func buildPrograms(t *testing.T) (path string) {
 	t.Helper()
@@ -239,7 +270,7 @@
 }
 
 // assertWithinLimits checks that no process has ended, that none has exceeded the memory of its host, and that none has
-// more sockets than a crowd has clients.
+// more sockets than its two ports may have connections.
 func (s *script) assertWithinLimits(t *testing.T) {
 	t.Helper()
 	for _, name := range s.started {
--- a/cmd/rosemarywind/roles.go
+++ b/cmd/rosemarywind/roles.go
@@ -5,11 +5,13 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
 	"os"
+	"syscall"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -61,7 +63,7 @@
 	if err != nil {
 		return operator.SettingsError(err)
 	}
-	p, err := newProcess(ctx, "entry", s.Common)
+	p, err := newProcess(ctx, "entry", s.Common, s.MemoryBytes())
 	if err != nil {
 		return err
 	}
@@ -74,7 +76,7 @@
 		entry.WithTLS(p.keys.Client("agent"), p.keys.Client("control")),
 		entry.WithControl(addressStrings(s.ControlAddresses())), entry.WithListener(l),
 		entry.WithBodyLimits(int(s.BodyBytes()), s.BufferedBytes()), entry.WithHeaderLimit(int(s.HeaderBytes())),
-		entry.WithBodyRate(int(s.BodyRate())), entry.WithConnectionLimit(s.Connections()), entry.WithMemory(keepWithin(s.MemoryBytes())),
+		entry.WithBodyRate(int(s.BodyRate())), entry.WithConnectionLimit(s.Connections()), entry.WithResources(p.resources),
 		entry.WithReadTimeouts(s.HeaderTimeout(), s.BodyTimeout()), entry.WithQueueWait(s.QueueWait()),
 		entry.WithDeadlines(s.DeadlineDefault(), s.DeadlineMax()),
 		entry.WithRetries(s.RetrySharePercent(), s.RetryAttempts(), s.RetryBasePause()),
@@ -90,7 +92,7 @@
 	if err != nil {
 		return operator.SettingsError(err)
 	}
-	p, err := newProcess(ctx, "agent", s.Common)
+	p, err := newProcess(ctx, "agent", s.Common, s.MemoryBytes())
 	if err != nil {
 		return err
 	}
@@ -108,7 +110,6 @@
 		agent.WithProbe(s.ProbeInterval(), s.ProbeTimeout()), agent.WithBodyLimit(int(s.BodyBytes())),
 		agent.WithGrace(s.StopGrace()), agent.WithMetrics(p.registry),
 	)
-	keepWithin(s.MemoryBytes())
 	registerAgentChecks(p.health, a.Board(), time.Now)
 	return p.run(ctx, a.Run)
 }
@@ -118,7 +119,7 @@
 	if err != nil {
 		return operator.SettingsError(err)
 	}
-	p, err := newProcess(ctx, "control", s.Common)
+	p, err := newProcess(ctx, "control", s.Common, s.MemoryBytes())
 	if err != nil {
 		return err
 	}
@@ -148,7 +149,7 @@
 		control.WithServer(server), control.WithListener(l), control.WithLeases(s.AnnounceLease(), s.TaskLease()),
 		control.WithOperatorDigests(s.OperatorTokenDigests()), control.WithGrace(s.StopGrace()),
 		control.WithClientLimits(s.BufferedBytes(), s.Connections(), int(s.BodyRate())),
-		control.WithMemory(keepWithin(s.MemoryBytes())),
+		control.WithResources(p.resources),
 		control.WithMonitor(p.monitorHandler()), control.WithMetrics(p.registry),
 		control.WithLedger(
 			driver.WithMember(ledger.MemberID(s.Name()), s.Listen().String()), driver.WithInitialMembers(members),
@@ -163,14 +164,6 @@
 	return p.run(ctx, c.Run)
 }
 
-// keepWithin makes the garbage collector keep to the memory of the settings, or to that of the host if they state none,
-// and returns it in bytes.
-func keepWithin(setting int64) (bytes int64) {
-	bytes = cmp.Or(setting, memory.Available(os.DirFS("/")))
-	memory.CollectWithin(bytes)
-	return bytes
-}
-
 func addressStrings(addresses []netip.AddrPort) []string {
 	list := make([]string, len(addresses))
 	for i, a := range addresses {
@@ -188,11 +181,13 @@
 	registry *telemetry.Registry
 	health   *telemetry.Health
 	listen   netip.AddrPort
+
+	resources intake.Resources
 }
 
-// newProcess sets up logging, tracing and keys from the settings, before the role opens a port. It wraps each error with
-// operator.BadSettings.
-func newProcess(ctx context.Context, role string, s settings.Common) (p *process, err error) {
+// newProcess sets up logging, tracing, keys and the use of memory from the settings, before the role opens a port. It wraps
+// each error with operator.BadSettings.
+func newProcess(ctx context.Context, role string, s settings.Common, memoryBytes int64) (p *process, err error) {
 	defer func() {
 		if err != nil {
 			err = operator.SettingsError(fmt.Errorf("start %s: %w", role, err))
@@ -202,6 +197,7 @@
 	p = &process{
 		logger:   telemetry.NewLogger(os.Stderr, s.Telemetry().LogLevel(), origin),
 		registry: telemetry.NewRegistry(), health: telemetry.NewHealth(), listen: s.OperatorsListen(),
+		resources: useResources(memoryBytes),
 	}
 	p.tracing, err = telemetry.NewTracing(ctx, origin, telemetry.WithFile(s.Telemetry().TraceFile()),
 		telemetry.WithOTLP(s.Telemetry().TraceOTLP()),
@@ -218,6 +214,18 @@
 	return p, nil
 }
 
+// useResources makes the garbage collector keep to the memory of the settings, or to that of the host if they state none.
+// It returns what the process may use.
+func useResources(memoryBytes int64) intake.Resources {
+	bytes := cmp.Or(memoryBytes, memory.Available(os.DirFS("/")))
+	memory.CollectWithin(bytes)
+	var descriptors syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &descriptors); err != nil {
+		return intake.NewResources(bytes, 0)
+	}
+	return intake.NewResources(bytes, int(min(descriptors.Cur, math.MaxInt32)))
+}
+
 // loadKeys loads the key files of the settings. It returns an error if the certificate is for another role or name.
 func loadKeys(role string, s settings.Common, p *process) (r *keys.Reloader, err error) {
 	r, err = keys.NewReloader(s.Keys().Certificate(), s.Keys().Key(), s.Keys().Authority(),
@@ -251,7 +259,7 @@
 			IdleTimeout: time.Minute,
 		}
 		sizes := intake.NewServerSizes(monitorBytes, monitorBytes, monitorBytes)
-		limits := intake.NewServerLimits(sizes, monitorConnections, intake.DefaultPace())
+		limits := intake.NewServerLimits(sizes, p.monitorConnections(), intake.DefaultPace())
 		// The metrics of the role's own limiter have the same names.
 		limiter := intake.NewLimiter(limits, telemetry.NewRegistry(), p.logger, time.Now)
 		limiter.Prepare(server)
@@ -278,6 +286,16 @@
 	monitorTimeout = 5 * time.Second
 	// monitorBytes bounds the head of such a request, and the bodies of all of them from one address.
 	monitorBytes = 16 << 10
-	// monitorConnections bounds the connections of collectors of metrics.
-	monitorConnections = 64
+	// maxMonitorConnections bounds the connections of collectors of metrics.
+	maxMonitorConnections = 64
+	// monitorShare is the part of the descriptors that these connections may take.
+	monitorShare = 1.0 / 8
 )
+
+// monitorConnections returns how many connections of collectors of metrics may be open.
+func (p *process) monitorConnections() int {
+	if n := p.resources.Descriptors(); n > 0 {
+		return min(int(monitorShare*float64(n)), maxMonitorConnections)
+	}
+	return maxMonitorConnections
+}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -84,7 +84,7 @@
 	g.Go(func() error { return newExpirer(c).run(runCtx) })
 	g.Go(func() error { return c.server.Serve(runCtx, c.serveStream) })
 	api := &http.Server{Handler: newAPI(c), ReadHeaderTimeout: apiTimeout, ReadTimeout: apiTimeout, IdleTimeout: time.Minute}
-	limits := c.clientLimits.WithinMemory(c.memory, connectionMemoryShare)
+	limits := c.clientLimits.Within(c.resources, connectionMemoryShare)
 	limiter := intake.NewLimiter(limits, c.metrics, c.logger, time.Now)
 	limiter.Prepare(api)
 	g.Go(func() error {
--- a/internal/control/options.go
+++ b/internal/control/options.go
@@ -36,7 +36,7 @@
 	grace           time.Duration
 	monitor         http.Handler
 	clientLimits    intake.Limits
-	memory          int64
+	resources       intake.Resources
 }
 
 const (
@@ -82,9 +82,9 @@
 	}
 }
 
-// WithMemory sets how many bytes of memory the process may use, 0 for no limit; the clients of the operators' HTTP
-// interface take no more than their part of it.
-func WithMemory(bytes int64) Option { return func(o *options) { o.memory = bytes } }
+// WithResources sets what the process may use; the clients of the operators' HTTP interface take no more than their part
+// of it. The default is no limit.
+func WithResources(r intake.Resources) Option { return func(o *options) { o.resources = r } }
 
 // WithLedger adds options of the ledger: its member, peers and storage.
 func WithLedger(opts ...driver.Option) Option {
--- a/internal/crowd/kind.go
+++ b/internal/crowd/kind.go
@@ -5,6 +5,7 @@
 
 type (
 	silence        struct{}
+	idle           struct{}
 	unfinishedHead struct{}
 	secondRequest  struct{}
 	largeHead      struct{ bytes int }
@@ -32,6 +33,7 @@
 )
 
 func (silence) kind()        {}
+func (idle) kind()           {}
 func (unfinishedHead) kind() {}
 func (secondRequest) kind()  {}
 func (largeHead) kind()      {}
@@ -46,6 +48,9 @@
 // Silence sends nothing.
 func Silence() Kind { return silence{} }
 
+// Idle sends one whole request and leaves the connection open.
+func Idle() Kind { return idle{} }
+
 // LargeHead sends a head with one line of the given number of bytes.
 func LargeHead(bytes int) Kind { return largeHead{bytes} }
 
--- a/internal/crowd/send.go
+++ b/internal/crowd/send.go
@@ -19,6 +19,9 @@
 // send sends what a client sends.
 func send(w io.Writer, t Target, k Kind) error {
 	switch k := k.(type) {
+	case idle:
+		_, err := io.WriteString(w, t.head("GET")+"\r\n")
+		return err
 	case largeHead:
 		return t.writeHead(w, "Large: "+strings.Repeat("x", k.bytes))
 	case endlessHead:
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -47,7 +47,7 @@
 	e.ids = newRequestIDs()
 	sizes := intake.NewServerSizes(e.bufferedLimit, int64(e.bodyLimit), int64(e.headerLimit))
 	limits := intake.NewServerLimits(sizes, e.connectionLimit, intake.NewPaceOf(e.bodyRate, e.bodyTimeout))
-	limits = limits.WithinMemory(e.memory, connectionMemoryShare)
+	limits = limits.Within(e.resources, connectionMemoryShare)
 	e.limiter = intake.NewLimiter(limits, e.registry, e.logger, time.Now)
 	e.metrics = newMetrics(e.registry, e.queue.waiting.Load)
 	return e
--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -9,6 +9,7 @@
 	"go.opentelemetry.io/otel/trace"
 	"go.opentelemetry.io/otel/trace/noop"
 
+	"rosemarywind.example/rosemarywind/internal/intake"
 	"rosemarywind.example/rosemarywind/internal/route"
 	"rosemarywind.example/rosemarywind/internal/telemetry"
 )
@@ -29,7 +30,7 @@
 	headerLimit       int
 	bodyRate          int
 	connectionLimit   int
-	memory            int64
+	resources         intake.Resources
 	headerTimeout     time.Duration
 	bodyTimeout       time.Duration
 	queueWait         time.Duration
@@ -84,9 +85,9 @@
 // WithConnectionLimit sets how many callers' connections are open at once; idle ones give way to new ones.
 func WithConnectionLimit(n int) Option { return func(o *options) { o.connectionLimit = n } }
 
-// WithMemory sets how many bytes of memory the process may use, 0 for no limit; callers' connections and requests take no
-// more than their part of it.
-func WithMemory(bytes int64) Option { return func(o *options) { o.memory = bytes } }
+// WithResources sets what the process may use; callers' connections and requests take no more than their part of it. The
+// default is no limit.
+func WithResources(r intake.Resources) Option { return func(o *options) { o.resources = r } }
 
 // WithReadTimeouts sets how long a caller may take to send the headers and the body of a request.
 func WithReadTimeouts(header, body time.Duration) Option {
--- a/internal/intake/connection.go
+++ b/internal/intake/connection.go
@@ -106,8 +106,7 @@
 	refusal := c.add(cost)
 	switch {
 	case length < 0:
-		// Whether it is a whole request is not known, so neither can the refusal be written here nor is it certain that a
-		// read or a handler follows that could write it.
+		// It is not known whether a read or a handler comes next, and only one of them may write the refusal.
 	case c.head.ended:
 		c.pending = refusal
 	default:
--- a/internal/intake/decisions_test.go
+++ b/internal/intake/decisions_test.go
@@ -281,16 +281,23 @@
 	})
 }
 
-// Guards against limits of the settings that exceed the memory of the host, and against a large host that lowers them.
-func TestWithinMemory(t *testing.T) {
+// Guards against limits of the settings that exceed what the host has, and against a large host that lowers them.
+func TestWithin(t *testing.T) {
 	const bodies, body, head, connections = 64 << 20, 4 << 20, 64 << 10, 4096
 	l := NewServerLimits(NewServerSizes(bodies, body, head), connections, DefaultPace())
-	assert.Equal(t, l, l.WithinMemory(0, 0.25))
-	assert.Equal(t, l, l.WithinMemory(1<<30, 0.25))
-	small := l.WithinMemory(96<<20, 0.25)
-	assert.EqualValues(t, 12<<20, small.BudgetBytes())
-	assert.Equal(t, 384, small.Connections())
-	assertRefused(t, "", NewBudget(small.BudgetBytes()).NewCharge(&Peer{}).Add(body+headByteCost*head))
+	assert.Equal(t, l, l.Within(Resources{}, 0.25))
+	assert.Equal(t, l, l.Within(NewResources(1<<30, 8192), 0.25))
+	t.Run("little memory", func(t *testing.T) {
+		small := l.Within(NewResources(96<<20, 0), 0.25)
+		assert.EqualValues(t, 12<<20, small.BudgetBytes())
+		assert.Equal(t, 384, small.Connections())
+		assertRefused(t, "", NewBudget(small.BudgetBytes()).NewCharge(&Peer{}).Add(body+headByteCost*head))
+	})
+	t.Run("few descriptors", func(t *testing.T) {
+		small := l.Within(NewResources(0, 160), 0.25)
+		assert.Equal(t, l.BudgetBytes(), small.BudgetBytes())
+		assert.Equal(t, 120, small.Connections())
+	})
 }
 
 // Guards against default limits that an ordinary load meets.
--- a/internal/intake/limits.go
+++ b/internal/intake/limits.go
@@ -1,6 +1,9 @@
 package intake
 
-import "math"
+import (
+	"cmp"
+	"math"
+)
 
 const (
 	// budgetShare is the part of a process's memory that bodies and heads of requests may take.
@@ -64,13 +67,24 @@
 	return Limits{budgetBytes: sizes.budget(), connections: connections, headBytes: sizes.head, pace: pace}
 }
 
-// WithinMemory returns a copy that holds no more than NewLimits allows a process that may use the given memory; 0 stands
-// for no limit on it.
-func (l Limits) WithinMemory(memory int64, connectionShare float64) Limits {
-	if memory == 0 {
-		return l
-	}
-	allowed := NewLimits(memory, math.MaxInt32, connectionShare)
+// Resources are what a process may use, with 0 for what is not limited; it is immutable.
+type Resources struct {
+	memory      int64
+	descriptors int
+}
+
+// NewResources returns the resources of a process that may use the given bytes of memory and number of descriptors.
+func NewResources(memory int64, descriptors int) Resources {
+	return Resources{memory: memory, descriptors: descriptors}
+}
+
+// Descriptors returns the number of descriptors.
+func (r Resources) Descriptors() int { return r.descriptors }
+
+// Within returns a copy that holds no more than NewLimits allows a process with the given resources.
+func (l Limits) Within(r Resources, connectionShare float64) Limits {
+	allowed := NewLimits(
+		cmp.Or(r.memory, math.MaxInt64), cmp.Or(r.descriptors, math.MaxInt32), connectionShare)
 	l.budgetBytes = min(l.budgetBytes, allowed.budgetBytes)
 	l.connections = min(l.connections, allowed.connections)
 	return l
