intake: TestArrivingRequests waits until the heads have been read

It waited until the connections had been accepted, and a connection of which nothing has been read yet is idle: the server cannot know that a head lies in the kernel's buffer.

--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -124,6 +124,13 @@
 	return value
 }
 
+// heldBytes returns how many bytes are held for clients.
+func (s *server) heldBytes() int {
+	n, err := strconv.Atoi(s.metric("intake_held_bytes"))
+	require.NoError(s.t, err)
+	return n
+}
+
 // recorder is the part of a http.ResponseWriter that the metrics need.
 type recorder struct{ *bytes.Buffer }
 
@@ -257,10 +264,11 @@
 	s := newServer(t, ordinaryLimits().WithConnections(limit))
 	arriving := make([]*client, limit-1) // the part of one address
 	for i := range arriving {
+		before := s.heldBytes()
 		arriving[i] = s.dial()
 		arriving[i].send("GET / HTTP/1.1\r\nHost: a\r\n")
+		require.Eventually(t, func() bool { return s.heldBytes() > before }, testTimeout, time.Millisecond)
 	}
-	assert.Eventually(t, func() bool { return s.metric("intake_connections") == "7" }, testTimeout, time.Millisecond)
 	for range limit {
 		s.dial().send(post(1, 1))
 	}
@@ -287,10 +295,7 @@
 			c := s.dial()
 			c.send(first + second)
 			c.assertStatus(http.StatusOK, false)
-			assert.Eventually(t, func() bool {
-				held, _ := strconv.Atoi(s.metric("intake_held_bytes"))
-				return held >= 64*lines
-			}, testTimeout, time.Millisecond, "%s bytes are held", s.metric("intake_held_bytes"))
+			assert.Eventually(t, func() bool { return s.heldBytes() >= 64*lines }, testTimeout, time.Millisecond, "%d bytes are held", s.heldBytes())
 			c.send("\r\n")
 			c.assertStatus(http.StatusOK, false)
 			assert.Eventually(t, func() bool { return s.metric("intake_held_bytes") == "0" }, testTimeout, time.Millisecond)
