--- a/review/_standins-3/cluster.go
+++ b/review/_standins-3/cluster.go
@@ -80,6 +80,9 @@
 	limitMemory bool
 	memoryKills map[string]int // of processes that serve control, by machine
 
+	deadlyJob    string // the job whose tasks make their workers silent
+	deadlyStarts int
+
 	atWork map[string]int // runs at work now, by task
 	twice  []string       // tasks of which two runs were at work at the same time
 }
--- a/review/_standins-3/worker.go
+++ b/review/_standins-3/worker.go
@@ -49,6 +49,7 @@
 	server    *http.Server
 	done      chan struct{}
 	closed    bool
+	dark      bool // answers nothing any more
 }
 
 type task struct {
@@ -127,6 +128,10 @@
 func (l *life) beat() {
 	for {
 		l.lock()
+		if l.dark {
+			l.unlock()
+			return
+		}
 		l.sequence++
 		state := "ready"
 		if l.draining {
@@ -221,9 +226,7 @@
 	}
 	l.lock()
 	defer l.unlock()
-	if l.closed {
-		panic(http.ErrAbortHandler)
-	}
+	l.awaitEnd()
 	if o.FencingToken < l.fence {
 		l.answer(w, http.StatusConflict, map[string]any{"reason": "fence"})
 		return
@@ -269,6 +272,8 @@
 		return
 	}
 	l.extend(o.DeadlineMs)
+	l.crashSilently(o)
+	l.awaitEnd()
 	total := taskTime(o.Spec)
 	t := &task{name: o.Task, run: o.Run, begun: time.Now(), total: total}
 	key := runKey(o.Task, o.Run)
