--- a/review/_standins-3/case12.go
+++ b/review/_standins-3/case12.go
@@ -23,12 +23,12 @@
 	if err := c.runOrdinary("0000000000000001", 20*time.Second); err != nil {
 		return fmt.Errorf("%w: before the disruption: %w", errCannotRun, err)
 	}
-	for _, path := range []string{"/scan/f000000000000001", "/scan/f000000000000002"} {
+	for _, path := range []string{"/scan/f000000000000001", "/scan/f000000000000002", "/scan/f000000000000003"} {
 		if !c.submit(path, keyB, job("work 300000", manySmall)) {
 			return fmt.Errorf("%w: %s is not accepted", errCannotRun, path)
 		}
 	}
-	time.Sleep(15 * time.Second)
+	time.Sleep(10 * time.Second)
 	if trouble {
 		c.killControl()
 	}
--- a/review/_standins-3/cluster.go
+++ b/review/_standins-3/cluster.go
@@ -125,8 +125,9 @@
 		return nil, fmt.Errorf("%w: %w", errCannotRun, err)
 	}
 	c.network = fmt.Sprintf("127.%d.%d", 20+rand.IntN(200), 1+rand.IntN(250))
-	base := 20000 + rand.IntN(8000)
-	c.ports = ports{front: base, ready: base + 1, control: base + 2, app: base + 3, internal: base + 10}
+	if c.ports, err = c.freePorts(); err != nil {
+		return nil, err
+	}
 	for i := range 3 {
 		c.seeds = append(c.seeds, net.JoinHostPort(c.coreIP(i), strconv.Itoa(c.ports.control)))
 	}
@@ -136,6 +137,26 @@
 	return c, nil
 }
 
+// freePorts returns ports that are free on the address of the first machine.
+func (c *cluster) freePorts() (ports, error) {
+	for range 20 {
+		base := 20000 + rand.IntN(8000)
+		free := true
+		for _, n := range []int{base, base + 1, base + 2, base + 3, base + 10} {
+			l, err := net.Listen("tcp", net.JoinHostPort(c.coreIP(0), strconv.Itoa(n)))
+			if err != nil {
+				free = false
+				break
+			}
+			_ = l.Close()
+		}
+		if free {
+			return ports{front: base, ready: base + 1, control: base + 2, app: base + 3, internal: base + 10}, nil
+		}
+	}
+	return ports{}, fmt.Errorf("%w: no free ports", errCannotRun)
+}
+
 func (c *cluster) coreIP(i int) string { return fmt.Sprintf("%s.%d", c.network, 10+i) }
 func (c *cluster) sideIP(i int) string { return fmt.Sprintf("%s.%d", c.network, 100+i) }
 
@@ -245,8 +266,10 @@
 		return err
 	}
 	defer func() { _ = log.Close() }()
-	p := &process{machine: machine, role: role, cmd: exec.Command(arguments[0], arguments[1:]...), ended: make(chan struct{}),
-		limitMB: memory, path: settings}
+	p := &process{
+		machine: machine, role: role, cmd: exec.Command(arguments[0], arguments[1:]...), ended: make(chan struct{}),
+		limitMB: memory, path: settings,
+	}
 	p.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "ROSEMARYWIND_NODE_FILE=" + settings}
 	p.cmd.Stdout, p.cmd.Stderr = log, log
 	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
--- a/review/_standins-3/worker.go
+++ b/review/_standins-3/worker.go
@@ -68,8 +68,10 @@
 }
 
 func newWorker(c *cluster, number int) *worker {
-	return &worker{cluster: c, number: number, ip: c.sideIP(number), cpu: 128000, memory: 262144,
-		clockStep: func() time.Duration { return 0 }}
+	return &worker{
+		cluster: c, number: number, ip: c.sideIP(number), cpu: 128000, memory: 262144,
+		clockStep: func() time.Duration { return 0 },
+	}
 }
 
 // begin starts a new life of the worker.
