--- a/review/_standins-3/cluster.go
+++ b/review/_standins-3/cluster.go
@@ -234,7 +234,7 @@
 	}
 	listen := fmt.Sprintf("  frontendAddr: %q\n  readinessAddr: %q\n  control: %q\n", c.frontAddress(i),
 		net.JoinHostPort(ip, strconv.Itoa(c.ports.ready)), c.controlAddress(i))
-	path, err := c.settings(name, role, ip, listen, fmt.Sprintf("dataDir: %q\n%s", data, c.cloudSettings()), coreMemoryMB, 4100, bootstrap)
+	path, err := c.settings(name, role, ip, listen, fmt.Sprintf("dataDir: %q\n", data), coreMemoryMB, 4100, bootstrap)
 	if err != nil {
 		return err
 	}
--- a/review/_standins-3/worker.go
+++ b/review/_standins-3/worker.go
@@ -319,6 +319,7 @@
 		case <-time.After(time.Duration(wait) * time.Millisecond):
 		}
 		l.lock()
+		l.awaitEnd()
 	}
 	running, finished := make([][]any, 0, len(l.running)), [][]any{}
 	for _, t := range l.running {
