run, dispatch, runner: orders to start and stop runs are numbered, and answers name their order

What was missing: a run can be ordered to start more than once, but an agent's list says of a run only that the worker has answered something about it, and neither the leader's nor the agent's log tells which order that was. So of a run that was recorded as lost while its worker began it, the logs can't tell an answer to an earlier order from a lease that ended, a late start, or a list of an earlier leader.

Change: an order to start or stop a run has an id, the fencing token of the leader and a number that it counts. Settled entries of lists and refusals carry the id of the order that was answered, in fields of their own, since the entries are arrays on the wire that cannot grow. The leader logs with each decision on a run the latest start order, the order that the worker's list shows as answered, the age of that list and the agent's session; the agent logs the order with each answer, also with that to a start that succeeded. No decision uses the ids yet. runOrders.refused was never read and is gone.

--- a/internal/dispatch/actions.go
+++ b/internal/dispatch/actions.go
@@ -106,7 +106,11 @@
 	worker    string
 	kind      string
 	reason    string
+	order     run.OrderID
+	answered  run.OrderID
+	session   uint64
 	reportAge time.Duration
+	listAge   time.Duration
 	lostWork  float64
 	cause     LossCause
 }
@@ -127,5 +131,17 @@
 // decision.
 func (d Decision) LostWork() (coreSeconds float64, cause LossCause) { return d.lostWork, d.cause }
 
+// OrderID returns the latest order to start the run, or the zero value if this leader gave none.
+func (d Decision) OrderID() run.OrderID { return d.order }
+
+// Answered returns the order about the run that the worker's latest list shows as answered, or the zero value.
+func (d Decision) Answered() run.OrderID { return d.answered }
+
+// Session returns the number of the agent's session; it is 0 if no worker is involved.
+func (d Decision) Session() uint64 { return d.session }
+
+// ListAge returns the age of the worker's latest list; it is 0 if there is none.
+func (d Decision) ListAge() time.Duration { return d.listAge }
+
 // ReportAge returns the age of the worker's latest report; it is 0 if no worker is involved.
 func (d Decision) ReportAge() time.Duration { return d.reportAge }
--- a/internal/dispatch/advice_test.go
+++ b/internal/dispatch/advice_test.go
@@ -102,8 +102,8 @@
 		f.core.AdviceReceived(f.now, i, approved, time.Minute)
 		require.Equal(t, "c81e", f.ticket())
 		id := run.NewID(batch.NewTaskID("other", 0, 0, 0), 1)
-		f.core.Report(f.now, run.NewReport("h").WithRefused([]run.Refusal{run.NewRefusal(id, "ticket")}))
-		f.reconnect(1, id)
+		f.core.Report(f.now, run.NewReport("h").WithRefused([]run.Refusal{run.NewRefusal(id, laterOrder, "ticket")}))
+		f.reconnect(1, settledBy(laterOrder, id)...)
 		assert.True(t, hasInquiry(f.stepUntilInquiry()))
 	})
 }
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -17,6 +17,7 @@
 type Core struct {
 	timing       Timing
 	fencingToken uint64
+	lastOrder    uint64 // number of the latest order about a run
 	electedAt    time.Time
 	hosts        map[string]*host
 	orders       map[run.ID]*runOrders
@@ -51,12 +52,12 @@
 
 // runOrders records the orders that this leader gave about a run.
 type runOrders struct {
+	start          run.OrderID // the latest start order
 	startOrderedAt time.Time
 	startSession   uint64 // the agent's session at the start order
 	stopOrderedAt  time.Time
 	stopReason     string // of the first stop order
 	savedAt        time.Time
-	refused        bool
 	withheld       bool // this leader placed the run, and its worker was not usable when the start was due
 }
 
@@ -102,14 +103,15 @@
 	}
 	c.observeCrashes(now, h, r.Crashes())
 	for _, e := range r.Refused() {
-		c.ordersOf(e.ID()).refused = true
 		switch e.Reason() {
 		case Unhealthy:
 			h.health.recordFailure(now)
 		case ticketRefused:
 			c.dropTicket(e.ID().Task(), h)
 		}
-		c.logDecision(h, now, e.ID(), "start refused", e.Reason())
+		d := c.newDecision(h, now, e.ID(), "start refused", e.Reason())
+		d.answered = e.OrderID()
+		c.decisions = append(c.decisions, d)
 	}
 }
 
@@ -227,10 +229,11 @@
 			c.toStart[id] = true
 			continue
 		}
-		o.startOrderedAt, o.startSession = now, h.session
+		o.start, o.startOrderedAt, o.startSession = c.nextOrder(), now, h.session
 		lease := h.grant(now, c.timing.lease)
 		h.holdSentAt = now
-		start := run.NewStart(id, t.Worker(), j.Spec().Payload(), j.Checkpoint(id.Task()), lease).WithTicket(ticket)
+		start := run.NewStart(id, t.Worker(), j.Spec().Payload(), j.Checkpoint(id.Task()), lease).WithTicket(ticket).
+			WithOrderID(o.start)
 		a.orders = append(a.orders, AddressedOrder{h.agent, start})
 		c.logDecision(h, now, id, "start", "placed")
 	}
@@ -300,7 +303,7 @@
 	}
 	c.countAsNotWorking(id)
 	o.stopOrderedAt, o.stopReason = now, cmp.Or(o.stopReason, reason)
-	a.orders = append(a.orders, AddressedOrder{h.agent, run.NewStop(id)})
+	a.orders = append(a.orders, AddressedOrder{h.agent, run.NewStop(id).WithOrderID(c.nextOrder())})
 	c.logDecision(h, now, id, "stop", reason)
 }
 
@@ -339,13 +342,32 @@
 	}
 }
 
+// nextOrder returns the id of the next order about a run.
+func (c *Core) nextOrder() run.OrderID {
+	c.lastOrder++
+	return run.NewOrderID(c.fencingToken, c.lastOrder)
+}
+
 func (c *Core) logDecision(h *host, now time.Time, id run.ID, kind, reason string) {
+	c.decisions = append(c.decisions, c.newDecision(h, now, id, kind, reason))
+}
+
+// newDecision returns the record of a decision with what is known of the run and of the host.
+func (c *Core) newDecision(h *host, now time.Time, id run.ID, kind, reason string) Decision {
 	d := Decision{id: id, kind: kind, reason: reason}
+	if o := c.orders[id]; o != nil {
+		d.order = o.start
+	}
 	if h != nil {
 		d.worker = h.announcement.Incarnation().ID()
 		d.reportAge = now.Sub(h.reportedAt)
+		d.session = h.session
+		d.answered, _ = h.answeredOrder(id)
+	}
+	if h != nil && h.listed {
+		d.listAge = now.Sub(h.listedAt)
 	}
-	c.decisions = append(c.decisions, d)
+	return d
 }
 
 func sortedHosts(hosts map[string]*host) (list []*host) {
--- a/internal/dispatch/crowded_test.go
+++ b/internal/dispatch/crowded_test.go
@@ -31,11 +31,11 @@
 		incarnation := batch.NewIncarnation(agent, "w"+agent, 1)
 		var members []batch.Member
 		var running []run.Running
-		var settled []run.ID
+		var settled []run.Settled
 		for i := n * runs; i < (n+1)*runs; i++ {
 			id := run.NewID(batch.NewTaskID("j", 0, 0, i), 1)
 			members = append(members, batch.NewMember(i, 1, incarnation))
-			running, settled = append(running, run.NewRunning(id, "", 10, 10)), append(settled, id)
+			running, settled = append(running, run.NewRunning(id, "", 10, 10)), append(settled, run.NewSettled(id, laterOrder))
 		}
 		s, _ = s.Apply(batch.NewPlaceRuns(epoch, batch.NewGroup(batch.NewTaskID("j", 0, 0, 0), members...)))
 		c.Connect(agent, uint64(n+1))
--- a/internal/dispatch/host.go
+++ b/internal/dispatch/host.go
@@ -145,13 +145,13 @@
 type listIndex struct {
 	running  map[run.ID]run.Running
 	finished map[run.ID]run.Finished // the first end of each run
-	settled  map[run.ID]bool
+	settled  map[run.ID]run.OrderID
 }
 
 func newListIndex(l run.List) listIndex {
 	i := listIndex{
 		running: make(map[run.ID]run.Running, len(l.Running())), finished: make(map[run.ID]run.Finished, len(l.Finished())),
-		settled: make(map[run.ID]bool, len(l.Settled())),
+		settled: make(map[run.ID]run.OrderID, len(l.Settled())),
 	}
 	for _, r := range l.Running() {
 		i.running[r.ID()] = r
@@ -162,8 +162,8 @@
 			i.finished[id] = f
 		}
 	}
-	for _, id := range l.Settled() {
-		i.settled[id] = true
+	for _, s := range l.Settled() {
+		i.settled[s.ID()] = s.OrderID()
 	}
 	return i
 }
@@ -178,6 +178,15 @@
 	return f, ok
 }
 
-func (h *host) listsSettled(id run.ID) bool { return h.listIndex.settled[id] }
+// answeredOrder returns the order about a run that the worker had answered before its latest list.
+func (h *host) answeredOrder(id run.ID) (order run.OrderID, answered bool) {
+	order, answered = h.listIndex.settled[id]
+	return order, answered
+}
+
+func (h *host) listsSettled(id run.ID) bool {
+	_, settled := h.answeredOrder(id)
+	return settled
+}
 
 func (h *host) listedCheckpoint(id run.ID) string { return h.listIndex.running[id].Checkpoint() }
--- a/internal/dispatch/session_test.go
+++ b/internal/dispatch/session_test.go
@@ -1,6 +1,7 @@
 package dispatch_test
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -10,6 +11,17 @@
 	"rosemarywind.example/rosemarywind/internal/run"
 )
 
+// laterOrder is the id of an order that was given after all others.
+var laterOrder = run.NewOrderID(math.MaxUint64, 1)
+
+// settledBy returns runs of which the worker has answered an order.
+func settledBy(order run.OrderID, ids ...run.ID) (settled []run.Settled) {
+	for _, id := range ids {
+		settled = append(settled, run.NewSettled(id, order))
+	}
+	return settled
+}
+
 // starts advances time by 100 ms and returns the runs that the leader orders to start.
 func (f *fixture) starts() (ids []run.ID) {
 	f.now = f.now.Add(100 * time.Millisecond)
@@ -22,7 +34,7 @@
 }
 
 // reconnect opens another session of the agent, whose list contains no running tasks.
-func (f *fixture) reconnect(session uint64, settled ...run.ID) {
+func (f *fixture) reconnect(session uint64, settled ...run.Settled) {
 	f.core.Connect("h", session)
 	f.core.Report(f.now, run.NewReport("h").WithAnnouncement(run.NewAnnouncement(f.incarnation, "s", "z", f.now.UnixMilli()).
 		WithCapacity(batch.NewResources(1000, 1000, 8)).WithClock(f.now.Sub(epoch))).WithList(run.NewList(f.incarnation, 1, f.now.Sub(epoch), nil, nil, settled)))
@@ -49,7 +61,7 @@
 	})
 	t.Run("not ordered again after an answer", func(t *testing.T) {
 		f := begin(t)
-		f.reconnect(2, id)
+		f.reconnect(2, settledBy(laterOrder, id)...)
 		assert.Empty(t, f.starts())
 		assert.Empty(t, f.starts())
 	})
--- a/internal/dispatch/stall_test.go
+++ b/internal/dispatch/stall_test.go
@@ -135,7 +135,7 @@
 	for range 8 {
 		f.now = f.now.Add(500 * time.Millisecond)
 		f.core.Report(f.now, run.NewReport("h").WithList(run.NewList(f.incarnation, 1, f.now.Sub(epoch),
-			[]run.Running{run.NewRunning(first, "c", 40, 0)}, nil, []run.ID{first})))
+			[]run.Running{run.NewRunning(first, "c", 40, 0)}, nil, settledBy(laterOrder, first))))
 		assert.NotContains(t, f.stops(), first)
 	}
 }
--- a/internal/dispatch/truncated_test.go
+++ b/internal/dispatch/truncated_test.go
@@ -12,7 +12,7 @@
 )
 
 // reportEnds reports a list of the given ends, without runs in progress, in which later ends may be missing.
-func (f *fixture) reportEnds(token uint64, truncated bool, settled []run.ID, ends ...run.Finished) {
+func (f *fixture) reportEnds(token uint64, truncated bool, settled []run.Settled, ends ...run.Finished) {
 	f.now = f.now.Add(100 * time.Millisecond)
 	f.core.Report(f.now, run.NewReport("h").WithAnnouncement(run.NewAnnouncement(f.incarnation, "s", "z", f.now.UnixMilli()).
 		WithCapacity(batch.NewResources(1000, 1000, 8)).WithClock(f.now.Sub(epoch))).
@@ -29,9 +29,9 @@
 		f.reportEnds(1, false, nil)
 		f.core.RunsCommitted(batch.NewGroup(first.Task(), batch.NewMember(0, 1, f.incarnation), batch.NewMember(1, 1, f.incarnation)))
 		assert.Len(t, f.starts(), 2)
-		f.reportEnds(1, true, []run.ID{first, second}, run.NewFinished(1, done[0]))
+		f.reportEnds(1, true, settledBy(laterOrder, first, second), run.NewFinished(1, done[0]))
 		f.assertCommits(done[0])
-		f.reportEnds(1, false, []run.ID{first, second}, run.NewFinished(2, done[1]))
+		f.reportEnds(1, false, settledBy(laterOrder, first, second), run.NewFinished(2, done[1]))
 		f.assertCommitted(done[1])
 	})
 	t.Run("at the next leader", func(t *testing.T) {
@@ -46,9 +46,9 @@
 	t.Run("at the next incarnation of the worker", func(t *testing.T) {
 		f := newFixture(t, 2)
 		f.incarnation = nextIncarnation
-		f.reportEnds(1, true, []run.ID{first, second}, run.NewFinished(1, done[0]))
+		f.reportEnds(1, true, settledBy(laterOrder, first, second), run.NewFinished(1, done[0]))
 		f.assertCommits(done[0])
-		f.reportEnds(1, false, []run.ID{first, second}, run.NewFinished(2, done[1]))
+		f.reportEnds(1, false, settledBy(laterOrder, first, second), run.NewFinished(2, done[1]))
 		f.assertCommitted(done[1])
 	})
 	t.Run("lost once all ends are listed", func(t *testing.T) {
--- a/internal/dispatch/worker_test.go
+++ b/internal/dispatch/worker_test.go
@@ -40,23 +40,29 @@
 	renewal     run.RenewLease
 	hasRenewal  bool
 	crashes     []run.Crash
-	settled     map[run.ID]time.Time
+	settled     map[run.ID]answer
 	calls       []call
 }
 
+// answer is the answer to an order about a run.
+type answer struct {
+	order run.OrderID
+	at    time.Time
+}
+
 // call is a call to the worker in flight, which is carried out at the given time.
 type call struct {
 	at           time.Time
 	incarnation  batch.Incarnation
 	fencingToken uint64
 	start        *run.Start
-	stop         *run.ID
+	stop         *run.Stop
 	answered     bool
 	committed    bool // whether a checkpoint of the run to start was committed when the call was sent
 }
 
 func newWorker(sim *simulation, name string, rate float64) *worker {
-	w := &worker{sim: sim, name: name, zone: zones[len(sim.workers)%len(zones)], rate: rate, settled: map[run.ID]time.Time{}}
+	w := &worker{sim: sim, name: name, zone: zones[len(sim.workers)%len(zones)], rate: rate, settled: map[run.ID]answer{}}
 	w.restart("w-" + name)
 	return w
 }
@@ -151,9 +157,10 @@
 	w.fencingToken = c.fencingToken
 	switch {
 	case c.stop != nil:
-		w.stoppedRuns[c.stop.Task()] = max(w.stoppedRuns[c.stop.Task()], c.stop.Run())
-		if _, runs := w.running[*c.stop]; runs {
-			w.end(*c.stop, batch.Stopped)
+		id := c.stop.ID()
+		w.stoppedRuns[id.Task()] = max(w.stoppedRuns[id.Task()], id.Run())
+		if _, runs := w.running[id]; runs {
+			w.end(id, batch.Stopped)
 		}
 		w.answered(c, "")
 	case c.start != nil:
@@ -189,16 +196,20 @@
 	if !c.answered || c.incarnation != w.known {
 		return
 	}
-	id := c.stop
-	if c.start != nil {
-		started := c.start.ID()
-		id = &started
-		if refusal != "" {
-			w.send(run.NewReport(w.name).WithRefused([]run.Refusal{run.NewRefusal(started, refusal)}))
-		}
+	if c.stop != nil {
+		w.settle(c.stop.ID(), c.stop.OrderID())
+		return
 	}
-	if _, known := w.settled[*id]; !known {
-		w.settled[*id] = w.sim.now
+	if refusal != "" {
+		w.send(run.NewReport(w.name).WithRefused([]run.Refusal{run.NewRefusal(c.start.ID(), c.start.OrderID(), refusal)}))
+	}
+	w.settle(c.start.ID(), c.start.OrderID())
+}
+
+// settle records the first answer to an order about a run.
+func (w *worker) settle(id run.ID, order run.OrderID) {
+	if _, known := w.settled[id]; !known {
+		w.settled[id] = answer{order: order, at: w.sim.now}
 	}
 }
 
@@ -215,15 +226,14 @@
 	switch o := e.Order().(type) {
 	case run.Start:
 		if o.Incarnation() != w.known || w.draining {
-			w.settled[o.ID()] = w.sim.now
-			w.send(run.NewReport(w.name).WithRefused([]run.Refusal{run.NewRefusal(o.ID(), "another incarnation")}))
+			w.settle(o.ID(), o.OrderID())
+			w.send(run.NewReport(w.name).WithRefused([]run.Refusal{run.NewRefusal(o.ID(), o.OrderID(), "another incarnation")}))
 			return
 		}
 		c.start, c.committed = &o, w.sim.committed[w.sim.checkpointOwner(o.ID().Task())]
 		w.calls = append(w.calls, c)
 	case run.Stop:
-		id := o.ID()
-		c.stop = &id
+		c.stop = &o
 		w.calls = append(w.calls, c)
 	case run.Pace:
 	case run.RenewLease:
@@ -240,7 +250,7 @@
 	}
 	w.sequence++
 	if w.known != w.incarnation {
-		w.known, w.hasRenewal, w.settled = w.incarnation, false, map[run.ID]time.Time{}
+		w.known, w.hasRenewal, w.settled = w.incarnation, false, map[run.ID]answer{}
 	}
 	a := run.NewAnnouncement(w.incarnation, "s", w.zone, w.sequence).WithRack("r", []string{"a", "r"}).
 		WithCapacity(batch.NewResources(8000, 8000, capacity)).WithClock(w.clock())
@@ -276,10 +286,10 @@
 		percent := 100 - int(100*at.Sub(w.sim.now)/w.sim.runDuration)
 		running = append(running, run.NewRunning(id, w.sim.checkpoint(id, percent), percent, 0))
 	}
-	var settled []run.ID
-	for id, at := range w.settled {
-		if at.Before(w.sim.now) {
-			settled = append(settled, id)
+	var settled []run.Settled
+	for id, a := range w.settled {
+		if a.at.Before(w.sim.now) {
+			settled = append(settled, run.NewSettled(id, a.order))
 		}
 	}
 	w.send(run.NewReport(w.name).WithList(run.NewList(w.incarnation, w.fencingToken, w.clock(), running, finished, settled)))
--- a/internal/dispatch/zone_test.go
+++ b/internal/dispatch/zone_test.go
@@ -24,7 +24,7 @@
 	decoder *stubDecoder
 	running map[string][]run.Running // by agent
 	ended   map[string][]run.Finished
-	settled map[string][]run.ID
+	settled map[string][]run.Settled
 	slow    map[string]time.Duration
 }
 
@@ -43,7 +43,7 @@
 	require.NoError(t, err)
 	f := &zoneFixture{
 		t: t, now: epoch, decoder: &stubDecoder{declaration: d, byJob: map[string]batch.Spec{}},
-		running: map[string][]run.Running{}, ended: map[string][]run.Finished{}, settled: map[string][]run.ID{}, slow: map[string]time.Duration{},
+		running: map[string][]run.Running{}, ended: map[string][]run.Finished{}, settled: map[string][]run.Settled{}, slow: map[string]time.Duration{},
 	}
 	f.state = batch.NewState(f.decoder)
 	f.apply(batch.NewDeclare(nil))
@@ -176,7 +176,8 @@
 func (f *zoneFixture) answerStop(agents ...string) {
 	for n := range zoneCapacity {
 		for _, agent := range agents {
-			f.settled[agent] = append(f.settled[agent], run.NewID(batch.NewTaskID("j", 0, 0, n), zoneRun))
+			f.settled[agent] = append(f.settled[agent],
+				run.NewSettled(run.NewID(batch.NewTaskID("j", 0, 0, n), zoneRun), laterOrder))
 			f.running[agent] = nil
 		}
 	}
--- a/internal/run/order.go
+++ b/internal/run/order.go
@@ -19,10 +19,14 @@
 	checkpoint  string
 	lease       time.Duration
 	ticket      string
+	orderID     OrderID
 }
 
 // Stop ends a run; a start of the same run that arrives later has no effect.
-type Stop struct{ id ID }
+type Stop struct {
+	id      ID
+	orderID OrderID
+}
 
 // Pace limits a run to a share of its full speed.
 type Pace struct {
@@ -87,6 +91,15 @@
 // Ticket returns the ticket by which the external advisor approved the worker, or an empty string.
 func (o Start) Ticket() string { return o.ticket }
 
+// WithOrderID returns a copy with the id of the order.
+func (o Start) WithOrderID(id OrderID) Start {
+	o.orderID = id
+	return o
+}
+
+// OrderID returns the id of the order.
+func (o Start) OrderID() OrderID { return o.orderID }
+
 // Lease returns the reading of the worker's clock at which the lease ends.
 func (o Start) Lease() time.Duration { return o.lease }
 
@@ -96,6 +109,15 @@
 // ID returns the id of the run to end.
 func (o Stop) ID() ID { return o.id }
 
+// WithOrderID returns a copy with the id of the order.
+func (o Stop) WithOrderID(id OrderID) Stop {
+	o.orderID = id
+	return o
+}
+
+// OrderID returns the id of the order.
+func (o Stop) OrderID() OrderID { return o.orderID }
+
 // NewPace returns the order to limit a run to a share of its full speed, 0 to 100 percent.
 func NewPace(id ID, percent int) Pace { return Pace{id: id, percent: percent} }
 
--- a/internal/run/report.go
+++ b/internal/run/report.go
@@ -157,15 +157,15 @@
 	clock        time.Duration
 	running      []Running
 	finished     []Finished
-	settled      []ID
+	settled      []Settled
 	truncated    bool
 }
 
 // NewList returns a list made by one incarnation of a worker at a reading of its clock, after it had seen a fencing
-// token. The settled runs are those whose start or stop the worker answered before the list was requested.
+// token. The settled runs are those of which the worker answered an order before the list was requested.
 func NewList(
 	incarnation batch.Incarnation, fencingToken uint64, clock time.Duration,
-	running []Running, finished []Finished, settled []ID,
+	running []Running, finished []Finished, settled []Settled,
 ) List {
 	return List{
 		incarnation: incarnation, fencingToken: fencingToken, clock: clock,
@@ -197,8 +197,8 @@
 // Finished returns the ends that are not acknowledged yet, in the order of their numbers.
 func (l List) Finished() []Finished { return l.finished }
 
-// Settled returns the runs whose start or stop the worker answered before the list was requested.
-func (l List) Settled() []ID { return l.settled }
+// Settled returns the runs of which the worker answered an order before the list was requested.
+func (l List) Settled() []Settled { return l.settled }
 
 // Report is a message of an agent to the leader; it contains only the parts that have changed.
 type Report struct {
@@ -216,15 +216,21 @@
 // Refusal is a start order that the worker refused.
 type Refusal struct {
 	id     ID
+	order  OrderID
 	reason string
 }
 
-// NewRefusal returns the refusal of a start order with the worker's reason.
-func NewRefusal(id ID, reason string) Refusal { return Refusal{id: id, reason: reason} }
+// NewRefusal returns the refusal of an order to start a run, with the worker's reason.
+func NewRefusal(id ID, order OrderID, reason string) Refusal {
+	return Refusal{id: id, order: order, reason: reason}
+}
 
 // ID returns the id of the run that was not started.
 func (r Refusal) ID() ID { return r.id }
 
+// OrderID returns the id of the refused order.
+func (r Refusal) OrderID() OrderID { return r.order }
+
 // Reason returns the reason as given by the worker or its agent.
 func (r Refusal) Reason() string { return r.reason }
 
--- a/internal/runner/crash.go
+++ b/internal/runner/crash.go
@@ -52,10 +52,10 @@
 }
 
 // forgetEnded drops the runs that a list shows to have ended: those that are settled and no longer running.
-func (w *crashWatch) forgetEnded(settled []run.ID, running map[run.ID]bool) {
-	for _, id := range settled {
-		if !running[id] {
-			delete(w.begun, id)
+func (w *crashWatch) forgetEnded(settled []run.Settled, running map[run.ID]bool) {
+	for _, s := range settled {
+		if !running[s.ID()] {
+			delete(w.begun, s.ID())
 		}
 	}
 }
@@ -143,7 +143,7 @@
 // stopInherited stops runs that were ordered for an earlier incarnation of the worker.
 func (l *loop) stopInherited(ctx context.Context, incarnation batch.Incarnation, fencingToken uint64, ids []run.ID) {
 	for _, id := range ids {
-		if l.ensureStopped(ctx, incarnation, fencingToken, id) {
+		if l.ensureStopped(ctx, incarnation, fencingToken, id, run.OrderID{}) {
 			l.enqueue(ctx, stoppedInput{id: id, incarnation: incarnation, at: time.Now()})
 		}
 	}
--- a/internal/runner/crash_test.go
+++ b/internal/runner/crash_test.go
@@ -205,7 +205,7 @@
 			_, stopped = in.(stoppedInput)
 			l.handle(t.Context(), epoch, in)
 		}
-		assert.Contains(t, l.settled, want)
+		assert.Contains(t, l.answers.settled, want)
 	}
 	t.Run("begun", func(t *testing.T) {
 		l, w := newStoppable()
@@ -266,7 +266,7 @@
 	defer w.mu.Unlock()
 	assert.Len(t, w.calls, want)
 	assert.Empty(t, l.starts)
-	assert.Empty(t, l.settled, "the run may have begun")
+	assert.Empty(t, l.answers.settled, "the run may have begun")
 }
 
 // Guards against a start that is repeated until the next incarnation of the worker, which may have the same id, carries
--- a/internal/runner/loop.go
+++ b/internal/runner/loop.go
@@ -23,8 +23,6 @@
 	unacknowledgedListDelay = 400 * time.Millisecond
 	// maxStopAttempts bounds the calls for one stop order; the leader repeats the order.
 	maxStopAttempts = 10
-	// settledRetention is how long lists report a run as settled after its call was answered.
-	settledRetention = 30 * time.Second
 )
 
 // loop holds the agent's state; only the goroutine of run accesses it.
@@ -35,7 +33,7 @@
 	renewed      bool
 	starts       map[run.ID]context.CancelFunc // starts without an answer
 	paces        map[run.ID]context.CancelFunc // latest pace call of each run
-	settled      map[run.ID]time.Time          // when a call about the run was first answered
+	answers      answers
 	list         run.List
 	reported     map[run.ID]reportedProgress
 	listing      bool // a list call is in progress
@@ -55,7 +53,7 @@
 func newLoop(r *Runner) *loop {
 	return &loop{
 		Runner: r, starts: map[run.ID]context.CancelFunc{}, paces: map[run.ID]context.CancelFunc{},
-		settled: map[run.ID]time.Time{}, watch: newCrashWatch(),
+		answers: newAnswers(), watch: newCrashWatch(),
 	}
 }
 
@@ -92,7 +90,7 @@
 		cancel()
 		delete(l.starts, id)
 	}
-	clear(l.settled)
+	l.answers.reset()
 	clear(l.paces)
 	if l.cancelList != nil {
 		l.cancelList()
@@ -113,7 +111,7 @@
 		}
 	case stoppedInput:
 		if in.incarnation == l.incarnation {
-			l.settle(in.id, in.at)
+			l.answers.record(in.id, in.order, in.at)
 			l.nextList = now
 			// A list call that waits for a run to end would not return for a run that is not on the worker.
 			l.listNow = l.listNow || !l.isRunning(in.id)
@@ -123,13 +121,6 @@
 	}
 }
 
-// settle records when a call about a run was first answered and ignores answers to repeated calls.
-func (l *loop) settle(id run.ID, at time.Time) {
-	if _, known := l.settled[id]; !known {
-		l.settled[id] = at
-	}
-}
-
 // handleOrder carries out an order, unless an order with a higher fencing token has arrived before.
 func (l *loop) handleOrder(ctx context.Context, now time.Time, e run.Envelope) {
 	if e.FencingToken() < l.fencingToken {
@@ -168,16 +159,18 @@
 	}
 	incarnation, fencingToken := l.incarnation, l.fencingToken
 	go func() {
-		if l.ensureStopped(ctx, incarnation, fencingToken, o.ID()) {
-			l.enqueue(ctx, stoppedInput{id: o.ID(), incarnation: incarnation, at: time.Now()})
+		if l.ensureStopped(ctx, incarnation, fencingToken, o.ID(), o.OrderID()) {
+			l.enqueue(ctx, stoppedInput{id: o.ID(), order: o.OrderID(), incarnation: incarnation, at: time.Now()})
 		}
 	}()
 }
 
-// ensureStopped stops a run and keeps the worker from carrying out a start that arrives later. It reports whether the
-// worker has answered so, with success or a final refusal, within maxStopAttempts. Any other refusal, such as that of a
-// busy worker, means that the stop had no effect.
-func (l *loop) ensureStopped(ctx context.Context, incarnation batch.Incarnation, fencingToken uint64, id run.ID) bool {
+// ensureStopped stops a run on behalf of an order, and keeps the worker from carrying out a start that arrives later. It
+// reports whether the worker has answered so, with success or a final refusal, within maxStopAttempts. Any other refusal,
+// such as that of a busy worker, means that the stop had no effect.
+func (l *loop) ensureStopped(
+	ctx context.Context, incarnation batch.Incarnation, fencingToken uint64, id run.ID, order run.OrderID,
+) bool {
 	for range maxStopAttempts {
 		ended, ok := begin(ctx, l.stopping)
 		if !ok {
@@ -189,10 +182,12 @@
 		ended()
 		var refused *RefusedError
 		if err == nil || errors.As(err, &refused) && refused.Final() {
-			l.logger.Info("stop answered", "task", id.Task().String(), "run", id.Run(), "refused", err != nil)
+			l.logger.Info("stop answered", "task", id.Task().String(), "run", id.Run(), "order", order.String(),
+				"refused", err != nil)
 			return true
 		}
-		l.logger.Info("stop not answered", "task", id.Task().String(), "run", id.Run(), "error", err)
+		l.logger.Info("stop not answered", "task", id.Task().String(), "run", id.Run(), "order", order.String(),
+			"error", err)
 		if !clock.Pause(ctx, callRetryDelay) {
 			return false
 		}
@@ -233,12 +228,8 @@
 // busy reports whether the worker may have runs, ends that are still to be reported or dropped, or settled calls that
 // are still to be reported.
 func (l *loop) busy() bool {
-	return len(l.list.Running()) > 0 || len(l.starts) > 0 || len(l.list.Finished()) > 0 || l.hasUnlistedSettled()
-}
-
-// hasUnlistedSettled reports whether a call was answered after the latest list was requested.
-func (l *loop) hasUnlistedSettled() bool {
-	return len(l.settled) > len(l.list.Settled())
+	return len(l.list.Running()) > 0 || len(l.starts) > 0 || len(l.list.Finished()) > 0 ||
+		l.answers.hasUnlisted(len(l.list.Settled()))
 }
 
 // isRunning reports whether the latest list shows the run as running.
@@ -318,18 +309,8 @@
 		}
 		return
 	}
-	var settled []run.ID
-	for id, at := range l.settled {
-		if now.Sub(at) > settledRetention {
-			delete(l.settled, id)
-			continue
-		}
-		if at.Before(in.requestedAt) {
-			settled = append(settled, id)
-		}
-	}
 	list := run.NewList(in.list.Incarnation(), in.list.FencingToken(), in.list.Clock(), in.list.Running(),
-		in.list.Finished(), settled).WithTruncated(in.list.Truncated())
+		in.list.Finished(), l.answers.takeBefore(in.requestedAt, now)).WithTruncated(in.list.Truncated())
 	running := runningIDs(list)
 	for id := range l.paces {
 		if !running[id] {
--- a/internal/runner/loop_test.go
+++ b/internal/runner/loop_test.go
@@ -69,7 +69,7 @@
 	})
 	list, ok := (<-l.reports).List()
 	require.True(t, ok)
-	assert.Equal(t, []run.ID{task}, list.Settled())
+	assert.Equal(t, []run.Settled{run.NewSettled(task, run.OrderID{})}, list.Settled())
 }
 
 // Guards against a run that is reported as settled by an answer after the request for the list, which may miss the run.
@@ -90,9 +90,9 @@
 	l.handle(t.Context(), epoch, renewal(first, 1, 0))
 	l.handle(t.Context(), epoch, stoppedInput{id: task, incarnation: first, at: epoch})
 	l.resetIncarnation(second)
-	assert.Empty(t, l.settled)
+	assert.Empty(t, l.answers.settled)
 	l.handle(t.Context(), epoch, stoppedInput{id: task, incarnation: first, at: epoch})
-	assert.Empty(t, l.settled)
+	assert.Empty(t, l.answers.settled)
 	l.handle(t.Context(), epoch, renewal(first, 1, 0))
 	assert.False(t, l.renewed)
 	l.handle(t.Context(), epoch, renewal(second, 1, 0))
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -55,6 +55,7 @@
 
 type startedInput struct {
 	id          run.ID
+	order       run.OrderID
 	incarnation batch.Incarnation
 	refusal     string
 	sentAt      time.Time // when the call was sent; zero if the agent refused the start itself
@@ -64,6 +65,7 @@
 // unansweredInput is a start call that failed without an answer.
 type unansweredInput struct {
 	id          run.ID
+	order       run.OrderID
 	incarnation batch.Incarnation
 	err         error
 	sentAt      time.Time
@@ -72,6 +74,7 @@
 
 type stoppedInput struct {
 	id          run.ID
+	order       run.OrderID // zero if the agent stopped the run by itself
 	incarnation batch.Incarnation
 	at          time.Time
 }
--- a/internal/runner/start.go
+++ b/internal/runner/start.go
@@ -17,10 +17,10 @@
 	a := l.announced.Load()
 	switch {
 	case l.incarnation != o.Incarnation():
-		l.handleStarted(startedInput{id: o.ID(), incarnation: l.incarnation, refusal: anotherIncarnation, at: now})
+		l.refuseStart(now, o, anotherIncarnation)
 		return
 	case a.announcement.Draining() || a.terminating:
-		l.handleStarted(startedInput{id: o.ID(), incarnation: l.incarnation, refusal: "draining", at: now})
+		l.refuseStart(now, o, draining)
 		return
 	}
 	ctx, cancel := context.WithCancel(ctx)
@@ -32,6 +32,11 @@
 	}()
 }
 
+// refuseStart refuses a start order without a call to the worker.
+func (l *loop) refuseStart(now time.Time, o run.Start, reason string) {
+	l.handleStarted(startedInput{id: o.ID(), order: o.OrderID(), incarnation: l.incarnation, refusal: reason, at: now})
+}
+
 // callStart calls the worker until it answers, until it accepts no connection, or until ctx ends.
 func (l *loop) callStart(ctx context.Context, o run.Start, fencingToken uint64) {
 	for {
@@ -47,19 +52,25 @@
 		var refused *RefusedError
 		switch {
 		case err == nil:
-			l.enqueue(ctx, startedInput{id: o.ID(), incarnation: o.Incarnation(), sentAt: sentAt, at: time.Now()})
+			l.enqueue(ctx, startedInput{
+				id: o.ID(), order: o.OrderID(), incarnation: o.Incarnation(), sentAt: sentAt, at: time.Now(),
+			})
 			return
 		case errors.As(err, &refused):
-			if !refused.Final() && !l.ensureStopped(ctx, o.Incarnation(), fencingToken, o.ID()) {
+			if !refused.Final() && !l.ensureStopped(ctx, o.Incarnation(), fencingToken, o.ID(), o.OrderID()) {
 				return
 			}
 			l.enqueue(ctx, startedInput{
-				id: o.ID(), incarnation: o.Incarnation(), refusal: refused.Reason(), sentAt: sentAt, at: time.Now(),
+				id: o.ID(), order: o.OrderID(), incarnation: o.Incarnation(), refusal: refused.Reason(),
+				sentAt: sentAt, at: time.Now(),
 			})
 			return
 		}
-		l.logger.Info("start not answered", "task", o.ID().Task().String(), "run", o.ID().Run(), "error", err)
-		l.enqueue(ctx, unansweredInput{id: o.ID(), incarnation: o.Incarnation(), err: err, sentAt: sentAt, at: time.Now()})
+		l.logger.Info("start not answered", "task", o.ID().Task().String(), "run", o.ID().Run(), "order", o.OrderID().String(),
+			"error", err)
+		l.enqueue(ctx, unansweredInput{
+			id: o.ID(), order: o.OrderID(), incarnation: o.Incarnation(), err: err, sentAt: sentAt, at: time.Now(),
+		})
 		// The worker's next incarnation may have the same id and would carry out the start of a run that this one has
 		// crashed under.
 		unreachable := errors.Is(err, ErrNoConnection) && !isTimeout(err)
@@ -78,18 +89,20 @@
 		cancel()
 		delete(l.starts, in.id)
 	}
-	l.settle(in.id, in.at)
+	l.answers.record(in.id, in.order, in.at)
 	if !in.sentAt.IsZero() {
 		l.watch.recordAnswer(in.at)
 	}
 	if in.refusal == "" {
+		l.logger.Info("start answered", "task", in.id.Task().String(), "run", in.id.Run(), "order", in.order.String())
 		l.watch.recordBegun(in.id, in.sentAt)
 		return
 	}
-	l.logger.Info("start refused", "task", in.id.Task().String(), "run", in.id.Run(), "reason", in.refusal)
+	l.logger.Info("start refused", "task", in.id.Task().String(), "run", in.id.Run(), "order", in.order.String(),
+		"reason", in.refusal)
 	l.nextList = in.at
 	l.listNow = true
-	l.send(run.NewReport(l.name).WithRefused([]run.Refusal{run.NewRefusal(in.id, in.refusal)}))
+	l.send(run.NewReport(l.name).WithRefused([]run.Refusal{run.NewRefusal(in.id, in.order, in.refusal)}))
 }
 
 // handleUnanswered records a start call without an answer. After one that found no worker the start is not repeated;
--- a/internal/runner/worker.go
+++ b/internal/runner/worker.go
@@ -50,6 +50,9 @@
 	anotherIncarnation = "another life"
 )
 
+// draining is the reason with which the agent refuses a start on a worker that is leaving.
+const draining = "draining"
+
 // Final reports whether the refusal also excludes that an earlier, unanswered call for the same run takes effect later.
 // After any other refusal, such as that of a busy worker, an earlier call may still take effect.
 func (e *RefusedError) Final() bool {
--- a/internal/scheduler/leader_loop.go
+++ b/internal/scheduler/leader_loop.go
@@ -283,7 +283,9 @@
 			continue
 		}
 		l.logger.Info("run", "task", e.ID().Task().String(), "run", e.ID().Run(), "worker", e.Worker(),
-			"decision", e.Kind(), "reason", e.Reason(), "age_ms", e.ReportAge().Milliseconds())
+			"decision", e.Kind(), "reason", e.Reason(), "age_ms", e.ReportAge().Milliseconds(),
+			"order", e.OrderID().String(), "answered", e.Answered().String(), "session", e.Session(),
+			"list_age_ms", e.ListAge().Milliseconds())
 	}
 }
 
--- a/internal/wire/batch_test.go
+++ b/internal/wire/batch_test.go
@@ -111,10 +111,10 @@
 
 // Guards against orders and reports that differ after they were encoded and decoded.
 func TestRuns(t *testing.T) {
-	id := run.NewID(testTask, 2)
+	id, order := run.NewID(testTask, 2), run.NewOrderID(9, 4)
 	for name, o := range map[string]run.Order{
-		"start": run.NewStart(id, testIncarnation, "payload", "c", time.Minute).WithTicket("t"),
-		"stop":  run.NewStop(id),
+		"start": run.NewStart(id, testIncarnation, "payload", "c", time.Minute).WithTicket("t").WithOrderID(order),
+		"stop":  run.NewStop(id).WithOrderID(order),
 		"pace":  run.NewPace(id, 40),
 		"hold":  run.NewRenewLease(testIncarnation, time.Minute, 57, true),
 		"speed": run.NewRenewLease(testIncarnation, time.Minute, 57, true).WithSpeed(run.NewSpeed(testIncarnation, -0.5, 0.2, 3.25, time.Second)),
@@ -133,8 +133,8 @@
 		r := run.NewReport("h").WithAnnouncement(run.NewAnnouncement(testIncarnation, "s", "z", 3).WithRack("r", []string{"a", "r"}).
 			WithCapacity(batch.NewResources(1, 2, 3)).WithClock(time.Hour).WithMachine("m").WithDraining(time.Second).WithSlowStart(time.Minute)).
 			WithList(run.NewList(testIncarnation, 9, time.Hour, []run.Running{run.NewRunning(id, "c", 100, 5)},
-				[]run.Finished{run.NewFinished(58, testEnd)}, []run.ID{id}).WithTruncated(true)).
-			WithRefused([]run.Refusal{run.NewRefusal(id, "late")}).WithTerminating().WithExited().WithUnreachable().
+				[]run.Finished{run.NewFinished(58, testEnd)}, []run.Settled{run.NewSettled(id, order)}).WithTruncated(true)).
+			WithRefused([]run.Refusal{run.NewRefusal(id, order, "late")}).WithTerminating().WithExited().WithUnreachable().
 			WithCrashes([]run.Crash{run.NewCrash(testIncarnation, run.NewCrashedRun(id, time.Second))}).
 			WithSpeed(run.NewSpeed(testIncarnation, 0.25, 0.05, 7, time.Minute))
 		require.NoError(t, wire.WriteRunReport(&b, r))
--- a/internal/wire/run.go
+++ b/internal/wire/run.go
@@ -40,6 +40,7 @@
 	Percent      int              `cbor:"10,keyasint,omitempty"`
 	Ticket       string           `cbor:"11,keyasint,omitempty"`
 	Speed        *speedForm       `cbor:"12,keyasint,omitempty"`
+	Number       uint64           `cbor:"13,keyasint,omitempty"`
 }
 
 // WriteRunOrder writes an order about runs with its fencing token.
@@ -49,10 +50,10 @@
 	case run.Start:
 		id, incarnation := newRunIDForm(o.ID()), newIncarnationForm(o.Incarnation())
 		f.Kind, f.ID, f.Incarnation, f.Payload, f.Checkpoint, f.Lease = runStart, &id, &incarnation, o.Payload(), o.Checkpoint(), int64(o.Lease())
-		f.Ticket = o.Ticket()
+		f.Ticket, f.Number = o.Ticket(), o.OrderID().Number()
 	case run.Stop:
 		id := newRunIDForm(o.ID())
-		f.Kind, f.ID = runStop, &id
+		f.Kind, f.ID, f.Number = runStop, &id, o.OrderID().Number()
 	case run.Pace:
 		id := newRunIDForm(o.ID())
 		f.Kind, f.ID, f.Percent = runPace, &id, o.Percent()
@@ -71,12 +72,13 @@
 	if err = readFrame(r, &f, MaxFrameBytes); err != nil {
 		return e, err
 	}
+	order := run.NewOrderID(f.FencingToken, f.Number)
 	switch {
 	case f.Kind == runStart && f.ID != nil && f.Incarnation != nil:
 		o := run.NewStart(f.ID.id(), f.Incarnation.incarnation(), f.Payload, f.Checkpoint, time.Duration(f.Lease))
-		return run.NewEnvelope(f.FencingToken, o.WithTicket(f.Ticket)), nil
+		return run.NewEnvelope(f.FencingToken, o.WithTicket(f.Ticket).WithOrderID(order)), nil
 	case f.Kind == runStop && f.ID != nil:
-		return run.NewEnvelope(f.FencingToken, run.NewStop(f.ID.id())), nil
+		return run.NewEnvelope(f.FencingToken, run.NewStop(f.ID.id()).WithOrderID(order)), nil
 	case f.Kind == runPace && f.ID != nil:
 		return run.NewEnvelope(f.FencingToken, run.NewPace(f.ID.id(), f.Percent)), nil
 	case f.Kind == runRenewLease && f.Incarnation != nil:
@@ -160,6 +162,28 @@
 	Exited       bool                 `cbor:"9,keyasint,omitempty"`
 	SlowFor      int64                `cbor:"10,keyasint,omitempty"` // of Announcement, which cannot grow
 	Speed        *speedForm           `cbor:"11,keyasint,omitempty"`
+	// SettledOrders and RefusedOrders are the orders of the entries in List.Settled and Refused, which cannot grow. An agent
+	// of an earlier version reports none.
+	SettledOrders []orderIDForm `cbor:"12,keyasint,omitempty"`
+	RefusedOrders []orderIDForm `cbor:"13,keyasint,omitempty"`
+}
+
+type orderIDForm struct {
+	_            struct{} `cbor:",toarray"`
+	FencingToken uint64
+	Number       uint64
+}
+
+func newOrderIDForm(i run.OrderID) orderIDForm {
+	return orderIDForm{FencingToken: i.FencingToken(), Number: i.Number()}
+}
+
+// orderAt returns the order at an index, or the zero value if there are fewer.
+func orderAt(orders []orderIDForm, index int) run.OrderID {
+	if index >= len(orders) {
+		return run.OrderID{}
+	}
+	return run.NewOrderID(orders[index].FencingToken, orders[index].Number)
 }
 
 func newRunAnnouncementForm(a run.Announcement) *runAnnouncementForm {
@@ -191,7 +215,7 @@
 		f.Finished = append(f.Finished, finishedForm{Number: e.Number(), End: newEndForm(e.End())})
 	}
 	for _, s := range l.Settled() {
-		f.Settled = append(f.Settled, newRunIDForm(s))
+		f.Settled = append(f.Settled, newRunIDForm(s.ID()))
 	}
 	return f
 }
@@ -200,7 +224,7 @@
 // would make them 0.
 const fullProgress = 100
 
-func (f listForm) list() run.List {
+func (f listForm) list(settledOrders []orderIDForm) run.List {
 	running := make([]run.Running, len(f.Running))
 	for i, r := range f.Running {
 		running[i] = run.NewRunning(r.ID.id(), r.Checkpoint, min(max(r.Percent, 0), fullProgress), r.Measurement)
@@ -209,9 +233,9 @@
 	for i, e := range f.Finished {
 		finished[i] = run.NewFinished(e.Number, e.End.end())
 	}
-	settled := make([]run.ID, len(f.Settled))
+	settled := make([]run.Settled, len(f.Settled))
 	for i, s := range f.Settled {
-		settled[i] = s.id()
+		settled[i] = run.NewSettled(s.id(), orderAt(settledOrders, i))
 	}
 	return run.NewList(f.Incarnation.incarnation(), f.FencingToken, time.Duration(f.Clock), running, finished, settled)
 }
@@ -224,9 +248,13 @@
 	}
 	if l, ok := r.List(); ok {
 		f.List, f.Truncated = newListForm(l), l.Truncated()
+		for _, s := range l.Settled() {
+			f.SettledOrders = append(f.SettledOrders, newOrderIDForm(s.OrderID()))
+		}
 	}
 	for _, e := range r.Refused() {
 		f.Refused = append(f.Refused, refusalForm{ID: newRunIDForm(e.ID()), Reason: e.Reason()})
+		f.RefusedOrders = append(f.RefusedOrders, newOrderIDForm(e.OrderID()))
 	}
 	for _, c := range r.Crashes() {
 		f.Crashes = append(f.Crashes, newCrashForm(c))
@@ -263,11 +291,11 @@
 		report = report.WithAnnouncement(f.Announcement.announcement().WithSlowStart(time.Duration(f.SlowFor)))
 	}
 	if f.List != nil {
-		report = report.WithList(f.List.list().WithTruncated(f.Truncated))
+		report = report.WithList(f.List.list(f.SettledOrders).WithTruncated(f.Truncated))
 	}
 	refused := make([]run.Refusal, len(f.Refused))
 	for i, e := range f.Refused {
-		refused[i] = run.NewRefusal(e.ID.id(), e.Reason)
+		refused[i] = run.NewRefusal(e.ID.id(), orderAt(f.RefusedOrders, i), e.Reason)
 	}
 	report = report.WithRefused(refused)
 	if f.Terminating {
