dispatch, runner: the answer to an earlier order does not settle a run

Cause: an agent's list says of a run only that the worker has answered something about it. The order to start a run that waits at a frozen agent is refused as late once the agent wakes. The leader orders the start again in the agent's next session, under a new lease, with which the worker carries it out. The list that shows the earlier refusal arrives next; the leader takes it for the answer to the second order, records the run as lost and places another.

Ruled out: a lease that the two sides compute differently and a late start after the end of the lease (the reason would be the lease's end), a decision of a new leader (there is one).

Change: the leader counts only an answer to its latest start order, or to a later order. The agent forgets an answer once the run is ordered to start again, and carries out the later order in place of a pending earlier one. Why a run is over without a listed end is decided by lostReason alone.

--- a/internal/dispatch/resolve.go
+++ b/internal/dispatch/resolve.go
@@ -19,10 +19,11 @@
 			if c.toStart[id] {
 				return
 			}
-			if e, ended := c.runEnd(now, id, t, hosts, a); ended {
+			if e, ended := c.runEnd(now, id, t); ended {
 				c.recordEnd(now, e, c.hosts[t.Worker().Host()], a)
 				return
 			}
+			c.pursue(now, id, t, a)
 			if h := hosts[t.Worker()]; c.evacuated(h) && h.listsRunning(id) {
 				a.evacuatedRuns++
 			}
@@ -49,96 +50,53 @@
 }
 
 // runEnd returns the end of a placed run, if it is known. The table in docs/platform.md lists the cases.
-func (c *Core) runEnd(
-	now time.Time, id run.ID, t batch.Task, hosts map[batch.Incarnation]*host, a *Actions,
-) (e batch.End, ended bool) {
-	lost := func(reason string, h *host) (batch.End, bool) {
-		checkpoint := ""
-		if h != nil {
-			checkpoint = h.listedCheckpoint(id)
+func (c *Core) runEnd(now time.Time, id run.ID, t batch.Task) (e batch.End, ended bool) {
+	h := c.hosts[t.Worker().Host()]
+	if h != nil {
+		// A start can have reached the next incarnation, which has the same ID, before that announced itself.
+		if f, ok := h.listedEnd(id); ok {
+			return f.End(), true
 		}
-		c.logDecision(h, now, id, "lost", reason)
-		return batch.NewEnd(id.Task(), id.Run(), batch.Lost, checkpoint), true
 	}
-	if o := c.orders[id]; o != nil && o.withheld && o.startOrderedAt.IsZero() {
-		// Only the leader that places a run orders its start, so it has not begun, whatever its worker does.
-		return lost("its start was not ordered", c.hosts[t.Worker().Host()])
-	}
-	h, here := hosts[t.Worker()]
-	if !here {
-		return c.runEndElsewhere(now, id, t, c.hosts[t.Worker().Host()], lost, a)
-	}
-	if f, ok := h.listedEnd(id); ok && h.listed {
-		return f.End(), true
-	}
-	if h.exited {
-		return lost("the worker has left", h)
-	}
-	if h.connected && h.hasCurrentList(c.fencingToken) && h.responsive(now) {
-		if h.listsRunning(id) {
-			return e, false
-		}
-		if h.list.Truncated() {
-			// The run may have ended after the ends that the worker lists.
-			return e, false
-		}
-		o := c.orders[id]
-		switch {
-		case o == nil || o.startOrderedAt.IsZero() && o.stopOrderedAt.IsZero():
-			return lost("not listed under this leader's fencing token", h)
-		case h.listsSettled(id):
-			return lost("its start or stop was answered and the worker does not list it", h)
-		case o.stopOrderedAt.IsZero() && o.startSession != h.session && c.evacuated(h):
-			c.stop(now, id, h, ZoneEvacuated, a)
-		case o.stopOrderedAt.IsZero() && o.startSession != h.session && c.overcommitted(h):
-			c.stop(now, id, h, "its worker's capacity has shrunk", a)
-		case o.stopOrderedAt.IsZero() && o.startSession != h.session:
-			// The order may have been lost with the agent's earlier session. Workers do not repeat a start that they have
-			// carried out.
-			c.toStart[id] = true
-			c.logDecision(h, now, id, "start again", "the agent has another session")
-		case now.Sub(o.startOrderedAt) > startTimeout:
-			c.stop(now, id, h, "its start was not answered", a)
-		}
+	reason := c.lostReason(now, id, t.Worker())
+	if reason == "" {
 		return e, false
 	}
-	if now.After(h.leaseEnds) {
-		return lost("the worker cannot be reached and its lease has ended", h)
+	c.logDecision(h, now, id, "lost", reason)
+	checkpoint := ""
+	if h != nil {
+		checkpoint = h.listedCheckpoint(id)
 	}
-	return e, false
+	return batch.NewEnd(id.Task(), id.Run(), batch.Lost, checkpoint), true
 }
 
-// runEndElsewhere decides about a run whose worker incarnation is not reported by any agent now.
-func (c *Core) runEndElsewhere(
-	now time.Time, id run.ID, t batch.Task, h *host, lost func(string, *host) (batch.End, bool), a *Actions,
-) (e batch.End, ended bool) {
-	if h == nil || !h.announced || h.announcement.Incarnation().StartUnixMS() <= t.Worker().StartUnixMS() {
-		if now.After(c.inheritedLeaseEnd()) && now.After(c.grantedLeaseEnd(t.Worker())) {
-			return lost("no agent reports the worker and its lease has ended", h)
-		}
-		return e, false
-	}
-	if h.announcement.Incarnation().ID() != t.Worker().ID() {
-		return lost("another worker runs on its host", h)
+// pursue gives the order that a run needs whose worker lists neither the run nor its end: to stop, or to start again.
+func (c *Core) pursue(now time.Time, id run.ID, t batch.Task, a *Actions) {
+	h := c.hostReporting(t.Worker())
+	if h == nil {
+		return
 	}
-	// The start can have reached the new incarnation, which has the same ID, before that incarnation announced itself.
-	if f, ok := h.listedEnd(id); ok && h.listed {
-		return f.End(), true
+	if h.announcement.Incarnation() != t.Worker() {
+		c.stop(now, id, h, "its worker has a new incarnation", a)
+		return
 	}
-	// A late start of the run could still reach it, so the run is stopped there first.
-	if h.connected && h.hasCurrentList(c.fencingToken) && h.listsSettled(id) && !h.listsRunning(id) && !h.list.Truncated() {
-		return lost("the worker has a new incarnation", h)
+	o := c.orders[id]
+	if o == nil || !c.knowsRuns(now, h) || h.listsRunning(id) || h.list.Truncated() {
+		return
 	}
-	c.stop(now, id, h, "its worker has a new incarnation", a)
-	return e, false
-}
-
-// grantedLeaseEnd returns the latest end of the leases that this leader granted to a worker's host.
-func (c *Core) grantedLeaseEnd(worker batch.Incarnation) time.Time {
-	if h, known := c.hosts[worker.Host()]; known {
-		return h.leaseEnds
+	switch {
+	case o.stopOrderedAt.IsZero() && o.startSession != h.session && c.evacuated(h):
+		c.stop(now, id, h, ZoneEvacuated, a)
+	case o.stopOrderedAt.IsZero() && o.startSession != h.session && c.overcommitted(h):
+		c.stop(now, id, h, "its worker's capacity has shrunk", a)
+	case o.stopOrderedAt.IsZero() && o.startSession != h.session:
+		// The order may have been lost with the agent's earlier session. Workers do not repeat a start that they have
+		// carried out.
+		c.toStart[id] = true
+		c.logDecision(h, now, id, "start again", "the agent has another session")
+	case now.Sub(o.startOrderedAt) > startTimeout:
+		c.stop(now, id, h, "its start was not answered", a)
 	}
-	return time.Time{}
 }
 
 // recordEnd adds an end to the commit and updates the health of the worker.
--- a/internal/dispatch/session_test.go
+++ b/internal/dispatch/session_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"rosemarywind.example/rosemarywind/internal/batch"
 	"rosemarywind.example/rosemarywind/internal/run"
@@ -24,13 +25,21 @@
 
 // starts advances time by 100 ms and returns the runs that the leader orders to start.
 func (f *fixture) starts() (ids []run.ID) {
+	for _, s := range f.startOrders() {
+		ids = append(ids, s.ID())
+	}
+	return ids
+}
+
+// startOrders advances time by 100 ms and returns the orders to start a run.
+func (f *fixture) startOrders() (starts []run.Start) {
 	f.now = f.now.Add(100 * time.Millisecond)
 	for _, o := range f.core.Step(f.now, f.state).Orders() {
 		if s, ok := o.Order().(run.Start); ok {
-			ids = append(ids, s.ID())
+			starts = append(starts, s)
 		}
 	}
-	return ids
+	return starts
 }
 
 // reconnect opens another session of the agent, whose list contains no running tasks.
@@ -67,6 +76,56 @@
 	})
 }
 
+// assertGoesOn checks that no run ends in the next steps.
+func (f *fixture) assertGoesOn() {
+	f.t.Helper()
+	for range 5 {
+		f.now = f.now.Add(100 * time.Millisecond)
+		assert.Empty(f.t, f.core.Step(f.now, f.state).Ends())
+	}
+}
+
+// Guards against a task that runs twice because an answer to an earlier order to start its run is taken for that to the
+// latest one: an agent that was paused for longer than a lease reports the refusal of the first order as late, and the
+// worker carries out the second one.
+func TestAnswerToEarlierOrder(t *testing.T) {
+	id := run.NewID(batch.NewTaskID("j", 0, 0, 0), 1)
+	orderTwice := func(t *testing.T) (f *fixture, first, second run.OrderID) {
+		f = newFixture(t, 1)
+		f.reconnect(1)
+		f.core.RunsCommitted(batch.NewGroup(id.Task(), batch.NewMember(0, 1, f.incarnation)))
+		orders := f.startOrders()
+		f.reconnect(2)
+		f.starts()
+		orders = append(orders, f.startOrders()...)
+		require.Len(t, orders, 2)
+		return f, orders[0].OrderID(), orders[1].OrderID()
+	}
+	t.Run("the run goes on after the answer to the first order", func(t *testing.T) {
+		f, first, second := orderTwice(t)
+		assert.True(t, first.Before(second))
+		f.reconnect(2, settledBy(first, id)...)
+		f.assertGoesOn()
+	})
+	t.Run("the run is lost after the answer to the second order", func(t *testing.T) {
+		f, _, second := orderTwice(t)
+		f.reconnect(2, settledBy(second, id)...)
+		f.assertEnds(id)
+	})
+	t.Run("the run is lost after the answer to a stop", func(t *testing.T) {
+		f, _, _ := orderTwice(t)
+		f.apply(batch.NewCancel("j", f.now))
+		var stop run.OrderID
+		for _, o := range f.core.Step(f.now, f.state).Orders() {
+			if s, ok := o.Order().(run.Stop); ok {
+				stop = s.OrderID()
+			}
+		}
+		f.reconnect(2, settledBy(stop, id)...)
+		f.assertEnds(id)
+	})
+}
+
 // Guards against a task with nothing running until the lease of a worker has ended although its start was never ordered,
 // because the agent's session ended while the placement was committed.
 func TestPlacedOnWorkerThatIsLost(t *testing.T) {
--- a/internal/runner/answers.go
+++ b/internal/runner/answers.go
@@ -9,43 +9,70 @@
 // settledRetention is how long lists report a run as settled after its order was answered.
 const settledRetention = 30 * time.Second
 
-// answers records which orders about runs the current incarnation of the worker has answered.
-type answers struct{ settled map[run.ID]answer }
+// answers records which orders about runs the current incarnation of the worker has answered. A run may be ordered to
+// start more than once; then only the answer to the latest order counts, or that to a later order to stop it.
+type answers struct {
+	started  map[run.ID]run.OrderID // the latest order to start each run
+	settled  map[run.ID]answer
+	unlisted map[run.ID]bool // the settled runs that no list has shown
+}
 
-// answer is the answer to an order about a run.
+// answer is the first answer that settles a run.
 type answer struct {
 	order run.OrderID
 	at    time.Time
 }
 
-func newAnswers() answers { return answers{settled: map[run.ID]answer{}} }
+func newAnswers() answers {
+	return answers{started: map[run.ID]run.OrderID{}, settled: map[run.ID]answer{}, unlisted: map[run.ID]bool{}}
+}
+
+// expect records an order to start a run, which an answer to an earlier order no longer settles. It reports false for an
+// order that was given before the latest one.
+func (a *answers) expect(id run.ID, order run.OrderID) bool {
+	if order.Before(a.started[id]) {
+		return false
+	}
+	a.started[id] = order
+	delete(a.settled, id)
+	delete(a.unlisted, id)
+	return true
+}
 
-// record records the first answer to an order about a run. Later answers to repeated orders are ignored, so that a list
-// requested in between shows the run as settled.
+// record records the answer to an order about a run. Once the run is settled, later answers are ignored, so that repeated
+// stops do not keep it out of the lists that are requested in between.
 func (a *answers) record(id run.ID, order run.OrderID, at time.Time) {
-	if _, known := a.settled[id]; !known {
-		a.settled[id] = answer{order: order, at: at}
+	if _, known := a.settled[id]; known || order.Before(a.started[id]) {
+		return
 	}
+	a.settled[id] = answer{order: order, at: at}
+	a.unlisted[id] = true
 }
 
-// takeBefore returns the runs of which an order was answered before a list was requested, and drops those that have been
-// reported for settledRetention.
-func (a *answers) takeBefore(requestedAt, now time.Time) (settled []run.Settled) {
+// listBefore returns the runs that were settled before a list was requested, and drops those that have been reported for
+// settledRetention.
+func (a *answers) listBefore(requestedAt, now time.Time) (settled []run.Settled) {
 	for id, s := range a.settled {
 		if now.Sub(s.at) > settledRetention {
 			delete(a.settled, id)
+			delete(a.started, id)
+			delete(a.unlisted, id)
 			continue
 		}
 		if s.at.Before(requestedAt) {
 			settled = append(settled, run.NewSettled(id, s.order))
+			delete(a.unlisted, id)
 		}
 	}
 	return settled
 }
 
-// hasUnlisted reports whether an order was answered after the latest list was requested, which showed the given number of
-// settled runs.
-func (a *answers) hasUnlisted(listed int) bool { return len(a.settled) > listed }
+// hasUnlisted reports whether a run was settled after the latest list was requested.
+func (a *answers) hasUnlisted() bool { return len(a.unlisted) > 0 }
 
 // reset drops all answers, which were those of an earlier incarnation.
-func (a *answers) reset() { clear(a.settled) }
+func (a *answers) reset() {
+	clear(a.started)
+	clear(a.settled)
+	clear(a.unlisted)
+}
--- a/internal/runner/loop.go
+++ b/internal/runner/loop.go
@@ -31,7 +31,7 @@
 	fencingToken uint64
 	renewal      run.RenewLease // the latest one; valid if renewed
 	renewed      bool
-	starts       map[run.ID]context.CancelFunc // starts without an answer
+	starts       map[run.ID]pendingStart       // starts without an answer
 	paces        map[run.ID]context.CancelFunc // latest pace call of each run
 	answers      answers
 	list         run.List
@@ -52,7 +52,7 @@
 
 func newLoop(r *Runner) *loop {
 	return &loop{
-		Runner: r, starts: map[run.ID]context.CancelFunc{}, paces: map[run.ID]context.CancelFunc{},
+		Runner: r, starts: map[run.ID]pendingStart{}, paces: map[run.ID]context.CancelFunc{},
 		answers: newAnswers(), watch: newCrashWatch(),
 	}
 }
@@ -86,8 +86,8 @@
 // resetIncarnation discards the calls and lists of an earlier incarnation of the worker.
 func (l *loop) resetIncarnation(incarnation batch.Incarnation) {
 	l.incarnation, l.renewed, l.list, l.unreachable, l.exited = incarnation, false, run.List{}, false, false
-	for id, cancel := range l.starts {
-		cancel()
+	for id, s := range l.starts {
+		s.cancel()
 		delete(l.starts, id)
 	}
 	l.answers.reset()
@@ -153,10 +153,7 @@
 
 // stop cancels a pending start and stops the run in the background.
 func (l *loop) stop(ctx context.Context, o run.Stop) {
-	if cancel := l.starts[o.ID()]; cancel != nil {
-		cancel()
-		delete(l.starts, o.ID())
-	}
+	l.cancelStart(o.ID())
 	incarnation, fencingToken := l.incarnation, l.fencingToken
 	go func() {
 		if l.ensureStopped(ctx, incarnation, fencingToken, o.ID(), o.OrderID()) {
@@ -229,7 +226,7 @@
 // are still to be reported.
 func (l *loop) busy() bool {
 	return len(l.list.Running()) > 0 || len(l.starts) > 0 || len(l.list.Finished()) > 0 ||
-		l.answers.hasUnlisted(len(l.list.Settled()))
+		l.answers.hasUnlisted()
 }
 
 // isRunning reports whether the latest list shows the run as running.
@@ -310,7 +307,7 @@
 		return
 	}
 	list := run.NewList(in.list.Incarnation(), in.list.FencingToken(), in.list.Clock(), in.list.Running(),
-		in.list.Finished(), l.answers.takeBefore(in.requestedAt, now)).WithTruncated(in.list.Truncated())
+		in.list.Finished(), l.answers.listBefore(in.requestedAt, now)).WithTruncated(in.list.Truncated())
 	running := runningIDs(list)
 	for id := range l.paces {
 		if !running[id] {
@@ -340,7 +337,7 @@
 func sameList(a, b run.List) bool {
 	if a.Incarnation() != b.Incarnation() || a.FencingToken() != b.FencingToken() ||
 		len(a.Running()) != len(b.Running()) || len(a.Finished()) != len(b.Finished()) ||
-		len(a.Settled()) != len(b.Settled()) || a.Truncated() != b.Truncated() {
+		!sameSettled(a.Settled(), b.Settled()) || a.Truncated() != b.Truncated() {
 		return false
 	}
 	for i, r := range a.Running() {
@@ -356,6 +353,21 @@
 	return true
 }
 
+// sameSettled reports whether two lists contain the same answers, in any order.
+func sameSettled(a, b []run.Settled) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	answered := make(map[run.ID]run.OrderID, len(a))
+	for _, s := range a {
+		answered[s.ID()] = s.OrderID()
+	}
+	return !slices.ContainsFunc(b, func(s run.Settled) bool {
+		order, known := answered[s.ID()]
+		return !known || order != s.OrderID()
+	})
+}
+
 // send queues a report for the session. If the queue is full, it drops the report, and the next list is reported even
 // without news.
 func (l *loop) send(r run.Report) {
--- a/internal/runner/start.go
+++ b/internal/runner/start.go
@@ -9,22 +9,29 @@
 	"rosemarywind.example/rosemarywind/internal/run"
 )
 
-// start starts a run in the background, until the leader orders a stop.
+// pendingStart is a start order that the worker has not answered.
+type pendingStart struct {
+	order  run.OrderID
+	cancel context.CancelFunc
+}
+
+// start starts a run in the background, until the leader orders a stop or the start again.
 func (l *loop) start(ctx context.Context, now time.Time, o run.Start) {
-	if _, pending := l.starts[o.ID()]; pending {
-		return
-	}
 	a := l.announced.Load()
-	switch {
-	case l.incarnation != o.Incarnation():
+	if l.incarnation != o.Incarnation() {
 		l.refuseStart(now, o, anotherIncarnation)
 		return
-	case a.announcement.Draining() || a.terminating:
+	}
+	if !l.answers.expect(o.ID(), o.OrderID()) {
+		return
+	}
+	l.cancelStart(o.ID())
+	if a.announcement.Draining() || a.terminating {
 		l.refuseStart(now, o, draining)
 		return
 	}
 	ctx, cancel := context.WithCancel(ctx)
-	l.starts[o.ID()] = cancel
+	l.starts[o.ID()] = pendingStart{order: o.OrderID(), cancel: cancel}
 	fencingToken := l.fencingToken
 	go func() {
 		defer cancel()
@@ -32,6 +39,14 @@
 	}()
 }
 
+// cancelStart gives up the pending start of a run, if there is one.
+func (l *loop) cancelStart(id run.ID) {
+	if s, pending := l.starts[id]; pending {
+		s.cancel()
+		delete(l.starts, id)
+	}
+}
+
 // refuseStart refuses a start order without a call to the worker.
 func (l *loop) refuseStart(now time.Time, o run.Start, reason string) {
 	l.handleStarted(startedInput{id: o.ID(), order: o.OrderID(), incarnation: l.incarnation, refusal: reason, at: now})
@@ -85,9 +100,8 @@
 	if in.incarnation != l.incarnation {
 		return
 	}
-	if cancel := l.starts[in.id]; cancel != nil {
-		cancel()
-		delete(l.starts, in.id)
+	if l.starts[in.id].order == in.order {
+		l.cancelStart(in.id)
 	}
 	l.answers.record(in.id, in.order, in.at)
 	if !in.sentAt.IsZero() {
@@ -114,8 +128,8 @@
 		return
 	}
 	l.reportUnreachable(in.err)
-	if !isTimeout(in.err) {
-		delete(l.starts, in.id)
+	if !isTimeout(in.err) && l.starts[in.id].order == in.order {
+		l.cancelStart(in.id)
 	}
 }
 
