runner: an agent refuses a start by itself once the lease in the order has ended

What callers would see: a task runs twice, or again after its end was acknowledged.

Cause: an agent that was paused reads a start order after the leader has given the run up, and leaves it to the worker to refuse it as late. A worker that has restarted under the same ID meanwhile, and has not announced itself, cannot: the end of the lease is a reading of the clock of its earlier incarnation, which is far ahead of its own, and it has seen no fencing token.

Change: the agent keeps the latest reading of its worker's clock and refuses a start whose lease has ended since. Its times come from clock.Now, which counts the time for which the host was suspended. An earlier call for the run may be under way, so the run is stopped at the worker first.

Why it works: the lease in an order is at most as long as the leader waits before it gives the run up, on the clock that the order names.

Tests: TestLateStart; of its cases that the code before compiles, the one that reads the order after the end of the lease failed.

--- a/internal/runner/crash.go
+++ b/internal/runner/crash.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"rosemarywind.example/rosemarywind/internal/batch"
+	"rosemarywind.example/rosemarywind/internal/clock"
 	"rosemarywind.example/rosemarywind/internal/run"
 )
 
@@ -107,6 +108,7 @@
 		l.resetIncarnation(latest)
 		go l.stopInherited(ctx, latest, l.fencingToken, inherited)
 	}
+	l.clock.observe(a.announcement.Clock(), now)
 	l.watch.leaving = a.announcement.Draining() || a.terminating
 	l.publish(a)
 }
@@ -144,7 +146,7 @@
 func (l *loop) stopInherited(ctx context.Context, incarnation batch.Incarnation, fencingToken uint64, ids []run.ID) {
 	for _, id := range ids {
 		if l.ensureStopped(ctx, incarnation, fencingToken, id, run.OrderID{}) {
-			l.enqueue(ctx, stoppedInput{id: id, incarnation: incarnation, at: time.Now()})
+			l.enqueue(ctx, stoppedInput{id: id, incarnation: incarnation, at: clock.Now()})
 		}
 	}
 }
--- a/internal/runner/loop.go
+++ b/internal/runner/loop.go
@@ -34,6 +34,7 @@
 	starts       map[run.ID]pendingStart       // starts without an answer
 	paces        map[run.ID]context.CancelFunc // latest pace call of each run
 	answers      answers
+	clock        workerClock
 	list         run.List
 	reported     map[run.ID]reportedProgress
 	listing      bool // a list call is in progress
@@ -62,7 +63,7 @@
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
 	for {
-		now := time.Now()
+		now := clock.Now()
 		version := l.announced.Version()
 		a, changed := l.announced.Watch()
 		l.observeWorker(ctx, now, a, version)
@@ -78,7 +79,7 @@
 		case <-timer.C:
 		case <-changed:
 		case in := <-l.inputs:
-			l.handle(ctx, time.Now(), in)
+			l.handle(ctx, clock.Now(), in)
 		}
 	}
 }
@@ -91,6 +92,7 @@
 		delete(l.starts, id)
 	}
 	l.answers.reset()
+	l.clock.reset()
 	clear(l.paces)
 	if l.cancelList != nil {
 		l.cancelList()
@@ -157,7 +159,7 @@
 	incarnation, fencingToken := l.incarnation, l.fencingToken
 	go func() {
 		if l.ensureStopped(ctx, incarnation, fencingToken, o.ID(), o.OrderID()) {
-			l.enqueue(ctx, stoppedInput{id: o.ID(), order: o.OrderID(), incarnation: incarnation, at: time.Now()})
+			l.enqueue(ctx, stoppedInput{id: o.ID(), order: o.OrderID(), incarnation: incarnation, at: clock.Now()})
 		}
 	}()
 }
@@ -314,6 +316,7 @@
 			delete(l.paces, id)
 		}
 	}
+	l.clock.observe(list.Clock(), in.requestedAt)
 	changed := !sameList(l.list, list)
 	l.list = list
 	l.watch.recordAnswer(now)
--- a/internal/runner/session.go
+++ b/internal/runner/session.go
@@ -60,7 +60,7 @@
 	out, changed := r.outgoing.Watch()
 	if out.worker.known {
 		first = first.WithAnnouncement(out.worker.announcement).WithCrashes(out.crashes)
-		first = r.speed.Load().withSpeed(time.Now(), first)
+		first = r.speed.Load().withSpeed(clock.Now(), first)
 	}
 	first = withDeparture(first, out)
 	if err = wire.WriteRunReport(s, first); err != nil {
--- a/internal/runner/start.go
+++ b/internal/runner/start.go
@@ -32,13 +32,27 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	l.starts[o.ID()] = pendingStart{order: o.OrderID(), cancel: cancel}
-	fencingToken := l.fencingToken
+	fencingToken, late := l.fencingToken, l.clock.ended(now, o.Lease())
 	go func() {
 		defer cancel()
+		if late {
+			l.refuseLateStart(ctx, o, fencingToken)
+			return
+		}
 		l.callStart(ctx, o, fencingToken)
 	}()
 }
 
+// refuseLateStart refuses a start whose lease has ended. An earlier call for the same run may still be under way, so the run
+// is stopped first.
+func (l *loop) refuseLateStart(ctx context.Context, o run.Start, fencingToken uint64) {
+	if l.ensureStopped(ctx, o.Incarnation(), fencingToken, o.ID(), o.OrderID()) {
+		l.enqueue(ctx, startedInput{
+			id: o.ID(), order: o.OrderID(), incarnation: o.Incarnation(), refusal: tooLate, at: clock.Now(),
+		})
+	}
+}
+
 // cancelStart gives up the pending start of a run, if there is one.
 func (l *loop) cancelStart(id run.ID) {
 	if s, pending := l.starts[id]; pending {
@@ -60,7 +74,7 @@
 			return
 		}
 		attempt, done := context.WithTimeout(ctx, callTimeout)
-		sentAt := time.Now()
+		sentAt := clock.Now()
 		err := l.worker.Start(attempt, fencingToken, o)
 		done()
 		ended()
@@ -68,7 +82,7 @@
 		switch {
 		case err == nil:
 			l.enqueue(ctx, startedInput{
-				id: o.ID(), order: o.OrderID(), incarnation: o.Incarnation(), sentAt: sentAt, at: time.Now(),
+				id: o.ID(), order: o.OrderID(), incarnation: o.Incarnation(), sentAt: sentAt, at: clock.Now(),
 			})
 			return
 		case errors.As(err, &refused):
@@ -77,14 +91,14 @@
 			}
 			l.enqueue(ctx, startedInput{
 				id: o.ID(), order: o.OrderID(), incarnation: o.Incarnation(), refusal: refused.Reason(),
-				sentAt: sentAt, at: time.Now(),
+				sentAt: sentAt, at: clock.Now(),
 			})
 			return
 		}
 		l.logger.Info("start not answered", "task", o.ID().Task().String(), "run", o.ID().Run(), "order", o.OrderID().String(),
 			"error", err)
 		l.enqueue(ctx, unansweredInput{
-			id: o.ID(), order: o.OrderID(), incarnation: o.Incarnation(), err: err, sentAt: sentAt, at: time.Now(),
+			id: o.ID(), order: o.OrderID(), incarnation: o.Incarnation(), err: err, sentAt: sentAt, at: clock.Now(),
 		})
 		// The worker's next incarnation may have the same id and would carry out the start of a run that this one has
 		// crashed under.
