runner: a run that has begun answers a repeated order to start it

What callers would see: a run that a worker carried out begins a second time on the worker's next incarnation, before that has announced itself.

Cause: an order to start a run again is passed to the worker even if the agent knows that the worker has begun the run; under the same ID the call reaches the next incarnation.

Change: the agent answers such an order from what it knows. TestRunsFuzz learns agents that pause: orders wait unread, the session ends after 2 s, calls that are under way go on, and the list of before the pause is reported after it. An order that is read after a pause counts as a late one for the check of evacuated zones, as a late call does. Lists reach the leader a tick after they were made.

Measured: the new case of TestAnswersToRepeatedStart failed before.

--- a/internal/dispatch/fuzz_test.go
+++ b/internal/dispatch/fuzz_test.go
@@ -92,7 +92,7 @@
 // connect opens and closes sessions as reachability changes.
 func (s *simulation) connect() {
 	for _, w := range s.workers {
-		up := s.leading && !w.cut
+		up := s.leading && w.reachesLeader()
 		switch {
 		case up && !w.connected:
 			s.lastSession++
@@ -314,6 +314,7 @@
 func (s *simulation) recoverAll() {
 	for _, w := range s.workers {
 		w.cut, w.late = false, false
+		w.thaw()
 		if w.draining {
 			w.crash(false)
 		}
@@ -346,7 +347,7 @@
 
 // TestRunsFuzz guards against a task that runs twice at once or again after its end, a worker beyond its capacity, a
 // job that never ends, a start in an evacuated zone, a run that resumes from the checkpoint of another task, and one that restarts without its
-// committed checkpoint. The faults are lost, late and repeated orders, workers that are cut off, restart or leave,
+// committed checkpoint. The faults are lost, late and repeated orders, workers that are cut off, restart or leave, agents that are paused,
 // leaders that are replaced, and commits whose result the leader does not learn.
 func TestRunsFuzz(t *testing.T) {
 	steps := fuzzing.NewCounter(t)
@@ -367,6 +368,9 @@
 			// Cuts a worker's agent off from the leader, until heal.
 			"cut":  func(t *rapid.T) { s.pick(t).cut = true },
 			"heal": func(t *rapid.T) { s.pick(t).cut = false },
+			// Pauses an agent, until thaw.
+			"freeze": func(t *rapid.T) { s.pick(t).freeze() },
+			"thaw":   func(t *rapid.T) { s.pick(t).thaw() },
 			// Delays the calls to a worker and loses their answers, until prompt.
 			"late":   func(t *rapid.T) { s.pick(t).late = true },
 			"prompt": func(t *rapid.T) { s.pick(t).late = false },
--- a/internal/dispatch/worker_test.go
+++ b/internal/dispatch/worker_test.go
@@ -20,6 +20,8 @@
 	dead        bool
 	late        bool // calls are carried out late and their answers are lost
 	cut         bool // the agent cannot reach the leader
+	frozen      bool // the agent is paused
+	frozenAt    time.Time
 	draining    bool
 	sequence    int64
 
@@ -34,20 +36,32 @@
 
 	// State of the agent.
 	known       batch.Incarnation // the one announced last; calls reach a later one with the same ID
+	knownClock  func() time.Duration
 	session     uint64
 	connected   bool
 	leaderToken uint64
 	renewal     run.RenewLease
 	hasRenewal  bool
 	crashes     []run.Crash
+	started     map[run.ID]run.OrderID // the latest order to start each run
 	settled     map[run.ID]answer
+	listed      *run.List // the list that the agent has not passed on yet
 	calls       []call
+	unread      []arrival // orders that arrived while the agent was paused
 }
 
 // answer is the answer to an order about a run.
 type answer struct {
 	order run.OrderID
 	at    time.Time
+	begun bool // the worker has begun the run
+}
+
+// arrival is an order that an agent has received.
+type arrival struct {
+	envelope  run.Envelope
+	committed bool // whether a checkpoint of the run to start was committed then
+	prompt    bool // whether the agent reads the order at once
 }
 
 // call is a call to the worker in flight, which is carried out at the given time.
@@ -58,11 +72,12 @@
 	start        *run.Start
 	stop         *run.Stop
 	answered     bool
+	prompt       bool // carried out within a tick of the order
 	committed    bool // whether a checkpoint of the run to start was committed when the call was sent
 }
 
 func newWorker(sim *simulation, name string, rate float64) *worker {
-	w := &worker{sim: sim, name: name, zone: zones[len(sim.workers)%len(zones)], rate: rate, settled: map[run.ID]answer{}}
+	w := &worker{sim: sim, name: name, zone: zones[len(sim.workers)%len(zones)], rate: rate, started: map[run.ID]run.OrderID{}, settled: map[run.ID]answer{}}
 	w.restart("w-" + name)
 	return w
 }
@@ -77,8 +92,11 @@
 }
 
 // clock returns the time on the worker's clock.
-func (w *worker) clock() time.Duration {
-	return time.Duration(float64(w.sim.now.Sub(w.startedAt))*w.rate) + time.Millisecond
+func (w *worker) clock() time.Duration { return w.clockSince(w.startedAt) }
+
+// clockSince returns the time on the clock of an incarnation that started at the given time.
+func (w *worker) clockSince(startedAt time.Time) time.Duration {
+	return time.Duration(float64(w.sim.now.Sub(startedAt))*w.rate) + time.Millisecond
 }
 
 // crash ends the worker's incarnation; the next one may have the same ID.
@@ -116,10 +134,45 @@
 		w.carryOut(c)
 	}
 	w.calls = kept
+	if w.frozen {
+		return
+	}
 	w.announce()
+	// The agent passes on what the worker has listed a tick ago, or before the agent was paused.
+	if w.listed != nil {
+		w.send(run.NewReport(w.name).WithList(*w.listed))
+		w.listed = nil
+	}
 	w.list()
 }
 
+// freeze pauses the agent. What arrives meanwhile waits, and its worker and the calls that are under way go on.
+func (w *worker) freeze() {
+	if !w.frozen {
+		w.frozen, w.frozenAt = true, w.sim.now
+	}
+}
+
+// thaw lets a paused agent go on, which first reads what has arrived.
+func (w *worker) thaw() {
+	if !w.frozen {
+		return
+	}
+	w.frozen = false
+	for _, a := range w.unread {
+		w.handle(a)
+	}
+	w.unread = nil
+}
+
+// sessionTimeout is how long the session of a paused agent stays open.
+const sessionTimeout = 2 * time.Second
+
+// reachesLeader reports whether the agent can have a session with the leader.
+func (w *worker) reachesLeader() bool {
+	return !w.cut && !(w.frozen && w.sim.now.Sub(w.frozenAt) >= sessionTimeout)
+}
+
 // expire ends runs whose lease has ended or whose work is complete.
 func (w *worker) expire() {
 	if w.clock() > w.leaseEnd {
@@ -183,7 +236,7 @@
 	w.leaseEnd = max(w.leaseEnd, min(o.Lease(), w.clock()+maxLease))
 	w.running[o.ID()] = w.sim.now.Add(w.sim.runDuration)
 	w.begun[o.ID()] = w.sim.now
-	w.sim.checkZone(w, o.ID(), c.answered)
+	w.sim.checkZone(w, o.ID(), c.prompt)
 	w.sim.checkStart(w, o, c.committed)
 	return ""
 }
@@ -197,40 +250,77 @@
 		return
 	}
 	if c.stop != nil {
-		w.settle(c.stop.ID(), c.stop.OrderID())
+		w.settle(c.stop.ID(), c.stop.OrderID(), false)
 		return
 	}
 	if refusal != "" {
 		w.send(run.NewReport(w.name).WithRefused([]run.Refusal{run.NewRefusal(c.start.ID(), c.start.OrderID(), refusal)}))
 	}
-	w.settle(c.start.ID(), c.start.OrderID())
+	w.settle(c.start.ID(), c.start.OrderID(), refusal == "")
+}
+
+// expect records an order to start a run, and reports whether the agent calls the worker for it.
+func (w *worker) expect(id run.ID, order run.OrderID) bool {
+	if order.Before(w.started[id]) {
+		return false
+	}
+	w.started[id] = order
+	if a, known := w.settled[id]; known && a.begun {
+		w.settled[id] = answer{order: order, at: w.sim.now, begun: true}
+		return false
+	}
+	delete(w.settled, id)
+	return true
 }
 
-// settle records the first answer to an order about a run.
-func (w *worker) settle(id run.ID, order run.OrderID) {
-	if _, known := w.settled[id]; !known {
-		w.settled[id] = answer{order: order, at: w.sim.now}
+// settle records the first answer to the latest order to start a run, or to a later order.
+func (w *worker) settle(id run.ID, order run.OrderID, begun bool) {
+	if _, known := w.settled[id]; !known && !order.Before(w.started[id]) {
+		w.settled[id] = answer{order: order, at: w.sim.now, begun: begun}
 	}
 }
 
-// order handles an order of the leader.
+// order handles an order of the leader, or keeps it while the agent is paused.
 func (w *worker) order(e run.Envelope) {
+	a := arrival{envelope: e, prompt: !w.frozen}
+	if o, ok := e.Order().(run.Start); ok {
+		a.committed = w.sim.committed[w.sim.checkpointOwner(o.ID().Task())]
+	}
+	if w.frozen {
+		w.unread = append(w.unread, a)
+		return
+	}
+	w.handle(a)
+}
+
+// handle carries out an order.
+func (w *worker) handle(arrived arrival) {
+	e := arrived.envelope
 	if e.FencingToken() < w.leaderToken {
 		return
 	}
 	w.leaderToken = e.FencingToken()
-	c := call{at: w.sim.now, incarnation: w.known, fencingToken: e.FencingToken(), answered: !w.late}
+	c := call{at: w.sim.now, incarnation: w.known, fencingToken: e.FencingToken(), answered: !w.late, prompt: arrived.prompt && !w.late}
 	if w.late {
 		c.at = w.sim.now.Add(w.sim.callDelay)
 	}
 	switch o := e.Order().(type) {
 	case run.Start:
 		if o.Incarnation() != w.known || w.draining {
-			w.settle(o.ID(), o.OrderID())
+			w.settle(o.ID(), o.OrderID(), false)
 			w.send(run.NewReport(w.name).WithRefused([]run.Refusal{run.NewRefusal(o.ID(), o.OrderID(), "another incarnation")}))
 			return
 		}
-		c.start, c.committed = &o, w.sim.committed[w.sim.checkpointOwner(o.ID().Task())]
+		if !w.expect(o.ID(), o.OrderID()) {
+			return
+		}
+		if o.Lease() <= w.knownClock() {
+			stop := run.NewStop(o.ID()).WithOrderID(o.OrderID())
+			c.stop = &stop
+			w.calls = append(w.calls, c)
+			return
+		}
+		c.start, c.committed = &o, arrived.committed
 		w.calls = append(w.calls, c)
 	case run.Stop:
 		c.stop = &o
@@ -250,7 +340,9 @@
 	}
 	w.sequence++
 	if w.known != w.incarnation {
-		w.known, w.hasRenewal, w.settled = w.incarnation, false, map[run.ID]answer{}
+		w.known, w.hasRenewal, w.started, w.settled = w.incarnation, false, map[run.ID]run.OrderID{}, map[run.ID]answer{}
+		startedAt := w.startedAt
+		w.knownClock = func() time.Duration { return w.clockSince(startedAt) }
 	}
 	a := run.NewAnnouncement(w.incarnation, "s", w.zone, w.sequence).WithRack("r", []string{"a", "r"}).
 		WithCapacity(batch.NewResources(8000, 8000, capacity)).WithClock(w.clock())
@@ -260,7 +352,7 @@
 	w.send(run.NewReport(w.name).WithAnnouncement(a).WithCrashes(w.crashes))
 }
 
-// list passes the leader's latest lease renewal to the worker and reports the worker's list.
+// list passes the leader's latest lease renewal to the worker, which lists its runs.
 func (w *worker) list() {
 	if !w.hasRenewal || w.late || w.leaderToken < w.fencingToken || w.known.ID() != w.incarnation.ID() {
 		return
@@ -292,7 +384,8 @@
 			settled = append(settled, run.NewSettled(id, a.order))
 		}
 	}
-	w.send(run.NewReport(w.name).WithList(run.NewList(w.incarnation, w.fencingToken, w.clock(), running, finished, settled)))
+	list := run.NewList(w.incarnation, w.fencingToken, w.clock(), running, finished, settled)
+	w.listed = &list
 }
 
 // send passes a report to the leader if the session is open.
--- a/internal/runner/answers.go
+++ b/internal/runner/answers.go
@@ -21,31 +21,47 @@
 type answer struct {
 	order run.OrderID
 	at    time.Time
+	begun bool // the worker has begun the run
 }
 
 func newAnswers() answers {
 	return answers{started: map[run.ID]run.OrderID{}, settled: map[run.ID]answer{}, unlisted: map[run.ID]bool{}}
 }
 
-// expect records an order to start a run, which an answer to an earlier order no longer settles. It reports false for an
-// order that was given before the latest one.
-func (a *answers) expect(id run.ID, order run.OrderID) bool {
+// expect records an order to start a run, and reports whether the worker is to be called for it: not if a later order is
+// known, and not if the worker has begun the run, which answers the repeated order too. Any other answer to an earlier order
+// no longer settles the run.
+func (a *answers) expect(now time.Time, id run.ID, order run.OrderID) bool {
 	if order.Before(a.started[id]) {
 		return false
 	}
 	a.started[id] = order
+	begun := a.settled[id].begun
 	delete(a.settled, id)
 	delete(a.unlisted, id)
-	return true
+	if begun {
+		a.recordBegun(id, order, now)
+	}
+	return !begun
+}
+
+// recordBegun records that the worker has begun a run on an order.
+func (a *answers) recordBegun(id run.ID, order run.OrderID, at time.Time) {
+	a.record(id, answer{order: order, at: at, begun: true})
+}
+
+// recordEnded records that the worker refuses to begin a run on an order, or has stopped it.
+func (a *answers) recordEnded(id run.ID, order run.OrderID, at time.Time) {
+	a.record(id, answer{order: order, at: at})
 }
 
 // record records the answer to an order about a run. Once the run is settled, later answers are ignored, so that repeated
 // stops do not keep it out of the lists that are requested in between.
-func (a *answers) record(id run.ID, order run.OrderID, at time.Time) {
-	if _, known := a.settled[id]; known || order.Before(a.started[id]) {
+func (a *answers) record(id run.ID, latest answer) {
+	if _, known := a.settled[id]; known || latest.order.Before(a.started[id]) {
 		return
 	}
-	a.settled[id] = answer{order: order, at: at}
+	a.settled[id] = latest
 	a.unlisted[id] = true
 }
 
--- a/internal/runner/answers_test.go
+++ b/internal/runner/answers_test.go
@@ -89,4 +89,12 @@
 		l.handle(t.Context(), epoch, stoppedInput{id: task, order: laterStop, incarnation: first, at: epoch})
 		assertSettledBy(t, l, laterStop)
 	})
+	t.Run("a run that has begun is not started again", func(t *testing.T) {
+		l := newTestLoop(first)
+		orderStart(t, l, firstStart)
+		l.handle(t.Context(), epoch, answer(firstStart, ""))
+		orderStart(t, l, secondStart)
+		assert.Empty(t, l.starts)
+		assertSettledBy(t, l, secondStart)
+	})
 }
--- a/internal/runner/loop.go
+++ b/internal/runner/loop.go
@@ -113,7 +113,7 @@
 		}
 	case stoppedInput:
 		if in.incarnation == l.incarnation {
-			l.answers.record(in.id, in.order, in.at)
+			l.answers.recordEnded(in.id, in.order, in.at)
 			l.nextList = now
 			// A list call that waits for a run to end would not return for a run that is not on the worker.
 			l.listNow = l.listNow || !l.isRunning(in.id)
--- a/internal/runner/start.go
+++ b/internal/runner/start.go
@@ -22,7 +22,7 @@
 		l.refuseStart(now, o, anotherIncarnation)
 		return
 	}
-	if !l.answers.expect(o.ID(), o.OrderID()) {
+	if !l.answers.expect(now, o.ID(), o.OrderID()) {
 		return
 	}
 	l.cancelStart(o.ID())
@@ -117,15 +117,16 @@
 	if l.starts[in.id].order == in.order {
 		l.cancelStart(in.id)
 	}
-	l.answers.record(in.id, in.order, in.at)
 	if !in.sentAt.IsZero() {
 		l.watch.recordAnswer(in.at)
 	}
 	if in.refusal == "" {
 		l.logger.Info("start answered", "task", in.id.Task().String(), "run", in.id.Run(), "order", in.order.String())
+		l.answers.recordBegun(in.id, in.order, in.at)
 		l.watch.recordBegun(in.id, in.sentAt)
 		return
 	}
+	l.answers.recordEnded(in.id, in.order, in.at)
 	l.logger.Info("start refused", "task", in.id.Task().String(), "run", in.id.Run(), "order", in.order.String(),
 		"reason", in.refusal)
 	l.nextList = in.at
