runner: a start refused for an earlier incarnation settles nothing at the next one

What callers would see: a task runs twice after its worker has restarted under the same ID while a start call was under way. Found by reading.

Cause: the agent refuses a start that names an earlier incarnation without a call, and listed the run as settled. The leader counts a settled run at a new incarnation as stopped there, so that no late call can begin it.

Change: such a refusal is reported but settles nothing; the leader stops the run at the new incarnation and decides by the answer to that.

Test: TestStartForEarlierIncarnation failed before.

--- a/internal/dispatch/worker_test.go
+++ b/internal/dispatch/worker_test.go
@@ -307,7 +307,9 @@
 	switch o := e.Order().(type) {
 	case run.Start:
 		if o.Incarnation() != w.known || w.draining {
-			w.settle(o.ID(), o.OrderID(), false)
+			if o.Incarnation() == w.known {
+				w.settle(o.ID(), o.OrderID(), false)
+			}
 			w.send(run.NewReport(w.name).WithRefused([]run.Refusal{run.NewRefusal(o.ID(), o.OrderID(), "another incarnation")}))
 			return
 		}
--- a/internal/runner/answers_test.go
+++ b/internal/runner/answers_test.go
@@ -98,3 +98,23 @@
 		assertSettledBy(t, l, secondStart)
 	})
 }
+
+// Guards against a task that runs twice because a start that names an earlier incarnation of the worker, and that the agent
+// refuses by itself, is taken for a stop that the latest incarnation has answered: a late call could still begin the run
+// there.
+func TestStartForEarlierIncarnation(t *testing.T) {
+	l := newTestLoop(second)
+	orderStart(t, l, firstStart)
+	l.handle(t.Context(), epoch, listedInput{
+		incarnation: second, requestedAt: epoch.Add(time.Second), list: run.NewList(second, 1, time.Second, nil, nil, nil),
+	})
+	var refused, settled int
+	for len(l.reports) > 0 {
+		r := <-l.reports
+		refused += len(r.Refused())
+		list, _ := r.List()
+		settled += len(list.Settled())
+	}
+	assert.Equal(t, 1, refused)
+	assert.Zero(t, settled)
+}
--- a/internal/runner/start.go
+++ b/internal/runner/start.go
@@ -19,7 +19,8 @@
 func (l *loop) start(ctx context.Context, now time.Time, o run.Start) {
 	a := l.announced.Load()
 	if l.incarnation != o.Incarnation() {
-		l.refuseStart(now, o, anotherIncarnation)
+		// No answer of this incarnation: a late call for the earlier one may still begin the run here.
+		l.reportRefusal(now, o.ID(), o.OrderID(), anotherIncarnation)
 		return
 	}
 	if !l.answers.expect(now, o.ID(), o.OrderID()) {
@@ -127,11 +128,15 @@
 		return
 	}
 	l.answers.recordEnded(in.id, in.order, in.at)
-	l.logger.Info("start refused", "task", in.id.Task().String(), "run", in.id.Run(), "order", in.order.String(),
-		"reason", in.refusal)
-	l.nextList = in.at
+	l.reportRefusal(in.at, in.id, in.order, in.refusal)
+}
+
+// reportRefusal tells the leader that an order to start a run was refused.
+func (l *loop) reportRefusal(now time.Time, id run.ID, order run.OrderID, reason string) {
+	l.logger.Info("start refused", "task", id.Task().String(), "run", id.Run(), "order", order.String(), "reason", reason)
+	l.nextList = now
 	l.listNow = true
-	l.send(run.NewReport(l.name).WithRefused([]run.Refusal{run.NewRefusal(in.id, in.order, in.refusal)}))
+	l.send(run.NewReport(l.name).WithRefused([]run.Refusal{run.NewRefusal(id, order, reason)}))
 }
 
 // handleUnanswered records a start call without an answer. After one that found no worker the start is not repeated;
