runner: an agent stops a run before it refuses a repeated start while an earlier one is under way

What callers would see: a task runs twice after a worker has begun to drain while a start call was under way and the agent's session was lost. Found by reading; brought it in.

Cause: a later order to start a run takes the place of a pending one. The agent refuses it by itself on a draining worker, which settles the run, while the call for the earlier order can still begin it.

Change: with an earlier order that is not answered, the run is stopped at the worker before the refusal is reported. Without one the agent refuses at once, as it did, now also a start whose lease has ended, which needs no call.

Test: TestRepeatedStartOnDrainingWorker failed before. TestLateStart is split into the two ways and checks as much as before.

--- a/internal/runner/start.go
+++ b/internal/runner/start.go
@@ -26,45 +26,53 @@
 	if !l.answers.expect(now, o.ID(), o.OrderID()) {
 		return
 	}
-	l.cancelStart(o.ID())
-	if a.announcement.Draining() || a.terminating {
-		l.refuseStart(now, o, draining)
+	pending, refusal := l.cancelStart(o.ID()), l.startRefusal(now, a, o)
+	if refusal != "" && !pending {
+		l.handleStarted(startedInput{id: o.ID(), order: o.OrderID(), incarnation: l.incarnation, refusal: refusal, at: now})
 		return
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	l.starts[o.ID()] = pendingStart{order: o.OrderID(), cancel: cancel}
-	fencingToken, late := l.fencingToken, l.clock.ended(now, o.Lease())
+	fencingToken := l.fencingToken
 	go func() {
 		defer cancel()
-		if late {
-			l.refuseLateStart(ctx, o, fencingToken)
+		if refusal != "" {
+			l.refuseStopped(ctx, o, fencingToken, refusal)
 			return
 		}
 		l.callStart(ctx, o, fencingToken)
 	}()
 }
 
-// refuseLateStart refuses a start whose lease has ended. An earlier call for the same run may still be under way, so the run
-// is stopped first.
-func (l *loop) refuseLateStart(ctx context.Context, o run.Start, fencingToken uint64) {
+// startRefusal returns why the agent does not pass a start to the worker, or an empty string.
+func (l *loop) startRefusal(now time.Time, a workerState, o run.Start) string {
+	switch {
+	case a.announcement.Draining() || a.terminating:
+		return draining
+	case l.clock.ended(now, o.Lease()):
+		return tooLate
+	}
+	return ""
+}
+
+// refuseStopped refuses a start that the agent does not pass to the worker after it has stopped the run, since the call for
+// an earlier order to start it may be under way.
+func (l *loop) refuseStopped(ctx context.Context, o run.Start, fencingToken uint64, reason string) {
 	if l.ensureStopped(ctx, o.Incarnation(), fencingToken, o.ID(), o.OrderID()) {
 		l.enqueue(ctx, startedInput{
-			id: o.ID(), order: o.OrderID(), incarnation: o.Incarnation(), refusal: tooLate, at: clock.Now(),
+			id: o.ID(), order: o.OrderID(), incarnation: o.Incarnation(), refusal: reason, at: clock.Now(),
 		})
 	}
 }
 
-// cancelStart gives up the pending start of a run, if there is one.
-func (l *loop) cancelStart(id run.ID) {
-	if s, pending := l.starts[id]; pending {
+// cancelStart gives up the pending start of a run, and reports whether there was one.
+func (l *loop) cancelStart(id run.ID) bool {
+	s, pending := l.starts[id]
+	if pending {
 		s.cancel()
 		delete(l.starts, id)
 	}
-}
-
-// refuseStart refuses a start order without a call to the worker.
-func (l *loop) refuseStart(now time.Time, o run.Start, reason string) {
-	l.handleStarted(startedInput{id: o.ID(), order: o.OrderID(), incarnation: l.incarnation, refusal: reason, at: now})
+	return pending
 }
 
 // callStart calls the worker until it answers, until it accepts no connection, or until ctx ends.
