dispatch: a run whose start must not be ordered again is stopped, for a ticket as for other reasons

What callers would see: a task of a queue that requires advice never runs after its agent's session was lost and its ticket has expired. Found by reading.

Cause: the conditions of a start stood twice, and a start that is ordered again was not checked for its ticket. The step that orders it does check, gives no order, and the next step decides to order it again, without end: tickets are renewed only for tasks that wait.

Change: startObstacle holds the conditions of both kinds of start.

Test: the new case of TestAdvice failed before: the run was not stopped.

--- a/internal/dispatch/advice.go
+++ b/internal/dispatch/advice.go
@@ -91,8 +91,8 @@
 }
 
 // ticket returns the ticket for a task on a worker; ok is false if the task needs a ticket and has no valid one.
-func (c *Core) ticket(now time.Time, s batch.State, j *batch.Job, id batch.TaskID, incarnation batch.Incarnation) (ticket string, ok bool) {
-	if !s.CurrentQueue(j).RequiresAdvice() {
+func (c *Core) ticket(now time.Time, j *batch.Job, id batch.TaskID, incarnation batch.Incarnation) (ticket string, ok bool) {
+	if !c.state.CurrentQueue(j).RequiresAdvice() {
 		return "", true
 	}
 	v := c.advice.verdicts[id.StepKey()][incarnation]
--- a/internal/dispatch/advice_test.go
+++ b/internal/dispatch/advice_test.go
@@ -64,8 +64,8 @@
 	return "none started"
 }
 
-// Guards against overlapping inquiries, the use of expired or refused tickets, and repeated inquiries about the same
-// workers.
+// Guards against overlapping inquiries, the use of expired or refused tickets, repeated inquiries about the same workers,
+// and a task that never runs because its start cannot be ordered again without a valid ticket.
 func TestAdvice(t *testing.T) {
 	approved := []dispatch.Approval{dispatch.NewApproval("w", "c81e")}
 	t.Run("one inquiry at a time, and the start carries the ticket", func(t *testing.T) {
@@ -106,4 +106,13 @@
 		f.reconnect(1, settledBy(laterOrder, id)...)
 		assert.True(t, hasInquiry(f.stepUntilInquiry()))
 	})
+	t.Run("a start that is ordered again needs a valid ticket", func(t *testing.T) {
+		f := newAdviceFixture(t)
+		i, _ := f.stepUntilInquiry().Inquiry()
+		f.core.AdviceReceived(f.now, i, approved, 2*time.Second)
+		require.Equal(t, "c81e", f.ticket())
+		f.now = f.now.Add(2 * time.Second)
+		f.reconnect(2)
+		f.assertStopOrdered(run.NewID(batch.NewTaskID("other", 0, 0, 0), 1))
+	})
 }
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -211,18 +211,10 @@
 			o.withheld = true
 			continue
 		}
-		if c.startForbidden(j, id, h, hosts) {
-			o.withheld = true
-			c.logDecision(h, now, id, "not started", ZoneEvacuated)
-			continue
-		}
-		if c.overcommitted(h) {
-			c.logDecision(h, now, id, "not started", "its worker's capacity has shrunk")
-			continue
-		}
-		ticket, permitted := c.ticket(now, s, j, id.Task(), t.Worker())
-		if !permitted {
-			c.logDecision(h, now, id, "not started", "its ticket has expired")
+		if reason := c.startObstacle(now, j, id, t, hosts); reason != "" {
+			// The other members of its gang wait for a run that is withheld in an evacuated zone.
+			o.withheld = o.withheld || reason == ZoneEvacuated
+			c.logDecision(h, now, id, "not started", reason)
 			continue
 		}
 		if !h.takeOrderRoom() {
@@ -232,6 +224,7 @@
 		o.start, o.startOrderedAt, o.startSession = c.nextOrder(), now, h.session
 		lease := h.grant(now, c.timing.lease)
 		h.holdSentAt = now
+		ticket, _ := c.ticket(now, j, id.Task(), t.Worker())
 		start := run.NewStart(id, t.Worker(), j.Spec().Payload(), j.Checkpoint(id.Task()), lease).WithTicket(ticket).
 			WithOrderID(o.start)
 		a.orders = append(a.orders, AddressedOrder{h.agent, start})
@@ -239,6 +232,23 @@
 	}
 }
 
+// startObstacle returns why the start of a placed run must not be ordered now, or an empty string.
+func (c *Core) startObstacle(
+	now time.Time, j *batch.Job, id run.ID, t batch.Task, hosts map[batch.Incarnation]*host,
+) string {
+	h := hosts[t.Worker()]
+	if c.startForbidden(j, id, h, hosts) {
+		return ZoneEvacuated
+	}
+	if c.overcommitted(h) {
+		return "its worker's capacity has shrunk"
+	}
+	if _, permitted := c.ticket(now, j, id.Task(), t.Worker()); !permitted {
+		return "its ticket has expired"
+	}
+	return ""
+}
+
 // place selects the runs to begin next and those to preempt.
 func (c *Core) place(now time.Time, s batch.State, stopping map[run.ID]bool, hosts map[batch.Incarnation]*host, a *Actions) {
 	var workers []placement.Worker
--- a/internal/dispatch/resolve.go
+++ b/internal/dispatch/resolve.go
@@ -23,7 +23,7 @@
 				c.recordEnd(now, e, c.hosts[t.Worker().Host()], a)
 				return
 			}
-			c.pursue(now, id, t, a)
+			c.pursue(now, j, id, t, hosts, a)
 			if h := hosts[t.Worker()]; c.evacuated(h) && h.listsRunning(id) {
 				a.evacuatedRuns++
 			}
@@ -71,7 +71,9 @@
 }
 
 // pursue gives the order that a run needs whose worker lists neither the run nor its end: to stop, or to start again.
-func (c *Core) pursue(now time.Time, id run.ID, t batch.Task, a *Actions) {
+func (c *Core) pursue(
+	now time.Time, j *batch.Job, id run.ID, t batch.Task, hosts map[batch.Incarnation]*host, a *Actions,
+) {
 	h := c.hostReporting(t.Worker())
 	if h == nil {
 		return
@@ -84,14 +86,17 @@
 	if o == nil || !c.knowsRuns(now, h) || h.listsRunning(id) || h.list.Truncated() {
 		return
 	}
+	// The start order may have been lost with an earlier session of the agent.
+	mayBeLost := o.stopOrderedAt.IsZero() && o.startSession != h.session
+	obstacle := ""
+	if mayBeLost {
+		obstacle = c.startObstacle(now, j, id, t, hosts)
+	}
 	switch {
-	case o.stopOrderedAt.IsZero() && o.startSession != h.session && c.evacuated(h):
-		c.stop(now, id, h, ZoneEvacuated, a)
-	case o.stopOrderedAt.IsZero() && o.startSession != h.session && c.overcommitted(h):
-		c.stop(now, id, h, "its worker's capacity has shrunk", a)
-	case o.stopOrderedAt.IsZero() && o.startSession != h.session:
-		// The order may have been lost with the agent's earlier session. Workers do not repeat a start that they have
-		// carried out.
+	case obstacle != "":
+		c.stop(now, id, h, obstacle, a)
+	case mayBeLost:
+		// Workers do not repeat a start that they have carried out.
 		c.toStart[id] = true
 		c.logDecision(h, now, id, "start again", "the agent has another session")
 	case now.Sub(o.startOrderedAt) > startTimeout:
