dispatch: an old reading of a worker's clock does not set the clock back

What callers would see: runs that are refused as late or end early after the agent of their worker was paused. Found by reading.

Cause: the first report of an agent after a pause has the announcement of before it. Its reading of the worker's clock is higher than the one that the leader holds, but lower than what the clock reads by now, and replaced it.

Change: a reading counts only if it is beyond the least that the clock can read by now. That bound was used for the ends of leases before.

--- a/internal/dispatch/host.go
+++ b/internal/dispatch/host.go
@@ -88,20 +88,26 @@
 	h.pace = nil
 }
 
+// recordClock takes in a reading of the worker's clock, unless the clock is known to be beyond it: a report may be received
+// long after it was made.
 func (h *host) recordClock(now time.Time, incarnation batch.Incarnation, clock time.Duration) {
-	if clock > 0 && (incarnation != h.clockIncarnation || clock > h.clock) {
+	if clock > 0 && (incarnation != h.clockIncarnation || clock > h.leastClock(now)) {
 		h.clock, h.clockIncarnation, h.clockAt = clock, incarnation, now
 	}
 }
 
+// leastClock returns what the worker's clock reads at least.
+func (h *host) leastClock(now time.Time) time.Duration {
+	return h.clock + time.Duration(float64(now.Sub(h.clockAt))*minClockRate)
+}
+
 // grant returns the end of a new lease on the worker's clock, and records the latest time at which that lease can
 // end.
 func (h *host) grant(now time.Time, length time.Duration) time.Duration {
-	elapsed := time.Duration(float64(now.Sub(h.clockAt)) * minClockRate)
 	if ends := now.Add(time.Duration(float64(length)/minClockRate) + leaseMargin); ends.After(h.leaseEnds) {
 		h.leaseEnds = ends
 	}
-	return h.clock + elapsed + length
+	return h.leastClock(now) + length
 }
 
 // use returns why the worker gets no new runs from a leader with the given fencing token, or Usable.
