dispatch: a task whose agent is out of contact does not count as serving

What callers would see: a service loses more tasks at once than it tolerates, while an agent of one of them is cut off. Found by reading.

Cause: stops for evacuations, departures, maintenance and guarantees count the tasks of a service that serve by the latest reports of their progress, also by reports of a session that has ended.

Change: a task serves only while its agent has a session and can connect to its worker; otherwise it counts as missing.

Test: the new case of TestServicesAndEvacuatedZones failed before: the other task was stopped.

--- a/internal/dispatch/departure.go
+++ b/internal/dispatch/departure.go
@@ -45,12 +45,26 @@
 	return count
 }
 
-// isWorking reports whether a placed run is complete, as that of a long-running task is while it serves, and was not told
-// to stop.
+// isWorking reports whether a placed run serves and was not told to stop.
 func (c *Core) isWorking(id run.ID) bool {
-	p, listed := c.progress[id]
 	o := c.orders[id]
-	return listed && p.percent() >= fullProgress && (o == nil || o.stopOrderedAt.IsZero())
+	return c.isServing(id) && (o == nil || o.stopOrderedAt.IsZero())
+}
+
+// isServing reports whether a placed run is complete, as that of a long-running task is while it serves. What was reported
+// of a worker that is out of contact does not show that.
+func (c *Core) isServing(id run.ID) bool {
+	p, listed := c.progress[id]
+	if !listed || p.percent() < fullProgress {
+		return false
+	}
+	j, known := c.state.Job(id.Task().Job())
+	if !known {
+		return false
+	}
+	t, _ := j.Task(id.Task())
+	h := c.hosts[t.Worker().Host()]
+	return h != nil && h.connected && !h.unreachable
 }
 
 // countAsNotWorking updates the count of tasks that are not working before a run is told to stop or its end is recorded.
--- a/internal/dispatch/progress.go
+++ b/internal/dispatch/progress.go
@@ -224,7 +224,7 @@
 			continue
 		}
 		if j.Spec().Steps()[id.Task().Step()].LongRunning() {
-			working[id] = p.percent() == fullProgress
+			working[id] = c.isServing(id)
 			continue
 		}
 		if at, ok := p.expectedEnd(); ok {
--- a/internal/dispatch/zone_service_test.go
+++ b/internal/dispatch/zone_service_test.go
@@ -47,6 +47,17 @@
 		f.running["b1"], f.ended["b1"] = nil, []run.Finished{run.NewFinished(1, end)}
 		assert.Equal(t, []string{"a1"}, f.stopped(2), "the first step records the end and makes no other decision")
 	})
+	t.Run("a task whose agent is out of contact counts", func(t *testing.T) {
+		f := newZoneFixture(t, "q", batch.NewStep(2, small, 0, batch.WithLongRunning(true, 1)))
+		f.place("a1", "b1")
+		f.begin(zoneAgents...)
+		f.step()
+		f.core.Disconnect("b1", f.term)
+		f.evacuate("a")
+		assert.Empty(t, f.stopped(10))
+		f.core.Connect("b1", f.term)
+		assert.Equal(t, []string{"a1"}, f.stopped(10))
+	})
 	t.Run("only where there is room", func(t *testing.T) {
 		f := serving(t, whole, 2, "a1", "a2", "b1")
 		assert.Len(t, f.stopped(1), 1, "one worker is free")
