scheduler: the time of a step is read before the leader's lease is checked

Found by reading; no test shows it, since the pause would have to fall between two statements.

Cause: the loop checks the leader's lease and reads the time of the step after that. A leader that is paused in between, for longer than its lease, grants leases from the time after the pause. They end later than the next leader allows for, which assumes that each worker got its last lease before it was elected.

Change: the time is read first, and the step gets it as an argument. After a pause the check fails, or the leases end as if granted before it.

--- a/internal/scheduler/leader_loop.go
+++ b/internal/scheduler/leader_loop.go
@@ -85,6 +85,8 @@
 			return
 		}
 		_, applied := l.state.Watch()
+		// The time of the step is read before the lease is checked: a leader that is paused in between grants no leases from
+		// a time at which another one may lead.
 		now := time.Now()
 		switch {
 		case !status.Ready(clock.Now()):
@@ -92,7 +94,7 @@
 		case now.Before(idleUntil):
 			timer.Reset(idleUntil.Sub(now))
 		default:
-			next, took := l.step(ctx, core, term)
+			next, took := l.step(ctx, core, term, now)
 			idleUntil = time.Now().Add(min(idleFactor*took, maxIdle))
 			timer.Reset(time.Until(next))
 		}
@@ -147,14 +149,16 @@
 	}
 }
 
-// step runs one step and carries out its actions. It returns the time of the next step and the duration of the
-// decision.
-func (l *leaderLoop) step(ctx context.Context, core *dispatch.Core, term uint64) (next time.Time, took time.Duration) {
+// step runs one step at the given time and carries out its actions. It returns the time of the next step and the
+// duration of the decision.
+func (l *leaderLoop) step(
+	ctx context.Context, core *dispatch.Core, term uint64, now time.Time,
+) (next time.Time, took time.Duration) {
 	for agent, s := range l.sessions {
 		core.SetOrderRoom(agent, cap(s.orders)-len(s.orders))
 	}
 	startedAt := time.Now()
-	a := core.Step(startedAt, l.state.Load())
+	a := core.Step(now, l.state.Load())
 	took = time.Since(startedAt)
 	l.metrics.decision.Update(took.Microseconds())
 	l.logDecisions(a.Decisions())
@@ -172,10 +176,10 @@
 	for _, m := range a.Maintenance() {
 		l.requestMaintenance(ctx, term, m)
 	}
-	l.commitCrashes(ctx, startedAt, a.Crashes())
+	l.commitCrashes(ctx, now, a.Crashes())
 	if len(a.Ends()) > 0 {
 		l.metrics.ends.Inc(int64(len(a.Ends())))
-		l.commit(ctx, batch.NewEndRuns(startedAt, a.Ends()...))
+		l.commit(ctx, batch.NewEndRuns(now, a.Ends()...))
 	}
 	if len(a.Crashes()) > 0 || len(a.Ends()) > 0 {
 		return time.Now(), took
@@ -185,7 +189,7 @@
 		l.commit(ctx, batch.NewPruneJobs(a.ForgetBefore()))
 	}
 	if len(a.Groups()) > 0 {
-		l.commitStarts(ctx, core, startedAt, a.Groups())
+		l.commitStarts(ctx, core, now, a.Groups())
 		return time.Now(), took
 	}
 	return a.Wake(), took
