dispatch: the refusal of an earlier order does not drop the ticket of the latest one

What callers would see: a task waits for another inquiry although its worker has a valid ticket. Found by reading.

Cause: a worker's refusal of a ticket dropped the advisor's answer about that worker, whichever order was refused.

Change: only the refusal of the latest order to start the run counts.

--- a/internal/dispatch/advice_test.go
+++ b/internal/dispatch/advice_test.go
@@ -115,4 +115,14 @@
 		f.reconnect(2)
 		f.assertStopOrdered(run.NewID(batch.NewTaskID("other", 0, 0, 0), 1))
 	})
+	t.Run("a refusal of an earlier ticket does not drop the later one", func(t *testing.T) {
+		f := newAdviceFixture(t)
+		i, _ := f.stepUntilInquiry().Inquiry()
+		f.core.AdviceReceived(f.now, i, approved, time.Minute)
+		require.Equal(t, "c81e", f.ticket())
+		id := run.NewID(batch.NewTaskID("other", 0, 0, 0), 1)
+		f.core.Report(f.now, run.NewReport("h").WithRefused([]run.Refusal{run.NewRefusal(id, run.OrderID{}, "ticket")}))
+		f.reconnect(2)
+		assert.Equal(t, "c81e", f.ticket())
+	})
 }
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -107,7 +107,10 @@
 		case Unhealthy:
 			h.health.recordFailure(now)
 		case ticketRefused:
-			c.dropTicket(e.ID().Task(), h)
+			// The refusal of an earlier order says nothing about the ticket in the latest one.
+			if !e.OrderID().Before(c.ordersOf(e.ID()).start) {
+				c.dropTicket(e.ID().Task(), h)
+			}
 		}
 		d := c.newDecision(h, now, e.ID(), "start refused", e.Reason())
 		d.answered = e.OrderID()
