--- a/internal/dispatch/worker_test.go
+++ b/internal/dispatch/worker_test.go
@@ -170,7 +170,7 @@
 
 // reachesLeader reports whether the agent can have a session with the leader.
 func (w *worker) reachesLeader() bool {
-	return !w.cut && !(w.frozen && w.sim.now.Sub(w.frozenAt) >= sessionTimeout)
+	return !w.cut && (!w.frozen || w.sim.now.Sub(w.frozenAt) < sessionTimeout)
 }
 
 // expire ends runs whose lease has ended or whose work is complete.
