runner: an agent does not repeat a start call once the lease in the order has ended

What callers would see: a task runs twice: a call that is repeated for lack of an answer, by an agent that was paused meanwhile, reaches the worker's next incarnation after the run was given up.

Change: a call is repeated only while the lease lasts; then the order is given up without an answer, and the leader decides about the run. lostReason and orderUnlisted say what they do.

Test: a new case of TestLateStart; without the check the calls went on (more than 10).

--- a/internal/dispatch/lost.go
+++ b/internal/dispatch/lost.go
@@ -8,7 +8,7 @@
 )
 
 // lostReason returns why a placed run is over although its worker lists no end of it, or an empty string while it may
-// still run or begin. All decisions that depend on that rely on the end which the leader commits for this reason.
+// still run or begin. No other function decides that; they rely on the end that the leader commits for this reason.
 func (c *Core) lostReason(now time.Time, id run.ID, worker batch.Incarnation) string {
 	o := c.orders[id]
 	if o != nil && o.withheld && !o.startOrdered() {
--- a/internal/dispatch/resolve.go
+++ b/internal/dispatch/resolve.go
@@ -23,7 +23,7 @@
 				c.recordEnd(now, e, c.hosts[t.Worker().Host()], a)
 				return
 			}
-			c.pursue(now, j, id, t, hosts, a)
+			c.orderUnlisted(now, j, id, t, hosts, a)
 			if h := hosts[t.Worker()]; c.evacuated(h) && h.listsRunning(id) {
 				a.evacuatedRuns++
 			}
@@ -70,8 +70,8 @@
 	return batch.NewEnd(id.Task(), id.Run(), batch.Lost, checkpoint), true
 }
 
-// pursue gives the order that a run needs whose worker lists neither the run nor its end: to stop, or to start again.
-func (c *Core) pursue(
+// orderUnlisted gives the order that a run needs whose worker lists neither the run nor its end: to stop, or to start again.
+func (c *Core) orderUnlisted(
 	now time.Time, j *batch.Job, id run.ID, t batch.Task, hosts map[batch.Incarnation]*host, a *Actions,
 ) {
 	h := c.hostReporting(t.Worker())
--- a/internal/runner/clock.go
+++ b/internal/runner/clock.go
@@ -17,9 +17,15 @@
 	}
 }
 
-// ended reports whether a lease that ends at a reading of the clock has ended.
+// endOf returns the time at which a lease ends that is given as a reading of the clock; ok is false if no reading is known.
+func (c *workerClock) endOf(lease time.Duration) (end time.Time, ok bool) {
+	return c.at.Add(lease - c.reading), !c.at.IsZero()
+}
+
+// ended reports whether a lease that is given as a reading of the clock has ended.
 func (c *workerClock) ended(now time.Time, lease time.Duration) bool {
-	return !c.at.IsZero() && c.reading+now.Sub(c.at) >= lease
+	end, ok := c.endOf(lease)
+	return ok && !now.Before(end)
 }
 
 // reset drops the reading, which was that of an earlier incarnation.
--- a/internal/runner/late_test.go
+++ b/internal/runner/late_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"rosemarywind.example/rosemarywind/internal/clock"
 	"rosemarywind.example/rosemarywind/internal/run"
 )
 
@@ -86,6 +87,30 @@
 		orderStartAt(t, l, testLease+time.Second, secondStart)
 		assertStoppedFirst(t, l, w, tooLate)
 	})
+	t.Run("not answered before the end of the lease", func(t *testing.T) {
+		w := &busyWorker{starts: []error{errors.New("no answer")}}
+		l := newLoop(New("h", w, nil, nil, hclog.NewNullLogger()))
+		l.announced.Publish(workerState{announcement: announced(first), known: true})
+		l.resetIncarnation(first)
+		l.clock.observe(time.Minute, clock.Now())
+		o := run.NewStart(task, first, "", "", time.Minute+3*callRetryDelay)
+		l.handle(t.Context(), clock.Now(), orderInput{envelope: run.NewEnvelope(1, o)})
+		calls := 0
+		for len(l.starts) > 0 {
+			in := <-l.inputs
+			if _, unanswered := in.(unansweredInput); unanswered {
+				calls++
+			}
+			require.LessOrEqual(t, calls, 10)
+			l.handle(t.Context(), clock.Now(), in)
+		}
+		assert.NotZero(t, calls)
+		assert.Empty(t, l.answers.settled, "the run may have begun")
+		time.Sleep(3 * callRetryDelay)
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		assert.Len(t, w.calls, calls)
+	})
 	t.Run("read after a later reading of the clock", func(t *testing.T) {
 		c := workerClock{}
 		c.observe(time.Minute, epoch)
--- a/internal/runner/loop.go
+++ b/internal/runner/loop.go
@@ -111,6 +111,10 @@
 		if in.incarnation == l.incarnation {
 			l.handleUnanswered(in)
 		}
+	case expiredInput:
+		// The leader decides about the run, which may have begun.
+		l.logger.Info("start given up", "task", in.id.Task().String(), "run", in.id.Run(), "order", in.order.String())
+		l.cancelOrder(in.id, in.order)
 	case stoppedInput:
 		if in.incarnation == l.incarnation {
 			l.answers.recordEnded(in.id, in.order, in.at)
--- a/internal/runner/refusal_test.go
+++ b/internal/runner/refusal_test.go
@@ -25,9 +25,13 @@
 	calls  []string
 }
 
-func (w *busyWorker) next(call string, errs *[]error) error {
+// next records a call and returns its answer. A call whose context has ended is not sent.
+func (w *busyWorker) next(ctx context.Context, call string, errs *[]error) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
 	w.calls = append(w.calls, call)
 	err := (*errs)[0]
 	if len(*errs) > 1 {
@@ -36,12 +40,12 @@
 	return err
 }
 
-func (w *busyWorker) Start(context.Context, uint64, run.Start) error {
-	return w.next("start", &w.starts)
+func (w *busyWorker) Start(ctx context.Context, _ uint64, _ run.Start) error {
+	return w.next(ctx, "start", &w.starts)
 }
 
-func (w *busyWorker) Stop(context.Context, batch.Incarnation, uint64, run.ID) error {
-	return w.next("stop", &w.stops)
+func (w *busyWorker) Stop(ctx context.Context, _ batch.Incarnation, _ uint64, _ run.ID) error {
+	return w.next(ctx, "stop", &w.stops)
 }
 
 // awaitResult waits for the input that ends an order; the inputs for its unanswered attempts come before.
--- a/internal/runner/runner.go
+++ b/internal/runner/runner.go
@@ -72,6 +72,12 @@
 	at          time.Time
 }
 
+// expiredInput is a start order that the worker has not answered before the lease in it ended.
+type expiredInput struct {
+	id    run.ID
+	order run.OrderID
+}
+
 type stoppedInput struct {
 	id          run.ID
 	order       run.OrderID // zero if the agent stopped the run by itself
@@ -92,6 +98,7 @@
 func (orderInput) input()      {}
 func (startedInput) input()    {}
 func (unansweredInput) input() {}
+func (expiredInput) input()    {}
 func (stoppedInput) input()    {}
 func (listedInput) input()     {}
 func (sessionInput) input()    {}
--- a/internal/runner/start.go
+++ b/internal/runner/start.go
@@ -33,14 +33,14 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	l.starts[o.ID()] = pendingStart{order: o.OrderID(), cancel: cancel}
-	fencingToken := l.fencingToken
+	fencingToken, leaseClock := l.fencingToken, l.clock
 	go func() {
 		defer cancel()
 		if refusal != "" {
 			l.refuseStopped(ctx, o, fencingToken, refusal)
 			return
 		}
-		l.callStart(ctx, o, fencingToken)
+		l.callStart(ctx, o, fencingToken, leaseClock)
 	}()
 }
 
@@ -55,6 +55,13 @@
 	return ""
 }
 
+// cancelOrder gives up the pending start of a run unless it is that of another order.
+func (l *loop) cancelOrder(id run.ID, order run.OrderID) {
+	if l.starts[id].order == order {
+		l.cancelStart(id)
+	}
+}
+
 // refuseStopped refuses a start that the agent does not pass to the worker after it has stopped the run, since the call for
 // an earlier order to start it may be under way.
 func (l *loop) refuseStopped(ctx context.Context, o run.Start, fencingToken uint64, reason string) {
@@ -75,13 +82,19 @@
 	return pending
 }
 
-// callStart calls the worker until it answers, until it accepts no connection, or until ctx ends.
-func (l *loop) callStart(ctx context.Context, o run.Start, fencingToken uint64) {
+// callStart calls the worker until it answers, until it accepts no connection, until the lease in the order has ended, or
+// until ctx ends.
+func (l *loop) callStart(ctx context.Context, o run.Start, fencingToken uint64, c workerClock) {
 	for {
 		ended, ok := begin(ctx, l.starting)
 		if !ok {
 			return
 		}
+		if c.ended(clock.Now(), o.Lease()) {
+			ended()
+			l.enqueue(ctx, expiredInput{id: o.ID(), order: o.OrderID()})
+			return
+		}
 		attempt, done := context.WithTimeout(ctx, callTimeout)
 		sentAt := clock.Now()
 		err := l.worker.Start(attempt, fencingToken, o)
@@ -123,9 +136,7 @@
 	if in.incarnation != l.incarnation {
 		return
 	}
-	if l.starts[in.id].order == in.order {
-		l.cancelStart(in.id)
-	}
+	l.cancelOrder(in.id, in.order)
 	if !in.sentAt.IsZero() {
 		l.watch.recordAnswer(in.at)
 	}
@@ -156,8 +167,8 @@
 		return
 	}
 	l.reportUnreachable(in.err)
-	if !isTimeout(in.err) && l.starts[in.id].order == in.order {
-		l.cancelStart(in.id)
+	if !isTimeout(in.err) {
+		l.cancelOrder(in.id, in.order)
 	}
 }
 
