--- a/internal/dispatch/main_test.go
+++ b/internal/dispatch/main_test.go
@@ -7,6 +7,6 @@
 )
 
 // stepsOfCheck is the mean number of steps per check.
-const stepsOfCheck = 60
+const stepsOfCheck = 70
 
 func TestMain(m *testing.M) { fuzzing.Main(m, stepsOfCheck) }
